--- /dev/null
+++ b/tests/integration/integration-version.cpp
@@ -0,0 +1,8 @@
+#include <criterion/criterion.h>
+
+#include <cstdlib> // system
+
+Test(binary, prints_its_version)
+{
+    cr_assert(std::system("build/pimentoshunt >/dev/null") == 0);
+}
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,4 @@
+auto main() -> int
+{
+    return 0;
+}
--- /dev/null
+++ b/tests/unit-error.cpp
@@ -0,0 +1,14 @@
+#include <pimentoshunt/error.hpp>
+
+#include <criterion/criterion.h>
+
+using pimentoshunt::error;
+using pimentoshunt::error_kind;
+
+Test(error, message_names_kind_place_and_remedy)
+{
+    const error e{error_kind::plan, 201, "/tenants/0", "unknown key",
+                  "remove it"};
+    cr_assert(e.message() ==
+              "[plan.201] at /tenants/0: unknown key; remedy: remove it");
+}
