Stand-ins for the platform and for workers

Cause: the path from caller to worker needs a platform and workers that follow the two contracts, can fail on request and keep their own record.

Ruled out: the library's fixed thread pool (a thread is held by each keep-alive connection, so a size for the crest costs threads in quiet) and SO_REUSEPORT, which the library sets by itself and which hides a port clash.

--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -1,4 +1,156 @@
-auto main() -> int
+/// @file
+/// The stand-ins for the platform and for workers, in one test program.
+#include "http_server.hpp"
+#include "platform_service.hpp"
+#include "worker_service.hpp"
+
+#include <gflags/gflags.h>
+#include <httplib.h>
+
+#include <csignal>  // signal
+#include <iostream> // cerr
+#include <string>   // string
+#include <thread>   // sleep_for
+#include <vector>   // vector
+
+DEFINE_string(role, "platform", "platform or workers");
+DEFINE_int32(port, 9000, "TCP port on 127.0.0.1");
+DEFINE_int32(threads, 400, "most pool threads, thus most connections");
+DEFINE_int32(count, 1, "workers in this process");
+DEFINE_int32(first, 0, "number of the first worker: ids are w<number>");
+DEFINE_int32(rack_size, 8, "workers in a rack");
+DEFINE_string(data_centre, "dc1",
+              "data centre of the workers; with commas, racks go to them in "
+              "turn");
+DEFINE_int64(slots, 8, "slots of a worker");
+DEFINE_int64(millicpus, 16'000, "processor of a worker, thousandths of a core");
+DEFINE_int64(memory_mb, 65'536, "memory of a worker, MiB");
+DEFINE_int64(accelerators, 0, "accelerators of a worker");
+DEFINE_int64(connections, 64, "most attempts at once at a worker");
+DEFINE_bool(enforce_capacity, false,
+            "refuse what would exceed capacity, instead of recording it");
+DEFINE_int64(memory_ms, 600'000, "memory of ended attempts, ms");
+DEFINE_string(record_file, "", "file to which events are appended as well");
+DEFINE_string(platform, "", "platform URL where the workers are registered");
+DEFINE_string(advertised, "",
+              "host:port in the registered base URLs; 127.0.0.1:<port> when "
+              "empty");
+
+namespace
 {
-    return 0;
+
+namespace standins = pimentoshunt::standins;
+using pimentoshunt::milliseconds;
+
+constexpr int registration_tries = 100;
+constexpr milliseconds registration_pause{50};
+
+auto split(const std::string& text) -> std::vector<std::string>
+{
+    std::vector<std::string> parts(1);
+    for (const auto letter : text)
+    {
+        if (letter == ',')
+        {
+            parts.emplace_back();
+        }
+        else
+        {
+            parts.back() += letter;
+        }
+    }
+    return parts;
+}
+
+auto worker_config(int number) -> standins::worker_config
+{
+    const auto centres = split(FLAGS_data_centre);
+    const auto place = FLAGS_advertised.empty()
+                           ? "127.0.0.1:" + std::to_string(FLAGS_port)
+                           : FLAGS_advertised;
+    const auto overall = FLAGS_first + number;
+    const auto rack = overall / FLAGS_rack_size;
+    standins::worker_config config;
+    config.id = "w" + std::to_string(overall);
+    config.base_url = "http://" + place + "/w/" + std::to_string(number);
+    config.data_centre =
+        centres[static_cast<std::size_t>(rack) % centres.size()];
+    config.rack = "r" + std::to_string(rack);
+    config.capacity = {FLAGS_slots, FLAGS_millicpus, FLAGS_memory_mb,
+                       FLAGS_accelerators};
+    config.connections = FLAGS_connections;
+    config.enforce_capacity = FLAGS_enforce_capacity;
+    config.memory = milliseconds(FLAGS_memory_ms);
+    return config;
+}
+
+auto worker_configs() -> std::vector<standins::worker_config>
+{
+    std::vector<standins::worker_config> configs;
+    configs.reserve(static_cast<std::size_t>(FLAGS_count));
+    for (int number = 0; number < FLAGS_count; ++number)
+    {
+        configs.push_back(worker_config(number));
+    }
+    return configs;
+}
+
+/// Tries for some seconds, as the platform may start at the same time.
+auto register_workers(const std::string& entries) -> bool
+{
+    httplib::Client client(FLAGS_platform);
+    for (int left = registration_tries; left > 0; --left)
+    {
+        const auto answer = client.Post("/control/instances?mode=add", entries,
+                                        "application/json");
+        if (answer && answer->status == 200)
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(registration_pause);
+    }
+    std::cerr << "no platform at " << FLAGS_platform
+              << "; start it first or correct --platform\n";
+    return false;
+}
+
+auto serve_platform() -> int
+{
+    standins::platform_service service;
+    httplib::Server server;
+    standins::configure(server, static_cast<std::size_t>(FLAGS_threads));
+    service.install(server);
+    return standins::serve(server, FLAGS_port);
+}
+
+auto serve_workers() -> int
+{
+    standins::worker_service service(worker_configs(), FLAGS_record_file);
+    httplib::Server server;
+    standins::configure(server, static_cast<std::size_t>(FLAGS_threads));
+    service.install(server);
+    if (!FLAGS_platform.empty() && !register_workers(service.list_entries()))
+    {
+        return 1;
+    }
+    return standins::serve(server, FLAGS_port);
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    if (FLAGS_role == "platform")
+    {
+        return serve_platform();
+    }
+    if (FLAGS_role == "workers")
+    {
+        return serve_workers();
+    }
+    std::cerr << "unknown --role=" << FLAGS_role
+              << "; use platform or workers\n";
+    return 2;
 }
--- /dev/null
+++ b/tests/standins/platform_service.hpp
@@ -0,0 +1,101 @@
+/// @file
+/// The platform stand-in: table, objects and instance list over HTTP, with
+/// faults that tests set below /control.
+#pragma once
+
+#include "instance_catalog.hpp"
+#include "table.hpp"
+
+#include <pimentoshunt/clock.hpp>
+
+#include <httplib.h>
+
+#include <atomic>             // atomic
+#include <condition_variable> // condition_variable
+#include <cstdint>            // int64_t
+#include <deque>              // deque
+#include <mutex>              // mutex
+#include <string>             // string
+
+namespace pimentoshunt::standins
+{
+
+/// @brief How calls are answered during an outage.
+enum class outage_mode
+{
+    none,
+    /// Every call is answered 503 at once.
+    refuse,
+    /// Every call waits until the outage ends, then is answered 503.
+    hang
+};
+
+/// @brief Counts of calls, in total and for each second.
+struct call_counts
+{
+    std::int64_t reads = 0;
+    std::int64_t writes = 0;
+};
+
+/// @brief Counts calls; safe to share by threads.
+class call_meter
+{
+  public:
+    auto count_read(time_point now) -> void;
+    auto count_write(time_point now) -> void;
+    auto count_conflict() -> void;
+    auto count_refused() -> void;
+    auto count_dropped_reply() -> void;
+
+    /// @brief {"reads","writes","conflicts","refused","dropped_replies",
+    /// "reads_last_second","writes_last_second","reads_peak","writes_peak",
+    /// "seconds":[{"reads","writes"}..]}: the last 600 whole seconds.
+    [[nodiscard]] auto to_json(time_point now) -> std::string;
+
+  private:
+    auto advance(time_point now) -> void;
+
+    std::mutex m_mutex;
+    call_counts m_total;
+    call_counts m_current;
+    call_counts m_peak;
+    std::deque<call_counts> m_seconds;
+    std::int64_t m_second = 0;
+    std::int64_t m_conflicts = 0;
+    std::int64_t m_refused = 0;
+    std::int64_t m_dropped = 0;
+};
+
+/// @brief All routes of the platform stand-in.
+class platform_service
+{
+  public:
+    /// @brief Adds the routes; this object must outlive @p server.
+    auto install(httplib::Server& server) -> void;
+
+  private:
+    auto install_table(httplib::Server& server) -> void;
+    auto install_objects(httplib::Server& server) -> void;
+    auto install_control(httplib::Server& server) -> void;
+    /// Waits the added latency and any hanging outage; false when the call
+    /// was answered 503.
+    auto admit(httplib::Response& response) -> bool;
+    auto commit(const httplib::Request& request, httplib::Response& response)
+        -> void;
+    auto set_faults(const httplib::Request& request,
+                    httplib::Response& response) -> void;
+    /// Takes one of the replies that are to be dropped.
+    auto take_dropped_reply() -> bool;
+
+    table m_table;
+    object_store m_objects;
+    instance_catalog m_instances;
+    call_meter m_meter;
+    std::mutex m_mutex;
+    std::condition_variable m_outage_changed;
+    outage_mode m_outage = outage_mode::none;
+    std::atomic<std::int64_t> m_latency_ms{0};
+    std::atomic<std::int64_t> m_replies_to_drop{0};
+};
+
+} // namespace pimentoshunt::standins
