Harness for integration tests: processes, cell, callers, proxy, checker

Cause: the promises must be shown with real processes behind a proxy that injects faults, and judged from the workers' and the callers' records alone.

Ruled out: a thread pair for each relayed connection (thousands of threads behind a burst); starting children on the calling thread, as the kernel's parent-death signal is tied to the thread that forked.

Change: tests/support with process, ports, cell, seeded callers, a TCP relay on one poll loop with standing and one-time faults, random faults by seed, and the checker with typed violations.

--- /dev/null
+++ b/tests/support/random_faults.cpp
@@ -0,0 +1,127 @@
+#include "random_faults.hpp"
+
+#include "wait_until.hpp"
+
+#include <array>   // array
+#include <utility> // move
+
+namespace pimentoshunt::testing
+{
+namespace
+{
+
+/// One kind of fault with its fixed measures.
+struct fault_choice
+{
+    const char* name;
+    link_faults standing;
+    bool one_time = false;
+    exchange_rule exchange{};
+};
+
+auto choices() -> const std::vector<fault_choice>&
+{
+    static const std::vector<fault_choice> all{
+        {"cut", {.cut = true}},
+        {"freeze", {.freeze = true}},
+        {"swallow requests", {.swallow_requests = true}},
+        {"swallow replies", {.swallow_replies = true}},
+        {"delay", {.delay = milliseconds{40}, .jitter = milliseconds{80}}},
+        {"drop reply", {}, true, {exchange_fault::drop_reply, 1, 0, ""}},
+        {"close in reply",
+         {},
+         true,
+         {exchange_fault::close_reply_after, 1, 200, ""}},
+        {"close in request",
+         {},
+         true,
+         {exchange_fault::close_request_after, 1, 150, ""}}};
+    return all;
+}
+
+} // namespace
+
+random_faults::random_faults(std::vector<named_link> links,
+                             const random_fault_options& options)
+    : m_links(std::move(links)), m_options(options), m_random(options.seed),
+      m_thread(
+          [this](const std::stop_token& stopping)
+          {
+              run(stopping);
+          })
+{
+}
+
+random_faults::~random_faults()
+{
+    m_thread.request_stop();
+    m_thread.join();
+    for (const auto& link : m_links)
+    {
+        link.proxy->heal();
+    }
+}
+
+auto random_faults::log() const -> std::vector<std::string>
+{
+    const std::lock_guard lock(m_mutex);
+    return m_log;
+}
+
+auto random_faults::run(const std::stop_token& stopping) -> void
+{
+    while (!stopping.stop_requested() && !m_links.empty())
+    {
+        hold(stopping,
+             between(m_options.shortest_pause, m_options.longest_pause));
+        strike(stopping);
+    }
+}
+
+auto random_faults::strike(const std::stop_token& stopping) -> void
+{
+    const auto& link = m_links[m_random() % m_links.size()];
+    const auto& choice = choices()[m_random() % choices().size()];
+    const auto how_long =
+        between(m_options.shortest_hold, m_options.longest_hold);
+    if (stopping.stop_requested())
+    {
+        return;
+    }
+    {
+        const std::lock_guard lock(m_mutex);
+        m_log.push_back(link.name + ": " + choice.name + " for " +
+                        std::to_string(how_long.count()) + " ms");
+    }
+    if (choice.one_time)
+    {
+        link.proxy->add(choice.exchange);
+    }
+    else
+    {
+        link.proxy->set_faults(choice.standing);
+    }
+    hold(stopping, how_long);
+    link.proxy->heal();
+}
+
+auto random_faults::hold(const std::stop_token& stopping, milliseconds how_long)
+    -> void
+{
+    [[maybe_unused]] const auto stopped = wait_until(
+        [&]
+        {
+            return stopping.stop_requested();
+        },
+        how_long);
+}
+
+auto random_faults::between(milliseconds shortest, milliseconds longest)
+    -> milliseconds
+{
+    std::uniform_int_distribution<std::int64_t> pick(shortest.count(),
+                                                     longest.count());
+    return milliseconds(pick(m_random));
+}
+
+} // namespace pimentoshunt::testing
