--- a/tests/support/cell.cpp
+++ b/tests/support/cell.cpp
@@ -468,8 +468,8 @@
         return 0;
     }
     std::unordered_set<std::string> ids;
-    for (const auto& entry :
-         json::parse(*text).as_object().at("instances").as_array())
+    const auto list = json::parse(*text);
+    for (const auto& entry : list.at("instances").as_array())
     {
         if (entry.as_object().at("kind").as_string() == "worker")
         {
