Control engine, ownership by worker epochs, late binding (not yet wired)

Cause: the thin path needs one control thread. Change: pure engine, keeper, desk, board, membership; kernel and transport.

--- /dev/null
+++ b/include/pimentoshunt/control/engine.hpp
@@ -0,0 +1,173 @@
+/// @file
+/// The control state of one instance and its reactions.
+///
+/// No I/O and no clock of its own: events and times come in, wanted effects
+/// come out. The control thread runs it; tests run it alone.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/control/events.hpp>
+#include <pimentoshunt/entry/request_desk.hpp>
+#include <pimentoshunt/membership/member_table.hpp>
+#include <pimentoshunt/ownership/demand_board.hpp>
+#include <pimentoshunt/ownership/worker_keeper.hpp>
+#include <pimentoshunt/plan/document.hpp>
+#include <pimentoshunt/policy/grant_picker.hpp>
+
+#include <pimentoshunt.pb.h>
+
+#include <map>           // map
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace pimentoshunt::control
+{
+
+/// @brief What the engine is made with.
+struct engine_config
+{
+    /// This instance; its id, incarnation, addresses and data centre.
+    membership::member self;
+    membership::liveness_limits liveness;
+    ownership::keeper_limits keeper;
+    entry::desk_limits desk;
+    /// Addresses to greet although no table has named them.
+    std::vector<std::string> seeds;
+    milliseconds heartbeat{200};
+    milliseconds list_interval{1'000};
+    milliseconds plan_poll{2'000};
+    /// Whether heartbeats carry what is known of other instances.
+    bool relay = true;
+};
+
+/// @brief A message to another instance.
+struct outbound
+{
+    std::string address;
+    wire::envelope envelope;
+};
+
+/// @brief What the engine wants done; filled by flush().
+struct effects
+{
+    std::vector<outbound> sends;
+    ownership::keeper_calls calls;
+    bool read_list = false;
+    bool read_plan = false;
+    /// A plan that has come into force here, else null.
+    plan::plan_ptr new_plan;
+};
+
+/// @brief The control state of one instance. Single-threaded.
+class engine
+{
+  public:
+    engine(engine_config config, time_point now);
+
+    /// @brief Takes in one event.
+    auto handle(event&& news, time_point now) -> void;
+
+    /// @brief Lets time pass; to be called every few milliseconds.
+    auto tick(time_point now) -> void;
+
+    /// @brief Ends a batch of events: sends demand and grants, and hands over
+    ///        everything that is to be done.
+    auto flush(time_point now) -> effects;
+
+    [[nodiscard]] auto ready() const noexcept -> bool
+    {
+        return m_config.self.state == membership::member_state::ready;
+    }
+
+  private:
+    struct sent_demand
+    {
+        std::vector<entry::asked_line> lines;
+        std::uint64_t grants_seen = 0;
+
+        friend auto operator==(const sent_demand&, const sent_demand&)
+            -> bool = default;
+    };
+
+    /// What this entry knows of an owner it asks.
+    struct owner_link
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t grants_seen = 0;
+        sent_demand last;
+        time_point last_at;
+    };
+
+    auto on(peer_message& news, time_point now) -> void;
+    auto on(request_arrived& news, time_point now) -> void;
+    auto on(request_cancelled& news, time_point now) -> void;
+    auto on(attempt_ended& news, time_point now) -> void;
+    auto on(fence_ended& news, time_point now) -> void;
+    auto on(inspection_ended& news, time_point now) -> void;
+    auto on(revocation_ended& news, time_point now) -> void;
+    auto on(list_read& news, time_point now) -> void;
+    auto on(plan_read& news, time_point now) -> void;
+    auto on(plan_accepted& news, time_point now) -> void;
+    auto on(drain_begun& news, time_point now) -> void;
+    auto on(status_wanted& news, time_point now) -> void;
+
+    auto on_beat(const wire::envelope& message, time_point now) -> void;
+    auto on_plan_text(const wire::plan_text& message, time_point now) -> void;
+    auto on_demand(const wire::envelope& message, time_point now) -> void;
+    auto on_grants(const wire::envelope& message, time_point now) -> void;
+    auto on_releases(const wire::releases& message) -> void;
+
+    auto note_pause(time_point now) -> void;
+    auto beat(time_point now) -> void;
+    auto slow_tick(time_point now) -> void;
+    auto update_links(time_point now) -> void;
+    auto update_readiness() -> void;
+    auto adopt(plan::plan_ptr newer) -> void;
+    auto announce_plan() -> void;
+    auto plan_message() const -> wire::envelope;
+    auto view(time_point now) const -> ownership::claim_view;
+    auto quorate(time_point now) const -> bool;
+    auto send_demand(time_point now) -> void;
+    auto place(time_point now) -> void;
+    auto hand_out(const instance_id& entry, std::vector<entry::grant> grants,
+                  time_point now) -> void;
+    auto give_back(const entry::grant& item,
+                   ownership::attempt_outcome outcome) -> void;
+    auto release_here(const worker_id& worker, const attempt_id& attempt,
+                      ownership::attempt_outcome outcome) -> void;
+    auto send_to(const instance_id& id, wire::envelope message) -> void;
+    auto stamp(wire::envelope message) const -> wire::envelope;
+    auto next_attempt() -> attempt_id;
+    auto self_id() const -> const instance_id&
+    {
+        return m_config.self.id;
+    }
+
+    engine_config m_config;
+    membership::member_table m_members;
+    ownership::worker_keeper m_keeper;
+    ownership::demand_board m_board;
+    entry::request_desk m_desk;
+    policy::grant_picker m_picker;
+    plan::plan_ptr m_plan;
+    time_point m_plan_confirmed;
+    bool m_plan_known = false;
+    bool m_list_known = false;
+    std::map<instance_id, owner_link> m_links;
+    std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
+    std::vector<std::string> m_greeted;
+    effects m_effects;
+    bool m_demand_changed = false;
+    bool m_capacity_changed = false;
+    bool m_membership_changed = true;
+    std::uint64_t m_attempts = 0;
+    time_point m_last_tick;
+    time_point m_next_slow;
+    time_point m_next_beat;
+    time_point m_next_list;
+    time_point m_next_plan;
+    time_point m_next_plan_request;
+};
+
+} // namespace pimentoshunt::control
--- /dev/null
+++ b/include/pimentoshunt/kernel/io_pool.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// Threads for calls that block, so that the control thread never does.
+#pragma once
+
+#include <condition_variable> // condition_variable
+#include <cstddef>            // size_t
+#include <deque>              // deque
+#include <functional>         // function
+#include <mutex>              // mutex
+#include <thread>             // thread
+#include <vector>             // vector
+
+namespace pimentoshunt::kernel
+{
+
+/// @brief A call that may block.
+struct io_call
+{
+    std::function<void()> run;
+};
+
+/// @brief A fixed number of threads that run calls in order of arrival.
+class io_pool
+{
+  public:
+    explicit io_pool(std::size_t threads);
+
+    /// @brief Lets running calls end, and drops those that wait.
+    ~io_pool();
+
+    io_pool(const io_pool&) = delete;
+    auto operator=(const io_pool&) -> io_pool& = delete;
+
+    /// @brief Queues a call.
+    auto submit(io_call call) -> void;
+
+  private:
+    auto work() -> void;
+
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::deque<io_call> m_calls;
+    bool m_stopping = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace pimentoshunt::kernel
--- /dev/null
+++ b/include/pimentoshunt/transport/wire_codec.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// Between the program's types and the messages between instances. Times go
+/// over the wire as ages and remaining times, in microseconds.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/entry/request_desk.hpp>
+#include <pimentoshunt/entry/ticket.hpp>
+#include <pimentoshunt/membership/member_table.hpp>
+#include <pimentoshunt/worker/messages.hpp>
+
+#include <pimentoshunt.pb.h>
+
+namespace pimentoshunt::transport
+{
+
+/// @brief A member, with the age of what is known of it at @p now.
+[[nodiscard]] auto to_wire(const membership::member& item, time_point now)
+    -> wire::member;
+[[nodiscard]] auto from_wire(const wire::member& message)
+    -> membership::member;
+
+[[nodiscard]] auto to_wire(const entry::asked_line& line, time_point now)
+    -> wire::demand_line;
+[[nodiscard]] auto from_wire(const wire::demand_line& message, time_point now)
+    -> entry::asked_line;
+
+[[nodiscard]] auto to_wire(const entry::grant& item) -> wire::grant;
+/// @note The owner is not in the message: it is the sender.
+[[nodiscard]] auto from_wire(const wire::grant& message) -> entry::grant;
+
+[[nodiscard]] auto to_wire(const resources& amount) -> wire::amounts;
+[[nodiscard]] auto from_wire(const wire::amounts& message) -> resources;
+
+[[nodiscard]] auto to_wire(const worker::description& item)
+    -> wire::worker_entry;
+[[nodiscard]] auto from_wire(const wire::worker_entry& message)
+    -> worker::description;
+
+} // namespace pimentoshunt::transport
--- /dev/null
+++ b/src/transport/peer_link.cpp
@@ -0,0 +1,113 @@
+#include <pimentoshunt/transport/peer_link.hpp>
+
+#include <utility> // move
+
+namespace pimentoshunt::transport
+{
+namespace
+{
+
+/// Messages kept for one peer that does not read.
+constexpr int send_queue_messages = 2'000;
+constexpr milliseconds reconnect_first{20};
+constexpr milliseconds reconnect_longest{200};
+/// A link that was not used for this long is closed.
+constexpr std::chrono::seconds unused_limit{60};
+/// How often the receiver looks whether it is to stop.
+constexpr milliseconds stop_check{50};
+
+} // namespace
+
+auto peer_sender::socket_for(const std::string& address, time_point now)
+    -> zmq::socket_t&
+{
+    const auto found = m_links.find(address);
+    if (found != m_links.end())
+    {
+        found->second.used_at = now;
+        return found->second.socket;
+    }
+    close_unused(now);
+    zmq::socket_t socket(m_context, zmq::socket_type::dealer);
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, send_queue_messages);
+    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::reconnect_ivl,
+               static_cast<int>(reconnect_first.count()));
+    socket.set(zmq::sockopt::reconnect_ivl_max,
+               static_cast<int>(reconnect_longest.count()));
+    socket.connect("tcp://" + address);
+    auto& added = m_links[address];
+    added.socket = std::move(socket);
+    added.used_at = now;
+    return added.socket;
+}
+
+auto peer_sender::close_unused(time_point now) -> void
+{
+    for (auto item = m_links.begin(); item != m_links.end();)
+    {
+        const bool unused = now - item->second.used_at > unused_limit;
+        item = unused ? m_links.erase(item) : std::next(item);
+    }
+}
+
+auto peer_sender::send(const control::outbound& message, time_point now) -> void
+{
+    try
+    {
+        const auto bytes = message.envelope.SerializeAsString();
+        socket_for(message.address, now)
+            .send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        m_bytes += bytes.size();
+    }
+    catch (const zmq::error_t&)
+    {
+        // An address that can't be connected to: the same as a lost message.
+        m_links.erase(message.address);
+    }
+}
+
+peer_receiver::peer_receiver(zmq::context_t& context,
+                             const std::string& address, consumer take)
+    : m_socket(context, zmq::socket_type::router), m_take(std::move(take))
+{
+    m_socket.set(zmq::sockopt::linger, 0);
+    m_socket.set(zmq::sockopt::rcvtimeo, static_cast<int>(stop_check.count()));
+    m_socket.bind("tcp://" + address);
+    m_thread = std::thread([this] { receive(); });
+}
+
+peer_receiver::~peer_receiver()
+{
+    m_stopping = true;
+    m_thread.join();
+}
+
+auto peer_receiver::receive() -> void
+{
+    while (!m_stopping)
+    {
+        zmq::message_t sender;
+        if (!m_socket.recv(sender))
+        {
+            continue;
+        }
+        if (!sender.more())
+        {
+            continue;
+        }
+        zmq::message_t body;
+        const auto received = m_socket.recv(body);
+        wire::envelope envelope;
+        const bool whole =
+            received && !body.more() &&
+            envelope.ParseFromArray(body.data(), static_cast<int>(body.size()));
+        if (whole && !envelope.from().empty())
+        {
+            m_take(std::move(envelope));
+        }
+    }
+}
+
+} // namespace pimentoshunt::transport
