Platform and worker clients over HTTP

Cause: nothing spoke to the table, the objects or the workers.

Ruled out: retrying a commit blindly after a lost reply (an unconditional write could overtake a newer one), and calling it failed (it may have taken effect). One library client shared by threads serialises its calls.

Change: http_pool keeps bounded keep-alive connections to one peer and tells 'certainly not sent' from 'outcome unknown'. http_platform settles a lost commit by the row's write id, and sends the same transaction again only where an expected version lets at most one of the two take effect. http_worker has typed refusals and errors 401 (nothing has run), 402 and 403 (unknown). Platform error 304 is new: certainly not sent.

--- a/include/pimentoshunt/platform/port.hpp
+++ b/include/pimentoshunt/platform/port.hpp
@@ -64,9 +64,18 @@
     std::vector<instance_id> entries;
 };
 
+/// The outcome of a call is not known.
+inline constexpr int outcome_unknown = 301;
+/// The platform answered that it does not do this.
+inline constexpr int call_refused = 302;
+/// The answer was not of the agreed form.
+inline constexpr int answer_malformed = 303;
+/// The request was certainly not sent.
+inline constexpr int not_sent = 304;
+
 /// @brief What every platform implementation, fakes among them, offers.
-/// Errors: kind platform; 301 unreachable or timed out (the outcome is not
-/// known), 302 refused, 303 malformed answer.
+/// Errors: kind platform; 301 no answer (the outcome is not known), 302
+/// refused, 303 malformed answer, 304 unreachable (certainly nothing changed).
 template<class T>
 concept port = requires(T& platform, const std::string& text,
                         const transaction& change, std::size_t limit)
