Read and check settings and the plan, every fault at once

Cause: an instance must be told its settings and the operators' plan, and an operator who made three mistakes should hear of three.

Ruled out: stopping at the first fault; a parser of our own for line numbers. Boost.JSON's basic_parser takes its input in parts, so feeding it a line at a time gives the line of each event, and duplicate keys, which the value parser drops silently.

Change: json::object_reader collects typed faults with JSON pointer, unit and remedy; parse_settings, plan::parse and plan::check are built on it. The plan is checked for names, cycles, quotas below one task or gang, and work that fits none of the given workers.

--- a/include/pimentoshunt/settings.hpp
+++ b/include/pimentoshunt/settings.hpp
@@ -5,6 +5,7 @@
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/error.hpp>
 #include <pimentoshunt/identifier.hpp>
+#include <pimentoshunt/json/fault.hpp>
 
 #include <cstddef> // size_t
 #include <string>  // string
@@ -25,6 +26,12 @@
     int operator_port = 8081;
     /// Where other instances reach this one.
     int peer_port = 8082;
+    /// "host:port" by which others reach the peer port; empty: host and
+    /// peer_port.
+    std::string advertised_peer;
+    /// "host:port" by which others reach the caller port; empty: host and
+    /// caller_port.
+    std::string advertised_http;
     /// "http://127.0.0.1:9000", the table, objects and the instance list.
     std::string platform_url;
     /// "127.0.0.1:8082" of other instances, for a start while the table is
@@ -47,8 +54,15 @@
     std::string log_level = "info";
 };
 
+/// Longest text of settings, in bytes.
+inline constexpr std::size_t max_settings_bytes = 1u << 20;
+
+/// @brief Finds every fault of a settings text, in the order of the text.
+[[nodiscard]] auto check_settings(const std::string& text)
+    -> std::vector<json::fault>;
+
 /// @brief Reads settings from JSON text.
-/// @throw (leaf) settings errors 101 to 109, the first that is found
+/// @throw (leaf) settings errors 101 to 109; one error tells of all faults
 [[nodiscard]] auto parse_settings(const std::string& text) -> result<settings>;
 
 } // namespace pimentoshunt
--- /dev/null
+++ b/src/json/text_scan.cpp
@@ -0,0 +1,234 @@
+#include <pimentoshunt/json/text_scan.hpp>
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <set>         // set
+#include <string_view> // string_view
+
+namespace pimentoshunt::json
+{
+namespace
+{
+
+namespace bj = boost::json;
+
+/// @brief One object or array that is being read.
+struct open_container
+{
+    std::string pointer;
+    bool is_object = false;
+    std::size_t next_index = 0;
+    std::string key;
+    std::set<std::string> keys;
+};
+
+/// @brief Boost.JSON's event handler: notes the line of each value.
+class position_handler
+{
+  public:
+    // Limits that basic_parser asks for by these names.
+    static constexpr std::size_t max_object_size = 1'000'000;
+    static constexpr std::size_t max_array_size = 1'000'000;
+    static constexpr std::size_t max_key_size = 1u << 20;
+    static constexpr std::size_t max_string_size = 64u << 20;
+
+    std::size_t line = 1;
+    text_scan found;
+
+    auto on_document_begin(bj::error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_document_end(bj::error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_object_begin(bj::error_code&) -> bool
+    {
+        m_open.push_back({begin_value(), true, 0, {}, {}});
+        return true;
+    }
+    auto on_object_end(std::size_t, bj::error_code&) -> bool
+    {
+        m_open.pop_back();
+        return true;
+    }
+    auto on_array_begin(bj::error_code&) -> bool
+    {
+        m_open.push_back({begin_value(), false, 0, {}, {}});
+        return true;
+    }
+    auto on_array_end(std::size_t, bj::error_code&) -> bool
+    {
+        m_open.pop_back();
+        return true;
+    }
+    auto on_key_part(bj::string_view part, std::size_t, bj::error_code&) -> bool
+    {
+        m_text.append(part.data(), part.size());
+        return true;
+    }
+    auto on_key(bj::string_view part, std::size_t, bj::error_code&) -> bool
+    {
+        m_text.append(part.data(), part.size());
+        take_key();
+        return true;
+    }
+    auto on_string_part(bj::string_view, std::size_t, bj::error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_string(bj::string_view, std::size_t, bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_number_part(bj::string_view, bj::error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_int64(std::int64_t, bj::string_view, bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_uint64(std::uint64_t, bj::string_view, bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_double(double, bj::string_view, bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_bool(bool, bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_null(bj::error_code&) -> bool
+    {
+        begin_value();
+        return true;
+    }
+    auto on_comment_part(bj::string_view, bj::error_code&) -> bool
+    {
+        return true;
+    }
+    auto on_comment(bj::string_view, bj::error_code&) -> bool
+    {
+        return true;
+    }
+
+    /// @brief The container that was being read, for a syntax fault.
+    [[nodiscard]] auto current_pointer() const -> std::string
+    {
+        return m_open.empty() ? "" : m_open.back().pointer;
+    }
+
+  private:
+    auto begin_value() -> std::string
+    {
+        auto pointer = std::string();
+        if (!m_open.empty())
+        {
+            auto& parent = m_open.back();
+            pointer = child_pointer(parent.pointer,
+                                    parent.is_object
+                                        ? parent.key
+                                        : std::to_string(parent.next_index++));
+        }
+        found.lines.emplace(pointer, line);
+        return pointer;
+    }
+
+    auto take_key() -> void
+    {
+        auto& parent = m_open.back();
+        parent.key = std::move(m_text);
+        m_text.clear();
+        if (!parent.keys.insert(parent.key).second)
+        {
+            found.faults.push_back({fault_kind::duplicate,
+                                    child_pointer(parent.pointer, parent.key),
+                                    line,
+                                    "key \"" + parent.key + "\" is given twice",
+                                    "keep one of the two"});
+        }
+    }
+
+    std::vector<open_container> m_open;
+    std::string m_text;
+};
+
+auto syntax_fault(const position_handler& handler, bj::error_code code) -> fault
+{
+    if (code == bj::error::too_deep)
+    {
+        return {fault_kind::syntax, handler.current_pointer(), handler.line,
+                "nested deeper than " + std::to_string(max_nesting) + " levels",
+                "remove the inner levels; no key needs them"};
+    }
+    return {fault_kind::syntax, handler.current_pointer(), handler.line,
+            "not JSON: " + code.message(),
+            "write the text as JSON in UTF-8, without comments"};
+}
+
+/// @brief The end of the line that begins at @p begin, its newline included.
+auto line_end(const std::string& text, std::size_t begin) -> std::size_t
+{
+    const auto newline = text.find('\n', begin);
+    return newline == std::string::npos ? text.size() : newline + 1;
+}
+
+} // namespace
+
+auto text_scan::line_of(std::string pointer) const -> std::size_t
+{
+    while (true)
+    {
+        const auto entry = lines.find(pointer);
+        if (entry != lines.end())
+        {
+            return entry->second;
+        }
+        if (pointer.empty())
+        {
+            return 1;
+        }
+        pointer.erase(pointer.rfind('/'));
+    }
+}
+
+auto scan(const std::string& text) -> text_scan
+{
+    bj::parse_options options;
+    options.max_depth = max_nesting;
+    bj::basic_parser<position_handler> parser(options);
+    auto& handler = parser.handler();
+    bj::error_code code;
+    std::size_t begin = 0;
+    // A line at a time, so that each event's line is known.
+    do
+    {
+        const auto end = line_end(text, begin);
+        const auto used = parser.write_some(end < text.size(), &text[begin],
+                                            end - begin, code);
+        const auto rest = text.find_first_not_of(" \t\r\n", begin + used);
+        if (!code && used < end - begin && rest != std::string::npos)
+        {
+            code = bj::error::extra_data;
+        }
+        if (code)
+        {
+            handler.found.faults.push_back(syntax_fault(handler, code));
+            break;
+        }
+        begin = end;
+        ++handler.line;
+    } while (begin < text.size());
+    return std::move(handler.found);
+}
+
+} // namespace pimentoshunt::json
--- /dev/null
+++ b/src/plan/check_meaning.cpp
@@ -0,0 +1,266 @@
+#include "reading.hpp"
+
+#include <algorithm>     // any_of
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+
+namespace pimentoshunt::plan::detail
+{
+namespace
+{
+
+using json::child_pointer;
+using json::fault;
+using json::fault_kind;
+
+using index_by_name = std::unordered_map<std::string, std::size_t>;
+
+template<class Range>
+auto index_names(const Range& items, const std::vector<std::string>& places,
+                 std::vector<fault>& faults) -> index_by_name
+{
+    index_by_name first;
+    for (std::size_t i = 0; i < items.size(); ++i)
+    {
+        const auto& name = items[i].name.str();
+        if (name.empty())
+        {
+            continue;
+        }
+        const auto added = first.emplace(name, i);
+        if (!added.second)
+        {
+            faults.push_back({fault_kind::duplicate,
+                              child_pointer(places[i], "name"), 0,
+                              "name \"" + name + "\" is already used at " +
+                                  places[added.first->second],
+                              "give each its own name"});
+        }
+    }
+    return first;
+}
+
+auto check_tenant_known(const workload& item, const std::string& place,
+                        const index_by_name& tenants,
+                        std::vector<fault>& faults) -> void
+{
+    const auto& name = item.tenant.str();
+    if (!name.empty() && tenants.count(name) == 0)
+    {
+        faults.push_back({fault_kind::unknown_name,
+                          child_pointer(place, "tenant"), 0,
+                          "no tenant is named \"" + name + "\"",
+                          "add it to /tenants or correct the name"});
+    }
+}
+
+auto check_dependencies_known(const workload& item, const std::string& place,
+                              const index_by_name& workloads,
+                              std::vector<fault>& faults) -> void
+{
+    const auto list = child_pointer(place, "depends_on");
+    for (std::size_t i = 0; i < item.depends_on.size(); ++i)
+    {
+        const auto& name = item.depends_on[i].str();
+        if (workloads.count(name) == 0)
+        {
+            faults.push_back(
+                {fault_kind::unknown_name,
+                 child_pointer(list, std::to_string(i)), 0,
+                 "no service, batch or gang work is named \"" + name + "\"",
+                 "add it to the plan or correct the name"});
+        }
+    }
+}
+
+/// @brief One dimension of resources, for messages.
+struct dimension
+{
+    const char* key;
+    std::int64_t resources::*amount;
+};
+
+constexpr dimension dimensions[] = {
+    {"slots", &resources::slots},
+    {"millicpus", &resources::millicpus},
+    {"memory_mb", &resources::memory_mb},
+    {"accelerators", &resources::accelerators},
+};
+
+auto check_quota(const workload& item, const std::string& place,
+                 const tenant& owner, const std::string& tenant_place,
+                 std::vector<fault>& faults) -> void
+{
+    // A gang starts whole, so the quota must hold all of its tasks.
+    const auto what = item.cls == work_class::gang ? "one gang" : "one task";
+    for (const auto& each : dimensions)
+    {
+        const auto need = item.each.*each.amount * item.tasks;
+        const auto quota = owner.quota.*each.amount;
+        if (need > quota)
+        {
+            faults.push_back(
+                {fault_kind::quota_too_small, child_pointer(place, "resources"),
+                 0,
+                 std::string(what) + " takes " + std::to_string(need) + " " +
+                     each.key + ", but the quota of tenant \"" +
+                     owner.name.str() + "\" is " + std::to_string(quota),
+                 "raise " + tenant_place + "/quota/" + each.key + " to " +
+                     std::to_string(need) + " or more, or lower the task"});
+        }
+    }
+}
+
+/// @brief Finds cycles by depth-first search with an explicit stack, so that a
+/// long chain can't exhaust the thread's own.
+class cycle_finder
+{
+  public:
+    cycle_finder(reading& out, const index_by_name& names)
+        : m_out(out), m_names(names), m_marks(out.parsed.workloads.size())
+    {
+    }
+
+    auto run() -> void
+    {
+        for (std::size_t i = 0; i < m_marks.size(); ++i)
+        {
+            if (m_marks[i] == mark::unseen)
+            {
+                search_from(i);
+            }
+        }
+    }
+
+  private:
+    enum class mark
+    {
+        unseen,
+        on_path,
+        done
+    };
+
+    struct step
+    {
+        std::size_t workload = 0;
+        std::size_t next = 0;
+    };
+
+    auto search_from(std::size_t start) -> void
+    {
+        m_path.push_back({start, 0});
+        m_marks[start] = mark::on_path;
+        while (!m_path.empty())
+        {
+            auto& top = m_path.back();
+            const auto& needs = m_out.parsed.workloads[top.workload].depends_on;
+            if (top.next == needs.size())
+            {
+                m_marks[top.workload] = mark::done;
+                m_path.pop_back();
+                continue;
+            }
+            follow(needs[top.next++].str());
+        }
+    }
+
+    auto follow(const std::string& name) -> void
+    {
+        const auto found = m_names.find(name);
+        if (found == m_names.end())
+        {
+            return;
+        }
+        const auto target = found->second;
+        if (m_marks[target] == mark::on_path)
+        {
+            note_cycle(target);
+        }
+        else if (m_marks[target] == mark::unseen)
+        {
+            m_marks[target] = mark::on_path;
+            m_path.push_back({target, 0});
+        }
+    }
+
+    auto note_cycle(std::size_t first) -> void
+    {
+        std::string names;
+        auto inside = false;
+        for (const auto& at : m_path)
+        {
+            inside = inside || at.workload == first;
+            if (inside)
+            {
+                names += name_of(at.workload) + " -> ";
+            }
+        }
+        m_out.faults.push_back(
+            {fault_kind::cycle,
+             child_pointer(m_out.workload_places[first], "depends_on"), 0,
+             "these depend on each other in a cycle: " + names + name_of(first),
+             "remove one of these dependencies"});
+    }
+
+    [[nodiscard]] auto name_of(std::size_t workload) const -> const std::string&
+    {
+        return m_out.parsed.workloads[workload].name.str();
+    }
+
+    reading& m_out;
+    const index_by_name& m_names;
+    std::vector<mark> m_marks;
+    std::vector<step> m_path;
+};
+
+} // namespace
+
+auto check_meaning(reading& out) -> void
+{
+    const auto tenants =
+        index_names(out.parsed.tenants, out.tenant_places, out.faults);
+    const auto workloads =
+        index_names(out.parsed.workloads, out.workload_places, out.faults);
+    for (std::size_t i = 0; i < out.parsed.workloads.size(); ++i)
+    {
+        const auto& item = out.parsed.workloads[i];
+        const auto& place = out.workload_places[i];
+        check_tenant_known(item, place, tenants, out.faults);
+        check_dependencies_known(item, place, workloads, out.faults);
+        const auto owner = tenants.find(item.tenant.str());
+        if (owner != tenants.end())
+        {
+            check_quota(item, place, out.parsed.tenants[owner->second],
+                        out.tenant_places[owner->second], out.faults);
+        }
+    }
+    cycle_finder(out, workloads).run();
+}
+
+auto check_fit(reading& out, const std::vector<resources>& workers) -> void
+{
+    if (workers.empty())
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < out.parsed.workloads.size(); ++i)
+    {
+        const auto& item = out.parsed.workloads[i];
+        const auto fits = std::any_of(workers.begin(), workers.end(),
+                                      [&](const resources& room)
+                                      {
+                                          return item.each.fits_in(room);
+                                      });
+        if (!fits)
+        {
+            out.faults.push_back(
+                {fault_kind::fits_no_worker,
+                 child_pointer(out.workload_places[i], "resources"), 0,
+                 "one task of \"" + item.name.str() + "\" fits no worker",
+                 "lower its resources, or add a worker that has them"});
+        }
+    }
+}
+
+} // namespace pimentoshunt::plan::detail
--- /dev/null
+++ b/src/plan/read_shape.cpp
@@ -0,0 +1,184 @@
+#include "reading.hpp"
+
+#include <pimentoshunt/json/object_reader.hpp>
+
+#include <boost/json/array.hpp>
+
+#include <algorithm> // all_of
+#include <cctype>    // isalnum
+#include <chrono>    // hours
+
+namespace pimentoshunt::plan::detail
+{
+namespace
+{
+
+using json::fault_kind;
+using json::object_reader;
+
+constexpr std::int64_t max_amount = 1'000'000'000;
+constexpr std::int64_t max_gang_tasks = 10'000;
+constexpr std::int64_t max_priority = 9;
+constexpr std::size_t max_name_length = 64;
+constexpr milliseconds shortest_time{1};
+constexpr milliseconds longest_time = std::chrono::hours(24 * 30);
+
+/// @brief Names stand in URLs and in keys of the table.
+auto is_name(const std::string& text) -> bool
+{
+    return !text.empty() && text.size() <= max_name_length &&
+           std::all_of(text.begin(), text.end(),
+                       [](unsigned char letter)
+                       {
+                           return std::isalnum(letter) != 0 || letter == '-' ||
+                                  letter == '_' || letter == '.';
+                       });
+}
+
+auto read_name(object_reader& reader, const std::string& key) -> std::string
+{
+    const auto* const found = reader.member(key);
+    auto name = reader.text(key, "", true);
+    if (found != nullptr && found->is_string() && !is_name(name))
+    {
+        reader.note(fault_kind::out_of_range, key,
+                    "\"" + name + "\" is not a name",
+                    "use 1 to 64 letters, digits, '-', '_' and '.'");
+    }
+    return name;
+}
+
+auto read_amounts(const boost::json::value& value, const std::string& pointer,
+                  std::int64_t default_slots, std::vector<json::fault>& faults)
+    -> resources
+{
+    object_reader reader(value, pointer, faults);
+    resources amounts;
+    amounts.slots =
+        reader.integer("slots", {1, max_amount, "slots"}, default_slots);
+    amounts.millicpus = reader.integer(
+        "millicpus", {0, max_amount, "thousandths of a processor"}, 0);
+    amounts.memory_mb = reader.integer("memory_mb", {0, max_amount, "MB"}, 0);
+    amounts.accelerators =
+        reader.integer("accelerators", {0, max_amount, "accelerators"}, 0);
+    reader.reject_unknown();
+    return amounts;
+}
+
+auto read_tenant(const boost::json::value& value, const std::string& pointer,
+                 std::vector<json::fault>& faults) -> tenant
+{
+    object_reader reader(value, pointer, faults);
+    tenant item;
+    item.name = tenant_name(read_name(reader, "name"));
+    if (const auto* const quota = reader.member("quota"))
+    {
+        item.quota = read_amounts(*quota, json::child_pointer(pointer, "quota"),
+                                  0, faults);
+    }
+    else if (value.is_object())
+    {
+        faults.push_back({fault_kind::missing, pointer, 0,
+                          "key \"quota\" is missing",
+                          "add \"quota\" with the most that the tenant may "
+                          "hold, such as {\"slots\": 64}"});
+    }
+    reader.reject_unknown();
+    return item;
+}
+
+auto read_path(object_reader& reader) -> std::string
+{
+    auto path = reader.text("path", "");
+    if (!path.empty() &&
+        (path.front() != '/' ||
+         path.find_first_of(" \t\r\n?#%") != std::string::npos))
+    {
+        reader.note(fault_kind::out_of_range, "path",
+                    "\"" + path + "\" is not a path",
+                    "begin it with '/', without spaces, '?', '#' and '%'");
+    }
+    return path;
+}
+
+auto read_workload(const boost::json::value& value, const std::string& pointer,
+                   work_class cls, std::vector<json::fault>& faults) -> workload
+{
+    object_reader reader(value, pointer, faults);
+    workload item;
+    item.cls = cls;
+    item.name = workload_name(read_name(reader, "name"));
+    item.tenant = tenant_name(read_name(reader, "tenant"));
+    item.each.slots = 1;
+    if (const auto* const amounts = reader.member("resources"))
+    {
+        item.each = read_amounts(
+            *amounts, json::child_pointer(pointer, "resources"), 1, faults);
+    }
+    item.deadline =
+        reader.duration("deadline", shortest_time, longest_time, item.deadline);
+    item.run_time =
+        reader.duration("run_time", shortest_time, longest_time, item.run_time);
+    item.idempotent = reader.boolean("idempotent", item.idempotent);
+    item.priority = static_cast<int>(
+        reader.integer("priority", {0, max_priority, ""}, item.priority));
+    item.path = read_path(reader);
+    for (auto& name : reader.texts("depends_on"))
+    {
+        item.depends_on.emplace_back(std::move(name));
+    }
+    if (cls == work_class::gang)
+    {
+        item.tasks = reader.integer("tasks", {1, max_gang_tasks, "tasks"}, 1);
+    }
+    reader.reject_unknown();
+    return item;
+}
+
+auto read_workloads(object_reader& root, const std::string& key, work_class cls,
+                    reading& out) -> void
+{
+    const auto* const items = root.array(key);
+    if (items == nullptr)
+    {
+        return;
+    }
+    const auto list = json::child_pointer(root.pointer(), key);
+    for (std::size_t i = 0; i < items->size(); ++i)
+    {
+        const auto place = json::child_pointer(list, std::to_string(i));
+        out.parsed.workloads.push_back(
+            read_workload((*items)[i], place, cls, out.faults));
+        out.workload_places.push_back(place);
+    }
+}
+
+auto read_tenants(object_reader& root, reading& out) -> void
+{
+    const auto* const items = root.array("tenants");
+    if (items == nullptr)
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < items->size(); ++i)
+    {
+        const auto place = json::child_pointer("/tenants", std::to_string(i));
+        out.parsed.tenants.push_back(
+            read_tenant((*items)[i], place, out.faults));
+        out.tenant_places.push_back(place);
+    }
+}
+
+} // namespace
+
+auto read_shape(const boost::json::value& root, reading& out) -> void
+{
+    object_reader reader(root, "", out.faults);
+    read_tenants(reader, out);
+    read_workloads(reader, "services", work_class::service, out);
+    read_workloads(reader, "batch", work_class::batch, out);
+    read_workloads(reader, "gangs", work_class::gang, out);
+    reader.reject_unknown();
+}
+
+} // namespace pimentoshunt::plan::detail
--- /dev/null
+++ b/tests/unit-plan.cpp
@@ -0,0 +1,152 @@
+#include <pimentoshunt/plan/parse.hpp>
+
+#include <criterion/criterion.h>
+
+#include <algorithm> // any_of
+#include <chrono>    // milliseconds
+#include <string>    // string
+
+using pimentoshunt::milliseconds;
+using pimentoshunt::workload_name;
+using pimentoshunt::json::fault_kind;
+using pimentoshunt::plan::check;
+using pimentoshunt::plan::max_plan_bytes;
+using pimentoshunt::plan::parse;
+using pimentoshunt::plan::plan_fault;
+using pimentoshunt::plan::work_class;
+
+namespace
+{
+
+const std::string sound = R"({
+  "tenants": [
+    {"name": "desk", "quota": {"slots": 16, "millicpus": 16000,
+                               "memory_mb": 4096}}
+  ],
+  "services": [
+    {"name": "booking", "tenant": "desk", "path": "/booking",
+     "resources": {"slots": 1, "millicpus": 500, "memory_mb": 256},
+     "deadline_ms": 2000, "idempotent": false, "priority": 7}
+  ],
+  "gangs": [
+    {"name": "plates", "tenant": "desk", "tasks": 8,
+     "depends_on": ["booking"]}
+  ]
+})";
+
+auto has(const std::vector<plan_fault>& faults, fault_kind kind,
+         const std::string& pointer, std::size_t line) -> bool
+{
+    return std::any_of(faults.begin(), faults.end(),
+                       [&](const plan_fault& item)
+                       {
+                           return item.kind == kind &&
+                                  item.pointer == pointer &&
+                                  item.line == line && !item.message.empty() &&
+                                  !item.remedy.empty();
+                       });
+}
+
+} // namespace
+
+Test(plan, reads_a_sound_text)
+{
+    cr_assert(check(sound).empty());
+    const auto read = parse(sound);
+    cr_assert(read);
+    const auto* const booking = read->find(workload_name("booking"));
+    cr_assert(booking != nullptr);
+    cr_assert(booking->cls == work_class::service);
+    cr_assert(booking->deadline == milliseconds(2000));
+    cr_assert(booking->each.millicpus == 500);
+    const auto* const plates = read->find(workload_name("plates"));
+    cr_assert(plates->tasks == 8);
+    cr_assert(plates->each.slots == 1);
+}
+
+Test(plan, finds_all_faults_of_shape_at_once_with_their_lines)
+{
+    const auto faults = check(R"({
+  "tenants": [{"name": "a b", "quota": {"slots": 4}}],
+  "services": [
+    {"name": "s", "tenant": "a b",
+     "priority": 10,
+     "deadline_ms": "2s",
+     "colour": 1,
+     "name": "s"},
+    5
+  ],
+  "extra": {}
+})");
+    cr_assert(has(faults, fault_kind::out_of_range, "/tenants/0/name", 2));
+    cr_assert(has(faults, fault_kind::out_of_range, "/services/0/priority", 5));
+    cr_assert(
+        has(faults, fault_kind::wrong_type, "/services/0/deadline_ms", 6));
+    cr_assert(has(faults, fault_kind::unknown_key, "/services/0/colour", 7));
+    cr_assert(has(faults, fault_kind::duplicate, "/services/0/name", 8));
+    cr_assert(has(faults, fault_kind::wrong_type, "/services/1", 9));
+    cr_assert(has(faults, fault_kind::unknown_key, "/extra", 11));
+}
+
+Test(plan, finds_all_faults_of_meaning_at_once)
+{
+    const auto faults = check(R"({
+  "tenants": [{"name": "t", "quota": {"slots": 4}}],
+  "services": [
+    {"name": "s", "tenant": "u"},
+    {"name": "s", "tenant": "t", "depends_on": ["none"]}
+  ],
+  "gangs": [
+    {"name": "g", "tenant": "t", "tasks": 8}
+  ]
+})");
+    cr_assert(has(faults, fault_kind::unknown_name, "/services/0/tenant", 4));
+    cr_assert(has(faults, fault_kind::duplicate, "/services/1/name", 5));
+    cr_assert(
+        has(faults, fault_kind::unknown_name, "/services/1/depends_on/0", 5));
+    // It has no "resources": the line is that of the gang.
+    cr_assert(
+        has(faults, fault_kind::quota_too_small, "/gangs/0/resources", 8));
+    cr_assert(faults.size() == 4);
+}
+
+Test(plan, names_the_cycle)
+{
+    const auto faults = check(R"({
+  "tenants": [{"name": "t", "quota": {"slots": 4}}],
+  "batch": [
+    {"name": "x", "tenant": "t", "depends_on": ["a"]},
+    {"name": "a", "tenant": "t", "depends_on": ["b"]},
+    {"name": "b", "tenant": "t", "depends_on": ["a"]}
+  ]
+})");
+    cr_assert(faults.size() == 1);
+    cr_assert(faults[0].kind == fault_kind::cycle);
+    cr_assert(faults[0].line == 5);
+    cr_assert(faults[0].message.find("a -> b -> a") != std::string::npos);
+}
+
+Test(plan, finds_work_that_fits_no_worker)
+{
+    const std::string text = R"({
+  "tenants": [{"name": "t", "quota": {"slots": 9, "memory_mb": 900}}],
+  "batch": [{"name": "a", "tenant": "t",
+             "resources": {"slots": 2, "memory_mb": 500}}]
+})";
+    cr_assert(check(text, {{8, 100, 400, 0}, {2, 0, 500, 0}}).empty());
+    const auto faults = check(text, {{8, 100, 400, 0}, {1, 0, 500, 0}});
+    cr_assert(faults.size() == 1);
+    cr_assert(has(faults, fault_kind::fits_no_worker, "/batch/0/resources", 4));
+}
+
+Test(plan, survives_bad_input)
+{
+    cr_assert(
+        has(check("{\n\"a\":\n\"\xc3\x28\"}"), fault_kind::syntax, "", 3));
+    cr_assert(check(std::string(100'000, '['))[0].kind == fault_kind::syntax);
+    cr_assert(check(std::string(max_plan_bytes + 1, ' '))[0].kind ==
+              fault_kind::too_large);
+    cr_assert(!check("").empty());
+    cr_assert(!check("null").empty());
+    cr_assert(!parse("{"));
+}
