--- a/include/pimentoshunt/platform/http_pool.hpp
+++ b/include/pimentoshunt/platform/http_pool.hpp
@@ -51,6 +51,13 @@
     milliseconds max_idle{2'000};
 };
 
+/// @brief One header of a request or an answer.
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+
 /// @brief One request below the peer's prefix.
 struct http_call
 {
@@ -58,7 +65,10 @@
     /// Encoded path and query; begins with a slash.
     std::string path;
     std::string body;
+    /// Left out when empty, or when there is no body.
     std::string content_type = "application/json";
+    /// Further headers, sent as they are.
+    std::vector<http_header> headers;
     /// From the call until the whole answer, waiting for a connection too.
     milliseconds timeout{1'000};
     /// Whether sending it twice does no harm; then a call that broke on a
@@ -77,13 +87,6 @@
     unknown
 };
 
-/// @brief One header of an answer.
-struct http_header
-{
-    std::string name;
-    std::string value;
-};
-
 /// @brief The end of a call.
 struct http_exchange
 {
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -128,7 +128,13 @@
     {
         return;
     }
-    auto parsed = handle_error(plan::parse(message.text()));
+    auto parsed = handle(
+        [&]() -> result<std::optional<plan::document>>
+        {
+            BOOST_LEAF_AUTO(document, plan::parse(message.text()));
+            return std::optional<plan::document>(std::move(document));
+        },
+        [](const error&) { return std::optional<plan::document>(); });
     if (!parsed)
     {
         return;
@@ -459,7 +465,11 @@
     for (auto link = m_links.begin(); link != m_links.end();)
     {
         const auto& id = link->first;
-        if (id == self_id() || m_members.alive(id, now))
+        const auto* const item = m_members.find(id);
+        // A new life of the same instance numbers its grants anew.
+        const bool same_life =
+            item != nullptr && item->incarnation == link->second.incarnation;
+        if (id == self_id() || (same_life && m_members.alive(id, now)))
         {
             ++link;
             continue;
@@ -572,6 +582,12 @@
         m_capacity_changed = false;
         place(now);
     }
+    // What was bound here is no longer wanted of the other owners.
+    if (m_demand_changed)
+    {
+        m_demand_changed = false;
+        send_demand(now);
+    }
     for (auto& [owner, items] : m_returns)
     {
         wire::envelope message;
--- /dev/null
+++ b/src/entry/run_client.cpp
@@ -0,0 +1,103 @@
+#include <pimentoshunt/entry/run_client.hpp>
+
+#include <pimentoshunt/worker/port.hpp>
+
+#include <algorithm> // max
+
+namespace pimentoshunt::entry
+{
+namespace
+{
+
+constexpr int conflict_status = 409;
+
+auto to_call(const grant& where, const resources& each,
+             const run_request& request, milliseconds timeout)
+    -> platform::http_call
+{
+    platform::http_call call;
+    call.method = request.method;
+    call.path = "/run" + request.path;
+    call.body = request.body;
+    call.content_type.clear();
+    call.headers = request.headers;
+    call.headers.push_back({"Pimentoshunt-Attempt", where.attempt.str()});
+    call.headers.push_back(
+        {"Pimentoshunt-Epoch", std::to_string(where.epoch)});
+    call.headers.push_back({"Pimentoshunt-Workload", where.workload.str()});
+    call.headers.push_back({"Pimentoshunt-Resources", worker::to_header(each)});
+    call.timeout = timeout;
+    return call;
+}
+
+auto judge(const grant& where, platform::http_exchange answer) -> run_end
+{
+    run_end end;
+    if (answer.state == platform::exchange_state::never_sent)
+    {
+        end.state = run_state::never_sent;
+        return end;
+    }
+    if (answer.state == platform::exchange_state::unknown)
+    {
+        return end;
+    }
+    const auto refusal = answer.header("Pimentoshunt-Refused");
+    if (answer.status == conflict_status && !refusal.empty())
+    {
+        const auto reason = worker::parse_refusal(refusal);
+        // A duplicate means that the attempt itself is there already.
+        if (reason == worker::refusal::duplicate)
+        {
+            return end;
+        }
+        end.state = reason == worker::refusal::fenced ? run_state::fenced
+                                                      : run_state::refused;
+        return end;
+    }
+    // An answer to another attempt is no answer to this one.
+    if (answer.header("Pimentoshunt-Attempt") != where.attempt.str())
+    {
+        return end;
+    }
+    end.state = run_state::answered;
+    end.status = answer.status;
+    end.body = std::move(answer.body);
+    end.headers = std::move(answer.headers);
+    return end;
+}
+
+} // namespace
+
+auto run_client::pool_of(const std::string& base_url)
+    -> std::shared_ptr<platform::http_pool>
+{
+    const std::lock_guard lock(m_mutex);
+    auto& pool = m_pools[base_url];
+    const auto peer = platform::parse_endpoint(base_url);
+    if (!pool && peer)
+    {
+        platform::pool_limits limits;
+        limits.connections = m_connections;
+        limits.connect_timeout = m_connect_timeout;
+        pool = std::make_shared<platform::http_pool>(*peer, limits);
+    }
+    return pool;
+}
+
+auto run_client::run(const grant& where, const resources& each,
+                     const run_request& request, time_point deadline) -> run_end
+{
+    const auto left = std::chrono::duration_cast<milliseconds>(
+        deadline - boot_clock::now());
+    const auto pool = pool_of(where.base_url);
+    if (pool == nullptr || left <= milliseconds::zero())
+    {
+        run_end end;
+        end.state = run_state::never_sent;
+        return end;
+    }
+    return judge(where, pool->call(to_call(where, each, request, left)));
+}
+
+} // namespace pimentoshunt::entry
--- a/src/platform/http_pool.cpp
+++ b/src/platform/http_pool.cpp
@@ -147,6 +147,8 @@
     item->client->set_tcp_nodelay(true);
     // Paths arrive encoded; a second pass would change them.
     item->client->set_url_encode(false);
+    // Bodies are passed on as they came.
+    item->client->set_decompress(false);
     return item;
 }
 
@@ -206,10 +208,14 @@
     message.method = request.method;
     message.path = m_peer.prefix + request.path;
     message.body = request.body;
-    if (!request.body.empty())
+    if (!request.body.empty() && !request.content_type.empty())
     {
         message.set_header("Content-Type", request.content_type);
     }
+    for (const auto& item : request.headers)
+    {
+        message.headers.emplace(item.name, item.value);
+    }
     // The library's timeouts are per read: this bounds a slow body's sum.
     message.progress = [until](std::uint64_t, std::uint64_t)
     {
