--- /dev/null
+++ b/include/pimentoshunt/policy/run_time_estimator.hpp
@@ -0,0 +1,125 @@
+/// @file
+/// Learns how long each workload really runs.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/identifier.hpp>
+#include <pimentoshunt/plan/document.hpp>
+
+#include <boost/histogram.hpp> // histogram, axis::regular
+
+#include <chrono>        // nanoseconds
+#include <cstddef>       // size_t
+#include <unordered_map> // unordered_map
+
+namespace pimentoshunt::policy
+{
+
+using run_duration = std::chrono::nanoseconds;
+
+namespace detail
+{
+
+namespace hist = boost::histogram;
+using run_time_axis = hist::axis::regular<double, hist::axis::transform::log>;
+using run_time_histogram = decltype(hist::make_histogram_with(
+    hist::dense_storage<double>(), run_time_axis(1, 1.0, 2.0)));
+
+/// @brief Run times of one kind of work in bins of equal ratio; recent ones
+///        weigh more.
+class run_time_sample
+{
+  public:
+    run_time_sample();
+
+    /// @brief Counts one finished run.
+    auto add(run_duration run_time) -> void;
+
+    /// @brief Run time that a share @p q of the runs stays at or below.
+    /// @param q  0 to 1
+    /// @return middle of the bin, within 10% of the true value; 0 when empty
+    /// @complexity linear in the constant number of bins
+    [[nodiscard]] auto quantile(double q) const -> run_duration;
+
+    /// @brief Weighted mean; 0 when empty.
+    [[nodiscard]] auto mean() const -> run_duration;
+
+    /// @brief Standard deviation of the weighted runs.
+    [[nodiscard]] auto deviation() const -> run_duration;
+
+    /// @brief Finished runs counted, without the decay.
+    [[nodiscard]] auto count() const noexcept -> std::size_t
+    {
+        return m_count;
+    }
+
+  private:
+    auto halve() -> void;
+
+    run_time_histogram m_bins;
+    double m_weight = 0;
+    double m_sum_ms = 0;
+    double m_sum_squares = 0;
+    std::size_t m_count = 0;
+};
+
+} // namespace detail
+
+/// @brief Run times by workload: the declared one until enough were seen.
+class run_time_estimator
+{
+  public:
+    /// @brief Counts a run that ended with an answer.
+    auto observe(const workload_name& workload, run_duration run_time) -> void;
+
+    /// @brief Notes a run that goes on: it lasts at least @p so_far.
+    /// @note Without it, a workload of very long runs would be believed short
+    ///       until its first run ends.
+    auto observe_running(const workload_name& workload, run_duration so_far)
+        -> void;
+
+    /// @brief Estimated quantile for @p workload.
+    [[nodiscard]] auto quantile(const plan::workload& workload, double q) const
+        -> run_duration;
+
+    /// @brief Estimated median.
+    [[nodiscard]] auto p50(const plan::workload& workload) const -> run_duration
+    {
+        return quantile(workload, 0.5);
+    }
+
+    /// @brief Estimated 99th percentile.
+    [[nodiscard]] auto p99(const plan::workload& workload) const -> run_duration
+    {
+        return quantile(workload, 0.99);
+    }
+
+    /// @brief Estimated mean.
+    [[nodiscard]] auto mean(const plan::workload& workload) const
+        -> run_duration;
+
+    /// @brief Estimated standard deviation; the mean until enough were seen.
+    [[nodiscard]] auto deviation(const plan::workload& workload) const
+        -> run_duration;
+
+    /// @brief Whether the estimate rests on runs seen, not on the declaration.
+    [[nodiscard]] auto learned(const workload_name& workload) const -> bool;
+
+    /// @brief Drops what is kept of a workload that left the plan.
+    auto forget(const workload_name& workload) -> void;
+
+  private:
+    struct knowledge
+    {
+        detail::run_time_sample finished;
+        /// Longest run seen to go on since the last one that finished.
+        run_duration running{0};
+    };
+
+    [[nodiscard]] auto find(const workload_name& workload) const
+        -> const knowledge*;
+
+    std::unordered_map<workload_name, knowledge> m_known;
+};
+
+} // namespace pimentoshunt::policy
--- /dev/null
+++ b/include/pimentoshunt/policy/wait_queue.hpp
@@ -0,0 +1,251 @@
+/// @file
+/// Requests that wait at an entry until a worker is granted to them.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/identifier.hpp>
+
+#include <cstdint>       // uint64_t
+#include <limits>        // numeric_limits
+#include <optional>      // optional
+#include <set>           // set
+#include <tuple>         // tie
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+#include <vector>        // vector
+
+namespace pimentoshunt::policy
+{
+
+/// @brief Names one waiting item for as long as it waits; never used again.
+using wait_ticket = std::uint64_t;
+
+/// @brief What waits of one workload.
+struct wait_summary
+{
+    workload_name workload;
+    std::size_t count = 0;
+    /// Of the item that @ref wait_queue::pop would return next.
+    time_point next_deadline;
+    /// Of the item that came first.
+    time_point oldest_arrival;
+};
+
+namespace detail
+{
+
+/// @brief Place in the order of one workload; the smallest goes first.
+struct wait_place
+{
+    int priority = 0;
+    time_point deadline;
+    wait_ticket ticket = 0;
+
+    friend auto operator<(const wait_place& left, const wait_place& right)
+        -> bool
+    {
+        return std::tie(right.priority, left.deadline, left.ticket) <
+               std::tie(left.priority, right.deadline, right.ticket);
+    }
+};
+
+/// @brief Place in the order of expiry over all workloads.
+struct expiry_place
+{
+    time_point deadline;
+    wait_ticket ticket = 0;
+
+    friend auto operator<(const expiry_place& left, const expiry_place& right)
+        -> bool
+    {
+        return std::tie(left.deadline, left.ticket) <
+               std::tie(right.deadline, right.ticket);
+    }
+};
+
+} // namespace detail
+
+/// @brief The queue of one entry: per workload by priority, then deadline,
+///        then arrival.
+///
+/// Nothing is kept of an item once it has left by @ref pop, @ref cancel or
+/// @ref expire. An item whose deadline has passed is returned by @ref expire
+/// only, so that each one gets its final answer. Not thread-safe.
+/// @tparam Item  movable; what the entry needs to go on with the request
+template<class Item>
+class wait_queue
+{
+  public:
+    /// @brief Adds @p item.
+    /// @param workload  the line that it waits in
+    /// @param priority  higher goes first within the workload
+    /// @param deadline  it is not returned by pop from then on
+    /// @param now  time of arrival; not before that of earlier calls
+    /// @return the ticket by which it can be cancelled
+    /// @complexity logarithmic in the number of waiting items
+    auto push(const workload_name& workload, int priority, time_point deadline,
+              time_point now, Item item) -> wait_ticket;
+
+    /// @brief Takes the most urgent item of @p workload that has not expired.
+    /// @complexity logarithmic in the number of waiting items, times the number
+    ///             of distinct priorities that have expired items
+    auto pop(const workload_name& workload, time_point now)
+        -> std::optional<Item>;
+
+    /// @brief Takes one item out, wherever it stands.
+    /// @return the item, or nothing when it is no longer waiting
+    /// @complexity logarithmic in the number of waiting items
+    auto cancel(wait_ticket ticket) -> std::optional<Item>;
+
+    /// @brief Takes all items whose deadline is at or before @p now.
+    /// @complexity logarithmic for each item returned
+    auto expire(time_point now) -> std::vector<Item>;
+
+    /// @brief When @ref expire next has something to return.
+    [[nodiscard]] auto next_expiry() const -> std::optional<time_point>;
+
+    /// @brief How many wait, expired ones included.
+    [[nodiscard]] auto size() const noexcept -> std::size_t
+    {
+        return m_items.size();
+    }
+
+    /// @brief How many of @p workload wait, expired ones included.
+    [[nodiscard]] auto size(const workload_name& workload) const -> std::size_t;
+
+    /// @brief One summary for each workload of which something waits.
+    /// @note Call @ref expire first, so that only live items are counted.
+    /// @complexity linear in the number of workloads that wait
+    [[nodiscard]] auto summaries() const -> std::vector<wait_summary>;
+
+  private:
+    struct waiting
+    {
+        workload_name workload;
+        detail::wait_place place;
+        time_point arrived;
+        Item item;
+    };
+
+    struct workload_line
+    {
+        std::set<detail::wait_place> order;
+        /// Tickets grow with arrival: the first is the oldest.
+        std::set<wait_ticket> arrivals;
+    };
+
+    auto remove(wait_ticket ticket) -> std::optional<Item>;
+
+    std::unordered_map<wait_ticket, waiting> m_items;
+    std::unordered_map<workload_name, workload_line> m_lines;
+    std::set<detail::expiry_place> m_expiry;
+    wait_ticket m_next = 1;
+};
+
+template<class Item>
+auto wait_queue<Item>::push(const workload_name& workload, int priority,
+                            time_point deadline, time_point now, Item item)
+    -> wait_ticket
+{
+    const auto ticket = m_next++;
+    const detail::wait_place place{priority, deadline, ticket};
+    auto& line = m_lines[workload];
+    line.order.insert(place);
+    line.arrivals.insert(ticket);
+    m_expiry.insert({deadline, ticket});
+    m_items.emplace(ticket, waiting{workload, place, now, std::move(item)});
+    return ticket;
+}
+
+template<class Item>
+auto wait_queue<Item>::pop(const workload_name& workload, time_point now)
+    -> std::optional<Item>
+{
+    const auto found = m_lines.find(workload);
+    if (found == m_lines.end())
+    {
+        return std::nullopt;
+    }
+    const auto& order = found->second.order;
+    auto next = order.begin();
+    while (next != order.end() && next->deadline <= now)
+    {
+        // the expired items of this priority are passed over in one step
+        next = order.upper_bound(
+            {next->priority, now, std::numeric_limits<wait_ticket>::max()});
+    }
+    return next == order.end() ? std::nullopt : remove(next->ticket);
+}
+
+template<class Item>
+auto wait_queue<Item>::cancel(wait_ticket ticket) -> std::optional<Item>
+{
+    return remove(ticket);
+}
+
+template<class Item>
+auto wait_queue<Item>::expire(time_point now) -> std::vector<Item>
+{
+    std::vector<Item> expired;
+    while (!m_expiry.empty() && m_expiry.begin()->deadline <= now)
+    {
+        auto item = remove(m_expiry.begin()->ticket);
+        expired.push_back(std::move(*item));
+    }
+    return expired;
+}
+
+template<class Item>
+auto wait_queue<Item>::next_expiry() const -> std::optional<time_point>
+{
+    if (m_expiry.empty())
+    {
+        return std::nullopt;
+    }
+    return m_expiry.begin()->deadline;
+}
+
+template<class Item>
+auto wait_queue<Item>::size(const workload_name& workload) const -> std::size_t
+{
+    const auto found = m_lines.find(workload);
+    return found == m_lines.end() ? 0 : found->second.order.size();
+}
+
+template<class Item>
+auto wait_queue<Item>::summaries() const -> std::vector<wait_summary>
+{
+    std::vector<wait_summary> all;
+    all.reserve(m_lines.size());
+    for (const auto& [name, line] : m_lines)
+    {
+        const auto& oldest = m_items.at(*line.arrivals.begin());
+        all.push_back({name, line.order.size(), line.order.begin()->deadline,
+                       oldest.arrived});
+    }
+    return all;
+}
+
+template<class Item>
+auto wait_queue<Item>::remove(wait_ticket ticket) -> std::optional<Item>
+{
+    const auto found = m_items.find(ticket);
+    if (found == m_items.end())
+    {
+        return std::nullopt;
+    }
+    auto& gone = found->second;
+    const auto line = m_lines.find(gone.workload);
+    line->second.order.erase(gone.place);
+    line->second.arrivals.erase(ticket);
+    if (line->second.order.empty())
+    {
+        m_lines.erase(line);
+    }
+    m_expiry.erase({gone.place.deadline, ticket});
+    std::optional<Item> item(std::move(gone.item));
+    m_items.erase(found);
+    return item;
+}
+
+} // namespace pimentoshunt::policy
--- /dev/null
+++ b/src/policy/admission.cpp
@@ -0,0 +1,91 @@
+#include <pimentoshunt/policy/admission.hpp>
+
+#include <algorithm> // clamp, max
+#include <cmath>     // sqrt
+
+namespace pimentoshunt::policy
+{
+
+namespace
+{
+
+/// The fastest runs: a request that has this much time left may still make it.
+constexpr double fastest_quantile = 0.01;
+
+using real_ms = std::chrono::duration<double, std::milli>;
+
+/// @brief Time until the slots have served all that is ahead.
+struct queue_time
+{
+    real_ms expected{0};
+    real_ms favourable{0};
+};
+
+auto time_of(const std::vector<work_ahead>& ahead, std::int64_t slots,
+             const run_time_estimator& times, double optimism) -> queue_time
+{
+    double sum = 0;
+    double known = 0;
+    double variance = 0;
+    for (const auto& line : ahead)
+    {
+        const auto count = static_cast<double>(line.count);
+        const auto width = static_cast<double>(line.workload->each.slots);
+        const real_ms mean = times.mean(*line.workload);
+        const real_ms deviation = times.deviation(*line.workload);
+        const auto spread = deviation.count() * width;
+        sum += count * width * mean.count();
+        if (times.learned(line.workload->name))
+        {
+            known += count * width * mean.count();
+            variance += count * spread * spread;
+        }
+    }
+    const auto least = known - optimism * std::sqrt(variance);
+    const auto servers = static_cast<double>(slots);
+    return {real_ms(sum / servers), real_ms(std::max(least, 0.0) / servers)};
+}
+
+} // namespace
+
+admission::admission(admission_options options) : m_options(options)
+{
+}
+
+auto admission::judge(const plan::workload& workload, time_point deadline,
+                      const std::vector<work_ahead>& ahead, std::int64_t slots,
+                      const run_time_estimator& times, time_point now) const
+    -> admission_verdict
+{
+    const real_ms slack = deadline - now;
+    const bool learned = times.learned(workload.name);
+    // a declared run time is often far off: it refuses nothing
+    const real_ms fastest =
+        learned ? times.quantile(workload, fastest_quantile) : run_duration(0);
+    if (slack.count() <= 0 || fastest > slack)
+    {
+        return refuse(admission_outcome::deadline_too_short, run_duration(0));
+    }
+    if (slots <= 0)
+    {
+        return {};
+    }
+    const auto queue = time_of(ahead, slots, times, m_options.optimism);
+    if (queue.favourable + fastest <= slack)
+    {
+        return {};
+    }
+    const auto excess = queue.expected + fastest - slack;
+    return refuse(admission_outcome::queue_too_long,
+                  std::chrono::duration_cast<run_duration>(excess));
+}
+
+auto admission::refuse(admission_outcome outcome,
+                       run_duration retry_after) const -> admission_verdict
+{
+    const auto wait = std::chrono::ceil<milliseconds>(retry_after);
+    return {outcome, std::clamp(wait, m_options.shortest_retry_after,
+                                m_options.longest_retry_after)};
+}
+
+} // namespace pimentoshunt::policy
