--- a/include/pimentoshunt/ownership/worker_keeper.hpp
+++ b/include/pimentoshunt/ownership/worker_keeper.hpp
@@ -88,7 +88,9 @@
     /// The worker refused its epoch: somebody else holds the worker.
     fenced = 3,
     /// It may run still; the owner has to find out.
-    unknown = 4
+    unknown = 4,
+    /// The worker could not be connected to, so it was never sent.
+    unreachable = 5
 };
 
 /// @brief The view of the membership that claims are based on.
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -187,7 +187,7 @@
 
 auto engine::on_releases(const wire::releases& message) -> void
 {
-    constexpr std::uint32_t last_outcome = 4;
+    constexpr std::uint32_t last_outcome = 5;
     for (const auto& item : message.items())
     {
         const auto outcome =
