--- /dev/null
+++ b/include/pimentoshunt/plan/plan_store.hpp
@@ -0,0 +1,273 @@
+/// @file
+/// The accepted plan in the platform's table: one row, compare-and-swap, and a
+/// history of revisions.
+#pragma once
+
+#include <pimentoshunt/error.hpp>
+#include <pimentoshunt/platform/port.hpp>
+#include <pimentoshunt/platform/write_id.hpp>
+
+#include <chrono>   // system_clock
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
+#include <utility>  // move
+
+namespace pimentoshunt::plan
+{
+
+/// A longer text is kept in the object store, the row refers to it.
+inline constexpr std::size_t longest_text_in_row = std::size_t{64} << 10;
+/// The row of the plan in force.
+inline constexpr const char* current_plan_key = "plan/current";
+
+/// The plan was changed since the operator read it.
+inline constexpr int stale_revision = 251;
+/// It is not known whether the plan was accepted.
+inline constexpr int acceptance_unknown = 252;
+/// The store holds a plan that cannot be read.
+inline constexpr int stored_plan_unreadable = 253;
+
+/// @brief A plan as the store holds it; its text has been checked before.
+struct stored_plan
+{
+    std::uint64_t revision = 0;
+    std::string submitted_by;
+    /// By the accepting instance's clock.
+    std::chrono::system_clock::time_point accepted_at;
+    std::string text;
+};
+
+/// @brief What an operator hands in.
+struct plan_submission
+{
+    std::string text;
+    /// The revision that the operator read and changed; 0: there was none.
+    std::uint64_t based_on = 0;
+    std::string submitted_by;
+};
+
+namespace detail
+{
+
+/// @brief A row's value, whose text may be elsewhere.
+struct plan_row
+{
+    stored_plan plan;
+    /// The object with the text; empty when the text is in the row.
+    std::string object;
+    /// The commit that first wrote it.
+    std::string write_id;
+};
+
+[[nodiscard]] auto serialize_plan_row(const plan_row& item) -> std::string;
+[[nodiscard]] auto parse_plan_row(const std::string& text)
+    -> std::optional<plan_row>;
+[[nodiscard]] auto history_key(std::uint64_t revision) -> std::string;
+[[nodiscard]] auto fail_stale(std::uint64_t based_on, std::uint64_t in_force)
+    -> leaf::error_id;
+[[nodiscard]] auto fail_unknown(std::uint64_t revision) -> leaf::error_id;
+[[nodiscard]] auto fail_unreadable(const std::string& key) -> leaf::error_id;
+
+} // namespace detail
+
+/// @brief Reads and changes the accepted plan; calls block.
+/// @tparam Platform  satisfies platform::port
+template<class Platform>
+class plan_store
+{
+  public:
+    /// @param store  outlives this object
+    /// @param writer  unique for all time, as "instance#incarnation"
+    plan_store(Platform& store, std::string writer)
+        : m_store(store), m_write_ids(std::move(writer))
+    {
+    }
+
+    /// @brief Makes a text the plan in force, if the revision in force is
+    /// still the one that it is based on.
+    /// @return the new revision
+    /// @throw (leaf) plan 251 with both revisions when it is stale; plan 252
+    ///        when the outcome is unknown; platform errors when nothing changed
+    [[nodiscard]] auto submit(const plan_submission& submission)
+        -> result<std::uint64_t>;
+
+    /// @brief The plan in force, or nothing.
+    /// @throw (leaf) platform errors; plan 253
+    [[nodiscard]] auto read() -> result<std::optional<stored_plan>>
+    {
+        return read_row(current_plan_key);
+    }
+
+    /// @brief An older revision, or nothing.
+    /// @throw (leaf) platform errors; plan 253
+    [[nodiscard]] auto read(std::uint64_t revision)
+        -> result<std::optional<stored_plan>>
+    {
+        return read_row(detail::history_key(revision));
+    }
+
+    /// @brief The revision in force without its text; 0 when there is none.
+    /// @throw (leaf) platform errors; plan 253
+    [[nodiscard]] auto read_revision() -> result<std::uint64_t>;
+
+  private:
+    [[nodiscard]] auto read_row(const std::string& key)
+        -> result<std::optional<stored_plan>>;
+    [[nodiscard]] auto place_text(detail::plan_row& item) -> result<void>;
+    [[nodiscard]] auto settle(const detail::plan_row& item)
+        -> result<std::uint64_t>;
+
+    Platform& m_store;
+    platform::write_id_source m_write_ids;
+};
+
+template<class Platform>
+auto plan_store<Platform>::submit(const plan_submission& submission)
+    -> result<std::uint64_t>
+{
+    BOOST_LEAF_AUTO(row, m_store.read(current_plan_key));
+    std::uint64_t in_force = 0;
+    if (row)
+    {
+        const auto current = detail::parse_plan_row(row->value);
+        if (!current)
+        {
+            return detail::fail_unreadable(current_plan_key);
+        }
+        in_force = current->plan.revision;
+    }
+    if (in_force != submission.based_on)
+    {
+        return detail::fail_stale(submission.based_on, in_force);
+    }
+    detail::plan_row item;
+    item.write_id = m_write_ids.next();
+    item.plan = {in_force + 1, submission.submitted_by,
+                 std::chrono::system_clock::now(), submission.text};
+    BOOST_LEAF_CHECK(place_text(item));
+    const auto value = detail::serialize_plan_row(item);
+    const platform::transaction change{
+        item.write_id,
+        {{current_plan_key, row ? row->version : platform::expect_absent,
+          value},
+         {detail::history_key(item.plan.revision), platform::expect_absent,
+          value}}};
+    // A commit whose outcome stays unknown is settled once more below.
+    const auto committed = handle(
+        [&]() -> result<std::optional<bool>>
+        {
+            BOOST_LEAF_AUTO(outcome, m_store.commit(change));
+            return std::optional<bool>(outcome.committed);
+        },
+        [](const error& fault)
+        {
+            const bool unsent = fault.id == platform::not_sent ||
+                                fault.id == platform::call_refused;
+            return unsent ? std::optional<bool>(false) : std::nullopt;
+        });
+    if (committed && *committed)
+    {
+        return item.plan.revision;
+    }
+    if (committed)
+    {
+        // Lost the race, or not sent at all: the row in force tells which.
+        BOOST_LEAF_AUTO(now_in_force, read_revision());
+        if (now_in_force != submission.based_on)
+        {
+            return detail::fail_stale(submission.based_on, now_in_force);
+        }
+        return leaf::new_error(
+            error{error_kind::platform, platform::not_sent, current_plan_key,
+                  "the plan was not accepted: the store took no change",
+                  "submit it again"});
+    }
+    return settle(item);
+}
+
+template<class Platform>
+auto plan_store<Platform>::settle(const detail::plan_row& item)
+    -> result<std::uint64_t>
+{
+    // The history row is never overwritten, so its writer is decisive, however
+    // many plans were accepted since.
+    const auto found = handle(
+        [&]() -> result<std::optional<platform::row>>
+        {
+            return m_store.read(detail::history_key(item.plan.revision));
+        },
+        [](const error&)
+        {
+            return std::optional<platform::row>();
+        });
+    const auto seen =
+        found ? detail::parse_plan_row(found->value) : std::nullopt;
+    if (!seen)
+    {
+        return detail::fail_unknown(item.plan.revision);
+    }
+    if (seen->write_id != item.write_id)
+    {
+        return detail::fail_stale(item.plan.revision - 1, seen->plan.revision);
+    }
+    return item.plan.revision;
+}
+
+template<class Platform>
+auto plan_store<Platform>::place_text(detail::plan_row& item) -> result<void>
+{
+    if (item.plan.text.size() <= longest_text_in_row)
+    {
+        return {};
+    }
+    // Named by the write id: a lost race leaves an object that none refers to.
+    item.object = "plan/" + item.write_id;
+    return m_store.put_object(item.object, item.plan.text);
+}
+
+template<class Platform>
+auto plan_store<Platform>::read_row(const std::string& key)
+    -> result<std::optional<stored_plan>>
+{
+    BOOST_LEAF_AUTO(row, m_store.read(key));
+    if (!row)
+    {
+        return std::optional<stored_plan>();
+    }
+    auto item = detail::parse_plan_row(row->value);
+    if (!item)
+    {
+        return detail::fail_unreadable(key);
+    }
+    if (item->object.empty())
+    {
+        return std::optional<stored_plan>(std::move(item->plan));
+    }
+    BOOST_LEAF_AUTO(text, m_store.get_object(item->object));
+    if (!text)
+    {
+        return detail::fail_unreadable(item->object);
+    }
+    item->plan.text = std::move(*text);
+    return std::optional<stored_plan>(std::move(item->plan));
+}
+
+template<class Platform>
+auto plan_store<Platform>::read_revision() -> result<std::uint64_t>
+{
+    BOOST_LEAF_AUTO(row, m_store.read(current_plan_key));
+    if (!row)
+    {
+        return std::uint64_t{0};
+    }
+    const auto item = detail::parse_plan_row(row->value);
+    if (!item)
+    {
+        return detail::fail_unreadable(current_plan_key);
+    }
+    return item->plan.revision;
+}
+
+} // namespace pimentoshunt::plan
--- /dev/null
+++ b/tests/fakes/fake_platform.hpp
@@ -0,0 +1,212 @@
+/// @file
+/// A platform in memory, without latency, whose failures a test commands.
+#pragma once
+
+#include <pimentoshunt/platform/port.hpp>
+
+#include <cstddef> // size_t
+#include <map>     // map
+#include <mutex>   // mutex
+#include <string>  // string
+#include <vector>  // vector
+
+namespace pimentoshunt::tests
+{
+
+/// @brief Satisfies platform::port; safe for use by many threads.
+class fake_platform
+{
+  public:
+    /// @brief While down, no call has an effect and each says so.
+    auto set_down(bool down) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_down = down;
+    }
+
+    /// @brief The next @p count commits take effect but report no outcome.
+    auto lose_replies(int count) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lost_replies = count;
+    }
+
+    /// @brief The next @p count commits take no effect and report no outcome.
+    auto lose_requests(int count) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_lost_requests = count;
+    }
+
+    /// @brief What instances() answers from now on.
+    auto set_instances(platform::instance_list list) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_list = std::move(list);
+    }
+
+    /// @brief Commits that the table answered or took.
+    [[nodiscard]] auto commits() const -> int
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_commits;
+    }
+
+    [[nodiscard]] auto read(const std::string& key)
+        -> result<std::optional<platform::row>>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        const auto found = m_rows.find(key);
+        if (found == m_rows.end())
+        {
+            return std::optional<platform::row>();
+        }
+        return std::optional<platform::row>(found->second);
+    }
+
+    [[nodiscard]] auto scan(const std::string& prefix, const std::string& after,
+                            std::size_t limit)
+        -> result<std::vector<platform::row>>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        std::vector<platform::row> out;
+        for (const auto& [key, item] : m_rows)
+        {
+            if (out.size() < limit && key > after &&
+                key.compare(0, prefix.size(), prefix) == 0)
+            {
+                out.push_back(item);
+            }
+        }
+        return out;
+    }
+
+    [[nodiscard]] auto commit(const platform::transaction& change)
+        -> result<platform::commit_outcome>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        if (m_lost_requests > 0)
+        {
+            --m_lost_requests;
+            return unknown();
+        }
+        ++m_commits;
+        auto outcome = apply(change);
+        if (m_lost_replies > 0)
+        {
+            --m_lost_replies;
+            return unknown();
+        }
+        return outcome;
+    }
+
+    [[nodiscard]] auto put_object(const std::string& name,
+                                  const std::string& bytes) -> result<void>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        m_objects[name] = bytes;
+        return {};
+    }
+
+    [[nodiscard]] auto get_object(const std::string& name)
+        -> result<std::optional<std::string>>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end())
+        {
+            return std::optional<std::string>();
+        }
+        return std::optional<std::string>(found->second);
+    }
+
+    [[nodiscard]] auto instances() -> result<platform::instance_list>
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_down)
+        {
+            return unreachable();
+        }
+        return m_list;
+    }
+
+  private:
+    static auto unreachable() -> leaf::error_id
+    {
+        return leaf::new_error(error{error_kind::platform, platform::not_sent,
+                                     "fake", "it is down", "bring it up"});
+    }
+
+    static auto unknown() -> leaf::error_id
+    {
+        return leaf::new_error(error{error_kind::platform,
+                                     platform::outcome_unknown, "fake",
+                                     "the reply is lost", "read it back"});
+    }
+
+    auto apply(const platform::transaction& change) -> platform::commit_outcome
+    {
+        platform::commit_outcome out;
+        for (const auto& each : change.operations)
+        {
+            const auto found = m_rows.find(each.key);
+            const auto version =
+                found == m_rows.end() ? 0 : found->second.version;
+            if (each.expect != platform::expect_any && each.expect != version)
+            {
+                const auto writer =
+                    version == 0 ? std::string() : found->second.write_id;
+                out.conflicts.push_back({each.key, {}, version, writer});
+            }
+        }
+        out.committed = out.conflicts.empty();
+        for (const auto& each : change.operations)
+        {
+            if (!out.committed)
+            {
+                break;
+            }
+            if (!each.value)
+            {
+                m_rows.erase(each.key);
+                continue;
+            }
+            auto& item = m_rows[each.key];
+            item = {each.key, *each.value, item.version + 1, change.write_id};
+        }
+        return out;
+    }
+
+    mutable std::mutex m_mutex;
+    std::map<std::string, platform::row> m_rows;
+    std::map<std::string, std::string> m_objects;
+    platform::instance_list m_list;
+    bool m_down = false;
+    int m_lost_replies = 0;
+    int m_lost_requests = 0;
+    int m_commits = 0;
+};
+
+static_assert(platform::port<fake_platform>);
+
+} // namespace pimentoshunt::tests
