--- a/include/pimentoshunt/control/control_loop.hpp
+++ b/include/pimentoshunt/control/control_loop.hpp
@@ -13,12 +13,6 @@
 namespace pimentoshunt::control
 {
 
-/// @brief Messages to the transport service.
-struct outbound_batch
-{
-    std::vector<outbound> items;
-};
-
 /// @brief How the control thread has calls made; each posts its own event.
 struct call_starter
 {
--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -132,8 +132,8 @@
     auto place(time_point now) -> void;
     auto hand_out(const instance_id& entry, std::vector<entry::grant> grants,
                   time_point now) -> void;
-    auto give_back(const entry::grant& item,
-                   ownership::attempt_outcome outcome) -> void;
+    auto give_back(const entry::grant& item, ownership::attempt_outcome outcome)
+        -> void;
     auto release_here(const worker_id& worker, const attempt_id& attempt,
                       ownership::attempt_outcome outcome) -> void;
     auto send_to(const instance_id& id, wire::envelope message) -> void;
--- /dev/null
+++ b/include/pimentoshunt/control/remote_calls.hpp
@@ -0,0 +1,61 @@
+/// @file
+/// The calls that the control thread wants made, run on I/O threads; each
+/// posts its answer as an event.
+#pragma once
+
+#include <pimentoshunt/control/control_loop.hpp>
+#include <pimentoshunt/kernel/directory.hpp>
+#include <pimentoshunt/kernel/io_pool.hpp>
+#include <pimentoshunt/membership/member_table.hpp>
+#include <pimentoshunt/plan/plan_cell.hpp>
+#include <pimentoshunt/plan/plan_store.hpp>
+#include <pimentoshunt/platform/http_platform.hpp>
+#include <pimentoshunt/worker/http_worker.hpp>
+
+#include <atomic> // atomic
+
+namespace pimentoshunt::control
+{
+
+/// @brief Makes the control thread's calls to workers and platform.
+class remote_calls
+{
+  public:
+    remote_calls(kernel::directory services, platform::http_platform& store,
+                 plan::plan_store<platform::http_platform>& plans,
+                 worker::http_worker& workers, plan::plan_cell& in_force,
+                 membership::member self);
+
+    /// @brief The functions that the control thread is given.
+    /// @param control  gets the answers; need not be constructed yet
+    [[nodiscard]] auto starter(control_loop& control) -> call_starter;
+
+  private:
+    auto fence(control_loop& control, const ownership::fence_call& call)
+        -> void;
+    auto inspect(control_loop& control, const ownership::inspect_call& call)
+        -> void;
+    auto revoke(control_loop& control, const ownership::revoke_call& call)
+        -> void;
+    auto read_list(control_loop& control) -> void;
+    auto read_plan(control_loop& control) -> void;
+    auto register_self() -> result<void>;
+    auto registered() -> result<std::vector<membership::member>>;
+    auto drained() -> result<std::vector<worker_id>>;
+
+    kernel::directory m_services;
+    platform::http_platform& m_store;
+    plan::plan_store<platform::http_platform>& m_plans;
+    worker::http_worker& m_workers;
+    plan::plan_cell& m_in_force;
+    membership::member m_self;
+    std::atomic<bool> m_list_running{false};
+    std::atomic<bool> m_plan_running{false};
+    std::atomic<bool> m_registered{false};
+};
+
+/// @brief Registers a pool of I/O threads as a service.
+auto spawn_io(caf::actor_system& system, kernel::directory& services,
+              kernel::service_name name, kernel::io_pool& pool) -> void;
+
+} // namespace pimentoshunt::control
--- a/include/pimentoshunt/entry/request_handler.hpp
+++ b/include/pimentoshunt/entry/request_handler.hpp
@@ -11,12 +11,12 @@
 #include <pimentoshunt/policy/retry_budget.hpp>
 #include <pimentoshunt/worker/http_worker.hpp>
 
-#include <atomic>  // atomic
-#include <cstdint> // uint64_t
+#include <atomic>   // atomic
+#include <cstdint>  // uint64_t
 #include <mutex>    // mutex
 #include <optional> // optional
 #include <string>   // string
-#include <vector>  // vector
+#include <vector>   // vector
 
 namespace pimentoshunt::entry
 {
@@ -92,8 +92,7 @@
         -> step_result;
     auto not_started(const request_state& state, const grant& where,
                      ownership::attempt_outcome outcome) -> step_result;
-    auto settle(const grant& where)
-        -> std::optional<worker::attempt_state>;
+    auto settle(const grant& where) -> std::optional<worker::attempt_state>;
     /// Whether the attempt has ended for certain; stops it where it runs.
     auto ended(const grant& where, std::optional<worker::attempt_state> found)
         -> bool;
--- a/include/pimentoshunt/entry/ticket.hpp
+++ b/include/pimentoshunt/entry/ticket.hpp
@@ -105,7 +105,11 @@
     auto wait_until(time_point limit) -> std::optional<placement_answer>
     {
         std::unique_lock lock(m_mutex);
-        m_changed.wait_until(lock, limit, [&] { return m_settled; });
+        m_changed.wait_until(lock, limit,
+                             [&]
+                             {
+                                 return m_settled;
+                             });
         m_settled = true;
         return m_answer;
     }
--- a/include/pimentoshunt/kernel/directory.hpp
+++ b/include/pimentoshunt/kernel/directory.hpp
@@ -43,7 +43,7 @@
     }
 
     /// @brief Sends a message to the service of that name.
-    template <class Message>
+    template<class Message>
     auto send(service_name name, Message&& message) const -> void
     {
         caf::anon_send(find(name), std::forward<Message>(message));
--- a/include/pimentoshunt/kernel/inbox.hpp
+++ b/include/pimentoshunt/kernel/inbox.hpp
@@ -11,7 +11,7 @@
 {
 
 /// @brief Many producers, one consumer.
-template <class T>
+template<class T>
 class inbox
 {
   public:
--- a/include/pimentoshunt/transport/wire_codec.hpp
+++ b/include/pimentoshunt/transport/wire_codec.hpp
@@ -17,8 +17,7 @@
 /// @brief A member, with the age of what is known of it at @p now.
 [[nodiscard]] auto to_wire(const membership::member& item, time_point now)
     -> wire::member;
-[[nodiscard]] auto from_wire(const wire::member& message)
-    -> membership::member;
+[[nodiscard]] auto from_wire(const wire::member& message) -> membership::member;
 
 [[nodiscard]] auto to_wire(const entry::asked_line& line, time_point now)
     -> wire::demand_line;
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -1,12 +1,12 @@
 #include <pimentoshunt/control/control_loop.hpp>
 
+#include <pimentoshunt/control/outbound_batch.hpp>
+
 #include <caf/behavior.hpp>
 #include <caf/event_based_actor.hpp>
 
 #include <utility> // move
 
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(pimentoshunt::control::outbound_batch)
-
 namespace pimentoshunt::control
 {
 namespace
@@ -21,7 +21,10 @@
     -> caf::behavior
 {
     self->delayed_send(self, tick_interval, tick_atom::value);
-    return {[loop](wake_atom) { loop->drain(); },
+    return {[loop](wake_atom)
+            {
+                loop->drain();
+            },
             [self, loop](tick_atom)
             {
                 loop->tick();
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -26,11 +26,9 @@
 
 engine::engine(engine_config config, time_point now)
     : m_config(std::move(config)), m_members(m_config.liveness),
-      m_keeper(
-          ownership::holder{m_config.self.id, m_config.self.incarnation},
-          m_config.keeper),
-      m_board(grant_timeout),
-      m_desk(m_config.desk, m_config.self.incarnation),
+      m_keeper(ownership::holder{m_config.self.id, m_config.self.incarnation},
+               m_config.keeper),
+      m_board(grant_timeout), m_desk(m_config.desk, m_config.self.incarnation),
       m_plan(std::make_shared<plan::revisioned_plan>()), m_last_tick(now)
 {
     m_desk.owner_alive(self_id(), 0);
@@ -39,7 +37,12 @@
 
 auto engine::handle(event&& news, time_point now) -> void
 {
-    std::visit([&](auto& item) { on(item, now); }, news);
+    std::visit(
+        [&](auto& item)
+        {
+            on(item, now);
+        },
+        news);
 }
 
 auto engine::on(peer_message& news, time_point now) -> void
@@ -128,13 +131,16 @@
     {
         return;
     }
-    auto parsed = handle(
+    auto parsed = pimentoshunt::handle(
         [&]() -> result<std::optional<plan::document>>
         {
             BOOST_LEAF_AUTO(document, plan::parse(message.text()));
             return std::optional<plan::document>(std::move(document));
         },
-        [](const error&) { return std::optional<plan::document>(); });
+        [](const error&)
+        {
+            return std::optional<plan::document>();
+        });
     if (!parsed)
     {
         return;
@@ -654,10 +660,10 @@
             return false;
         }
         const auto& account = *m_keeper.ledger().find(choice.worker);
-        by_entry[line.entry].push_back(
-            {item.attempt, item.workload, choice.worker,
-             account.worker.base_url, account.epoch, self_id(),
-             m_config.self.incarnation});
+        by_entry[line.entry].push_back({item.attempt, item.workload,
+                                        choice.worker, account.worker.base_url,
+                                        account.epoch, self_id(),
+                                        m_config.self.incarnation});
         return true;
     };
     m_picker.pick(m_keeper.ledger(), lines, take, now);
--- /dev/null
+++ b/src/control/remote_calls.cpp
@@ -0,0 +1,265 @@
+#include <pimentoshunt/control/remote_calls.hpp>
+
+#include <pimentoshunt/entry/operator_server.hpp>
+#include <pimentoshunt/membership/member_codec.hpp>
+#include <pimentoshunt/ownership/holder.hpp>
+#include <pimentoshunt/plan/parse.hpp>
+
+#include <caf/allowed_unsafe_message_type.hpp>
+#include <caf/behavior.hpp>
+#include <caf/event_based_actor.hpp>
+
+#include <cstring> // strlen
+#include <utility> // move
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(pimentoshunt::kernel::io_call)
+
+namespace pimentoshunt::control
+{
+namespace
+{
+
+constexpr const char* instance_prefix = "instance/";
+constexpr std::size_t scan_limit = 1'000;
+
+auto io_behavior(caf::event_based_actor*, kernel::io_pool* pool)
+    -> caf::behavior
+{
+    return {[pool](const kernel::io_call& call)
+            {
+                pool->submit(call);
+            }};
+}
+
+/// Reads the operators' plan and checks that it is one we understand.
+auto to_revisioned(plan::stored_plan stored) -> result<plan::plan_ptr>
+{
+    auto made = std::make_shared<plan::revisioned_plan>();
+    BOOST_LEAF_ASSIGN(made->parsed, plan::parse(stored.text));
+    made->revision = stored.revision;
+    made->text = std::move(stored.text);
+    return plan::plan_ptr(std::move(made));
+}
+
+} // namespace
+
+auto spawn_io(caf::actor_system& system, kernel::directory& services,
+              kernel::service_name name, kernel::io_pool& pool) -> void
+{
+    services.put(name, system.spawn(io_behavior, &pool));
+}
+
+remote_calls::remote_calls(kernel::directory services,
+                           platform::http_platform& store,
+                           plan::plan_store<platform::http_platform>& plans,
+                           worker::http_worker& workers,
+                           plan::plan_cell& in_force, membership::member self)
+    : m_services(services), m_store(store), m_plans(plans), m_workers(workers),
+      m_in_force(in_force), m_self(std::move(self))
+{
+}
+
+auto remote_calls::starter(control_loop& control) -> call_starter
+{
+    const auto on_worker_io = [this](std::function<void()> run)
+    {
+        m_services.send(kernel::worker_io_service,
+                        kernel::io_call{std::move(run)});
+    };
+    const auto on_platform_io = [this](std::function<void()> run)
+    {
+        m_services.send(kernel::platform_io_service,
+                        kernel::io_call{std::move(run)});
+    };
+    call_starter made;
+    made.fence = [=, this, &control](const ownership::fence_call& call)
+    {
+        on_worker_io(
+            [this, &control, call]
+            {
+                fence(control, call);
+            });
+    };
+    made.inspect = [=, this, &control](const ownership::inspect_call& call)
+    {
+        on_worker_io(
+            [this, &control, call]
+            {
+                inspect(control, call);
+            });
+    };
+    made.revoke = [=, this, &control](const ownership::revoke_call& call)
+    {
+        on_worker_io(
+            [this, &control, call]
+            {
+                revoke(control, call);
+            });
+    };
+    made.read_list = [=, this, &control]
+    {
+        if (!m_list_running.exchange(true))
+        {
+            on_platform_io(
+                [this, &control]
+                {
+                    read_list(control);
+                });
+        }
+    };
+    made.read_plan = [=, this, &control]
+    {
+        if (!m_plan_running.exchange(true))
+        {
+            on_platform_io(
+                [this, &control]
+                {
+                    read_plan(control);
+                });
+        }
+    };
+    made.publish = [this](plan::plan_ptr newer)
+    {
+        m_in_force.set(std::move(newer));
+    };
+    return made;
+}
+
+auto remote_calls::fence(control_loop& control,
+                         const ownership::fence_call& call) -> void
+{
+    fence_ended news{
+        call.worker.id, call.epoch, ownership::fence_answer::unknown, {}};
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            const auto name =
+                ownership::holder{m_self.id, m_self.incarnation}.str();
+            BOOST_LEAF_AUTO(outcome, m_workers.fence(call.worker.base_url,
+                                                     call.epoch, name));
+            news.answer = outcome.accepted ? ownership::fence_answer::accepted
+                                           : ownership::fence_answer::refused;
+            news.report = std::move(outcome.report);
+            return {};
+        },
+        [] {});
+    control.post(std::move(news));
+}
+
+auto remote_calls::inspect(control_loop& control,
+                           const ownership::inspect_call& call) -> void
+{
+    inspection_ended news{call.worker.id, call.number, std::nullopt};
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(report, m_workers.state(call.worker.base_url));
+            news.report = std::move(report);
+            return {};
+        },
+        [] {});
+    control.post(std::move(news));
+}
+
+auto remote_calls::revoke(control_loop& control,
+                          const ownership::revoke_call& call) -> void
+{
+    revocation_ended news{call.worker.id, call.attempt, std::nullopt};
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(
+                report, m_workers.revoke(call.worker.base_url, call.attempt));
+            news.state = report.state;
+            return {};
+        },
+        [] {});
+    control.post(std::move(news));
+}
+
+auto remote_calls::register_self() -> result<void>
+{
+    if (m_registered)
+    {
+        return {};
+    }
+    const auto name = ownership::holder{m_self.id, m_self.incarnation}.str();
+    const platform::transaction change{
+        "register-" + name,
+        {{instance_prefix + m_self.id.str(), platform::expect_any,
+          membership::serialize(m_self)}}};
+    BOOST_LEAF_CHECK(m_store.commit(change));
+    m_registered = true;
+    return {};
+}
+
+auto remote_calls::registered() -> result<std::vector<membership::member>>
+{
+    BOOST_LEAF_AUTO(rows, m_store.scan(instance_prefix, "", scan_limit));
+    std::vector<membership::member> members;
+    for (const auto& row : rows)
+    {
+        if (auto item = membership::parse_member(row.value))
+        {
+            members.push_back(std::move(*item));
+        }
+    }
+    return members;
+}
+
+auto remote_calls::drained() -> result<std::vector<worker_id>>
+{
+    BOOST_LEAF_AUTO(rows, m_store.scan(entry::drained_prefix, "", scan_limit));
+    std::vector<worker_id> workers;
+    for (const auto& row : rows)
+    {
+        workers.emplace_back(
+            row.key.substr(std::strlen(entry::drained_prefix)));
+    }
+    return workers;
+}
+
+auto remote_calls::read_list(control_loop& control) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            list_read news;
+            BOOST_LEAF_CHECK(register_self());
+            BOOST_LEAF_ASSIGN(news.list, m_store.instances());
+            BOOST_LEAF_ASSIGN(news.registered, registered());
+            BOOST_LEAF_ASSIGN(news.drained, drained());
+            control.post(std::move(news));
+            return {};
+        },
+        [] {});
+    m_list_running = false;
+}
+
+auto remote_calls::read_plan(control_loop& control) -> void
+{
+    const auto asked_at = boot_clock::now();
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            plan_read news;
+            news.asked_at = asked_at;
+            BOOST_LEAF_AUTO(revision, m_plans.read_revision());
+            if (revision != 0 && revision == m_in_force.get()->revision)
+            {
+                news.found = m_in_force.get();
+            }
+            else if (revision != 0)
+            {
+                BOOST_LEAF_AUTO(stored, m_plans.read());
+                BOOST_LEAF_ASSIGN(news.found,
+                                  to_revisioned(std::move(*stored)));
+            }
+            control.post(std::move(news));
+            return {};
+        },
+        [] {});
+    m_plan_running = false;
+}
+
+} // namespace pimentoshunt::control
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -22,17 +22,19 @@
 
 /// Headers that belong to one connection, or that the library makes.
 constexpr std::array dropped_headers{
-    "Host",       "Connection",  "Keep-Alive",  "Transfer-Encoding",
-    "TE",         "Trailer",     "Upgrade",     "Content-Length",
-    "Expect",     "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR",
+    "Host",       "Connection",      "Keep-Alive",  "Transfer-Encoding",
+    "TE",         "Trailer",         "Upgrade",     "Content-Length",
+    "Expect",     "REMOTE_ADDR",     "REMOTE_PORT", "LOCAL_ADDR",
     "LOCAL_PORT", "Proxy-Connection"};
 
-template <class Names>
+template<class Names>
 auto listed(const Names& names, const std::string& name) -> bool
 {
     return std::any_of(names.begin(), names.end(),
                        [&](const char* item)
-                       { return ::strcasecmp(item, name.c_str()) == 0; });
+                       {
+                           return ::strcasecmp(item, name.c_str()) == 0;
+                       });
 }
 
 auto is_ours(const std::string& name) -> bool
@@ -238,14 +240,16 @@
             hide_headers(const_cast<httplib::Request&>(request));
             return httplib::Server::HandlerResponse::Unhandled;
         });
-    const auto without_body = [&listener, &handler](
-                                  const httplib::Request& request,
-                                  httplib::Response& response)
-    { serve_request(listener, handler, request, request.body, response); };
-    const auto with_body = [&listener, &handler](
-                               const httplib::Request& request,
-                               httplib::Response& response,
-                               const httplib::ContentReader& reader)
+    const auto without_body =
+        [&listener, &handler](const httplib::Request& request,
+                              httplib::Response& response)
+    {
+        serve_request(listener, handler, request, request.body, response);
+    };
+    const auto with_body =
+        [&listener, &handler](const httplib::Request& request,
+                              httplib::Response& response,
+                              const httplib::ContentReader& reader)
     {
         std::string body;
         const bool whole = reader(
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -23,7 +23,11 @@
     const bool all_busy = m_tasks.size() > m_idle;
     if (all_busy && m_threads.size() < m_limit)
     {
-        m_threads.emplace_back([this] { work(); });
+        m_threads.emplace_back(
+            [this]
+            {
+                work();
+            });
     }
     m_changed.notify_one();
 }
@@ -51,7 +55,10 @@
             std::unique_lock lock(m_mutex);
             ++m_idle;
             m_changed.wait(lock,
-                           [this] { return m_stopping || !m_tasks.empty(); });
+                           [this]
+                           {
+                               return m_stopping || !m_tasks.empty();
+                           });
             --m_idle;
             if (m_tasks.empty())
             {
@@ -67,7 +74,9 @@
 http_listener::http_listener(listener_limits limits) : m_limits(limits)
 {
     m_server.new_task_queue = [limits]
-    { return new connection_pool(limits.connections); };
+    {
+        return new connection_pool(limits.connections);
+    };
     m_server.set_keep_alive_max_count(requests_per_connection);
     m_server.set_keep_alive_timeout(limits.keep_alive.count());
     m_server.set_read_timeout(limits.stall);
@@ -115,7 +124,11 @@
     }
     // The library asks for a backlog of five; the second call raises it.
     ::listen(descriptor, backlog);
-    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    m_thread = std::thread(
+        [this]
+        {
+            m_server.listen_after_bind();
+        });
     return {};
 }
 
--- /dev/null
+++ b/src/entry/operator_server.cpp
@@ -0,0 +1,377 @@
+#include <pimentoshunt/entry/operator_server.hpp>
+
+#include <pimentoshunt/plan/parse.hpp>
+#include <pimentoshunt/platform/json_fields.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv> // from_chars
+#include <future>   // promise
+#include <memory>   // make_shared
+
+namespace pimentoshunt::entry
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr int ok_status = 200;
+constexpr int accepted_status = 202;
+constexpr int bad_request_status = 400;
+constexpr int conflict_status = 409;
+constexpr int unprocessable_status = 422;
+constexpr int unavailable_status = 503;
+/// How long the control thread may take to tell its state.
+constexpr milliseconds status_timeout{2'000};
+constexpr const char* retry_after_seconds = "2";
+
+auto answer_json(httplib::Response& response, int status,
+                 const json::object& body) -> void
+{
+    response.status = status;
+    if (status == unavailable_status)
+    {
+        response.set_header("Retry-After", retry_after_seconds);
+    }
+    response.set_content(json::serialize(body), "application/json");
+}
+
+auto answer_error(httplib::Response& response, int status, const error& fault)
+    -> void
+{
+    answer_json(response, status,
+                {{"error", fault.message()},
+                 {"id", fault.id},
+                 {"remedy", fault.remedy}});
+}
+
+auto ask_status(operator_context& context)
+    -> std::optional<control::cell_status>
+{
+    auto answer = std::make_shared<std::promise<control::cell_status>>();
+    auto coming = answer->get_future();
+    context.control.post(control::status_wanted{std::move(answer)});
+    if (coming.wait_for(status_timeout) != std::future_status::ready)
+    {
+        return std::nullopt;
+    }
+    return coming.get();
+}
+
+auto answer_silent(httplib::Response& response) -> void
+{
+    answer_json(response, unavailable_status,
+                {{"error", "the control thread does not answer"},
+                 {"remedy", "ask another instance, and look at the logs"}});
+}
+
+auto instances_json(const control::cell_status& status) -> json::array
+{
+    json::array list;
+    for (const auto& item : status.instances)
+    {
+        list.push_back(
+            json::object{{"id", item.id.str()},
+                         {"data_centre", item.data_centre.str()},
+                         {"state", item.alive ? to_string(item.state) : "dead"},
+                         {"age_ms", item.silent.count()},
+                         {"workers_held", item.workers_held},
+                         {"revision", item.plan_revision}});
+    }
+    return list;
+}
+
+auto workers_json(const control::cell_status& status) -> json::array
+{
+    json::array list;
+    for (const auto& item : status.workers)
+    {
+        const char* const state = !item.held             ? "elsewhere"
+                                  : item.open_for_grants ? "open"
+                                                         : "closed";
+        list.push_back(json::object{
+            {"id", item.id.str()},
+            {"state", state},
+            {"owner", item.held ? status.instance.str() : std::string()},
+            {"free", platform::detail::to_json(item.free)},
+            {"capacity", platform::detail::to_json(item.capacity)},
+            {"holdings", item.holdings}});
+    }
+    return list;
+}
+
+auto queues_json(const control::cell_status& status) -> json::array
+{
+    json::array list;
+    for (const auto& item : status.queues)
+    {
+        list.push_back(json::object{{"workload", item.workload.str()},
+                                    {"tenant", item.tenant.str()},
+                                    {"class", item.cls},
+                                    {"length", item.length}});
+    }
+    return list;
+}
+
+auto plan_json(const control::cell_status& status) -> json::object
+{
+    json::object body{{"revision", status.plan_revision},
+                      {"confirmed_ms_ago", status.plan_confirmed.count()}};
+    return body;
+}
+
+auto get_status(operator_context& context, httplib::Response& response) -> void
+{
+    const auto status = ask_status(context);
+    if (!status)
+    {
+        answer_silent(response);
+        return;
+    }
+    answer_json(response, ok_status,
+                {{"instance", status->instance.str()},
+                 {"state", to_string(status->state)},
+                 {"plan", plan_json(*status)},
+                 {"instances", instances_json(*status)},
+                 {"workers", workers_json(*status)},
+                 {"queues", queues_json(*status)}});
+}
+
+auto get_plan(operator_context& context, httplib::Response& response) -> void
+{
+    const auto status = ask_status(context);
+    if (!status)
+    {
+        answer_silent(response);
+        return;
+    }
+    const auto in_force = context.in_force.get();
+    answer_json(response, ok_status,
+                {{"revision", in_force->revision},
+                 {"text", in_force->text},
+                 {"confirmed_ms_ago", status->plan_confirmed.count()},
+                 {"instances", instances_json(*status)}});
+}
+
+auto read_revision(const httplib::Request& request, std::uint64_t& revision)
+    -> bool
+{
+    const auto text = request.get_param_value("revision");
+    const auto* const last = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), last, revision);
+    return !text.empty() && read.ec == std::errc{} && read.ptr == last;
+}
+
+auto faults_json(const std::vector<plan::plan_fault>& faults) -> json::array
+{
+    json::array list;
+    for (const auto& item : faults)
+    {
+        list.push_back(json::object{{"pointer", item.pointer},
+                                    {"line", item.line},
+                                    {"message", item.message},
+                                    {"remedy", item.remedy}});
+    }
+    return list;
+}
+
+auto worker_capacities(operator_context& context) -> std::vector<resources>
+{
+    std::vector<resources> capacities;
+    if (const auto status = ask_status(context))
+    {
+        for (const auto& item : status->workers)
+        {
+            capacities.push_back(item.capacity);
+        }
+    }
+    return capacities;
+}
+
+/// Tells an operator what the other one changed.
+auto answer_stale(operator_context& context, httplib::Response& response,
+                  std::uint64_t read, const error& fault) -> void
+{
+    const auto current = handle(
+        [&]() -> result<std::uint64_t>
+        {
+            return context.plans.read_revision();
+        },
+        [&](const error&)
+        {
+            return context.in_force.get()->revision;
+        });
+    answer_json(response, conflict_status,
+                {{"error", fault.message()},
+                 {"remedy", fault.remedy},
+                 {"read", read},
+                 {"current", current},
+                 {"changes", json::array{}}});
+}
+
+auto publish(operator_context& context, std::uint64_t revision,
+             const std::string& text, time_point asked_at) -> void
+{
+    auto accepted = std::make_shared<plan::revisioned_plan>();
+    accepted->revision = revision;
+    accepted->text = text;
+    accepted->parsed = handle(
+        [&]() -> result<plan::document>
+        {
+            return plan::parse(text);
+        },
+        [](const error&)
+        {
+            return plan::document();
+        });
+    context.control.post(control::plan_accepted{std::move(accepted), asked_at});
+}
+
+auto put_plan(operator_context& context, const httplib::Request& request,
+              httplib::Response& response) -> void
+{
+    std::uint64_t based_on = 0;
+    if (!read_revision(request, based_on))
+    {
+        answer_json(response, bad_request_status,
+                    {{"error", "the revision that was read is missing"},
+                     {"remedy", "add ?revision=N with the N of GET /plan"}});
+        return;
+    }
+    const auto faults = plan::check(request.body, worker_capacities(context));
+    if (!faults.empty())
+    {
+        answer_json(response, unprocessable_status,
+                    {{"faults", faults_json(faults)}});
+        return;
+    }
+    const auto asked_at = boot_clock::now();
+    const plan::plan_submission submission{
+        request.body, based_on,
+        request.get_header_value("Pimentoshunt-Operator")};
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(revision, context.plans.submit(submission));
+            publish(context, revision, request.body, asked_at);
+            answer_json(response, ok_status, {{"revision", revision}});
+            return {};
+        },
+        [&](const error& fault)
+        {
+            if (fault.id == plan::stale_revision)
+            {
+                answer_stale(context, response, based_on, fault);
+                return;
+            }
+            answer_error(response, unavailable_status, fault);
+        },
+        [&]
+        {
+            answer_error(response, unavailable_status,
+                         {error_kind::plan, plan::acceptance_unknown, "",
+                          "the submission failed", "read the plan and retry"});
+        });
+}
+
+auto drain_worker(operator_context& context, const std::string& worker,
+                  httplib::Response& response) -> void
+{
+    const platform::transaction change{
+        "drain-" + worker + "-" +
+            std::to_string(boot_clock::now().time_since_epoch().count()),
+        {{drained_prefix + worker, platform::expect_any, "drained"}}};
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_CHECK(context.store.commit(change));
+            answer_json(response, accepted_status, {{"draining", worker}});
+            return {};
+        },
+        [&](const error& fault)
+        {
+            answer_error(response, unavailable_status, fault);
+        },
+        [&]
+        {
+            answer_error(response, unavailable_status,
+                         {error_kind::platform, 301, "", "the store failed",
+                          "send it again"});
+        });
+}
+
+auto post_drain(operator_context& context, const httplib::Request& request,
+                httplib::Response& response) -> void
+{
+    if (request.has_param("worker"))
+    {
+        drain_worker(context, request.get_param_value("worker"), response);
+        return;
+    }
+    const auto status = ask_status(context);
+    if (request.has_param("instance") && status &&
+        request.get_param_value("instance") == status->instance.str())
+    {
+        context.drain_self();
+        answer_json(response, accepted_status,
+                    {{"draining", status->instance.str()}});
+        return;
+    }
+    answer_json(response, bad_request_status,
+                {{"error", "nothing that can be drained here is named"},
+                 {"remedy", "name a worker, or ask the instance itself with "
+                            "its own name"}});
+}
+
+} // namespace
+
+auto add_operator_routes(http_listener& listener, operator_context& context)
+    -> void
+{
+    auto& server = listener.server();
+    server.Get("/status",
+               [&context](const httplib::Request&, httplib::Response& response)
+               {
+                   get_status(context, response);
+               });
+    server.Get("/plan",
+               [&context](const httplib::Request&, httplib::Response& response)
+               {
+                   get_plan(context, response);
+               });
+    server.Put(
+        "/plan",
+        [&context](const httplib::Request& request, httplib::Response& response)
+        {
+            put_plan(context, request, response);
+        });
+    server.Post(
+        "/drain",
+        [&context](const httplib::Request& request, httplib::Response& response)
+        {
+            post_drain(context, request, response);
+        });
+    server.Get("/metrics",
+               [&context](const httplib::Request&, httplib::Response& response)
+               {
+                   response.set_content(context.metrics(), "text/plain");
+               });
+    server.Get("/healthz",
+               [](const httplib::Request&, httplib::Response& response)
+               {
+                   response.set_content("ok\n", "text/plain");
+               });
+    server.Get("/ready",
+               [&context](const httplib::Request&, httplib::Response& response)
+               {
+                   const bool ready = context.control.ready();
+                   response.status = ready ? ok_status : unavailable_status;
+                   response.set_content(ready ? "ready\n" : "not ready\n",
+                                        "text/plain");
+               });
+}
+
+} // namespace pimentoshunt::entry
--- a/src/entry/request_desk.cpp
+++ b/src/entry/request_desk.cpp
@@ -142,8 +142,7 @@
 {
     for (auto& [place, entry] : queue.items)
     {
-        const bool late =
-            now - entry.item->arrived() >= m_limits.ask_all_after;
+        const bool late = now - entry.item->arrived() >= m_limits.ask_all_after;
         if (late && !entry.asked_of.empty())
         {
             forget_ask(queue, name, entry);
@@ -203,8 +202,8 @@
             continue;
         }
         const auto& head = *queue.items.begin();
-        lines.push_back({name, count, head.first.deadline,
-                         head.second.item->arrived()});
+        lines.push_back(
+            {name, count, head.first.deadline, head.second.item->arrived()});
     }
     return lines;
 }
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -124,9 +124,8 @@
     -> placement_answer
 {
     const auto number = ++m_numbers;
-    const auto item =
-        std::make_shared<ticket>(number, state.in_force, state.workload,
-                                 state.arrived, state.deadline);
+    const auto item = std::make_shared<ticket>(
+        number, state.in_force, state.workload, state.arrived, state.deadline);
     m_control.post(control::request_arrived{item});
     auto answer = item->wait_until(state.deadline + control_grace);
     if (answer)
@@ -144,9 +143,8 @@
     const auto begun = boot_clock::now();
     auto end = m_runs.run(where, state.workload->each, state.request.forward,
                           state.deadline);
-    const auto run_time =
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            boot_clock::now() - begun);
+    const auto run_time = std::chrono::duration_cast<std::chrono::microseconds>(
+        boot_clock::now() - begun);
     switch (end.state)
     {
     case run_state::answered:
@@ -211,7 +209,10 @@
                             m_workers.revoke(where.base_url, where.attempt));
             return found_state(report.state);
         },
-        [](const error&) { return found_state(); });
+        [](const error&)
+        {
+            return found_state();
+        });
 }
 
 auto request_handler::on_unknown(const request_state& state, const grant& where)
@@ -248,7 +249,10 @@
             BOOST_LEAF_CHECK(m_workers.stop(where.base_url, where.attempt));
             return true;
         },
-        [](const error&) { return false; });
+        [](const error&)
+        {
+            return false;
+        });
 }
 
 auto request_handler::release(const grant& where,
--- a/src/entry/run_client.cpp
+++ b/src/entry/run_client.cpp
@@ -22,8 +22,7 @@
     call.content_type.clear();
     call.headers = request.headers;
     call.headers.push_back({"Pimentoshunt-Attempt", where.attempt.str()});
-    call.headers.push_back(
-        {"Pimentoshunt-Epoch", std::to_string(where.epoch)});
+    call.headers.push_back({"Pimentoshunt-Epoch", std::to_string(where.epoch)});
     call.headers.push_back({"Pimentoshunt-Workload", where.workload.str()});
     call.headers.push_back({"Pimentoshunt-Resources", worker::to_header(each)});
     call.timeout = timeout;
@@ -88,8 +87,8 @@
 auto run_client::run(const grant& where, const resources& each,
                      const run_request& request, time_point deadline) -> run_end
 {
-    const auto left = std::chrono::duration_cast<milliseconds>(
-        deadline - boot_clock::now());
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(deadline - boot_clock::now());
     const auto pool = pool_of(where.base_url);
     if (pool == nullptr || left <= milliseconds::zero())
     {
--- a/src/kernel/io_pool.cpp
+++ b/src/kernel/io_pool.cpp
@@ -10,7 +10,11 @@
     m_threads.reserve(threads);
     for (std::size_t i = 0; i < threads; ++i)
     {
-        m_threads.emplace_back([this] { work(); });
+        m_threads.emplace_back(
+            [this]
+            {
+                work();
+            });
     }
 }
 
@@ -49,7 +53,10 @@
         {
             std::unique_lock lock(m_mutex);
             m_changed.wait(lock,
-                           [this] { return m_stopping || !m_calls.empty(); });
+                           [this]
+                           {
+                               return m_stopping || !m_calls.empty();
+                           });
             if (m_calls.empty())
             {
                 return;
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -75,7 +75,11 @@
     m_socket.set(zmq::sockopt::linger, 0);
     m_socket.set(zmq::sockopt::rcvtimeo, static_cast<int>(stop_check.count()));
     m_socket.bind("tcp://" + address);
-    m_thread = std::thread([this] { receive(); });
+    m_thread = std::thread(
+        [this]
+        {
+            receive();
+        });
 }
 
 peer_receiver::~peer_receiver()
--- a/src/transport/wire_codec.cpp
+++ b/src/transport/wire_codec.cpp
@@ -5,7 +5,7 @@
 namespace
 {
 
-template <class Duration>
+template<class Duration>
 auto to_us(Duration length) -> std::int64_t
 {
     return std::chrono::duration_cast<std::chrono::microseconds>(length)
