--- a/include/pimentoshunt/membership/member_table.hpp
+++ b/include/pimentoshunt/membership/member_table.hpp
@@ -45,6 +45,8 @@
     time_point last_alive;
     /// Latest time at which it was heard without a relay, on our clock.
     time_point last_direct;
+    /// Latest time at which the table named it, on our clock.
+    time_point introduced_at;
 };
 
 /// @brief Limits by which silence is judged.
@@ -78,7 +80,7 @@
         -> bool;
 
     /// @brief Adds an address learnt from the table, not known to live.
-    auto introduced(const member& news) -> void;
+    auto introduced(member news, time_point now) -> void;
 
     /// @brief After a pause of our own: silence in it says nothing of others.
     auto own_pause(std::chrono::nanoseconds length) -> void;
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -264,7 +264,7 @@
     m_capacity_changed = true;
 }
 
-auto engine::on(list_read& news, time_point) -> void
+auto engine::on(list_read& news, time_point now) -> void
 {
     m_keeper.listed(news.list.workers);
     for (const auto& item : m_keeper.workers())
@@ -277,7 +277,7 @@
     {
         if (item.id != self_id())
         {
-            m_members.introduced(item);
+            m_members.introduced(item, now);
         }
     }
     m_list_known = true;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -1,6 +1,7 @@
 #include <pimentoshunt/membership/member_table.hpp>
 
 #include <algorithm> // max
+#include <utility>   // move
 
 namespace pimentoshunt::membership
 {
@@ -44,6 +45,7 @@
     const bool changed = reborn || news.state != known.state;
     news.last_alive = seen;
     news.last_direct = known.last_direct;
+    news.introduced_at = known.introduced_at;
     known = std::move(news);
     return changed;
 }
@@ -67,18 +69,21 @@
     return merge(std::move(news), now - age);
 }
 
-auto member_table::introduced(const member& news) -> void
+auto member_table::introduced(member news, time_point now) -> void
 {
+    news.introduced_at = now;
     const auto found = m_members.find(news.id);
     if (found == m_members.end())
     {
-        m_members.emplace(news.id, news);
+        m_members.emplace(news.id, std::move(news));
         return;
     }
     if (news.incarnation > found->second.incarnation)
     {
-        found->second = news;
+        found->second = std::move(news);
+        return;
     }
+    found->second.introduced_at = now;
 }
 
 auto member_table::own_pause(std::chrono::nanoseconds length) -> void
@@ -96,8 +101,9 @@
 {
     for (auto item = m_members.begin(); item != m_members.end();)
     {
-        const bool silent =
-            now - item->second.last_alive > m_limits.forget_after;
+        const auto last_sign =
+            std::max(item->second.last_alive, item->second.introduced_at);
+        const bool silent = now - last_sign > m_limits.forget_after;
         item = silent ? m_members.erase(item) : std::next(item);
     }
 }
--- a/src/ownership/worker_keeper.cpp
+++ b/src/ownership/worker_keeper.cpp
@@ -288,7 +288,10 @@
     }
     if (outcome == attempt_outcome::fenced)
     {
+        // No more grants until the worker has said who holds it.
         item->inspect_due = time_point{};
+        item->suspended = true;
+        update_grants(*item);
     }
     m_ledger.release(id, attempt);
     if (item->inspecting)
