--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -130,7 +130,7 @@
     auto quorate(time_point now) const -> bool;
     auto send_demand(time_point now) -> void;
     auto place(time_point now) -> void;
-    auto hand_out(const instance_id& entry, std::vector<entry::grant> grants,
+    auto hand_out(const instance_id& entry, const std::vector<entry::grant>& grants,
                   time_point now) -> void;
     auto give_back(const entry::grant& item, ownership::attempt_outcome outcome)
         -> void;
--- a/include/pimentoshunt/entry/request_desk.hpp
+++ b/include/pimentoshunt/entry/request_desk.hpp
@@ -97,6 +97,9 @@
         time_point deadline;
         std::uint64_t number = 0;
 
+        // The check takes the zero inside the generated operator for a
+        // pointer.
+        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const urgency&, const urgency&)
             -> std::strong_ordering = default;
     };
--- a/include/pimentoshunt/identifier.hpp
+++ b/include/pimentoshunt/identifier.hpp
@@ -35,6 +35,8 @@
         return m_value.empty();
     }
 
+    // The check takes the zero inside the generated operator for a pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const identifier&, const identifier&)
         -> std::strong_ordering = default;
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -667,14 +667,14 @@
         return true;
     };
     m_picker.pick(m_keeper.ledger(), lines, take, now);
-    for (auto& [entry, grants] : by_entry)
+    for (const auto& [entry, grants] : by_entry)
     {
-        hand_out(entry, std::move(grants), now);
+        hand_out(entry, grants, now);
     }
 }
 
 auto engine::hand_out(const instance_id& entry,
-                      std::vector<entry::grant> grants, time_point now) -> void
+                      const std::vector<entry::grant>& grants, time_point now) -> void
 {
     if (entry == self_id())
     {
--- a/src/control/remote_calls.cpp
+++ b/src/control/remote_calls.cpp
@@ -211,6 +211,7 @@
 {
     BOOST_LEAF_AUTO(rows, m_store.scan(entry::drained_prefix, "", scan_limit));
     std::vector<worker_id> workers;
+    workers.reserve(rows.size());
     for (const auto& row : rows)
     {
         workers.emplace_back(
--- a/src/entry/request_desk.cpp
+++ b/src/entry/request_desk.cpp
@@ -45,7 +45,8 @@
     {
         return {};
     }
-    std::uniform_int_distribution<std::size_t> pick(0, m_owners.size() - 1);
+    std::uniform_int_distribution<std::ptrdiff_t> pick(
+        0, static_cast<std::ptrdiff_t>(m_owners.size()) - 1);
     const auto first = std::next(m_owners.begin(), pick(m_random));
     const auto second = std::next(m_owners.begin(), pick(m_random));
     const auto& better =
