Structured log and metrics

Cause: operators and callers must follow one request through all instances, and see waiting time, service time, attempts and head-of-line delay for each tenant, class and workload.

Ruled out: log4cxx's own JSON layout, whose fields are all strings; a label map for each observation, which costs an allocation on the traffic threads.

Change: logging builds one JSON object a line with typed fields and hands it to log4cxx; with its level off, an event costs one relaxed load. metrics keeps Boost.Histogram on a logarithmic axis for each workload behind a lock of its own, counters and gauges as atomics, and prints the Prometheus text.

The cost of an observation has not been measured.

--- /dev/null
+++ b/include/pimentoshunt/metrics/registry.hpp
@@ -0,0 +1,162 @@
+/// @file
+/// All metrics of one instance, written by any thread.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/metrics/label_set.hpp>
+#include <pimentoshunt/metrics/log_histogram.hpp>
+#include <pimentoshunt/plan/document.hpp>
+
+#include <array>        // array
+#include <atomic>       // atomic
+#include <chrono>       // nanoseconds
+#include <cstdint>      // int64_t
+#include <map>          // map
+#include <memory>       // unique_ptr
+#include <mutex>        // mutex
+#include <shared_mutex> // shared_mutex
+#include <string>       // string
+#include <tuple>        // tie
+
+namespace pimentoshunt::metrics
+{
+
+/// @brief What is measured of each request or task.
+enum class measure
+{
+    /// From arrival to the grant.
+    waiting,
+    /// From the grant to the end.
+    service,
+    /// Waiting of short work while longer work of the cell held its slots.
+    head_of_line,
+    /// Attempts until the answer; a number, not a time.
+    attempts
+};
+
+/// @brief Values that go up and down.
+enum class gauge
+{
+    slots_in_use,
+    slots_free,
+    queue_length,
+    workers_held,
+    plan_revision
+};
+
+/// @brief Values that only grow.
+enum class counter
+{
+    answers,
+    retries,
+    refusals,
+    table_calls,
+    grants,
+    bytes
+};
+
+/// @brief The histograms of one workload. Safe between threads.
+class workload_series
+{
+  public:
+    explicit workload_series(label_set labels);
+
+    /// @brief Counts a time; @p what is any measure but attempts.
+    auto observe(measure what, std::chrono::nanoseconds time) -> void;
+    /// @brief Counts one answer after that many attempts.
+    auto observe_attempts(std::int64_t number) -> void;
+    /// @brief Adds this series' counts to @p total.
+    auto add_to(log_histogram& total, measure what) const -> void;
+
+    [[nodiscard]] auto labels() const noexcept -> const label_set&
+    {
+        return m_labels;
+    }
+
+  private:
+    static constexpr std::size_t measure_count = 4;
+
+    label_set m_labels;
+    mutable std::mutex m_mutex;
+    std::array<log_histogram, measure_count> m_histograms;
+};
+
+/// @brief Finds and prints all series.
+class registry
+{
+  public:
+    /// @brief The series of @p item; made on first use, kept for good.
+    /// @note Look it up once and keep the reference.
+    /// @complexity logarithmic in the number of workloads, one shared lock
+    auto series(const plan::workload& item) -> workload_series&;
+
+    /// @brief Sets a gauge.
+    auto set(gauge what, const label_set& labels, std::int64_t value) -> void;
+    /// @brief Sets a gauge without labels.
+    auto set(gauge what, std::int64_t value) -> void;
+
+    /// @brief Adds to a counter.
+    auto add(counter what, const label_set& labels, std::uint64_t amount = 1)
+        -> void;
+    /// @brief Adds to a counter without labels.
+    auto add(counter what, std::uint64_t amount = 1) -> void;
+
+    /// @brief A gauge's value; 0 if it was never set.
+    [[nodiscard]] auto value(gauge what, const label_set& labels = {}) const
+        -> std::int64_t;
+    /// @brief A counter's value; 0 if nothing was added.
+    [[nodiscard]] auto value(counter what, const label_set& labels = {}) const
+        -> std::uint64_t;
+
+    /// @brief A quantile over all workloads that @p filter selects.
+    /// @param what  measure
+    /// @param filter  an empty label selects any
+    /// @param p  from 0 to 1
+    /// @return seconds, or a number of attempts; 0 without observations
+    [[nodiscard]] auto quantile(measure what, const label_set& filter,
+                                double p) const -> double;
+
+    /// @brief A quantile of a time; @p what is any measure but attempts.
+    [[nodiscard]] auto time_quantile(measure what, const label_set& filter,
+                                     double p) const -> milliseconds;
+
+    /// @brief Everything in the Prometheus text format, version 0.0.4.
+    [[nodiscard]] auto prometheus_text() const -> std::string;
+
+  private:
+    using cell = std::atomic<std::uint64_t>;
+    template<class Kind>
+    struct cell_key
+    {
+        Kind what;
+        label_set labels;
+        friend auto operator<(const cell_key& left, const cell_key& right)
+            -> bool
+        {
+            return std::tie(left.what, left.labels) <
+                   std::tie(right.what, right.labels);
+        }
+    };
+    template<class Kind>
+    using cell_map = std::map<cell_key<Kind>, std::unique_ptr<cell>>;
+
+    template<class Kind>
+    auto find_or_make(cell_map<Kind>& cells, Kind what, const label_set& labels)
+        -> cell&;
+    template<class Kind>
+    auto read(const cell_map<Kind>& cells, Kind what,
+              const label_set& labels) const -> std::uint64_t;
+    [[nodiscard]] auto total(measure what, const label_set& filter) const
+        -> log_histogram;
+    auto print_histograms(std::string& out) const -> void;
+    template<class Kind>
+    auto print_cells(std::string& out, const cell_map<Kind>& cells) const
+        -> void;
+
+    mutable std::shared_mutex m_mutex;
+    std::map<label_set, std::unique_ptr<workload_series>> m_series;
+    cell_map<gauge> m_gauges;
+    cell_map<counter> m_counters;
+};
+
+} // namespace pimentoshunt::metrics
--- /dev/null
+++ b/src/logging.cpp
@@ -0,0 +1,204 @@
+#include <pimentoshunt/logging.hpp>
+
+#include <boost/json/serialize.hpp>
+#include <boost/json/string.hpp>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>  // array
+#include <ctime>  // gmtime_r
+#include <memory> // make_shared
+
+namespace pimentoshunt::logging
+{
+namespace
+{
+
+/// @brief A level with its name in settings and in the log.
+struct named_level
+{
+    level value;
+    std::string_view name;
+};
+
+constexpr std::array<named_level, 6> levels = {{{level::trace, "trace"},
+                                                {level::debug, "debug"},
+                                                {level::info, "info"},
+                                                {level::warn, "warn"},
+                                                {level::error, "error"},
+                                                {level::off, "off"}}};
+
+/// @brief What each line needs besides its event; set once by setup().
+struct sink
+{
+    log4cxx::LoggerPtr logger;
+    std::string instance;
+};
+
+auto the_sink() -> sink&
+{
+    // Never destroyed: threads may log until the process ends.
+    static auto& only = *new sink;
+    return only;
+}
+
+auto quoted(std::string_view text) -> std::string
+{
+    return boost::json::serialize(
+        boost::json::string_view(text.data(), text.size()));
+}
+
+auto name_of(level at) -> std::string_view
+{
+    return levels.at(static_cast<std::size_t>(at)).name;
+}
+
+auto to_log4cxx(level at) -> log4cxx::LevelPtr
+{
+    switch (at)
+    {
+    case level::trace:
+        return log4cxx::Level::getTrace();
+    case level::debug:
+        return log4cxx::Level::getDebug();
+    case level::info:
+        return log4cxx::Level::getInfo();
+    case level::warn:
+        return log4cxx::Level::getWarn();
+    case level::error:
+        return log4cxx::Level::getError();
+    case level::off:
+        break;
+    }
+    return log4cxx::Level::getOff();
+}
+
+/// @brief The wall clock as "2025-01-31T12:00:00.123456Z".
+auto utc_now() -> std::string
+{
+    timespec now{};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    std::tm parts{};
+    ::gmtime_r(&now.tv_sec, &parts);
+    std::array<char, 32> seconds{};
+    std::strftime(seconds.data(), seconds.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    constexpr long nanoseconds_per_microsecond = 1'000;
+    constexpr std::size_t digits = 6;
+    auto micros = std::to_string(now.tv_nsec / nanoseconds_per_microsecond);
+    micros.insert(0, digits - micros.size(), '0');
+    return std::string(seconds.data()) + "." + micros + "Z";
+}
+
+} // namespace
+
+auto level_named(std::string_view name) -> level
+{
+    for (const auto& item : levels)
+    {
+        if (item.name == name)
+        {
+            return item.value;
+        }
+    }
+    return level::info;
+}
+
+auto setup(const settings& chosen) -> void
+{
+    auto& target = the_sink();
+    target.instance = chosen.instance.str();
+    target.logger = log4cxx::Logger::getLogger("pimentoshunt");
+    target.logger->removeAllAppenders();
+    target.logger->setAdditivity(false);
+    const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
+    target.logger->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr()));
+    target.logger->setLevel(log4cxx::Level::getTrace());
+    set_level(level_named(chosen.log_level));
+}
+
+auto set_level(level least) -> void
+{
+    detail::threshold.store(the_sink().logger ? least : level::off,
+                            std::memory_order_relaxed);
+}
+
+event::event(level at, std::string_view message)
+    : m_level(at), m_enabled(enabled(at))
+{
+    if (!m_enabled)
+    {
+        return;
+    }
+    m_line = "{\"level\":\"";
+    m_line += name_of(at);
+    m_line += "\",\"time\":\"" + utc_now() + "\"";
+    with("instance", the_sink().instance);
+    with("message", message);
+}
+
+event::~event()
+{
+    if (!m_enabled)
+    {
+        return;
+    }
+    try
+    {
+        m_line += '}';
+        the_sink().logger->forcedLog(to_log4cxx(m_level), m_line);
+    }
+    catch (...)
+    {
+        // A log that can't be written must not stop the work that it tells of.
+        m_enabled = false;
+    }
+}
+
+auto event::begin_field(std::string_view key) -> void
+{
+    m_line += ',';
+    m_line += quoted(key);
+    m_line += ':';
+}
+
+auto event::with(std::string_view key, std::string_view value) -> event&
+{
+    if (m_enabled)
+    {
+        begin_field(key);
+        m_line += quoted(value);
+    }
+    return *this;
+}
+
+auto event::with(std::string_view key, std::chrono::nanoseconds value) -> event&
+{
+    if (m_enabled)
+    {
+        using real_ms = std::chrono::duration<double, std::milli>;
+        add_real(std::string(key) + "_ms", real_ms(value).count());
+    }
+    return *this;
+}
+
+auto event::add_boolean(std::string_view key, bool value) -> void
+{
+    begin_field(key);
+    m_line += value ? "true" : "false";
+}
+
+auto event::add_integer(std::string_view key, std::int64_t value) -> void
+{
+    begin_field(key);
+    m_line += std::to_string(value);
+}
+
+auto event::add_real(std::string_view key, double value) -> void
+{
+    begin_field(key);
+    m_line += std::to_string(value);
+}
+
+} // namespace pimentoshunt::logging
