Command line: serve, check, get, diff, apply, status, drain, jobs, version

Cause: operators drive the system by editing and resubmitting one text, and read back what is in force.

Ruled out: gflags' own parsing of the whole command line, which ends the process with status 1 on an unknown flag and can't tell one command's flags from another's; flags are still defined, typed and described by gflags. Giving up after a lost answer of a submission: it is repeated against the same revision, which can't take effect twice, and a refusal as stale after a loss is settled by reading what is in force.

Change: cli::run with a table of commands, typed flags, text and JSON output and five exit codes; the long-running role is handed in as a function.

Not yet run against a real instance.

--- /dev/null
+++ b/src/cli/cell_commands.cpp
@@ -0,0 +1,218 @@
+#include <pimentoshunt/cli/command.hpp>
+
+#include <pimentoshunt/platform/json_fields.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <map>     // map
+#include <ostream> // ostream
+
+namespace pimentoshunt::cli::detail
+{
+namespace
+{
+
+namespace fields = platform::detail;
+
+constexpr int no_drain_target = 816;
+constexpr int first_failure = 300;
+
+/// @brief Workers in the same state, summed.
+struct worker_sum
+{
+    std::int64_t count = 0;
+    resources free;
+    resources capacity;
+};
+
+/// @brief Calls @p body with each object of an array member.
+template<class Body>
+auto each_object(const boost::json::object& from, const char* key, Body&& body)
+    -> void
+{
+    const auto* const list = fields::array_of(from, key);
+    if (list == nullptr)
+    {
+        return;
+    }
+    for (const auto& item : *list)
+    {
+        if (const auto* const one = item.if_object())
+        {
+            body(*one);
+        }
+    }
+}
+
+auto amounts(const resources& free, const resources& capacity) -> std::string
+{
+    const auto part = [](std::int64_t left, std::int64_t all, const char* unit)
+    {
+        return std::to_string(left) + " of " + std::to_string(all) + " " + unit;
+    };
+    auto text = part(free.slots, capacity.slots, "slots") + ", " +
+                part(free.millicpus, capacity.millicpus, "millicpus") + ", " +
+                part(free.memory_mb, capacity.memory_mb, "MB");
+    if (capacity.accelerators > 0)
+    {
+        text += ", " +
+                part(free.accelerators, capacity.accelerators, "accelerators");
+    }
+    return text + " free";
+}
+
+auto print_head(std::ostream& out, const boost::json::object& status) -> void
+{
+    out << "instance " << fields::text_of(status, "instance");
+    const auto state = fields::text_of(status, "state");
+    out << (state.empty() ? "" : ", " + state);
+    if (const auto* const plan = fields::object_of(status, "plan"))
+    {
+        out << ", plan revision " << fields::number_of(*plan, "revision");
+        const auto confirmed = fields::number_of(*plan, "confirmed_ms_ago", -1);
+        out << (confirmed < 0
+                    ? ", never confirmed to be the newest"
+                    : ", confirmed " + std::to_string(confirmed) + " ms ago");
+    }
+    out << "\n";
+}
+
+auto print_instances(std::ostream& out, const boost::json::object& status)
+    -> void
+{
+    out << "instances:\n";
+    each_object(status, "instances",
+                [&](const boost::json::object& one)
+                {
+                    out << "  " << fields::text_of(one, "id") << " in "
+                        << fields::text_of(one, "data_centre") << ": "
+                        << fields::text_of(one, "state") << ", heard "
+                        << fields::number_of(one, "age_ms") << " ms ago, holds "
+                        << fields::number_of(one, "workers_held")
+                        << " workers\n";
+                });
+}
+
+auto print_worker_sums(std::ostream& out, const boost::json::object& status)
+    -> void
+{
+    std::map<std::string, worker_sum> sums;
+    each_object(status, "workers",
+                [&](const boost::json::object& one)
+                {
+                    auto& sum = sums[fields::text_of(one, "state")];
+                    ++sum.count;
+                    sum.free += fields::resources_of(one, "free");
+                    sum.capacity += fields::resources_of(one, "capacity");
+                });
+    out << "workers:\n";
+    for (const auto& [state, sum] : sums)
+    {
+        out << "  " << sum.count << " " << state << ": "
+            << amounts(sum.free, sum.capacity) << "\n";
+    }
+}
+
+auto print_workers(std::ostream& out, const boost::json::object& status) -> void
+{
+    each_object(status, "workers",
+                [&](const boost::json::object& one)
+                {
+                    const auto owner = fields::text_of(one, "owner");
+                    out << "  " << fields::text_of(one, "id") << " "
+                        << fields::text_of(one, "state")
+                        << (owner.empty() ? "" : ", owner " + owner) << ": "
+                        << amounts(fields::resources_of(one, "free"),
+                                   fields::resources_of(one, "capacity"))
+                        << "\n";
+                });
+}
+
+auto print_queues(std::ostream& out, const boost::json::object& status) -> void
+{
+    out << "queues:\n";
+    each_object(status, "queues",
+                [&](const boost::json::object& one)
+                {
+                    const auto workload = fields::text_of(one, "workload");
+                    out << "  " << fields::text_of(one, "class")
+                        << " of tenant " << fields::text_of(one, "tenant")
+                        << (workload.empty() ? "" : ", " + workload) << ": "
+                        << fields::number_of(one, "length") << " wait";
+                    const auto p50 = fields::number_of(one, "wait_p50_ms", -1);
+                    const auto p99 = fields::number_of(one, "wait_p99_ms", -1);
+                    if (p50 >= 0 && p99 >= 0)
+                    {
+                        out << "; half waited up to " << p50
+                            << " ms, 99 of 100 up to " << p99 << " ms";
+                    }
+                    out << "\n";
+                });
+}
+
+auto drain_path(const flag_values& flags) -> result<std::string>
+{
+    if (flags.worker.empty() == flags.instance.empty())
+    {
+        return leaf::new_error(
+            error{error_kind::usage, no_drain_target, "",
+                  "drain needs either a worker or an instance",
+                  "add --worker=ID, or --instance=ID with its --server"});
+    }
+    BOOST_LEAF_CHECK(expect_name(flags.worker + flags.instance));
+    return flags.worker.empty() ? "/drain?instance=" + flags.instance
+                                : "/drain?worker=" + flags.worker;
+}
+
+} // namespace
+
+auto run_status(const invocation& call) -> result<exit_code>
+{
+    BOOST_LEAF_CHECK(expect_operands(call, 0, 0));
+    BOOST_LEAF_AUTO(answer, call.client().get("/status"));
+    if (answer.status >= first_failure)
+    {
+        return report_refusal(call, answer);
+    }
+    auto& out = call.output.out;
+    if (call.wants_json())
+    {
+        out << boost::json::serialize(answer.body) << "\n";
+        return exit_code::ok;
+    }
+    print_head(out, answer.body);
+    print_instances(out, answer.body);
+    print_worker_sums(out, answer.body);
+    if (call.flags.all)
+    {
+        print_workers(out, answer.body);
+    }
+    print_queues(out, answer.body);
+    return exit_code::ok;
+}
+
+auto run_drain(const invocation& call) -> result<exit_code>
+{
+    BOOST_LEAF_CHECK(expect_operands(call, 0, 0));
+    BOOST_LEAF_AUTO(path, drain_path(call.flags));
+    // Draining twice is draining once, so a lost answer asks for a repeat.
+    BOOST_LEAF_AUTO(answer, call.client().post(path, ""));
+    if (answer.status >= first_failure)
+    {
+        return report_refusal(call, answer);
+    }
+    if (call.wants_json())
+    {
+        call.output.out << boost::json::serialize(answer.body) << "\n";
+        return exit_code::ok;
+    }
+    call.output.out << "draining "
+                    << (call.flags.worker.empty()
+                            ? "instance " + call.flags.instance
+                            : "worker " + call.flags.worker)
+                    << "; look at status until it holds no work\n";
+    return exit_code::ok;
+}
+
+} // namespace pimentoshunt::cli::detail
--- /dev/null
+++ b/src/cli/flags.cpp
@@ -0,0 +1,212 @@
+#include <pimentoshunt/cli/flags.hpp>
+
+#include <gflags/gflags.h>
+
+#include <array>    // array
+#include <charconv> // from_chars
+
+// The macros make names in upper case.
+// NOLINTBEGIN(readability-identifier-naming)
+DEFINE_string(output, "text", "form of the result: text or json");
+DEFINE_string(server, "127.0.0.1:8081",
+              "host:port of any instance's operator port");
+DEFINE_string(settings, "", "file with the settings of the instance");
+DEFINE_string(revision, "",
+              "revision of the plan that was read and edited; without it, the "
+              "one in force now");
+DEFINE_int64(timeout_ms, 10'000,
+             "how long to try, in milliseconds, until the answer is known");
+DEFINE_string(worker, "", "id of the worker to drain");
+DEFINE_string(instance, "",
+              "id of the instance to drain; --server must be that instance");
+DEFINE_string(key, "",
+              "Idempotency-Key of the submission; without it, a new one");
+DEFINE_bool(all, false, "list every worker, not only their sum");
+// NOLINTEND(readability-identifier-naming)
+
+namespace pimentoshunt::cli
+{
+namespace
+{
+
+constexpr int unknown_flag = 801;
+constexpr int bad_flag_value = 802;
+constexpr int bad_output_form = 803;
+
+constexpr std::array own_flags = {"output",   "server",     "settings",
+                                  "revision", "timeout_ms", "worker",
+                                  "instance", "key",        "all"};
+
+auto is_own(const std::string& name) -> bool
+{
+    for (const auto* const own : own_flags)
+    {
+        if (name == own)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto default_value(const std::string& name) -> std::string
+{
+    gflags::CommandLineFlagInfo info;
+    return gflags::GetCommandLineFlagInfo(name.c_str(), &info)
+               ? info.default_value
+               : "";
+}
+
+/// The library keeps flags for the life of the process; a second command line
+/// must not see the first one's.
+auto reset_all() -> void
+{
+    for (const auto* const name : own_flags)
+    {
+        gflags::SetCommandLineOption(name, default_value(name).c_str());
+    }
+}
+
+/// @brief One argument that begins with a hyphen.
+struct flag_text
+{
+    std::string name;
+    std::string value;
+    bool has_value = false;
+};
+
+auto split_flag(const std::string& argument) -> flag_text
+{
+    const auto begin = argument.find_first_not_of('-');
+    const auto equals = argument.find('=');
+    if (equals == std::string::npos)
+    {
+        return {argument.substr(begin), "", false};
+    }
+    return {argument.substr(begin, equals - begin), argument.substr(equals + 1),
+            true};
+}
+
+auto is_boolean(const std::string& name) -> bool
+{
+    gflags::CommandLineFlagInfo info;
+    return gflags::GetCommandLineFlagInfo(name.c_str(), &info) &&
+           info.type == "bool";
+}
+
+auto set_flag(const flag_text& flag) -> result<void>
+{
+    const auto value =
+        !flag.has_value && is_boolean(flag.name) ? "true" : flag.value;
+    if (!flag.has_value && !is_boolean(flag.name))
+    {
+        return leaf::new_error(error{error_kind::usage, bad_flag_value,
+                                     "--" + flag.name, "the flag has no value",
+                                     "write it as --" + flag.name + "=VALUE"});
+    }
+    if (gflags::SetCommandLineOption(flag.name.c_str(), value.c_str()).empty())
+    {
+        return leaf::new_error(error{
+            error_kind::usage, bad_flag_value, "--" + flag.name,
+            "\"" + value + "\" is no value of it", describe_flag(flag.name)});
+    }
+    return {};
+}
+
+auto read_revision() -> result<std::optional<std::uint64_t>>
+{
+    std::uint64_t number = 0;
+    const auto& text = FLAGS_revision;
+    if (text.empty())
+    {
+        return std::optional<std::uint64_t>();
+    }
+    const auto* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, number);
+    if (read.ec != std::errc() || read.ptr != end)
+    {
+        return leaf::new_error(error{error_kind::usage, bad_flag_value,
+                                     "--revision",
+                                     "\"" + text + "\" is no revision",
+                                     "give the number that get has printed"});
+    }
+    return std::optional<std::uint64_t>(number);
+}
+
+auto read_output() -> result<output_form>
+{
+    if (FLAGS_output != "text" && FLAGS_output != "json")
+    {
+        return leaf::new_error(
+            error{error_kind::usage, bad_output_form, "--output",
+                  "\"" + FLAGS_output + "\" is no form of output",
+                  "use --output=text or --output=json"});
+    }
+    return FLAGS_output == "json" ? output_form::json : output_form::text;
+}
+
+auto collect(flag_values& values) -> result<void>
+{
+    BOOST_LEAF_ASSIGN(values.output, read_output());
+    BOOST_LEAF_ASSIGN(values.revision, read_revision());
+    if (FLAGS_timeout_ms <= 0)
+    {
+        return leaf::new_error(error{error_kind::usage, bad_flag_value,
+                                     "--timeout_ms", "must be above 0 ms",
+                                     "give a number of milliseconds"});
+    }
+    values.server = FLAGS_server;
+    values.settings_file = FLAGS_settings;
+    values.timeout = milliseconds(FLAGS_timeout_ms);
+    values.worker = FLAGS_worker;
+    values.instance = FLAGS_instance;
+    values.key = FLAGS_key;
+    values.all = FLAGS_all;
+    return {};
+}
+
+} // namespace
+
+auto parse_line(const std::vector<std::string>& arguments)
+    -> result<parsed_line>
+{
+    reset_all();
+    parsed_line line;
+    for (const auto& argument : arguments)
+    {
+        // A lone hyphen is the standard input.
+        if (argument.size() < 2 || argument[0] != '-')
+        {
+            line.words.push_back(argument);
+            continue;
+        }
+        const auto flag = split_flag(argument);
+        if (flag.name == "help" || flag.name == "h")
+        {
+            line.flags.help = true;
+            continue;
+        }
+        if (!is_own(flag.name))
+        {
+            return leaf::new_error(error{error_kind::usage, unknown_flag,
+                                         argument, "unknown flag",
+                                         "see pimentoshunt help"});
+        }
+        BOOST_LEAF_CHECK(set_flag(flag));
+        line.given.push_back(flag.name);
+    }
+    BOOST_LEAF_CHECK(collect(line.flags));
+    return line;
+}
+
+auto describe_flag(const std::string& name) -> std::string
+{
+    gflags::CommandLineFlagInfo info;
+    if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
+    {
+        return "--" + name;
+    }
+    return "--" + name + "=" + info.default_value + "  " + info.description;
+}
+
+} // namespace pimentoshunt::cli
