--- /dev/null
+++ b/include/pimentoshunt/entry/idempotency_log_impl.hpp
@@ -0,0 +1,389 @@
+/// @file
+/// Definitions of idempotency_log's members; included by its header.
+#pragma once
+
+#include <pimentoshunt/entry/idempotency_log.hpp>
+
+namespace pimentoshunt::entry
+{
+
+template<class Platform>
+auto idempotency_log<Platform>::find(const idempotency_key& key)
+    -> result<found_row>
+{
+    const auto row_key = key.row_key();
+    BOOST_LEAF_AUTO(row, m_store.read(row_key));
+    if (!row)
+    {
+        return found_row{};
+    }
+    auto record = parse_idempotency_record(row->value);
+    if (!record)
+    {
+        return detail::fail_unreadable(row_key);
+    }
+    return found_row{row->version, std::move(record)};
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::load_body(const idempotency_record& record)
+    -> result<stored_answer>
+{
+    auto answer = *record.answer;
+    if (record.body_object.empty())
+    {
+        return answer;
+    }
+    BOOST_LEAF_AUTO(body, m_store.get_object(record.body_object));
+    if (!body)
+    {
+        return detail::fail_unreadable(record.body_object);
+    }
+    answer.body = std::move(*body);
+    return answer;
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::judge(const found_row& found,
+                                      const std::string& fingerprint)
+    -> result<idempotency_decision>
+{
+    idempotency_decision out;
+    out.verdict = idempotency_verdict::vacant;
+    if (!found.record)
+    {
+        return out;
+    }
+    const auto& record = *found.record;
+    out.earlier = record.attempt;
+    if (record.fingerprint != fingerprint)
+    {
+        out.verdict = idempotency_verdict::mismatch;
+        return out;
+    }
+    if (record.state == record_state::started)
+    {
+        out.verdict = idempotency_verdict::in_progress;
+        return out;
+    }
+    if (record.state == record_state::answered)
+    {
+        BOOST_LEAF_AUTO(answer, load_body(record));
+        out.answer = std::move(answer);
+        out.verdict = idempotency_verdict::replay;
+    }
+    return out;
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::peek(const idempotency_key& key,
+                                     const std::string& fingerprint)
+    -> result<idempotency_decision>
+{
+    BOOST_LEAF_CHECK(detail::check_key(key));
+    BOOST_LEAF_AUTO(found, find(key));
+    return judge(found, fingerprint);
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::try_claim(const idempotency_claim& claim,
+                                          std::int64_t expect, time_point until)
+    -> result<std::optional<idempotency_ticket>>
+{
+    idempotency_ticket ticket;
+    ticket.key = claim.key;
+    ticket.send_before = boot_clock::now() + m_limits.longest_claim_to_send;
+    ticket.record.fingerprint = claim.fingerprint;
+    ticket.record.holder = m_holder;
+    ticket.record.attempt = claim.attempt;
+    ticket.record.worker_url = claim.worker_url;
+    ticket.record.claimed_at = std::chrono::system_clock::now();
+    BOOST_LEAF_AUTO(outcome, m_writes.commit({claim.key.row_key(), expect,
+                                              serialize(ticket.record)},
+                                             until));
+    if (!outcome.committed)
+    {
+        return std::optional<idempotency_ticket>();
+    }
+    ticket.version = expect + 1;
+    return std::optional<idempotency_ticket>(std::move(ticket));
+}
+
+template<class Platform>
+template<class Workers>
+auto idempotency_log<Platform>::look_up(const idempotency_record& record,
+                                        Workers& workers)
+    -> worker::attempt_state
+{
+    return handle(
+        [&]() -> result<worker::attempt_state>
+        {
+            BOOST_LEAF_AUTO(report,
+                            workers.revoke(record.worker_url, record.attempt));
+            return report.state;
+        },
+        [](const error&)
+        {
+            // Nothing learnt: the cautious reading is that it runs.
+            return worker::attempt_state::running;
+        });
+}
+
+template<class Platform>
+template<class Dead, class Workers>
+auto idempotency_log<Platform>::begin(const idempotency_claim& claim,
+                                      time_point until, Dead&& holder_dead,
+                                      Workers& workers)
+    -> result<idempotency_decision>
+{
+    BOOST_LEAF_CHECK(detail::check_key(claim.key));
+    auto expect = platform::expect_absent;
+    auto poll = m_limits.first_poll;
+    auto look_up_at = boot_clock::now() + m_limits.holder_grace;
+    while (true)
+    {
+        if (expect != platform::expect_any)
+        {
+            BOOST_LEAF_AUTO(ticket, try_claim(claim, expect, until));
+            if (ticket)
+            {
+                idempotency_decision out;
+                out.verdict = idempotency_verdict::run;
+                out.ticket = std::move(ticket);
+                return out;
+            }
+        }
+        expect = platform::expect_any;
+        BOOST_LEAF_AUTO(found, find(claim.key));
+        BOOST_LEAF_AUTO(decision, judge(found, claim.fingerprint));
+        if (decision.verdict == idempotency_verdict::vacant)
+        {
+            expect = found.version;
+            continue;
+        }
+        if (decision.verdict != idempotency_verdict::in_progress)
+        {
+            return decision;
+        }
+        const bool dead = holder_dead(found.record->holder);
+        const auto now = boot_clock::now();
+        if (dead || now >= look_up_at)
+        {
+            look_up_at = now + m_limits.holder_grace;
+            const auto state = look_up(*found.record, workers);
+            if (state == worker::attempt_state::revoked)
+            {
+                // It never started and never will: the swap decides which of
+                // the repeats, or the holder with another attempt, goes on.
+                expect = found.version;
+                continue;
+            }
+            if (dead)
+            {
+                // The answer may have been recorded since the row was read.
+                BOOST_LEAF_AUTO(last, find(claim.key));
+                if (last.version != found.version)
+                {
+                    continue;
+                }
+                decision.verdict = idempotency_verdict::unknown;
+                return decision;
+            }
+        }
+        if (now + poll >= until)
+        {
+            return decision;
+        }
+        std::this_thread::sleep_for(poll);
+        poll = std::min(poll * 2, m_limits.longest_poll);
+    }
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::rewrite(const idempotency_ticket& ticket,
+                                        const idempotency_record& record,
+                                        time_point until)
+    -> result<std::int64_t>
+{
+    BOOST_LEAF_AUTO(
+        outcome,
+        m_writes.commit(
+            {ticket.key.row_key(), ticket.version, serialize(record)}, until));
+    if (!outcome.committed)
+    {
+        return detail::fail_claim_lost(ticket.key);
+    }
+    return ticket.version + 1;
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::rebind(const idempotency_ticket& ticket,
+                                       const attempt_id& attempt,
+                                       const std::string& worker_url,
+                                       time_point until)
+    -> result<idempotency_ticket>
+{
+    auto next = ticket;
+    next.send_before = boot_clock::now() + m_limits.longest_claim_to_send;
+    next.record.attempt = attempt;
+    next.record.worker_url = worker_url;
+    BOOST_LEAF_AUTO(version, rewrite(ticket, next.record, until));
+    next.version = version;
+    return next;
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::write_answer(const idempotency_ticket& ticket,
+                                             const stored_answer& answer,
+                                             time_point until) -> result<void>
+{
+    auto record = ticket.record;
+    record.state = record_state::answered;
+    record.answer = answer;
+    if (answer.body.size() > longest_body_in_row)
+    {
+        record.body_object = ticket.key.row_key() + "/" + record.attempt.str();
+        BOOST_LEAF_CHECK(m_store.put_object(record.body_object, answer.body));
+        record.answer->body.clear();
+    }
+    const auto fault = detail::failure_of(
+        [&]
+        {
+            return rewrite(ticket, record, until);
+        });
+    if (!fault || holds_answer_of(ticket))
+    {
+        return {};
+    }
+    return leaf::new_error(*fault);
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::holds_answer_of(
+    const idempotency_ticket& ticket) -> bool
+{
+    return handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_AUTO(found, find(ticket.key));
+            return found.record &&
+                   found.record->state == record_state::answered &&
+                   found.record->attempt == ticket.record.attempt;
+        },
+        [](const error&)
+        {
+            return false;
+        });
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::record_answer(const idempotency_ticket& ticket,
+                                              stored_answer answer,
+                                              time_point until) -> result<void>
+{
+    const auto fault = detail::failure_of(
+        [&]
+        {
+            return write_answer(ticket, answer, until);
+        });
+    if (!fault)
+    {
+        return {};
+    }
+    if (fault->kind == error_kind::platform)
+    {
+        keep_for_later(ticket, std::move(answer));
+    }
+    return leaf::new_error(*fault);
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::keep_for_later(const idempotency_ticket& ticket,
+                                               stored_answer answer) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    const auto bytes = m_unrecorded_bytes + answer.body.size();
+    if (m_unrecorded.size() >= m_limits.unrecorded_answers ||
+        bytes > m_limits.unrecorded_bytes)
+    {
+        // Without its answer the row stays "started": a repeat is told that the
+        // outcome is unknown, and never runs.
+        return;
+    }
+    m_unrecorded_bytes = bytes;
+    m_unrecorded.push_back({ticket, std::move(answer)});
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::flush(time_point until) -> std::size_t
+{
+    while (true)
+    {
+        std::unique_lock lock(m_mutex);
+        if (m_unrecorded.empty() || boot_clock::now() >= until)
+        {
+            return m_unrecorded.size();
+        }
+        auto item = std::move(m_unrecorded.front());
+        m_unrecorded.pop_front();
+        m_unrecorded_bytes -= item.answer.body.size();
+        lock.unlock();
+        const auto fault = detail::failure_of(
+            [&]
+            {
+                return record_answer(item.ticket, std::move(item.answer),
+                                     until);
+            });
+        if (fault && fault->kind == error_kind::platform)
+        {
+            const std::lock_guard again(m_mutex);
+            return m_unrecorded.size();
+        }
+    }
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::record_not_run(const idempotency_ticket& ticket,
+                                               time_point until) -> result<void>
+{
+    auto record = ticket.record;
+    record.state = record_state::not_run;
+    BOOST_LEAF_CHECK(rewrite(ticket, record, until));
+    return {};
+}
+
+template<class Platform>
+auto idempotency_log<Platform>::sweep(std::chrono::system_clock::time_point now,
+                                      std::size_t batch)
+    -> result<idempotency_sweep>
+{
+    std::string cursor;
+    {
+        const std::lock_guard lock(m_mutex);
+        cursor = m_sweep_cursor;
+    }
+    BOOST_LEAF_AUTO(rows, m_store.scan(idempotency_prefix, cursor, batch));
+    idempotency_sweep out;
+    out.seen = rows.size();
+    out.complete = rows.size() < batch;
+    platform::transaction change{"sweep/" + m_holder, {}};
+    for (const auto& row : rows)
+    {
+        const auto record = parse_idempotency_record(row.value);
+        if (record && now - record->claimed_at > m_limits.keep)
+        {
+            change.operations.push_back({row.key, row.version, std::nullopt});
+        }
+    }
+    if (!change.operations.empty())
+    {
+        // A conflict leaves the batch for the next round.
+        BOOST_LEAF_AUTO(outcome, m_store.commit(change));
+        out.removed = outcome.committed ? change.operations.size() : 0;
+    }
+    const std::lock_guard lock(m_mutex);
+    m_sweep_cursor = out.complete ? std::string() : rows.back().key;
+    return out;
+}
+
+} // namespace pimentoshunt::entry
--- /dev/null
+++ b/src/entry/idempotency_log.cpp
@@ -0,0 +1,36 @@
+#include <pimentoshunt/entry/idempotency_log.hpp>
+
+namespace pimentoshunt::entry::detail
+{
+
+auto check_key(const idempotency_key& key) -> result<void>
+{
+    if (!key.text.empty() && key.text.size() <= longest_idempotency_key)
+    {
+        return {};
+    }
+    return leaf::new_error(
+        error{error_kind::request, idempotency_key_invalid, "Idempotency-Key",
+              "the key has " + std::to_string(key.text.size()) + " bytes",
+              "send a key of 1 to " + std::to_string(longest_idempotency_key) +
+                  " bytes"});
+}
+
+auto fail_claim_lost(const idempotency_key& key) -> leaf::error_id
+{
+    return leaf::new_error(error{
+        error_kind::request, idempotency_claim_lost, key.row_key(),
+        "another instance has taken the key over and this one must not run it",
+        "repeat the request with the same key to learn its outcome"});
+}
+
+auto fail_unreadable(const std::string& row_key) -> leaf::error_id
+{
+    return leaf::new_error(
+        error{error_kind::request, idempotency_key_invalid, row_key,
+              "the stored record of this key cannot be read",
+              "look the request's effect up at the application, then use "
+              "another key"});
+}
+
+} // namespace pimentoshunt::entry::detail
--- a/tests/fakes/fake_worker.hpp
+++ b/tests/fakes/fake_worker.hpp
@@ -4,11 +4,12 @@
 
 #include <pimentoshunt/worker/port.hpp>
 
-#include <map>    // map
-#include <mutex>  // mutex
-#include <set>    // set
-#include <string> // string
-#include <vector> // vector
+#include <map>           // map
+#include <mutex>         // mutex
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
+#include <vector>        // vector
 
 namespace pimentoshunt::tests
 {
@@ -242,10 +243,10 @@
         worker::epoch_number epoch = 0;
         std::string holder;
         std::map<std::string, std::uint64_t> partitions;
-        std::map<attempt_id, worker::running_task> running;
-        std::map<attempt_id, std::string> partitions_of;
-        std::map<attempt_id, worker::attempt_report> ended;
-        std::set<attempt_id> revoked;
+        std::unordered_map<attempt_id, worker::running_task> running;
+        std::unordered_map<attempt_id, std::string> partitions_of;
+        std::unordered_map<attempt_id, worker::attempt_report> ended;
+        std::unordered_set<attempt_id> revoked;
     };
 
     static auto not_sent(const std::string& url) -> leaf::error_id
