Jobs in the table: specification, progress and partitions

Cause: batch and gang jobs outlive every instance, at 4,200 task starts a second and a table of several hundred writes.

Ruled out: a row for each task or attempt. A swap on each job's row alone does not keep an overtaken owner from writing rows that the new owner has not yet touched.

Submission is idempotent by the client's id.

--- /dev/null
+++ b/include/pimentoshunt/jobs/job_store.hpp
@@ -0,0 +1,396 @@
+/// @file
+/// Jobs in the platform's table. The owner of a partition rewrites the
+/// partition's row with each of its commits, so that a later owner's claim
+/// makes every commit of the earlier one fail.
+#pragma once
+
+#include <pimentoshunt/error.hpp>
+#include <pimentoshunt/jobs/job_record.hpp>
+#include <pimentoshunt/platform/port.hpp>
+#include <pimentoshunt/platform/write_id.hpp>
+
+#include <cstddef>       // size_t
+#include <cstdint>       // uint64_t
+#include <optional>      // optional
+#include <string>        // string
+#include <unordered_set> // unordered_set
+#include <utility>       // move
+#include <vector>        // vector
+
+namespace pimentoshunt::jobs
+{
+
+/// The id has been given to another job.
+inline constexpr int job_id_taken = 651;
+/// The id has characters or a length that a job's must not have.
+inline constexpr int job_id_invalid = 652;
+/// A stored job cannot be read.
+inline constexpr int stored_job_unreadable = 653;
+/// Another instance owns the partition.
+inline constexpr int partition_lost = 654;
+
+inline constexpr std::size_t longest_job_id = 64;
+
+/// @brief A partition's row.
+struct partition_state
+{
+    int partition = 0;
+    /// "instance#incarnation"; empty when it was never claimed.
+    std::string owner;
+    /// Fencing token of the owner; grows with each claim.
+    std::uint64_t epoch = 0;
+    /// Of the row; 0: absent.
+    std::int64_t version = 0;
+};
+
+/// @brief What the owner of a partition commits at once.
+struct partition_update
+{
+    /// As the owner knows it; a successful commit advances its version.
+    partition_state claim;
+    struct job_update
+    {
+        job_id id;
+        job_progress progress;
+    };
+    std::vector<job_update> jobs;
+    /// Jobs whose rows are removed.
+    std::vector<job_id> erased;
+    /// Set by persist(): false when the row had changed, by another owner or by
+    /// an own commit whose outcome was unknown; refresh() tells which.
+    bool committed = false;
+};
+
+/// @brief What became of a submission.
+struct job_submit_outcome
+{
+    /// false: the same job was submitted before under this id.
+    bool created = false;
+};
+
+namespace detail
+{
+
+[[nodiscard]] auto check_job_id(const job_id& id) -> result<void>;
+[[nodiscard]] auto spec_key(const job_id& id) -> std::string;
+[[nodiscard]] auto progress_key(const job_id& id) -> std::string;
+[[nodiscard]] auto cancel_key(const job_id& id) -> std::string;
+[[nodiscard]] auto partition_key(int partition) -> std::string;
+[[nodiscard]] auto partition_prefix(const char* table, int partition)
+    -> std::string;
+[[nodiscard]] auto serialize_partition(const partition_state& state)
+    -> std::string;
+[[nodiscard]] auto parse_partition(int partition, const platform::row& row)
+    -> partition_state;
+[[nodiscard]] auto fail_taken(const job_id& id) -> leaf::error_id;
+[[nodiscard]] auto fail_unreadable(const std::string& key) -> leaf::error_id;
+[[nodiscard]] auto fail_partition_lost(int partition) -> leaf::error_id;
+/// The operations of one partition; the first is the partition's row.
+auto append_operations(const partition_update& update,
+                       std::vector<platform::operation>& out) -> void;
+
+} // namespace detail
+
+/// @brief Reads and writes jobs; calls block. Submissions, reads and requests
+/// to cancel may come from any instance, the rest from a partition's owner.
+/// @tparam Platform  satisfies platform::port
+template<class Platform>
+class job_store
+{
+  public:
+    /// @param store  outlives this object
+    /// @param owner  unique for all time, "instance#incarnation"
+    job_store(Platform& store, std::string owner)
+        : m_store(store), m_owner(owner), m_write_ids(std::move(owner))
+    {
+    }
+
+    /// @brief Keeps a new job. A repeat of the same job is no fault.
+    /// @throw (leaf) job 651, 652; platform errors: 301 when it may be kept
+    [[nodiscard]] auto submit(const job_spec& spec)
+        -> result<job_submit_outcome>;
+
+    /// @brief A job, or nothing.
+    /// @throw (leaf) job 652, 653; platform errors
+    [[nodiscard]] auto read(const job_id& id)
+        -> result<std::optional<job_record>>;
+
+    /// @brief Jobs of a partition after @p after in id order.
+    /// @throw (leaf) job 653; platform errors
+    [[nodiscard]] auto list(int partition, const job_id& after,
+                            std::size_t limit)
+        -> result<std::vector<job_record>>;
+
+    /// @brief Keeps a request to cancel, for the owner to find.
+    /// @throw (leaf) platform errors: 301 when it may be kept
+    [[nodiscard]] auto request_cancel(const job_id& id) -> result<void>;
+
+    /// @brief Jobs of a partition whose cancellation was requested.
+    /// @throw (leaf) platform errors
+    [[nodiscard]] auto list_cancels(int partition, const job_id& after,
+                                    std::size_t limit)
+        -> result<std::vector<job_id>>;
+
+    /// @brief A partition's row; version and epoch 0 when it has none.
+    /// @throw (leaf) platform errors
+    [[nodiscard]] auto read_partition(int partition) -> result<partition_state>;
+
+    /// @brief Takes a partition over from the owner that was seen.
+    /// @return the claim, with a new epoch
+    /// @throw (leaf) job 654 when it has changed since; platform errors: 301
+    ///        when it may be claimed, read the partition again
+    [[nodiscard]] auto claim(const partition_state& seen)
+        -> result<partition_state>;
+
+    /// @brief Commits the progress of many jobs of many partitions together.
+    /// A partition that another instance owns is left out and told so.
+    /// @throw (leaf) platform errors: on 301 refresh() each claim, then write
+    ///        the same again
+    [[nodiscard]] auto persist(std::vector<partition_update>& updates)
+        -> result<void>;
+
+    /// @brief The claim with the row's present version, after a commit whose
+    /// outcome is unknown.
+    /// @throw (leaf) job 654 when another instance owns it; platform errors
+    [[nodiscard]] auto refresh(const partition_state& claim)
+        -> result<partition_state>;
+
+  private:
+    [[nodiscard]] auto persist_once(std::vector<partition_update*>& open)
+        -> result<bool>;
+
+    Platform& m_store;
+    const std::string m_owner;
+    platform::write_id_source m_write_ids;
+};
+
+template<class Platform>
+auto job_store<Platform>::submit(const job_spec& spec)
+    -> result<job_submit_outcome>
+{
+    BOOST_LEAF_CHECK(detail::check_job_id(spec.id));
+    const auto key = detail::spec_key(spec.id);
+    const auto value = serialize(spec);
+    BOOST_LEAF_AUTO(outcome,
+                    m_store.commit({m_write_ids.next(),
+                                    {{key, platform::expect_absent, value}}}));
+    if (outcome.committed)
+    {
+        return job_submit_outcome{true};
+    }
+    BOOST_LEAF_AUTO(row, m_store.read(key));
+    if (!row || row->value != value)
+    {
+        return detail::fail_taken(spec.id);
+    }
+    return job_submit_outcome{false};
+}
+
+template<class Platform>
+auto job_store<Platform>::read(const job_id& id)
+    -> result<std::optional<job_record>>
+{
+    BOOST_LEAF_CHECK(detail::check_job_id(id));
+    BOOST_LEAF_AUTO(spec_row, m_store.read(detail::spec_key(id)));
+    if (!spec_row)
+    {
+        return std::optional<job_record>();
+    }
+    const auto spec = parse_job_spec(spec_row->value);
+    if (!spec)
+    {
+        return detail::fail_unreadable(spec_row->key);
+    }
+    BOOST_LEAF_AUTO(progress_row, m_store.read(detail::progress_key(id)));
+    if (!progress_row)
+    {
+        return std::optional<job_record>(job_record{*spec, {}});
+    }
+    const auto progress = parse_job_progress(progress_row->value);
+    if (!progress)
+    {
+        return detail::fail_unreadable(progress_row->key);
+    }
+    return std::optional<job_record>(job_record{*spec, *progress});
+}
+
+template<class Platform>
+auto job_store<Platform>::list(int partition, const job_id& after,
+                               std::size_t limit)
+    -> result<std::vector<job_record>>
+{
+    const auto prefix = detail::partition_prefix("job", partition);
+    const auto progress_prefix =
+        detail::partition_prefix("progress", partition);
+    BOOST_LEAF_AUTO(rows, m_store.scan(prefix, prefix + after.str(), limit));
+    BOOST_LEAF_AUTO(
+        progress_rows,
+        m_store.scan(progress_prefix, progress_prefix + after.str(), limit));
+    std::vector<job_record> out;
+    out.reserve(rows.size());
+    auto at = progress_rows.begin();
+    for (const auto& row : rows)
+    {
+        const auto spec = parse_job_spec(row.value);
+        if (!spec)
+        {
+            return detail::fail_unreadable(row.key);
+        }
+        out.push_back({*spec, {}});
+        const auto key = detail::progress_key(spec->id);
+        while (at != progress_rows.end() && at->key < key)
+        {
+            ++at;
+        }
+        if (at == progress_rows.end() || at->key != key)
+        {
+            continue;
+        }
+        auto progress = parse_job_progress(at->value);
+        if (!progress)
+        {
+            return detail::fail_unreadable(at->key);
+        }
+        out.back().progress = std::move(*progress);
+    }
+    return out;
+}
+
+template<class Platform>
+auto job_store<Platform>::request_cancel(const job_id& id) -> result<void>
+{
+    BOOST_LEAF_CHECK(detail::check_job_id(id));
+    BOOST_LEAF_CHECK(m_store.commit(
+        {m_write_ids.next(),
+         {{detail::cancel_key(id), platform::expect_any, m_owner}}}));
+    return {};
+}
+
+template<class Platform>
+auto job_store<Platform>::list_cancels(int partition, const job_id& after,
+                                       std::size_t limit)
+    -> result<std::vector<job_id>>
+{
+    const auto prefix = detail::partition_prefix("cancel", partition);
+    BOOST_LEAF_AUTO(rows, m_store.scan(prefix, prefix + after.str(), limit));
+    std::vector<job_id> out;
+    out.reserve(rows.size());
+    for (const auto& row : rows)
+    {
+        out.emplace_back(row.key.substr(prefix.size()));
+    }
+    return out;
+}
+
+template<class Platform>
+auto job_store<Platform>::read_partition(int partition)
+    -> result<partition_state>
+{
+    BOOST_LEAF_AUTO(row, m_store.read(detail::partition_key(partition)));
+    if (!row)
+    {
+        partition_state out;
+        out.partition = partition;
+        return out;
+    }
+    return detail::parse_partition(partition, *row);
+}
+
+template<class Platform>
+auto job_store<Platform>::claim(const partition_state& seen)
+    -> result<partition_state>
+{
+    auto next = seen;
+    next.owner = m_owner;
+    next.epoch = seen.epoch + 1;
+    next.version = seen.version + 1;
+    BOOST_LEAF_AUTO(
+        outcome,
+        m_store.commit({m_write_ids.next(),
+                        {{detail::partition_key(seen.partition), seen.version,
+                          detail::serialize_partition(next)}}}));
+    if (!outcome.committed)
+    {
+        return detail::fail_partition_lost(seen.partition);
+    }
+    return next;
+}
+
+template<class Platform>
+auto job_store<Platform>::refresh(const partition_state& claim)
+    -> result<partition_state>
+{
+    BOOST_LEAF_AUTO(now, read_partition(claim.partition));
+    if (now.owner != claim.owner || now.epoch != claim.epoch)
+    {
+        return detail::fail_partition_lost(claim.partition);
+    }
+    return now;
+}
+
+template<class Platform>
+auto job_store<Platform>::persist(std::vector<partition_update>& updates)
+    -> result<void>
+{
+    std::vector<partition_update*> open;
+    for (auto& update : updates)
+    {
+        update.committed = false;
+        open.push_back(&update);
+    }
+    while (!open.empty())
+    {
+        BOOST_LEAF_AUTO(committed, persist_once(open));
+        if (committed)
+        {
+            return {};
+        }
+    }
+    return {};
+}
+
+template<class Platform>
+auto job_store<Platform>::persist_once(std::vector<partition_update*>& open)
+    -> result<bool>
+{
+    platform::transaction change{m_write_ids.next(), {}};
+    for (const auto* update : open)
+    {
+        detail::append_operations(*update, change.operations);
+    }
+    BOOST_LEAF_AUTO(outcome, m_store.commit(change));
+    if (outcome.committed)
+    {
+        for (auto* update : open)
+        {
+            ++update->claim.version;
+            update->committed = true;
+        }
+        return true;
+    }
+    std::unordered_set<std::string> lost;
+    for (const auto& row : outcome.conflicts)
+    {
+        lost.insert(row.key);
+    }
+    std::vector<partition_update*> rest;
+    for (auto* update : open)
+    {
+        if (lost.count(detail::partition_key(update->claim.partition)) == 0)
+        {
+            rest.push_back(update);
+        }
+    }
+    if (rest.size() == open.size())
+    {
+        return leaf::new_error(
+            error{error_kind::platform, platform::answer_malformed, "commit",
+                  "the platform refused without naming a conflict",
+                  "compare the platform's version with "
+                  "docs/platform-contract.md"});
+    }
+    open = std::move(rest);
+    return false;
+}
+
+} // namespace pimentoshunt::jobs
