--- a/include/pimentoshunt/control/control_loop.hpp
+++ b/include/pimentoshunt/control/control_loop.hpp
@@ -6,9 +6,10 @@
 #include <pimentoshunt/kernel/directory.hpp>
 #include <pimentoshunt/kernel/inbox.hpp>
 
-#include <atomic>     // atomic
-#include <functional> // function
-#include <memory>     // unique_ptr
+#include <atomic>        // atomic
+#include <functional>    // function
+#include <string>        // string
+#include <unordered_set> // unordered_set
 
 namespace pimentoshunt::control
 {
@@ -23,6 +24,8 @@
     std::function<void()> read_plan;
     /// Publishes a plan to the traffic threads.
     std::function<void(plan::plan_ptr)> publish;
+    /// Publishes the lives that are taken for alive.
+    std::function<void(std::unordered_set<std::string>)> publish_alive;
 };
 
 /// @brief The engine with its inbox. post() is for all threads, the rest for
--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -17,8 +17,10 @@
 #include <pimentoshunt.pb.h>
 
 #include <map>           // map
+#include <optional>      // optional
 #include <string>        // string
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
 #include <vector>        // vector
 
 namespace pimentoshunt::control
@@ -57,6 +59,8 @@
     bool read_plan = false;
     /// A plan that has come into force here, else null.
     plan::plan_ptr new_plan;
+    /// The lives taken for alive, "instance#incarnation", when they changed.
+    std::optional<std::unordered_set<std::string>> alive;
 };
 
 /// @brief The control state of one instance. Single-threaded.
@@ -122,6 +126,7 @@
     auto beat(time_point now) -> void;
     auto slow_tick(time_point now) -> void;
     auto update_links(time_point now) -> void;
+    auto publish_alive(time_point now) -> void;
     auto update_readiness() -> void;
     auto adopt(plan::plan_ptr newer) -> void;
     auto announce_plan() -> void;
@@ -130,8 +135,9 @@
     auto quorate(time_point now) const -> bool;
     auto send_demand(time_point now) -> void;
     auto place(time_point now) -> void;
-    auto hand_out(const instance_id& entry, const std::vector<entry::grant>& grants,
-                  time_point now) -> void;
+    auto hand_out(const instance_id& entry,
+                  const std::vector<entry::grant>& grants, time_point now)
+        -> void;
     auto give_back(const entry::grant& item, ownership::attempt_outcome outcome)
         -> void;
     auto release_here(const worker_id& worker, const attempt_id& attempt,
--- a/include/pimentoshunt/control/remote_calls.hpp
+++ b/include/pimentoshunt/control/remote_calls.hpp
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <pimentoshunt/control/control_loop.hpp>
+#include <pimentoshunt/entry/key_guard.hpp>
 #include <pimentoshunt/kernel/directory.hpp>
 #include <pimentoshunt/kernel/io_pool.hpp>
+#include <pimentoshunt/membership/live_holders.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
 #include <pimentoshunt/plan/plan_cell.hpp>
 #include <pimentoshunt/plan/plan_store.hpp>
@@ -24,6 +26,8 @@
     remote_calls(kernel::directory services, platform::http_platform& store,
                  plan::plan_store<platform::http_platform>& plans,
                  worker::http_worker& workers, plan::plan_cell& in_force,
+                 membership::live_holders& alive,
+                 entry::platform_idempotency_log& keys,
                  membership::member self);
 
     /// @brief The functions that the control thread is given.
@@ -39,6 +43,7 @@
         -> void;
     auto read_list(control_loop& control) -> void;
     auto read_plan(control_loop& control) -> void;
+    auto tend_keys() -> result<void>;
     auto register_self() -> result<void>;
     auto registered() -> result<std::vector<membership::member>>;
     auto drained() -> result<std::vector<worker_id>>;
@@ -48,10 +53,14 @@
     plan::plan_store<platform::http_platform>& m_plans;
     worker::http_worker& m_workers;
     plan::plan_cell& m_in_force;
+    membership::live_holders& m_alive;
+    entry::platform_idempotency_log& m_keys;
     membership::member m_self;
     std::atomic<bool> m_list_running{false};
     std::atomic<bool> m_plan_running{false};
     std::atomic<bool> m_registered{false};
+    /// Used by the call that reads the list, of which there is one at a time.
+    time_point m_next_sweep;
 };
 
 /// @brief Registers a pool of I/O threads as a service.
--- a/include/pimentoshunt/entry/idempotency_log.hpp
+++ b/include/pimentoshunt/entry/idempotency_log.hpp
@@ -96,6 +96,8 @@
     std::optional<stored_answer> answer;
     /// The earlier attempt, for in_progress and unknown.
     attempt_id earlier;
+    /// "instance#incarnation" that sends or sent it, where there is a row.
+    std::string holder;
 };
 
 /// @brief What one sweep did.
--- a/include/pimentoshunt/entry/idempotency_log_impl.hpp
+++ b/include/pimentoshunt/entry/idempotency_log_impl.hpp
@@ -56,6 +56,7 @@
     }
     const auto& record = *found.record;
     out.earlier = record.attempt;
+    out.holder = record.holder;
     if (record.fingerprint != fingerprint)
     {
         out.verdict = idempotency_verdict::mismatch;
--- /dev/null
+++ b/include/pimentoshunt/entry/key_guard.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// The idempotency key of one request through all its attempts.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/entry/caller_answer.hpp>
+#include <pimentoshunt/entry/idempotency_log.hpp>
+#include <pimentoshunt/membership/live_holders.hpp>
+#include <pimentoshunt/platform/http_platform.hpp>
+#include <pimentoshunt/worker/http_worker.hpp>
+
+#include <optional> // optional
+#include <string>   // string
+
+namespace pimentoshunt::entry
+{
+
+/// @brief The log over the platform's table.
+using platform_idempotency_log = idempotency_log<platform::http_platform>;
+
+/// @brief What all keyed requests share.
+struct key_services
+{
+    platform_idempotency_log& log;
+    worker::http_worker& workers;
+    const membership::live_holders& alive;
+};
+
+/// @brief Sees to it that a keyed request runs at most once over all
+/// instances. Used by one thread.
+class key_guard
+{
+  public:
+    key_guard(key_services services, idempotency_key key,
+              std::string fingerprint)
+        : m_services(services), m_key(std::move(key)),
+          m_fingerprint(std::move(fingerprint))
+    {
+    }
+
+    /// @brief Waits for an earlier request with the key, before any place is
+    ///        sought.
+    /// @return the final answer, or nothing: the request may go on
+    auto look_up(time_point until) -> std::optional<caller_answer>;
+
+    /// @brief Claims the key for this attempt, before anything is sent.
+    /// @return the final answer, or nothing: the attempt may be sent
+    auto claim(const grant& where, time_point until)
+        -> std::optional<caller_answer>;
+
+    /// @brief Keeps the answer for repeats, before it is given.
+    auto answered(const caller_answer& answer) -> void;
+
+    /// @brief Frees the key for a repeat: nothing has run.
+    auto not_run() -> void;
+
+  private:
+    auto decide(const idempotency_decision& decision)
+        -> std::optional<caller_answer>;
+    auto begin(const grant& where, time_point until)
+        -> result<std::optional<caller_answer>>;
+
+    key_services m_services;
+    idempotency_key m_key;
+    std::string m_fingerprint;
+    std::optional<idempotency_ticket> m_ticket;
+};
+
+} // namespace pimentoshunt::entry
--- a/include/pimentoshunt/entry/request_handler.hpp
+++ b/include/pimentoshunt/entry/request_handler.hpp
@@ -5,8 +5,11 @@
 
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/control/control_loop.hpp>
+#include <pimentoshunt/entry/caller_answer.hpp>
+#include <pimentoshunt/entry/key_guard.hpp>
 #include <pimentoshunt/entry/run_client.hpp>
 #include <pimentoshunt/entry/ticket.hpp>
+#include <pimentoshunt/metrics/registry.hpp>
 #include <pimentoshunt/plan/plan_cell.hpp>
 #include <pimentoshunt/policy/retry_budget.hpp>
 #include <pimentoshunt/worker/http_worker.hpp>
@@ -21,27 +24,6 @@
 namespace pimentoshunt::entry
 {
 
-/// @brief Whether a request ran, as the caller is told.
-enum class ran
-{
-    yes,
-    /// It certainly did not and will not.
-    no,
-    /// It can't be known here.
-    unknown
-};
-
-/// @brief The final answer to a caller.
-struct caller_answer
-{
-    int status = 503;
-    ran did_run = ran::no;
-    std::string body;
-    std::vector<platform::http_header> headers;
-    /// Zero: no Retry-After.
-    milliseconds retry_after{0};
-};
-
 /// @brief A caller's request as the listener took it in.
 struct caller_request
 {
@@ -50,19 +32,19 @@
     /// Zero: the workload's own deadline.
     milliseconds deadline{0};
     std::string idempotency_key;
+    /// The caller's X-Request-Id, for the log.
+    std::string request_id;
 };
 
-/// @brief Makes the answer to a request that did not run.
-[[nodiscard]] auto refused_answer(const refusal& why) -> caller_answer;
-
 /// @brief The one place where requests are served; safe for many threads.
 class request_handler
 {
   public:
     request_handler(control::control_loop& control,
                     const plan::plan_cell& in_force, run_client& runs,
-                    worker::http_worker& workers)
-        : m_control(control), m_plan(in_force), m_runs(runs), m_workers(workers)
+                    key_services keys, metrics::registry& meters)
+        : m_control(control), m_plan(in_force), m_runs(runs), m_keys(keys),
+          m_workers(keys.workers), m_meters(meters)
     {
     }
 
@@ -79,14 +61,22 @@
         time_point arrived;
         time_point deadline;
         int attempts = 0;
+        /// Set for a keyed request that may run at most once.
+        std::optional<key_guard> key;
     };
 
     /// Either the final answer, or nothing: try again.
     using step_result = std::optional<caller_answer>;
 
+    auto find_workload(const caller_request& request,
+                       const plan::plan_ptr& in_force)
+        -> std::variant<const plan::workload*, caller_answer>;
+    auto run_to_end(request_state& state) -> caller_answer;
+    auto guard_key(request_state& state) -> void;
+    auto meter(const request_state& state, const caller_answer& answer) -> void;
     auto wait_for_place(const request_state& state) -> placement_answer;
     auto attempt(request_state& state, const grant& where) -> step_result;
-    auto on_answer(const request_state& state, const grant& where, run_end end,
+    auto on_answer(request_state& state, const grant& where, run_end end,
                    std::chrono::microseconds run_time) -> step_result;
     auto on_unknown(const request_state& state, const grant& where)
         -> step_result;
@@ -103,7 +93,9 @@
     control::control_loop& m_control;
     const plan::plan_cell& m_plan;
     run_client& m_runs;
+    key_services m_keys;
     worker::http_worker& m_workers;
+    metrics::registry& m_meters;
     std::atomic<std::uint64_t> m_numbers{0};
     std::mutex m_budget_mutex;
     policy::retry_budget m_budget;
--- a/include/pimentoshunt/entry/ticket.hpp
+++ b/include/pimentoshunt/entry/ticket.hpp
@@ -41,7 +41,11 @@
     overload,
     stopping,
     /// No worker of the list could ever hold it.
-    fits_nowhere
+    fits_nowhere,
+    /// Several workers in a row did not take it.
+    no_start,
+    /// Its idempotency key can't be recorded.
+    store_down
 };
 
 /// @brief The final answer to a request that did not run.
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -74,6 +74,10 @@
     {
         m_calls.publish(std::move(wanted.new_plan));
     }
+    if (wanted.alive)
+    {
+        m_calls.publish_alive(std::move(*wanted.alive));
+    }
     for (auto& call : wanted.calls.fences)
     {
         m_calls.fence(std::move(call));
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -451,10 +451,25 @@
     {
         m_membership_changed = false;
         m_keeper.assign(seen);
+        publish_alive(now);
     }
     m_keeper.tick(seen, now, m_effects.calls);
 }
 
+auto engine::publish_alive(time_point now) -> void
+{
+    std::unordered_set<std::string> names;
+    names.insert(ownership::holder{self_id(), m_config.self.incarnation}.str());
+    for (const auto& [id, item] : m_members.all())
+    {
+        if (m_members.alive(item, now))
+        {
+            names.insert(ownership::holder{id, item.incarnation}.str());
+        }
+    }
+    m_effects.alive = std::move(names);
+}
+
 auto engine::update_readiness() -> void
 {
     if (m_config.self.state == membership::member_state::joining &&
@@ -674,7 +689,8 @@
 }
 
 auto engine::hand_out(const instance_id& entry,
-                      const std::vector<entry::grant>& grants, time_point now) -> void
+                      const std::vector<entry::grant>& grants, time_point now)
+    -> void
 {
     if (entry == self_id())
     {
--- a/src/control/remote_calls.cpp
+++ b/src/control/remote_calls.cpp
@@ -21,6 +21,11 @@
 
 constexpr const char* instance_prefix = "instance/";
 constexpr std::size_t scan_limit = 1'000;
+/// Old idempotency keys are looked for this often, so many rows at a time.
+constexpr std::chrono::seconds key_sweep_interval{60};
+constexpr std::size_t key_sweep_batch = 200;
+/// Answers that could not be recorded are tried again for this long.
+constexpr milliseconds key_flush_limit{500};
 
 auto io_behavior(caf::event_based_actor*, kernel::io_pool* pool)
     -> caf::behavior
@@ -53,9 +58,13 @@
                            platform::http_platform& store,
                            plan::plan_store<platform::http_platform>& plans,
                            worker::http_worker& workers,
-                           plan::plan_cell& in_force, membership::member self)
+                           plan::plan_cell& in_force,
+                           membership::live_holders& alive,
+                           entry::platform_idempotency_log& keys,
+                           membership::member self)
     : m_services(services), m_store(store), m_plans(plans), m_workers(workers),
-      m_in_force(in_force), m_self(std::move(self))
+      m_in_force(in_force), m_alive(alive), m_keys(keys),
+      m_self(std::move(self))
 {
 }
 
@@ -122,9 +131,27 @@
     {
         m_in_force.set(std::move(newer));
     };
+    made.publish_alive = [this](std::unordered_set<std::string> names)
+    {
+        m_alive.set(std::move(names));
+    };
     return made;
 }
 
+auto remote_calls::tend_keys() -> result<void>
+{
+    const auto now = boot_clock::now();
+    static_cast<void>(m_keys.flush(now + key_flush_limit));
+    if (now < m_next_sweep)
+    {
+        return {};
+    }
+    m_next_sweep = now + key_sweep_interval;
+    BOOST_LEAF_CHECK(
+        m_keys.sweep(std::chrono::system_clock::now(), key_sweep_batch));
+    return {};
+}
+
 auto remote_calls::fence(control_loop& control,
                          const ownership::fence_call& call) -> void
 {
@@ -231,7 +258,7 @@
             BOOST_LEAF_ASSIGN(news.registered, registered());
             BOOST_LEAF_ASSIGN(news.drained, drained());
             control.post(std::move(news));
-            return {};
+            return tend_keys();
         },
         [] {});
     m_list_running = false;
--- /dev/null
+++ b/src/entry/caller_answer.cpp
@@ -0,0 +1,79 @@
+#include <pimentoshunt/entry/caller_answer.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace pimentoshunt::entry
+{
+namespace
+{
+
+constexpr int unavailable_status = 503;
+constexpr int timeout_status = 504;
+
+auto message_body(const std::string& what, const std::string& remedy)
+    -> std::string
+{
+    return boost::json::serialize(
+        boost::json::object{{"error", what}, {"remedy", remedy}});
+}
+
+auto describe(refusal_reason reason) -> std::string
+{
+    switch (reason)
+    {
+    case refusal_reason::deadline_passed:
+        return "no worker became free before the deadline";
+    case refusal_reason::queue_full:
+        return "too many requests wait already";
+    case refusal_reason::overload:
+        return "the deadline can't be made with the work that waits ahead";
+    case refusal_reason::stopping:
+        return "this instance is stopping";
+    case refusal_reason::fits_nowhere:
+        return "no worker is large enough for this workload";
+    case refusal_reason::no_start:
+        return "the workers that were tried did not take it";
+    case refusal_reason::store_down:
+        return "its Idempotency-Key can't be recorded while the table is down";
+    }
+    return "refused";
+}
+
+} // namespace
+
+auto refused_answer(const refusal& why) -> caller_answer
+{
+    caller_answer answer;
+    answer.status = why.reason == refusal_reason::deadline_passed
+                        ? timeout_status
+                        : unavailable_status;
+    answer.did_run = ran::no;
+    answer.retry_after = why.retry_after;
+    answer.body = message_body(describe(why.reason) + "; it did not run",
+                               "send it again after Retry-After");
+    return answer;
+}
+
+auto faulty_answer(int status, const std::string& what,
+                   const std::string& remedy) -> caller_answer
+{
+    caller_answer answer;
+    answer.status = status;
+    answer.did_run = ran::no;
+    answer.body = message_body(what, remedy);
+    return answer;
+}
+
+auto unknown_answer(int status) -> caller_answer
+{
+    caller_answer answer;
+    answer.status = status;
+    answer.did_run = ran::unknown;
+    answer.body = message_body(
+        "the request was sent and its outcome is not known",
+        "look up its effect at the application before sending it again");
+    return answer;
+}
+
+} // namespace pimentoshunt::entry
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -144,10 +144,7 @@
 auto write_fault(httplib::Response& response, int status,
                  const std::string& what, const std::string& remedy) -> void
 {
-    caller_answer answer;
-    answer.status = status;
-    answer.body = R"({"error":")" + what + R"(","remedy":")" + remedy + R"("})";
-    write(answer, response);
+    write(faulty_answer(status, what, remedy), response);
 }
 
 /// The name and the rest of "/services/<name>/<rest>?<query>".
@@ -220,6 +217,7 @@
         return;
     }
     parsed.idempotency_key = request.get_header_value("Idempotency-Key");
+    parsed.request_id = request.get_header_value("X-Request-Id");
     parsed.forward.method = request.method;
     parsed.forward.body = std::move(body);
     parsed.forward.headers = forwarded_headers(request);
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -1,7 +1,6 @@
 #include <pimentoshunt/entry/request_handler.hpp>
 
-#include <boost/json/object.hpp>
-#include <boost/json/serialize.hpp>
+#include <pimentoshunt/logging.hpp>
 
 #include <utility> // move
 
@@ -14,7 +13,6 @@
 constexpr int conflict_status = 409;
 constexpr int first_server_error = 500;
 constexpr int bad_gateway_status = 502;
-constexpr int unavailable_status = 503;
 constexpr int timeout_status = 504;
 /// Starts that workers refused before the request is refused in turn.
 constexpr int most_attempts = 20;
@@ -22,89 +20,101 @@
 constexpr milliseconds control_grace{50};
 constexpr milliseconds retry_soon{1'000};
 
-auto message_body(const std::string& what, const std::string& remedy)
-    -> std::string
+auto fingerprint_of(const caller_request& request) -> std::string
 {
-    return boost::json::serialize(
-        boost::json::object{{"error", what}, {"remedy", remedy}});
+    request_fingerprint digest;
+    digest.add(request.workload.str())
+        .add(request.forward.method)
+        .add(request.forward.path)
+        .add(request.forward.body);
+    return digest.text();
 }
 
-auto describe(refusal_reason reason) -> std::string
+auto to_label(ran value) -> const char*
 {
-    switch (reason)
+    switch (value)
     {
-    case refusal_reason::deadline_passed:
-        return "no worker became free before the deadline";
-    case refusal_reason::queue_full:
-        return "too many requests wait already";
-    case refusal_reason::overload:
-        return "the deadline can't be made with the work that waits ahead";
-    case refusal_reason::stopping:
-        return "this instance is stopping";
-    case refusal_reason::fits_nowhere:
-        return "no worker is large enough for this workload";
+    case ran::yes:
+        return "answered";
+    case ran::no:
+        return "not_run";
+    case ran::unknown:
+        return "unknown";
     }
-    return "refused";
-}
-
-auto unknown_answer(int status) -> caller_answer
-{
-    caller_answer answer;
-    answer.status = status;
-    answer.did_run = ran::unknown;
-    answer.body = message_body(
-        "the request was sent and its outcome is not known",
-        "look up its effect before sending it again, or repeat it with the "
-        "same Idempotency-Key");
-    return answer;
+    return "unknown";
 }
 
 } // namespace
 
-auto refused_answer(const refusal& why) -> caller_answer
-{
-    caller_answer answer;
-    answer.status = why.reason == refusal_reason::deadline_passed
-                        ? timeout_status
-                        : unavailable_status;
-    answer.did_run = ran::no;
-    answer.retry_after = why.retry_after;
-    answer.body = message_body(describe(why.reason) + "; it did not run",
-                               "send it again after Retry-After");
-    return answer;
-}
-
-auto request_handler::serve(const caller_request& request) -> caller_answer
+auto request_handler::find_workload(const caller_request& request,
+                                    const plan::plan_ptr& in_force)
+    -> std::variant<const plan::workload*, caller_answer>
 {
-    const auto in_force = m_plan.get();
     const auto* const workload = in_force->parsed.find(request.workload);
     if (workload == nullptr)
     {
-        caller_answer answer;
-        answer.status = not_found_status;
-        answer.body = message_body(
-            "no workload is called " + request.workload.str() +
-                " in revision " + std::to_string(in_force->revision),
-            "check the name against the plan in force");
-        return answer;
+        return faulty_answer(not_found_status,
+                             "no workload is called " + request.workload.str() +
+                                 " in revision " +
+                                 std::to_string(in_force->revision),
+                             "check the name against the plan in force");
     }
     if (workload->cls != plan::work_class::service)
     {
-        caller_answer answer;
-        answer.status = conflict_status;
-        answer.body = message_body(request.workload.str() + " is no service",
-                                   "submit it as a job");
-        return answer;
+        return faulty_answer(conflict_status,
+                             request.workload.str() + " is no service",
+                             "submit it as a job");
     }
+    return workload;
+}
+
+auto request_handler::serve(const caller_request& request) -> caller_answer
+{
+    const auto in_force = m_plan.get();
+    auto found = find_workload(request, in_force);
+    if (auto* const fault = std::get_if<caller_answer>(&found))
+    {
+        return std::move(*fault);
+    }
+    const auto* const workload = std::get<const plan::workload*>(found);
     const auto now = boot_clock::now();
     const auto limit = request.deadline > milliseconds::zero()
                            ? request.deadline
                            : workload->deadline;
-    request_state state{request, in_force, workload, now, now + limit, 0};
+    request_state state{request, in_force, workload, now, now + limit, 0, {}};
     {
         const std::lock_guard lock(m_budget_mutex);
         m_budget.first_try(workload->name);
     }
+    guard_key(state);
+    auto answer = run_to_end(state);
+    if (state.key && answer.did_run == ran::no)
+    {
+        state.key->not_run();
+    }
+    meter(state, answer);
+    return answer;
+}
+
+auto request_handler::guard_key(request_state& state) -> void
+{
+    const auto& key = state.request.idempotency_key;
+    if (!key.empty() && !state.workload->idempotent)
+    {
+        state.key.emplace(m_keys, idempotency_key{state.workload->tenant, key},
+                          fingerprint_of(state.request));
+    }
+}
+
+auto request_handler::run_to_end(request_state& state) -> caller_answer
+{
+    if (state.key)
+    {
+        if (auto known = state.key->look_up(state.deadline))
+        {
+            return std::move(*known);
+        }
+    }
     for (;;)
     {
         const auto place = wait_for_place(state);
@@ -120,6 +130,27 @@
     }
 }
 
+auto request_handler::meter(const request_state& state,
+                            const caller_answer& answer) -> void
+{
+    auto& series = m_meters.series(*state.workload);
+    series.observe_attempts(state.attempts);
+    metrics::label_set labels = series.labels();
+    labels.kind = to_label(answer.did_run);
+    m_meters.add(metrics::counter::answers, labels);
+    if (state.attempts > 1)
+    {
+        m_meters.add(metrics::counter::retries, series.labels(),
+                     static_cast<std::uint64_t>(state.attempts - 1));
+    }
+    logging::debug("answered")
+        .request(state.request.request_id)
+        .with("workload", state.workload->name)
+        .with("status", answer.status)
+        .with("ran", to_label(answer.did_run))
+        .with("attempts", state.attempts);
+}
+
 auto request_handler::wait_for_place(const request_state& state)
     -> placement_answer
 {
@@ -128,6 +159,8 @@
         number, state.in_force, state.workload, state.arrived, state.deadline);
     m_control.post(control::request_arrived{item});
     auto answer = item->wait_until(state.deadline + control_grace);
+    m_meters.series(*state.workload)
+        .observe(metrics::measure::waiting, boot_clock::now() - state.arrived);
     if (answer)
     {
         return std::move(*answer);
@@ -139,6 +172,14 @@
 auto request_handler::attempt(request_state& state, const grant& where)
     -> step_result
 {
+    if (state.key)
+    {
+        if (auto final_answer = state.key->claim(where, state.deadline))
+        {
+            release(where, ownership::attempt_outcome::never_started, {});
+            return final_answer;
+        }
+    }
     ++state.attempts;
     const auto begun = boot_clock::now();
     auto end = m_runs.run(where, state.workload->each, state.request.forward,
@@ -163,7 +204,7 @@
     return on_unknown(state, where);
 }
 
-auto request_handler::on_answer(const request_state& state, const grant& where,
+auto request_handler::on_answer(request_state& state, const grant& where,
                                 run_end end, std::chrono::microseconds run_time)
     -> step_result
 {
@@ -181,6 +222,12 @@
     answer.did_run = ran::yes;
     answer.body = std::move(end.body);
     answer.headers = std::move(end.headers);
+    m_meters.series(*state.workload)
+        .observe(metrics::measure::service, run_time);
+    if (state.key)
+    {
+        state.key->answered(answer);
+    }
     return answer;
 }
 
@@ -195,7 +242,7 @@
     {
         return std::nullopt;
     }
-    return refused_answer({refusal_reason::overload, retry_soon});
+    return refused_answer({refusal_reason::no_start, retry_soon});
 }
 
 auto request_handler::settle(const grant& where)
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -5,6 +5,8 @@
 #include <pimentoshunt/entry/caller_server.hpp>
 #include <pimentoshunt/entry/operator_server.hpp>
 #include <pimentoshunt/kernel/directory.hpp>
+#include <pimentoshunt/logging.hpp>
+#include <pimentoshunt/metrics/registry.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 #include <pimentoshunt/transport/transport_service.hpp>
 
@@ -105,30 +107,28 @@
           m_system(m_caf_config), m_services(m_system),
           m_store(*platform::parse_endpoint(config.platform_url),
                   store_limits(config)),
-          m_plans(m_store, ownership::holder{config.instance,
-                                             m_engine_config.self.incarnation}
-                               .str()),
-          m_workers(worker_limits(config)),
+          m_plans(m_store, holder_name()), m_workers(worker_limits(config)),
           m_runs(config.worker_connect_timeout, worker_connections),
-          m_calls(m_services, m_store, m_plans, m_workers, m_in_force,
-                  m_engine_config.self),
+          m_keys(m_store, holder_name()),
+          m_calls(m_services, m_store, m_plans, m_workers, m_in_force, m_alive,
+                  m_keys, m_engine_config.self),
           m_control(m_engine_config, m_services, m_calls.starter(m_control)),
-          m_handler(m_control, m_in_force, m_runs, m_workers),
+          m_handler(m_control, m_in_force, m_runs, {m_keys, m_workers, m_alive},
+                    m_meters),
           m_callers(caller_limits(config)),
-          m_operators(operator_limits(config)), m_operator_context{
-                                                    m_control,
-                                                    m_in_force,
-                                                    m_plans,
-                                                    m_store,
-                                                    []
-                                                    {
-                                                        ::kill(::getpid(),
-                                                               SIGTERM);
-                                                    },
-                                                    []
-                                                    {
-                                                        return std::string();
-                                                    }}
+          m_operators(operator_limits(config)),
+          m_operator_context{m_control,
+                             m_in_force,
+                             m_plans,
+                             m_store,
+                             []
+                             {
+                                 ::kill(::getpid(), SIGTERM);
+                             },
+                             [this]
+                             {
+                                 return m_meters.prometheus_text();
+                             }}
     {
     }
 
@@ -197,6 +197,13 @@
         return limits;
     }
 
+    [[nodiscard]] auto holder_name() const -> std::string
+    {
+        return ownership::holder{m_config.instance,
+                                 m_engine_config.self.incarnation}
+            .str();
+    }
+
     auto listen_to_peers() -> result<void>
     {
         const auto address =
@@ -234,6 +241,9 @@
     plan::plan_store<platform::http_platform> m_plans;
     worker::http_worker m_workers;
     entry::run_client m_runs;
+    membership::live_holders m_alive;
+    entry::platform_idempotency_log m_keys;
+    metrics::registry m_meters;
     control::remote_calls m_calls;
     control::control_loop m_control;
     entry::request_handler m_handler;
@@ -247,6 +257,7 @@
 
 auto serve(const settings& config) -> int
 {
+    logging::setup(config);
     const auto signals = block_stop_signals();
     instance running(config);
     const bool started = handle(
