Index free capacity: the tightest worker without a scan

Ruled out: buckets by free slots, with a bounded number of tries in each (may miss a worker that has room, and so leave it idle); a tournament tree by worker number (exact, but finds any worker, not the tightest). Change: a search tree ordered by accelerators, slots, processors and memory; each node bounds the room of its subtree, so that the search skips what cannot fit. Totals and usage by tenant and workload are kept beside it. An account has an intake (open, probe, closed) for the health of workers.

--- a/include/pimentoshunt/ledger/capacity_ledger.hpp
+++ b/include/pimentoshunt/ledger/capacity_ledger.hpp
@@ -4,6 +4,7 @@
 
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/identifier.hpp>
+#include <pimentoshunt/ledger/free_index.hpp>
 #include <pimentoshunt/resources.hpp>
 #include <pimentoshunt/worker/messages.hpp>
 
@@ -29,6 +30,22 @@
     bool seen_running = false;
 };
 
+/// @brief What a worker may be given, by its health.
+enum class intake
+{
+    open,
+    /// One attempt, after which it is closed.
+    probe,
+    closed
+};
+
+/// @brief What some holdings take together.
+struct usage
+{
+    std::int64_t holdings = 0;
+    resources total;
+};
+
 /// @brief A worker whose epoch this instance holds, with its holdings.
 struct worker_account
 {
@@ -36,11 +53,20 @@
     worker::epoch_number epoch = 0;
     resources free;
     std::unordered_map<attempt_id, holding> holdings;
+    intake accepts = intake::open;
+    /// Its place in the ledger's index.
+    free_index::handle place = free_index::none;
+
+    /// @brief Whether it takes any work at all.
+    [[nodiscard]] auto accepting() const noexcept -> bool
+    {
+        return !worker.leaving && accepts != intake::closed;
+    }
 
     /// @brief Whether a new holding of @p each is within all limits.
     [[nodiscard]] auto admits(const resources& each) const noexcept -> bool
     {
-        return !worker.leaving && each.fits_in(free) &&
+        return accepting() && each.fits_in(free) &&
                static_cast<std::int64_t>(holdings.size()) < worker.connections;
     }
 };
@@ -49,7 +75,8 @@
 ///
 /// Single-threaded: it belongs to the control thread. Invariant: for each
 /// account, capacity minus the sum of its holdings equals free; free is
-/// negative only where a worker's own report exceeded its capacity.
+/// negative only where a worker's own report exceeded its capacity. The
+/// index, the totals and the usages always agree with the accounts.
 class capacity_ledger
 {
   public:
@@ -74,7 +101,12 @@
     /// @brief Marks the worker as leaving, or as staying.
     auto set_leaving(const worker_id& id, bool leaving) -> void;
 
+    /// @brief Sets what the worker may be given, by its health.
+    auto set_intake(const worker_id& id, intake accepts) -> void;
+
     /// @brief The account, or nullptr when the worker is not held.
+    /// @note Change capacity, holdings, leaving and intake by the functions of
+    ///       the ledger only.
     [[nodiscard]] auto find(const worker_id& id) const -> const worker_account*;
     [[nodiscard]] auto find(const worker_id& id) -> worker_account*;
 
@@ -84,11 +116,53 @@
         return m_accounts;
     }
 
-    /// @brief Sum of what is free on workers that are not leaving.
-    [[nodiscard]] auto free_total() const noexcept -> resources;
+    /// @brief The tightest worker that admits @p each, or nullptr.
+    ///
+    /// Work without accelerators goes to workers without them first.
+    /// @complexity see free_index::first_fit
+    [[nodiscard]] auto best_fit(const resources& each,
+                                accelerator_use use) const -> const worker_id*
+    {
+        return m_index.first_fit(each, use);
+    }
+
+    /// @brief Sum of what is free on workers that accept work.
+    /// @complexity constant
+    [[nodiscard]] auto free_total() const noexcept -> resources
+    {
+        return m_free;
+    }
+
+    /// @brief Sum of the capacity of workers that accept work.
+    /// @complexity constant
+    [[nodiscard]] auto capacity_total() const noexcept -> resources
+    {
+        return m_capacity;
+    }
+
+    /// @brief What the tenant's holdings take on all held workers.
+    [[nodiscard]] auto used_by(const tenant_name& tenant) const -> usage;
+
+    /// @brief What each workload's holdings take; only those that hold.
+    [[nodiscard]] auto used_by_workload() const
+        -> const std::unordered_map<workload_name, usage>&
+    {
+        return m_by_workload;
+    }
 
   private:
+    auto count_in(worker_account& account) -> void;
+    auto count_out(worker_account& account) -> void;
+    auto move_place(worker_account& account) -> void;
+    auto note_taken(const holding& item) -> void;
+    auto note_released(const holding& item) -> void;
+
     std::unordered_map<worker_id, worker_account> m_accounts;
+    free_index m_index;
+    std::unordered_map<tenant_name, usage> m_by_tenant;
+    std::unordered_map<workload_name, usage> m_by_workload;
+    resources m_free;
+    resources m_capacity;
 };
 
 } // namespace pimentoshunt::ledger
--- a/src/capacity_ledger.cpp
+++ b/src/capacity_ledger.cpp
@@ -3,12 +3,44 @@
 namespace pimentoshunt::ledger
 {
 
+namespace
+{
+
+auto room_of(const worker_account& account) -> free_room
+{
+    const auto held = static_cast<std::int64_t>(account.holdings.size());
+    return {account.free, account.worker.connections - held,
+            account.worker.capacity.accelerators > 0};
+}
+
+template<class Usages, class Name>
+auto add_use(Usages& usages, const Name& name, const resources& each) -> void
+{
+    auto& used = usages[name];
+    ++used.holdings;
+    used.total += each;
+}
+
+template<class Usages, class Name>
+auto drop_use(Usages& usages, const Name& name, const resources& each) -> void
+{
+    const auto found = usages.find(name);
+    found->second.total -= each;
+    if (--found->second.holdings == 0)
+    {
+        usages.erase(found);
+    }
+}
+
+} // namespace
+
 auto capacity_ledger::open(const worker::description& worker,
                            worker::epoch_number epoch,
                            const std::vector<worker::running_attempt>& running,
                            time_point now) -> void
 {
-    worker_account account;
+    close(worker.id);
+    auto& account = m_accounts[worker.id];
     account.worker = worker;
     account.epoch = epoch;
     account.free = worker.capacity;
@@ -20,15 +52,28 @@
         item.each = attempt.each;
         item.granted_at = now;
         item.seen_running = true;
-        account.free -= item.each;
-        account.holdings.emplace(item.attempt, item);
+        if (account.holdings.emplace(item.attempt, item).second)
+        {
+            account.free -= item.each;
+            note_taken(item);
+        }
     }
-    m_accounts.insert_or_assign(worker.id, std::move(account));
+    count_in(account);
 }
 
 auto capacity_ledger::close(const worker_id& id) -> void
 {
-    m_accounts.erase(id);
+    const auto found = m_accounts.find(id);
+    if (found == m_accounts.end())
+    {
+        return;
+    }
+    count_out(found->second);
+    for (const auto& [attempt, item] : found->second.holdings)
+    {
+        note_released(item);
+    }
+    m_accounts.erase(found);
 }
 
 auto capacity_ledger::take(const worker_id& id, const holding& item) -> bool
@@ -41,6 +86,16 @@
     }
     account->free -= item.each;
     account->holdings.emplace(item.attempt, item);
+    note_taken(item);
+    m_free -= item.each;
+    if (account->accepts == intake::probe)
+    {
+        set_intake(id, intake::closed);
+    }
+    else
+    {
+        move_place(*account);
+    }
     return true;
 }
 
@@ -57,8 +112,15 @@
     {
         return false;
     }
-    account->free += found->second.each;
+    const auto item = found->second;
+    account->free += item.each;
     account->holdings.erase(found);
+    note_released(item);
+    if (account->accepting())
+    {
+        m_free += item.each;
+        move_place(*account);
+    }
     return true;
 }
 
@@ -66,7 +128,19 @@
 {
     if (auto* const account = find(id))
     {
+        count_out(*account);
         account->worker.leaving = leaving;
+        count_in(*account);
+    }
+}
+
+auto capacity_ledger::set_intake(const worker_id& id, intake accepts) -> void
+{
+    if (auto* const account = find(id))
+    {
+        count_out(*account);
+        account->accepts = accepts;
+        count_in(*account);
     }
 }
 
@@ -82,17 +156,50 @@
     return found == m_accounts.end() ? nullptr : &found->second;
 }
 
-auto capacity_ledger::free_total() const noexcept -> resources
+auto capacity_ledger::used_by(const tenant_name& tenant) const -> usage
 {
-    resources total;
-    for (const auto& [id, account] : m_accounts)
+    const auto found = m_by_tenant.find(tenant);
+    return found == m_by_tenant.end() ? usage{} : found->second;
+}
+
+auto capacity_ledger::count_in(worker_account& account) -> void
+{
+    if (!account.accepting())
     {
-        if (!account.worker.leaving && !account.free.negative())
-        {
-            total += account.free;
-        }
+        return;
+    }
+    m_free += account.free;
+    m_capacity += account.worker.capacity;
+    account.place = m_index.insert(account.worker.id, room_of(account));
+}
+
+auto capacity_ledger::count_out(worker_account& account) -> void
+{
+    if (!account.accepting())
+    {
+        return;
     }
-    return total;
+    m_free -= account.free;
+    m_capacity -= account.worker.capacity;
+    m_index.erase(account.place);
+    account.place = free_index::none;
+}
+
+auto capacity_ledger::move_place(worker_account& account) -> void
+{
+    m_index.update(account.place, room_of(account));
+}
+
+auto capacity_ledger::note_taken(const holding& item) -> void
+{
+    add_use(m_by_tenant, item.tenant, item.each);
+    add_use(m_by_workload, item.workload, item.each);
+}
+
+auto capacity_ledger::note_released(const holding& item) -> void
+{
+    drop_use(m_by_tenant, item.tenant, item.each);
+    drop_use(m_by_workload, item.workload, item.each);
 }
 
 } // namespace pimentoshunt::ledger
--- /dev/null
+++ b/tests/unit-ledger.cpp
@@ -0,0 +1,200 @@
+#include <pimentoshunt/ledger/capacity_ledger.hpp>
+
+#include <criterion/criterion.h>
+
+#include <random>  // mt19937_64
+#include <string>  // to_string
+#include <utility> // pair
+#include <vector>  // vector
+
+using namespace pimentoshunt;
+using ledger::accelerator_use;
+using ledger::capacity_ledger;
+using ledger::intake;
+
+namespace
+{
+
+auto machine(std::int64_t number, resources capacity = {8, 16'000, 64'000, 0})
+    -> worker::description
+{
+    worker::description made;
+    made.id = worker_id("w" + std::to_string(number));
+    made.capacity = capacity;
+    made.connections = 64;
+    return made;
+}
+
+auto holding(int number, resources each) -> ledger::holding
+{
+    ledger::holding made;
+    made.attempt = attempt_id("a" + std::to_string(number));
+    made.workload = workload_name("proofs");
+    made.tenant = tenant_name("t" + std::to_string(number % 3));
+    made.each = each;
+    return made;
+}
+
+/// @brief Checks everything kept beside the accounts against the accounts.
+auto agrees(const capacity_ledger& accounts) -> bool
+{
+    resources free;
+    resources capacity;
+    resources held;
+    for (const auto& [id, account] : accounts.accounts())
+    {
+        resources sum;
+        for (const auto& [attempt, item] : account.holdings)
+        {
+            sum += item.each;
+        }
+        held += sum;
+        if (account.free != account.worker.capacity - sum ||
+            account.free.negative())
+        {
+            return false;
+        }
+        if (account.accepting())
+        {
+            free += account.free;
+            capacity += account.worker.capacity;
+        }
+    }
+    resources by_tenant;
+    for (int i = 0; i < 3; ++i)
+    {
+        by_tenant +=
+            accounts.used_by(tenant_name("t" + std::to_string(i))).total;
+    }
+    return free == accounts.free_total() &&
+           capacity == accounts.capacity_total() && held == by_tenant;
+}
+
+/// @brief Whether best_fit finds a worker exactly when one admits.
+auto finds_exactly(const capacity_ledger& accounts, const resources& each)
+    -> bool
+{
+    bool any = false;
+    for (const auto& [id, account] : accounts.accounts())
+    {
+        any |= account.admits(each);
+    }
+    const auto* const found = accounts.best_fit(each, accelerator_use::allow);
+    return any ? found != nullptr && accounts.find(*found)->admits(each)
+               : found == nullptr;
+}
+
+} // namespace
+
+Test(ledger, best_fit_takes_the_tightest_and_avoids_accelerators)
+{
+    capacity_ledger accounts;
+    accounts.open(machine(1, {8, 16'000, 64'000, 2}), 1, {}, {});
+    accounts.open(machine(2), 1, {}, {});
+    accounts.open(machine(3), 1, {}, {});
+    const resources one{1, 1'000, 1'000, 0};
+    cr_assert(accounts.take(worker_id("w3"), holding(1, one)));
+    cr_assert(*accounts.best_fit(one, accelerator_use::allow) ==
+              worker_id("w3"));
+    cr_assert(*accounts.best_fit({1, 0, 0, 1}, accelerator_use::allow) ==
+              worker_id("w1"));
+    accounts.close(worker_id("w2"));
+    accounts.close(worker_id("w3"));
+    cr_assert(accounts.best_fit({7, 0, 0, 0}, accelerator_use::allow));
+    cr_assert(!accounts.best_fit({7, 0, 0, 0}, accelerator_use::protect),
+              "two slots stay with the two free accelerators");
+    cr_assert(accounts.best_fit({6, 0, 0, 0}, accelerator_use::protect));
+}
+
+Test(ledger, intake_probe_admits_one_attempt)
+{
+    capacity_ledger accounts;
+    accounts.open(machine(1), 1, {}, {});
+    const worker_id id("w1");
+    const resources one{1, 0, 0, 0};
+    accounts.set_intake(id, intake::closed);
+    cr_assert(!accounts.take(id, holding(1, one)));
+    cr_assert(accounts.free_total() == resources{});
+    accounts.set_intake(id, intake::probe);
+    cr_assert(accounts.take(id, holding(1, one)));
+    cr_assert(!accounts.take(id, holding(2, one)));
+    cr_assert(!accounts.best_fit(one, accelerator_use::allow));
+    cr_assert(accounts.release(id, attempt_id("a1")));
+    cr_assert(!accounts.best_fit(one, accelerator_use::allow));
+    accounts.set_intake(id, intake::open);
+    cr_assert(agrees(accounts) && accounts.free_total().slots == 8);
+}
+
+Test(ledger, opening_again_replaces_the_account)
+{
+    capacity_ledger accounts;
+    accounts.open(machine(1), 1, {}, {});
+    cr_assert(accounts.take(worker_id("w1"), holding(1, {2, 0, 0, 0})));
+    accounts.open(machine(1), 2, {}, {});
+    cr_assert(accounts.free_total().slots == 8);
+    cr_assert(accounts.used_by(tenant_name("t1")).holdings == 0);
+    cr_assert(accounts.used_by_workload().empty());
+}
+
+Test(ledger, totals_index_and_limits_hold_in_random_runs)
+{
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        std::mt19937_64 random(seed);
+        const auto below = [&](std::int64_t limit)
+        {
+            return static_cast<std::int64_t>(random() %
+                                             static_cast<std::uint64_t>(limit));
+        };
+        capacity_ledger accounts;
+        std::vector<std::pair<worker_id, attempt_id>> held;
+        for (int step = 0; step < 2000; ++step)
+        {
+            const auto subject =
+                machine(below(12), {8, 16'000, 64'000, below(2) * 2});
+            const resources each{1 + below(3), below(6) * 1'000,
+                                 below(20) * 1'000, below(8) == 0 ? 1 : 0};
+            switch (below(12))
+            {
+            case 0:
+                accounts.open(subject, 1, {}, {});
+                break;
+            case 1:
+                accounts.set_leaving(subject.id, below(2) == 0);
+                break;
+            case 2:
+                accounts.set_intake(subject.id, static_cast<intake>(below(3)));
+                break;
+            case 3:
+                if (below(4) == 0)
+                {
+                    accounts.close(subject.id);
+                }
+                break;
+            case 4:
+            case 5:
+            case 6:
+            case 7:
+                if (!held.empty())
+                {
+                    const auto& [id, attempt] = held[static_cast<std::size_t>(
+                        below(static_cast<std::int64_t>(held.size())))];
+                    accounts.release(id, attempt);
+                }
+                break;
+            default:
+                if (const auto* const found =
+                        accounts.best_fit(each, accelerator_use::allow))
+                {
+                    const worker_id id = *found;
+                    const auto item = holding(step, each);
+                    cr_assert(accounts.take(id, item));
+                    held.emplace_back(id, item.attempt);
+                }
+            }
+            cr_assert(agrees(accounts), "seed %u step %d", seed, step);
+            cr_assert(finds_exactly(accounts, each), "seed %u step %d", seed,
+                      step);
+        }
+    }
+}
--- a/tests/unit-policy-wait-queue.cpp
+++ b/tests/unit-policy-wait-queue.cpp
@@ -72,6 +72,7 @@
 {
     wait_queue<int> queue;
     std::vector<wait_ticket> tickets;
+    tickets.reserve(1000);
     for (int i = 0; i < 1000; ++i)
     {
         tickets.push_back(queue.push(proofs, i % 3, at(i), at(0), i));
