Order grants by class, priority, quota and deadline; room for short work

Cause: the first picker knew neither tenants nor run times, filled each line in full before the next and scanned all workers. Ruled out: a sort once for each call (a tenant that crosses its quota during the call would keep its place); declared run times for what is long.

--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,271 @@
+/// @file
+/// Measures the pure decision by itself: one placement chosen and taken in a
+/// ledger that is nearly full, over ledgers of several sizes.
+#include <pimentoshunt/policy/grant_picker.hpp>
+
+#include <boost/json/serialize.hpp> // serialize
+#include <boost/json/value.hpp>     // value, array, object
+
+#include <algorithm> // sort
+#include <chrono>    // steady_clock
+#include <cmath>     // log2
+#include <cstdlib>   // strtoul
+#include <fstream>   // ofstream
+#include <iomanip>   // setw
+#include <iostream>  // cout
+#include <random>    // mt19937_64
+#include <string>    // string
+#include <vector>    // vector
+
+namespace
+{
+
+using namespace pimentoshunt;
+using ledger::capacity_ledger;
+using policy::demand_line;
+using policy::grant_picker;
+using policy::placement;
+
+constexpr int warm_up = 2'000;
+constexpr int rounds = 20'000;
+constexpr int rounds_of_scan = 300;
+/// Share of the slots in use while it measures.
+constexpr double fill = 0.95;
+
+/// @brief The yardstick: the first worker that admits, found by a scan.
+class scan_picker
+{
+  public:
+    template<class Take>
+    auto pick(const capacity_ledger& accounts,
+              const std::vector<demand_line>& lines, Take&& take, time_point)
+        -> void
+    {
+        for (std::size_t i = 0; i < lines.size(); ++i)
+        {
+            auto left = lines[i].count;
+            for (const auto& [id, account] : accounts.accounts())
+            {
+                while (left > 0 && account.admits(lines[i].workload->each) &&
+                       take(placement{i, id}))
+                {
+                    --left;
+                }
+            }
+        }
+    }
+};
+
+/// @brief Where an attempt runs.
+struct held_attempt
+{
+    worker_id worker;
+    attempt_id attempt;
+};
+
+/// @brief One size's result; times of one placement.
+struct outcome
+{
+    std::size_t workers = 0;
+    double p50_ns = 0;
+    double p99_ns = 0;
+    double mean_ns = 0;
+};
+
+auto nanoseconds_since(std::chrono::steady_clock::time_point begin) -> double
+{
+    const std::chrono::duration<double, std::nano> took =
+        std::chrono::steady_clock::now() - begin;
+    return took.count();
+}
+
+auto summary(std::size_t workers, std::vector<double> times) -> outcome
+{
+    std::sort(times.begin(), times.end());
+    double sum = 0;
+    for (const auto time : times)
+    {
+        sum += time;
+    }
+    return {workers, times[times.size() / 2], times[times.size() * 99 / 100],
+            sum / static_cast<double>(times.size())};
+}
+
+auto make_workloads(std::mt19937_64& random) -> std::vector<plan::workload>
+{
+    std::vector<plan::workload> made(20);
+    for (std::size_t i = 0; i < made.size(); ++i)
+    {
+        const auto draw = [&](std::int64_t limit)
+        {
+            return static_cast<std::int64_t>(random()) & (limit - 1);
+        };
+        made[i].name = workload_name("w" + std::to_string(i));
+        made[i].tenant = tenant_name("t" + std::to_string(i % 5));
+        made[i].each = {1, 500 + draw(2'048), 1'000 + draw(8'192),
+                        i % 10 == 0 ? 1 : 0};
+        made[i].cls =
+            i % 4 == 3 ? plan::work_class::batch : plan::work_class::service;
+    }
+    return made;
+}
+
+auto open_workers(capacity_ledger& accounts, std::size_t count) -> void
+{
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        worker::description made;
+        made.id = worker_id("worker-" + std::to_string(i));
+        made.capacity = {8, 16'000, 64'000, i % 8 == 0 ? 8 : 0};
+        made.connections = 64;
+        accounts.open(made, 1, {}, {});
+    }
+}
+
+/// @brief A nearly full ledger in which one placement follows another.
+template<class Picker>
+class bench
+{
+  public:
+    bench(std::size_t workers, unsigned seed) : m_random(seed)
+    {
+        m_workloads = make_workloads(m_random);
+        plan::document document;
+        document.workloads = m_workloads;
+        for (int i = 0; i < 5; ++i)
+        {
+            const auto most = static_cast<std::int64_t>(workers) * 2;
+            document.tenants.push_back(
+                {tenant_name("t" + std::to_string(i)), {most, 0, 0, 0}});
+        }
+        if constexpr (requires { m_picker.set_plan(document); })
+        {
+            m_picker.set_plan(document);
+            for (int i = 0; i < 2'000; ++i)
+            {
+                const auto& workload = m_workloads[m_random() % 20];
+                m_picker.observe(workload, milliseconds(20));
+            }
+        }
+        open_workers(m_accounts, workers);
+        const auto target = static_cast<double>(workers * 8) * fill;
+        while (static_cast<double>(m_held.size()) < target && place())
+        {
+        }
+    }
+
+    auto run(int count) -> outcome
+    {
+        std::vector<double> times;
+        times.reserve(static_cast<std::size_t>(count));
+        for (int i = -warm_up; i < count; ++i)
+        {
+            release_one();
+            const auto begin = std::chrono::steady_clock::now();
+            place();
+            const auto took = nanoseconds_since(begin);
+            if (i >= 0)
+            {
+                times.push_back(took);
+            }
+        }
+        return summary(m_accounts.accounts().size(), times);
+    }
+
+  private:
+    /// @brief One unit of a random workload.
+    auto place() -> bool
+    {
+        m_lines.clear();
+        const auto now = time_point(std::chrono::hours(1));
+        const auto& workload = m_workloads[m_random() % m_workloads.size()];
+        m_lines.push_back({instance_id("e"), &workload, 1,
+                           now + milliseconds(100), now - milliseconds(5)});
+        bool taken = false;
+        m_picker.pick(
+            m_accounts, m_lines,
+            [&](const placement& choice)
+            {
+                taken = take(*m_lines[choice.line].workload, choice.worker);
+                return taken;
+            },
+            now);
+        return taken;
+    }
+
+    auto take(const plan::workload& workload, const worker_id& worker) -> bool
+    {
+        ledger::holding item;
+        item.attempt = attempt_id(std::to_string(++m_attempts));
+        item.workload = workload.name;
+        item.tenant = workload.tenant;
+        item.each = workload.each;
+        m_held.push_back({worker, item.attempt});
+        return m_accounts.take(worker, item);
+    }
+
+    auto release_one() -> void
+    {
+        std::swap(m_held[m_random() % m_held.size()], m_held.back());
+        m_accounts.release(m_held.back().worker, m_held.back().attempt);
+        m_held.pop_back();
+    }
+
+    std::mt19937_64 m_random;
+    std::vector<plan::workload> m_workloads;
+    capacity_ledger m_accounts;
+    Picker m_picker;
+    std::vector<held_attempt> m_held;
+    std::vector<demand_line> m_lines;
+    std::uint64_t m_attempts = 0;
+};
+
+auto report(const char* name, const outcome& result, double base_ns)
+    -> boost::json::object
+{
+    std::cout << std::setw(8) << name << std::setw(9) << result.workers
+              << std::setw(11) << result.p50_ns << std::setw(11)
+              << result.p99_ns << std::setw(11) << result.mean_ns
+              << std::setw(10) << result.mean_ns / base_ns << std::setw(10)
+              << std::log2(static_cast<double>(result.workers)) / std::log2(48)
+              << "\n";
+    return {{"picker", name},
+            {"workers", result.workers},
+            {"p50_ns", result.p50_ns},
+            {"p99_ns", result.p99_ns},
+            {"mean_ns", result.mean_ns}};
+}
+
+} // namespace
+
+/// Usage: policy_bench [seed] [json file]
+auto main(int count, char** words) -> int
+{
+    const auto seed = static_cast<unsigned>(
+        count > 1 ? std::strtoul(words[1], nullptr, 10) : 1);
+    boost::json::array all;
+    std::cout << std::fixed << std::setprecision(2) << "seed " << seed
+              << ", times in ns for one placement taken\n"
+              << "  picker  workers        p50        p99       mean"
+              << "  of at 48  log ratio\n";
+    double base_ns = 0;
+    for (const std::size_t workers : {48, 480, 4'800, 26'000})
+    {
+        const auto result = bench<grant_picker>(workers, seed).run(rounds);
+        base_ns = base_ns > 0 ? base_ns : result.mean_ns;
+        all.push_back(report("index", result, base_ns));
+    }
+    base_ns = 0;
+    for (const std::size_t workers : {48, 480, 4'800})
+    {
+        const auto result =
+            bench<scan_picker>(workers, seed).run(rounds_of_scan);
+        base_ns = base_ns > 0 ? base_ns : result.mean_ns;
+        all.push_back(report("scan", result, base_ns));
+    }
+    if (count > 2)
+    {
+        std::ofstream(words[2]) << boost::json::serialize(all) << "\n";
+    }
+    return 0;
+}
--- a/include/pimentoshunt/policy/grant_picker.hpp
+++ b/include/pimentoshunt/policy/grant_picker.hpp
@@ -6,10 +6,14 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/ledger/capacity_ledger.hpp>
 #include <pimentoshunt/plan/document.hpp>
+#include <pimentoshunt/policy/run_time_estimator.hpp>
+#include <pimentoshunt/policy/short_reserve.hpp>
+#include <pimentoshunt/policy/tenant_shares.hpp>
 
-#include <algorithm> // sort
-#include <cstdint>   // int64_t
-#include <vector>    // vector
+#include <cstdint>       // int64_t
+#include <queue>         // priority_queue
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
 
 namespace pimentoshunt::policy
 {
@@ -34,57 +38,222 @@
     worker_id worker;
 };
 
+/// @brief A batch attempt whose checkpoint makes room for short work.
+struct checkpoint_candidate
+{
+    worker_id worker;
+    attempt_id attempt;
+};
+
+/// @brief Limits of @ref grant_picker.
+struct grant_picker_options
+{
+    /// Work is long when its mean run time is this many short medians.
+    double long_ratio = 8.0;
+    /// Time after which a peak of short use counts half.
+    milliseconds peak_half_life{60'000};
+    /// Largest share of the capacity kept free for a gang that waits.
+    double gang_room_share = 0.25;
+    /// Short medians that short work waits before a checkpoint is due.
+    double checkpoint_patience = 4.0;
+};
+
+namespace detail
+{
+
+/// @brief Place of a demand line among all; the smallest goes first.
+struct urgency
+{
+    /// 0 for services, 1 for batch and gangs.
+    int rank = 0;
+    int priority = 0;
+    /// Share of the quota where above 1, else 0.
+    double over_quota = 0;
+    time_point deadline;
+
+    friend auto operator<(const urgency& left, const urgency& right) -> bool;
+};
+
+/// @brief A demand line while placements are chosen.
+struct candidate
+{
+    urgency key;
+    std::size_t line = 0;
+    std::int64_t left = 0;
+    /// Units already placed.
+    std::int64_t placed = 0;
+
+    /// @brief For a heap whose top is the most urgent.
+    friend auto operator<(const candidate& left, const candidate& right) -> bool
+    {
+        return right.key < left.key ||
+               (!(left.key < right.key) && right.line < left.line);
+    }
+};
+
+/// @brief What one decision has to leave free.
+struct kept_rooms
+{
+    resources for_short;
+    resources for_gang;
+    bool gang_waits = false;
+};
+
+} // namespace detail
+
 /// @brief Chooses placements; takes nothing from the ledger by itself.
+///
+/// Services go before batch and gangs; within a class by priority, then
+/// tenants within their quota before those over it, then the earliest
+/// deadline. Work that runs many times longer than the median of the services
+/// leaves room for the recent peak of short use. While a gang waits for more
+/// room, later gangs get nothing and long batch work leaves it some room.
 class grant_picker
 {
   public:
+    explicit grant_picker(grant_picker_options options = {});
+
+    /// @brief Takes quotas and workloads in place of those of earlier plans.
+    auto set_plan(const plan::document& document) -> void;
+
+    /// @brief Takes what tenants hold at other owners.
+    auto set_usage_elsewhere(const std::vector<tenant_usage>& usages) -> void;
+
+    /// @brief Says which share of the cell's capacity this owner holds, 0 to 1.
+    ///
+    /// Demand tables count all that waits in the cell; room for short work and
+    /// checkpoints count this share of it.
+    auto set_cell_share(double share) -> void;
+
+    /// @brief Learns from a run that ended with an answer.
+    auto observe(const plan::workload& workload, run_duration run_time) -> void;
+
+    /// @brief Learns from a run that goes on: it lasts at least @p so_far.
+    auto observe_running(const plan::workload& workload, run_duration so_far)
+        -> void;
+
     /// @brief Fills free capacity with the most urgent lines.
-    /// @param accounts  the ledger; the caller takes each placement from it
+    /// @param accounts  the ledger; the caller takes each placement from it,
+    ///                  with the workload's tenant, before the call returns
     /// @param lines  in any order; their counts are not changed
     /// @param take  called as bool(const placement&) for each choice, at once;
-    ///              false when the ledger did not admit it
+    ///              false when it is not wanted: its line gets no more
     /// @param now  time of the decision
+    /// @complexity for each placement, logarithmic in the number of lines and
+    ///             as capacity_ledger::best_fit in the number of workers; for
+    ///             each call, linear in lines and in workloads that hold
     template<class Take>
     auto pick(const ledger::capacity_ledger& accounts,
               const std::vector<demand_line>& lines, Take&& take,
               time_point now) -> void;
+
+    /// @brief Names long batch attempts to checkpoint for waiting short work.
+    /// @param lines  what still waits after @ref pick
+    /// @return as few as make room for this owner's share of it; work over its
+    ///         tenant's quota first, then the lowest priority, then the
+    ///         youngest; none before short work has waited long enough
+    /// @complexity linear in the number of holdings
+    [[nodiscard]] auto
+    checkpoint_candidates(const ledger::capacity_ledger& accounts,
+                          const std::vector<demand_line>& lines,
+                          time_point now) const
+        -> std::vector<checkpoint_candidate>;
+
+    /// @brief Whether the workload runs many times longer than services do.
+    /// @note Batch and gang work of unknown run time counts as long.
+    [[nodiscard]] auto is_long(const plan::workload& workload) const -> bool;
+
+    /// @brief The learned run times.
+    [[nodiscard]] auto run_times() const noexcept -> const run_time_estimator&
+    {
+        return m_times;
+    }
+
+  private:
+    using heap = std::priority_queue<detail::candidate>;
+
+    struct known_workload
+    {
+        plan::workload workload;
+        bool is_long = false;
+    };
+
+    auto begin(const ledger::capacity_ledger& accounts,
+               const std::vector<demand_line>& lines,
+               const resources& short_use, time_point now) -> heap;
+    [[nodiscard]] auto runs_long(const plan::workload& workload) const -> bool;
+    auto refresh_long() -> void;
+    [[nodiscard]] auto urgency_of(const ledger::capacity_ledger& accounts,
+                                  const demand_line& line, std::int64_t placed,
+                                  time_point now) const -> detail::urgency;
+    [[nodiscard]] auto place_for(const ledger::capacity_ledger& accounts,
+                                 const plan::workload& workload,
+                                 const detail::kept_rooms& kept) const
+        -> const worker_id*;
+    auto keep_gang_room(const ledger::capacity_ledger& accounts,
+                        const detail::candidate& waiting,
+                        const plan::workload& workload,
+                        detail::kept_rooms& kept) const -> void;
+    [[nodiscard]] auto
+    short_in_use(const ledger::capacity_ledger& accounts) const -> resources;
+    [[nodiscard]] auto short_waiting(const std::vector<demand_line>& lines,
+                                     run_duration waited, time_point now) const
+        -> resources;
+    [[nodiscard]] auto is_short_service(const plan::workload& workload) const
+        -> bool;
+    [[nodiscard]] auto find(const workload_name& name) const
+        -> const known_workload*;
+
+    grant_picker_options m_options;
+    std::unordered_map<workload_name, known_workload> m_workloads;
+    tenant_shares m_shares;
+    run_time_estimator m_times;
+    /// Run times of all services together.
+    detail::run_time_sample m_service_times;
+    run_duration m_short_median{0};
+    short_reserve m_reserve;
+    double m_cell_share = 1.0;
 };
 
 template<class Take>
 auto grant_picker::pick(const ledger::capacity_ledger& accounts,
                         const std::vector<demand_line>& lines, Take&& take,
-                        time_point) -> void
+                        time_point now) -> void
 {
-    std::vector<std::size_t> order(lines.size());
-    for (std::size_t i = 0; i < order.size(); ++i)
-    {
-        order[i] = i;
-    }
-    std::sort(order.begin(), order.end(),
-              [&](std::size_t a, std::size_t b)
-              {
-                  const auto& left = *lines[a].workload;
-                  const auto& right = *lines[b].workload;
-                  if (left.cls != right.cls)
-                  {
-                      return left.cls < right.cls;
-                  }
-                  if (left.priority != right.priority)
-                  {
-                      return left.priority > right.priority;
-                  }
-                  return lines[a].deadline < lines[b].deadline;
-              });
-    for (const auto index : order)
+    const auto short_use = short_in_use(accounts);
+    auto waiting = begin(accounts, lines, short_use, now);
+    detail::kept_rooms kept;
+    kept.for_short = m_reserve.room(short_use, now);
+    while (!waiting.empty())
     {
-        auto left = lines[index].count;
-        for (const auto& [id, account] : accounts.accounts())
+        auto next = waiting.top();
+        waiting.pop();
+        const auto& line = lines[next.line];
+        const auto& workload = *line.workload;
+        const auto key = urgency_of(accounts, line, next.placed, now);
+        if (next.key < key)
+        {
+            // its tenant got more since the key was made
+            next.key = key;
+            waiting.push(next);
+            continue;
+        }
+        const auto* const worker = place_for(accounts, workload, kept);
+        if (worker == nullptr)
+        {
+            keep_gang_room(accounts, next, workload, kept);
+            continue;
+        }
+        if (!take(placement{next.line, *worker}))
+        {
+            continue;
+        }
+        ++next.placed;
+        --next.left;
+        if (next.left > 0)
         {
-            while (left > 0 && account.admits(lines[index].workload->each) &&
-                   take(placement{index, id}))
-            {
-                --left;
-            }
+            next.key = urgency_of(accounts, line, next.placed, now);
+            waiting.push(next);
         }
     }
 }
--- /dev/null
+++ b/include/pimentoshunt/policy/tenant_shares.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// Fairness between tenants: who is over its quota, and how far.
+#pragma once
+
+#include <pimentoshunt/identifier.hpp>
+#include <pimentoshunt/ledger/capacity_ledger.hpp>
+#include <pimentoshunt/plan/document.hpp>
+#include <pimentoshunt/resources.hpp>
+
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace pimentoshunt::policy
+{
+
+/// @brief What a tenant's work holds on workers of other owners.
+struct tenant_usage
+{
+    tenant_name tenant;
+    resources in_use;
+};
+
+/// @brief Quotas and the usage that other owners report.
+class tenant_shares
+{
+  public:
+    /// @brief Takes the quotas of @p tenants in place of all earlier ones.
+    auto set_quotas(const std::vector<plan::tenant>& tenants) -> void;
+
+    /// @brief Takes what other owners report in place of all earlier reports.
+    auto set_usage_elsewhere(const std::vector<tenant_usage>& usages) -> void;
+
+    /// @brief The tenant's use with @p more, as a share of its quota.
+    /// @return the largest share over all resources that the quota limits;
+    ///         above 1 it is over; 0 without a quota
+    [[nodiscard]] auto share(const ledger::capacity_ledger& accounts,
+                             const tenant_name& tenant,
+                             const resources& more) const -> double;
+
+  private:
+    std::unordered_map<tenant_name, resources> m_quotas;
+    std::unordered_map<tenant_name, resources> m_elsewhere;
+};
+
+} // namespace pimentoshunt::policy
--- /dev/null
+++ b/src/policy/grant_picker.cpp
@@ -0,0 +1,348 @@
+#include <pimentoshunt/policy/grant_picker.hpp>
+
+#include <algorithm> // sort, min, max
+#include <cmath>     // ceil
+#include <tuple>     // tie
+#include <utility>   // move
+
+namespace pimentoshunt::policy
+{
+
+namespace
+{
+
+auto scaled(const resources& amount, double by) -> resources
+{
+    const auto scale = [by](std::int64_t value)
+    {
+        return static_cast<std::int64_t>(
+            std::ceil(static_cast<double>(value) * by));
+    };
+    return {scale(amount.slots), scale(amount.millicpus),
+            scale(amount.memory_mb), scale(amount.accelerators)};
+}
+
+auto smaller(const resources& left, const resources& right) -> resources
+{
+    return {std::min(left.slots, right.slots),
+            std::min(left.millicpus, right.millicpus),
+            std::min(left.memory_mb, right.memory_mb),
+            std::min(left.accelerators, right.accelerators)};
+}
+
+/// @brief Whether @p free holds @p each with @p kept left over, in every kind
+///        of which @p each takes some.
+auto leaves(const resources& free, const resources& each, const resources& kept)
+    -> bool
+{
+    const auto left = free - each;
+    return (each.slots == 0 || left.slots >= kept.slots) &&
+           (each.millicpus == 0 || left.millicpus >= kept.millicpus) &&
+           (each.memory_mb == 0 || left.memory_mb >= kept.memory_mb) &&
+           (each.accelerators == 0 || left.accelerators >= kept.accelerators);
+}
+
+/// @brief A long batch attempt with what decides its order.
+struct checkpoint_choice
+{
+    bool over_quota = false;
+    int priority = 0;
+    time_point granted_at;
+    resources each;
+    checkpoint_candidate candidate;
+
+    friend auto operator<(const checkpoint_choice& left,
+                          const checkpoint_choice& right) -> bool
+    {
+        return std::tie(right.over_quota, left.priority, right.granted_at,
+                        left.candidate.attempt.str()) <
+               std::tie(left.over_quota, right.priority, left.granted_at,
+                        right.candidate.attempt.str());
+    }
+};
+
+} // namespace
+
+namespace detail
+{
+
+auto operator<(const urgency& left, const urgency& right) -> bool
+{
+    return std::tie(left.rank, right.priority, left.over_quota, left.deadline) <
+           std::tie(right.rank, left.priority, right.over_quota,
+                    right.deadline);
+}
+
+} // namespace detail
+
+grant_picker::grant_picker(grant_picker_options options)
+    : m_options(options), m_reserve(options.peak_half_life)
+{
+}
+
+auto grant_picker::set_plan(const plan::document& document) -> void
+{
+    m_shares.set_quotas(document.tenants);
+    for (const auto& [name, known] : m_workloads)
+    {
+        if (document.find(name) == nullptr)
+        {
+            m_times.forget(name);
+        }
+    }
+    m_workloads.clear();
+    for (const auto& workload : document.workloads)
+    {
+        m_workloads.emplace(workload.name,
+                            known_workload{workload, runs_long(workload)});
+    }
+}
+
+auto grant_picker::set_usage_elsewhere(const std::vector<tenant_usage>& usages)
+    -> void
+{
+    m_shares.set_usage_elsewhere(usages);
+}
+
+auto grant_picker::set_cell_share(double share) -> void
+{
+    m_cell_share = share;
+}
+
+auto grant_picker::observe(const plan::workload& workload,
+                           run_duration run_time) -> void
+{
+    m_times.observe(workload.name, run_time);
+    const auto median = m_short_median;
+    if (workload.cls == plan::work_class::service)
+    {
+        m_service_times.add(run_time);
+        m_short_median = m_service_times.quantile(0.5);
+    }
+    if (m_short_median != median)
+    {
+        refresh_long();
+        return;
+    }
+    const auto known = m_workloads.find(workload.name);
+    if (known != m_workloads.end())
+    {
+        known->second.is_long = runs_long(workload);
+    }
+}
+
+auto grant_picker::observe_running(const plan::workload& workload,
+                                   run_duration so_far) -> void
+{
+    m_times.observe_running(workload.name, so_far);
+}
+
+auto grant_picker::is_long(const plan::workload& workload) const -> bool
+{
+    const auto* const known = find(workload.name);
+    return known != nullptr ? known->is_long : runs_long(workload);
+}
+
+auto grant_picker::refresh_long() -> void
+{
+    for (auto& [name, known] : m_workloads)
+    {
+        known.is_long = runs_long(known.workload);
+    }
+}
+
+auto grant_picker::runs_long(const plan::workload& workload) const -> bool
+{
+    const bool is_service = workload.cls == plan::work_class::service;
+    if (!is_service && !m_times.learned(workload.name))
+    {
+        return true;
+    }
+    if (m_short_median.count() == 0)
+    {
+        return !is_service;
+    }
+    const auto mean = static_cast<double>(m_times.mean(workload).count());
+    const auto median = static_cast<double>(m_short_median.count());
+    return m_times.learned(workload.name) &&
+           mean > m_options.long_ratio * median;
+}
+
+auto grant_picker::begin(const ledger::capacity_ledger& accounts,
+                         const std::vector<demand_line>& lines,
+                         const resources& short_use, time_point now) -> heap
+{
+    const auto waits = short_waiting(lines, run_duration(0), now);
+    const auto use = short_use + scaled(waits, m_cell_share);
+    m_reserve.note(smaller(use, accounts.capacity_total()), now);
+    std::vector<detail::candidate> live;
+    live.reserve(lines.size());
+    for (std::size_t i = 0; i < lines.size(); ++i)
+    {
+        if (lines[i].count > 0 && lines[i].deadline > now)
+        {
+            live.push_back(
+                {urgency_of(accounts, lines[i], 0, now), i, lines[i].count});
+        }
+    }
+    return heap({}, std::move(live));
+}
+
+auto grant_picker::urgency_of(const ledger::capacity_ledger& accounts,
+                              const demand_line& line, std::int64_t placed,
+                              time_point now) const -> detail::urgency
+{
+    const auto& workload = *line.workload;
+    const auto share = m_shares.share(accounts, workload.tenant, workload.each);
+    detail::urgency key;
+    key.rank = workload.cls == plan::work_class::service ? 0 : 1;
+    key.priority = workload.priority;
+    key.over_quota = share > 1.0 ? share : 0.0;
+    // the line tells only its first deadline: the others are taken to follow
+    // at equal steps, as if they had arrived evenly since the first
+    const auto age =
+        std::max(now - line.waiting_since, time_point::duration::zero());
+    key.deadline = line.deadline + age * placed / line.count;
+    return key;
+}
+
+auto grant_picker::place_for(const ledger::capacity_ledger& accounts,
+                             const plan::workload& workload,
+                             const detail::kept_rooms& kept) const
+    -> const worker_id*
+{
+    using ledger::accelerator_use;
+    if (workload.cls == plan::work_class::gang && kept.gang_waits)
+    {
+        return nullptr;
+    }
+    if (!is_long(workload))
+    {
+        return accounts.best_fit(workload.each, accelerator_use::allow);
+    }
+    const auto room = workload.cls == plan::work_class::batch
+                          ? kept.for_short + kept.for_gang
+                          : kept.for_short;
+    if (!leaves(accounts.free_total(), workload.each, room))
+    {
+        return nullptr;
+    }
+    return accounts.best_fit(workload.each, accelerator_use::protect);
+}
+
+auto grant_picker::keep_gang_room(const ledger::capacity_ledger& accounts,
+                                  const detail::candidate& waiting,
+                                  const plan::workload& workload,
+                                  detail::kept_rooms& kept) const -> void
+{
+    if (workload.cls != plan::work_class::gang || kept.gang_waits)
+    {
+        return;
+    }
+    const auto missing =
+        scaled(workload.each, static_cast<double>(waiting.left));
+    const auto most =
+        scaled(accounts.capacity_total(), m_options.gang_room_share);
+    kept.gang_waits = true;
+    kept.for_gang = smaller(missing, most);
+}
+
+auto grant_picker::checkpoint_candidates(
+    const ledger::capacity_ledger& accounts,
+    const std::vector<demand_line>& lines, time_point now) const
+    -> std::vector<checkpoint_candidate>
+{
+    std::vector<checkpoint_candidate> chosen;
+    const auto patience = std::chrono::duration_cast<run_duration>(
+        m_short_median * m_options.checkpoint_patience);
+    const auto waits =
+        scaled(short_waiting(lines, patience, now), m_cell_share);
+    auto missing = waits.slots - accounts.free_total().slots;
+    if (waits.slots == 0 || missing <= 0)
+    {
+        return chosen;
+    }
+    std::vector<checkpoint_choice> choices;
+    for (const auto& [id, account] : accounts.accounts())
+    {
+        if (!account.accepting())
+        {
+            continue;
+        }
+        for (const auto& [attempt, item] : account.holdings)
+        {
+            const auto* const known = find(item.workload);
+            if (known == nullptr || !known->is_long ||
+                known->workload.cls != plan::work_class::batch)
+            {
+                continue;
+            }
+            const auto& workload = known->workload;
+            const auto share = m_shares.share(accounts, workload.tenant, {});
+            choices.push_back({share > 1.0,
+                               workload.priority,
+                               item.granted_at,
+                               item.each,
+                               {id, attempt}});
+        }
+    }
+    std::sort(choices.begin(), choices.end());
+    for (const auto& choice : choices)
+    {
+        if (missing <= 0)
+        {
+            break;
+        }
+        missing -= choice.each.slots;
+        chosen.push_back(choice.candidate);
+    }
+    return chosen;
+}
+
+auto grant_picker::short_in_use(const ledger::capacity_ledger& accounts) const
+    -> resources
+{
+    resources sum;
+    for (const auto& [name, used] : accounts.used_by_workload())
+    {
+        const auto* const known = find(name);
+        if (known != nullptr && !known->is_long &&
+            known->workload.cls == plan::work_class::service)
+        {
+            sum += used.total;
+        }
+    }
+    return sum;
+}
+
+auto grant_picker::short_waiting(const std::vector<demand_line>& lines,
+                                 run_duration waited, time_point now) const
+    -> resources
+{
+    resources sum;
+    for (const auto& line : lines)
+    {
+        const bool counts = line.count > 0 && line.deadline > now &&
+                            now - line.waiting_since >= waited;
+        if (counts && is_short_service(*line.workload))
+        {
+            sum += scaled(line.workload->each, static_cast<double>(line.count));
+        }
+    }
+    return sum;
+}
+
+auto grant_picker::is_short_service(const plan::workload& workload) const
+    -> bool
+{
+    return workload.cls == plan::work_class::service && !is_long(workload);
+}
+
+auto grant_picker::find(const workload_name& name) const
+    -> const known_workload*
+{
+    const auto found = m_workloads.find(name);
+    return found == m_workloads.end() ? nullptr : &found->second;
+}
+
+} // namespace pimentoshunt::policy
