Policy in the engine: order, quotas, learned run times, worker health

Cause: grants went in plain order of deadline and to workers that failed. Change: releases carry run times and outcomes to the owner, which learns from them; heartbeats carry tenants' use; a failing worker is closed and probed. The engine's source is split by topic.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -13,6 +13,7 @@
 #include <pimentoshunt/ownership/worker_keeper.hpp>
 #include <pimentoshunt/plan/document.hpp>
 #include <pimentoshunt/policy/grant_picker.hpp>
+#include <pimentoshunt/policy/worker_health.hpp>
 
 #include <pimentoshunt.pb.h>
 
@@ -120,7 +121,10 @@
     auto on_plan_text(const wire::plan_text& message, time_point now) -> void;
     auto on_demand(const wire::envelope& message, time_point now) -> void;
     auto on_grants(const wire::envelope& message, time_point now) -> void;
-    auto on_releases(const wire::releases& message) -> void;
+    auto on_releases(const wire::releases& message, time_point now) -> void;
+    auto take_usage(const instance_id& sender, const wire::heartbeat& beat)
+        -> void;
+    auto update_policy(time_point now) -> void;
 
     auto note_pause(time_point now) -> void;
     auto beat(time_point now) -> void;
@@ -138,10 +142,14 @@
     auto hand_out(const instance_id& entry,
                   const std::vector<entry::grant>& grants, time_point now)
         -> void;
-    auto give_back(const entry::grant& item, ownership::attempt_outcome outcome)
+    auto give_back(const entry::grant& item, ownership::attempt_outcome outcome,
+                   std::chrono::microseconds run_time, time_point now) -> void;
+    auto release_here(const entry::grant& item,
+                      ownership::attempt_outcome outcome,
+                      std::chrono::microseconds run_time, time_point now)
         -> void;
-    auto release_here(const worker_id& worker, const attempt_id& attempt,
-                      ownership::attempt_outcome outcome) -> void;
+    auto learn(const entry::grant& item, ownership::attempt_outcome outcome,
+               std::chrono::microseconds run_time, time_point now) -> void;
     auto send_to(const instance_id& id, wire::envelope message) -> void;
     auto stamp(wire::envelope message) const -> wire::envelope;
     auto next_attempt() -> attempt_id;
@@ -156,6 +164,9 @@
     ownership::demand_board m_board;
     entry::request_desk m_desk;
     policy::grant_picker m_picker;
+    policy::worker_health m_health;
+    /// What each other owner says that tenants hold there.
+    std::map<instance_id, std::vector<policy::tenant_usage>> m_usage;
     plan::plan_ptr m_plan;
     time_point m_plan_confirmed;
     bool m_plan_known = false;
--- a/include/pimentoshunt/ledger/capacity_ledger.hpp
+++ b/include/pimentoshunt/ledger/capacity_ledger.hpp
@@ -94,6 +94,14 @@
     /// @return false when the worker is not held or does not admit it
     auto take(const worker_id& id, const holding& item) -> bool;
 
+    /// @brief Accounts for an attempt that the worker says it runs, whether or
+    ///        not there is room for it.
+    auto adopt(const worker_id& id, const holding& item) -> void;
+
+    /// @brief Notes that the worker reported the attempt as running.
+    /// @return false when the attempt holds nothing there
+    auto mark_running(const worker_id& id, const attempt_id& attempt) -> bool;
+
     /// @brief Gives an attempt's resources back.
     /// @return false when the attempt holds nothing there (a repeat)
     auto release(const worker_id& id, const attempt_id& attempt) -> bool;
--- a/include/pimentoshunt/ownership/worker_keeper.hpp
+++ b/include/pimentoshunt/ownership/worker_keeper.hpp
@@ -12,12 +12,14 @@
 #include <pimentoshunt/ledger/capacity_ledger.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
 #include <pimentoshunt/ownership/holder.hpp>
+#include <pimentoshunt/plan/document.hpp>
 #include <pimentoshunt/worker/messages.hpp>
 
 #include <cstdint>       // uint64_t
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
 #include <unordered_set> // unordered_set
+#include <utility>       // move
 #include <vector>        // vector
 
 namespace pimentoshunt::ownership
@@ -144,8 +146,11 @@
     auto released(const worker_id& id, const attempt_id& attempt,
                   attempt_outcome outcome, keeper_calls& calls) -> void;
 
-    /// @brief Keeps a worker from new grants, or lets it have them again.
-    auto set_ejected(const worker_id& id, bool ejected) -> void;
+    /// @brief Takes the plan by which running work is told to tenants.
+    auto set_plan(plan::plan_ptr in_force) -> void
+    {
+        m_plan = std::move(in_force);
+    }
 
     /// @brief Operators' drain of one worker, or its end.
     auto set_drained(const worker_id& id, bool drained) -> void;
@@ -175,7 +180,6 @@
         worker::description worker;
         bool listed_leaving = false;
         bool own_leaving = false;
-        bool ejected = false;
         bool drained = false;
         bool suspended = false;
         bool wanted = false;
@@ -205,12 +209,15 @@
     auto adopt_running(record& item, const worker::state_report& report,
                        time_point now) -> void;
     auto update_grants(record& item) -> void;
+    [[nodiscard]] auto tenant_of(const workload_name& name) const
+        -> tenant_name;
     auto find(const worker_id& id) -> record*;
 
     holder m_self;
     keeper_limits m_limits;
     std::unordered_map<worker_id, record> m_records;
     ledger::capacity_ledger m_ledger;
+    plan::plan_ptr m_plan;
 };
 
 } // namespace pimentoshunt::ownership
--- a/src/capacity_ledger.cpp
+++ b/src/capacity_ledger.cpp
@@ -99,6 +99,37 @@
     return true;
 }
 
+auto capacity_ledger::adopt(const worker_id& id, const holding& item) -> void
+{
+    auto* const account = find(id);
+    if (account == nullptr || account->holdings.count(item.attempt) != 0)
+    {
+        return;
+    }
+    count_out(*account);
+    account->free -= item.each;
+    account->holdings.emplace(item.attempt, item);
+    note_taken(item);
+    count_in(*account);
+}
+
+auto capacity_ledger::mark_running(const worker_id& id,
+                                   const attempt_id& attempt) -> bool
+{
+    auto* const account = find(id);
+    if (account == nullptr)
+    {
+        return false;
+    }
+    const auto held = account->holdings.find(attempt);
+    if (held == account->holdings.end())
+    {
+        return false;
+    }
+    held->second.seen_running = true;
+    return true;
+}
+
 auto capacity_ledger::release(const worker_id& id, const attempt_id& attempt)
     -> bool
 {
--- /dev/null
+++ b/src/control/engine_membership.cpp
@@ -0,0 +1,223 @@
+#include <pimentoshunt/control/engine.hpp>
+
+#include <pimentoshunt/transport/wire_codec.hpp>
+
+#include <algorithm> // find, max
+#include <utility>   // move
+
+namespace pimentoshunt::control
+{
+namespace
+{
+
+/// Between two requests for a newer plan.
+constexpr milliseconds plan_request_interval{100};
+
+} // namespace
+
+auto engine::on_beat(const wire::envelope& message, time_point now) -> void
+{
+    const auto& beat = message.beat();
+    auto sender = transport::from_wire(beat.self());
+    if (sender.id == self_id())
+    {
+        return;
+    }
+    const auto sender_id = sender.id;
+    const auto revision = sender.plan_revision;
+    const auto free_slots = sender.free_slots;
+    m_membership_changed |= m_members.heard(std::move(sender), now);
+    for (const auto& relayed : beat.relayed())
+    {
+        auto item = transport::from_wire(relayed);
+        if (item.id == self_id())
+        {
+            continue;
+        }
+        const std::chrono::microseconds age(relayed.age_us());
+        m_membership_changed |= m_members.relayed(std::move(item), age, now);
+    }
+    take_usage(sender_id, beat);
+    if (m_links.count(sender_id) != 0)
+    {
+        m_desk.owner_alive(sender_id, free_slots);
+    }
+    if (beat.plan_confirmed_age_us() >= 0 && revision <= m_plan->revision)
+    {
+        const std::chrono::microseconds age(beat.plan_confirmed_age_us());
+        m_plan_confirmed = std::max(m_plan_confirmed, now - age);
+    }
+    const bool newer = revision > m_plan->revision;
+    if ((newer || !m_list_known) && now >= m_next_plan_request)
+    {
+        m_next_plan_request = now + plan_request_interval;
+        wire::envelope wanted;
+        wanted.mutable_plan_wanted();
+        send_to(sender_id, std::move(wanted));
+    }
+}
+
+auto engine::take_usage(const instance_id& sender, const wire::heartbeat& beat)
+    -> void
+{
+    auto& reported = m_usage[sender];
+    reported.clear();
+    for (const auto& item : beat.usage())
+    {
+        resources in_use;
+        in_use.slots = item.slots();
+        reported.push_back({tenant_name(item.tenant()), in_use});
+    }
+    std::map<tenant_name, resources> totals;
+    for (const auto& [id, items] : m_usage)
+    {
+        for (const auto& item : items)
+        {
+            totals[item.tenant] += item.in_use;
+        }
+    }
+    std::vector<policy::tenant_usage> elsewhere;
+    elsewhere.reserve(totals.size());
+    for (const auto& [tenant, in_use] : totals)
+    {
+        elsewhere.push_back({tenant, in_use});
+    }
+    m_picker.set_usage_elsewhere(elsewhere);
+}
+
+auto engine::publish_alive(time_point now) -> void
+{
+    std::unordered_set<std::string> names;
+    names.insert(ownership::holder{self_id(), m_config.self.incarnation}.str());
+    for (const auto& [id, item] : m_members.all())
+    {
+        if (m_members.alive(item, now))
+        {
+            names.insert(ownership::holder{id, item.incarnation}.str());
+        }
+    }
+    m_effects.alive = std::move(names);
+}
+
+auto engine::update_links(time_point now) -> void
+{
+    for (auto link = m_links.begin(); link != m_links.end();)
+    {
+        const auto& id = link->first;
+        const auto* const item = m_members.find(id);
+        // A new life of the same instance numbers its grants anew.
+        const bool same_life =
+            item != nullptr && item->incarnation == link->second.incarnation;
+        if (id == self_id() || (same_life && m_members.alive(id, now)))
+        {
+            ++link;
+            continue;
+        }
+        m_desk.owner_gone(id);
+        m_board.gone(id);
+        m_returns.erase(id);
+        m_usage.erase(id);
+        m_membership_changed = true;
+        m_demand_changed = true;
+        link = m_links.erase(link);
+    }
+    for (const auto& [id, item] : m_members.all())
+    {
+        if (m_members.alive(item, now) && m_links.count(id) == 0)
+        {
+            m_links[id].incarnation = item.incarnation;
+            m_desk.owner_alive(id, item.free_slots);
+            m_membership_changed = true;
+            m_demand_changed = true;
+        }
+    }
+}
+
+auto engine::view(time_point now) const -> ownership::claim_view
+{
+    ownership::claim_view seen;
+    seen.members = &m_members;
+    if (ready())
+    {
+        seen.serving.push_back(self_id());
+    }
+    for (const auto& [id, item] : m_members.all())
+    {
+        if (m_members.serving(id, item.incarnation, now))
+        {
+            seen.serving.push_back(id);
+        }
+    }
+    seen.quorate = quorate(now);
+    return seen;
+}
+
+auto engine::quorate(time_point now) const -> bool
+{
+    std::size_t known = 1;
+    std::size_t heard = 1;
+    for (const auto& [id, item] : m_members.all())
+    {
+        const bool ever_heard = item.last_direct != time_point{};
+        if (!ever_heard || item.state == membership::member_state::left)
+        {
+            continue;
+        }
+        ++known;
+        heard += m_members.alive(item, now) ? 1 : 0;
+    }
+    return 2 * heard >= known;
+}
+
+auto engine::beat(time_point now) -> void
+{
+    m_config.self.plan_revision = m_plan->revision;
+    m_config.self.workers_held =
+        static_cast<std::int64_t>(m_keeper.ledger().accounts().size());
+    m_config.self.free_slots = m_keeper.ledger().free_total().slots;
+    m_config.self.last_alive = now;
+    m_desk.owner_alive(self_id(), m_config.self.free_slots);
+    wire::envelope message;
+    auto* const body = message.mutable_beat();
+    *body->mutable_self() = transport::to_wire(m_config.self, now);
+    for (const auto& tenant : m_plan->parsed.tenants)
+    {
+        const auto used = m_keeper.ledger().used_by(tenant.name);
+        if (used.total.slots > 0)
+        {
+            auto* const line = body->add_usage();
+            line->set_tenant(tenant.name.str());
+            line->set_slots(used.total.slots);
+        }
+    }
+    body->set_plan_confirmed_age_us(-1);
+    if (m_plan_confirmed != time_point{})
+    {
+        const auto age = std::chrono::duration_cast<std::chrono::microseconds>(
+            now - m_plan_confirmed);
+        body->set_plan_confirmed_age_us(age.count());
+    }
+    std::vector<std::string> addresses = m_config.seeds;
+    for (const auto& [id, item] : m_members.all())
+    {
+        if (m_config.relay && item.last_alive != time_point{})
+        {
+            *body->add_relayed() = transport::to_wire(item, now);
+        }
+        const bool seeded = std::find(addresses.begin(), addresses.end(),
+                                      item.address) != addresses.end();
+        if (!seeded && !item.address.empty())
+        {
+            addresses.push_back(item.address);
+        }
+    }
+    for (const auto& address : addresses)
+    {
+        if (address != m_config.self.address)
+        {
+            m_effects.sends.push_back({address, stamp(message)});
+        }
+    }
+}
+
+} // namespace pimentoshunt::control
--- /dev/null
+++ b/src/control/engine_placement.cpp
@@ -0,0 +1,241 @@
+#include <pimentoshunt/control/engine.hpp>
+
+#include <pimentoshunt/logging.hpp>
+#include <pimentoshunt/transport/wire_codec.hpp>
+
+#include <utility> // move
+
+namespace pimentoshunt::control
+{
+namespace
+{
+
+/// An unchanged demand is repeated after this.
+constexpr milliseconds demand_repeat{100};
+
+} // namespace
+
+auto engine::on_demand(const wire::envelope& message, time_point now) -> void
+{
+    std::vector<entry::asked_line> lines;
+    lines.reserve(message.wanted().lines_size());
+    for (const auto& line : message.wanted().lines())
+    {
+        lines.push_back(transport::from_wire(line, now));
+    }
+    m_board.told(instance_id(message.from()), std::move(lines),
+                 message.wanted().grants_seen());
+    m_capacity_changed = true;
+}
+
+auto engine::on_grants(const wire::envelope& message, time_point now) -> void
+{
+    const instance_id owner(message.from());
+    const auto link = m_links.find(owner);
+    if (link != m_links.end())
+    {
+        auto& known = link->second;
+        known.incarnation = message.incarnation();
+        known.grants_seen = message.granted().sequence();
+        known.last_at = time_point{};
+        m_desk.owner_alive(owner, message.granted().free_slots());
+    }
+    for (const auto& item : message.granted().items())
+    {
+        auto granted = transport::from_wire(item);
+        granted.owner = owner;
+        granted.owner_incarnation = message.incarnation();
+        if (!m_desk.bind(granted))
+        {
+            give_back(granted, ownership::attempt_outcome::never_started, {},
+                      now);
+        }
+    }
+    m_demand_changed = true;
+}
+
+auto engine::on_releases(const wire::releases& message, time_point now) -> void
+{
+    constexpr std::uint32_t last_outcome = 5;
+    for (const auto& item : message.items())
+    {
+        const auto outcome =
+            item.outcome() <= last_outcome
+                ? static_cast<ownership::attempt_outcome>(item.outcome())
+                : ownership::attempt_outcome::unknown;
+        entry::grant ended;
+        ended.attempt = attempt_id(item.attempt());
+        ended.worker = worker_id(item.worker());
+        ended.workload = workload_name(item.workload());
+        release_here(ended, outcome, std::chrono::microseconds(item.run_us()),
+                     now);
+    }
+}
+
+auto engine::release_here(const entry::grant& item,
+                          ownership::attempt_outcome outcome,
+                          std::chrono::microseconds run_time, time_point now)
+    -> void
+{
+    learn(item, outcome, run_time, now);
+    m_keeper.released(item.worker, item.attempt, outcome, m_effects.calls);
+    m_capacity_changed = true;
+}
+
+auto engine::learn(const entry::grant& item, ownership::attempt_outcome outcome,
+                   std::chrono::microseconds run_time, time_point now) -> void
+{
+    using ownership::attempt_outcome;
+    const bool good = outcome == attempt_outcome::finished;
+    const bool bad = outcome == attempt_outcome::failed ||
+                     outcome == attempt_outcome::unreachable;
+    if (!good && !bad)
+    {
+        return;
+    }
+    const auto* const workload = m_plan->parsed.find(item.workload);
+    if (good && workload != nullptr)
+    {
+        m_picker.observe(*workload, run_time);
+    }
+    m_health.add(item.worker);
+    const auto change = m_health.record(item.worker, item.workload,
+                                        good ? policy::attempt_outcome::success
+                                             : policy::attempt_outcome::failure,
+                                        now);
+    if (change == policy::health_change::ejected)
+    {
+        m_keeper.ledger().set_intake(item.worker, ledger::intake::closed);
+        logging::warn("worker ejected").with("worker", item.worker);
+    }
+    if (change == policy::health_change::readmitted)
+    {
+        m_keeper.ledger().set_intake(item.worker, ledger::intake::open);
+        logging::info("worker readmitted").with("worker", item.worker);
+    }
+}
+
+auto engine::give_back(const entry::grant& item,
+                       ownership::attempt_outcome outcome,
+                       std::chrono::microseconds run_time, time_point now)
+    -> void
+{
+    if (item.owner == self_id())
+    {
+        release_here(item, outcome, run_time, now);
+        return;
+    }
+    wire::release message;
+    message.set_attempt(item.attempt.str());
+    message.set_worker(item.worker.str());
+    message.set_outcome(static_cast<std::uint32_t>(outcome));
+    message.set_workload(item.workload.str());
+    message.set_run_us(run_time.count());
+    m_returns[item.owner].push_back(std::move(message));
+}
+
+auto engine::send_demand(time_point now) -> void
+{
+    for (auto& [id, link] : m_links)
+    {
+        sent_demand next{m_desk.demand_of(id), link.grants_seen};
+        if (id == self_id())
+        {
+            m_board.told(id, std::move(next.lines), link.grants_seen);
+            m_capacity_changed = true;
+            continue;
+        }
+        const bool repeat =
+            !next.lines.empty() && now - link.last_at >= demand_repeat;
+        if (next == link.last && !repeat)
+        {
+            continue;
+        }
+        wire::envelope message;
+        auto* const body = message.mutable_wanted();
+        body->set_grants_seen(next.grants_seen);
+        for (const auto& line : next.lines)
+        {
+            *body->add_lines() = transport::to_wire(line, now);
+        }
+        link.last = std::move(next);
+        link.last_at = now;
+        send_to(id, std::move(message));
+    }
+}
+
+auto engine::place(time_point now) -> void
+{
+    const auto lines = m_board.lines(m_plan->parsed, now);
+    if (lines.empty())
+    {
+        return;
+    }
+    std::map<instance_id, std::vector<entry::grant>> by_entry;
+    const auto take = [&](const policy::placement& choice)
+    {
+        const auto& line = lines[choice.line];
+        ledger::holding item;
+        item.attempt = next_attempt();
+        item.workload = line.workload->name;
+        item.tenant = line.workload->tenant;
+        item.each = line.workload->each;
+        item.granted_at = now;
+        item.entry = line.entry;
+        if (!m_keeper.ledger().take(choice.worker, item))
+        {
+            return false;
+        }
+        const auto& account = *m_keeper.ledger().find(choice.worker);
+        by_entry[line.entry].push_back({item.attempt, item.workload,
+                                        choice.worker, account.worker.base_url,
+                                        account.epoch, self_id(),
+                                        m_config.self.incarnation});
+        return true;
+    };
+    m_picker.pick(m_keeper.ledger(), lines, take, now);
+    for (const auto& [entry, grants] : by_entry)
+    {
+        hand_out(entry, grants, now);
+    }
+}
+
+auto engine::hand_out(const instance_id& entry,
+                      const std::vector<entry::grant>& grants, time_point now)
+    -> void
+{
+    if (entry == self_id())
+    {
+        for (const auto& item : grants)
+        {
+            if (!m_desk.bind(item))
+            {
+                give_back(item, ownership::attempt_outcome::never_started, {},
+                          now);
+            }
+        }
+        m_demand_changed = true;
+        return;
+    }
+    std::vector<workload_name> names;
+    wire::envelope message;
+    auto* const body = message.mutable_granted();
+    for (const auto& item : grants)
+    {
+        names.push_back(item.workload);
+        *body->add_items() = transport::to_wire(item);
+    }
+    body->set_sequence(m_board.granted(entry, names, now));
+    body->set_free_slots(m_keeper.ledger().free_total().slots);
+    send_to(entry, std::move(message));
+}
+
+auto engine::next_attempt() -> attempt_id
+{
+    ++m_attempts;
+    return attempt_id(self_id().str() + "-" +
+                      std::to_string(m_config.self.incarnation) + "-" +
+                      std::to_string(m_attempts));
+}
+
+} // namespace pimentoshunt::control
--- a/src/ownership/worker_keeper.cpp
+++ b/src/ownership/worker_keeper.cpp
@@ -103,8 +103,10 @@
         item->inspecting = false;
         item->silent_inspections = 0;
         item->suspended = false;
+        item->released_meanwhile.clear();
         item->inspect_due = now + m_limits.inspect_interval;
-        m_ledger.open(item->worker, asked, report.running, now);
+        m_ledger.open(item->worker, asked, {}, now);
+        adopt_running(*item, report, now);
         update_grants(*item);
         return;
     }
@@ -192,33 +194,34 @@
                                   const worker::state_report& report,
                                   time_point now) -> void
 {
-    auto* const account = m_ledger.find(item.worker.id);
     for (const auto& running : report.running)
     {
         // Its release overtook the report.
-        if (item.released_meanwhile.count(running.attempt) != 0)
+        if (item.released_meanwhile.count(running.attempt) != 0 ||
+            m_ledger.mark_running(item.worker.id, running.attempt))
         {
             continue;
         }
-        const auto known = account->holdings.find(running.attempt);
-        if (known != account->holdings.end())
-        {
-            known->second.seen_running = true;
-            continue;
-        }
         // It takes resources whoever granted it: account for it, even when
         // that leaves less than nothing free.
         ledger::holding found;
         found.attempt = running.attempt;
         found.workload = running.workload;
+        found.tenant = tenant_of(running.workload);
         found.each = running.each;
         found.granted_at = now;
         found.seen_running = true;
-        account->free -= found.each;
-        account->holdings.emplace(found.attempt, found);
+        m_ledger.adopt(item.worker.id, found);
     }
 }
 
+auto worker_keeper::tenant_of(const workload_name& name) const -> tenant_name
+{
+    const auto* const workload =
+        m_plan == nullptr ? nullptr : m_plan->parsed.find(name);
+    return workload == nullptr ? tenant_name() : workload->tenant;
+}
+
 auto worker_keeper::settle_missing(record& item,
                                    const worker::state_report& report,
                                    time_point now, keeper_calls& calls) -> void
@@ -254,19 +257,13 @@
 auto worker_keeper::revoked(const worker_id& id, const attempt_id& attempt,
                             std::optional<worker::attempt_state> state) -> void
 {
-    auto* const account = m_ledger.find(id);
-    if (account == nullptr || !state)
-    {
-        return;
-    }
-    const auto held = account->holdings.find(attempt);
-    if (held == account->holdings.end())
+    if (!state)
     {
         return;
     }
     if (*state == worker::attempt_state::running)
     {
-        held->second.seen_running = true;
+        m_ledger.mark_running(id, attempt);
         return;
     }
     m_ledger.release(id, attempt);
@@ -303,19 +300,10 @@
 auto worker_keeper::update_grants(record& item) -> void
 {
     const bool closed = item.listed_leaving || item.own_leaving ||
-                        item.suspended || item.ejected || item.drained;
+                        item.suspended || item.drained;
     m_ledger.set_leaving(item.worker.id, closed);
 }
 
-auto worker_keeper::set_ejected(const worker_id& id, bool ejected) -> void
-{
-    if (auto* const item = find(id))
-    {
-        item->ejected = ejected;
-        update_grants(*item);
-    }
-}
-
 auto worker_keeper::set_drained(const worker_id& id, bool drained) -> void
 {
     if (auto* const item = find(id))
