--- /dev/null
+++ b/tests/unit-membership.cpp
@@ -0,0 +1,116 @@
+#include <pimentoshunt/membership/member_table.hpp>
+#include <pimentoshunt/ownership/assignment.hpp>
+#include <pimentoshunt/ownership/holder.hpp>
+
+#include <criterion/criterion.h>
+
+#include <map> // map
+
+using namespace pimentoshunt;
+using membership::member;
+using membership::member_state;
+using membership::member_table;
+
+namespace
+{
+
+constexpr time_point start{std::chrono::seconds(100)};
+
+auto make(const std::string& name, std::uint64_t incarnation = 1) -> member
+{
+    member item;
+    item.id = instance_id(name);
+    item.incarnation = incarnation;
+    item.state = member_state::ready;
+    return item;
+}
+
+} // namespace
+
+Test(membership, silence_makes_an_instance_dead)
+{
+    member_table table{{}};
+    table.heard(make("i2"), start);
+    cr_assert(table.alive(instance_id("i2"), start + milliseconds(900)));
+    cr_assert(!table.alive(instance_id("i2"), start + milliseconds(1'100)));
+}
+
+Test(membership, a_relay_keeps_alive_what_one_cut_link_hides)
+{
+    member_table table{{}};
+    table.heard(make("i2"), start);
+    const auto later = start + milliseconds(2'000);
+    table.relayed(make("i2"), milliseconds(150), later);
+    cr_assert(table.alive(instance_id("i2"), later));
+    cr_assert(table.find(instance_id("i2"))->last_direct == start);
+}
+
+Test(membership, an_old_relay_revives_nobody)
+{
+    member_table table{{}};
+    table.heard(make("i2"), start);
+    const auto later = start + std::chrono::seconds(5);
+    table.relayed(make("i2"), std::chrono::seconds(4), later);
+    cr_assert(!table.alive(instance_id("i2"), later));
+}
+
+Test(membership, an_echo_of_an_earlier_life_changes_nothing)
+{
+    member_table table{{}};
+    table.heard(make("i2", 5), start);
+    cr_assert(!table.heard(make("i2", 4), start + milliseconds(10)));
+    cr_assert(table.find(instance_id("i2"))->incarnation == 5);
+    cr_assert(!table.serving(instance_id("i2"), 4, start));
+}
+
+Test(membership, own_pause_says_nothing_of_others)
+{
+    member_table table{{}};
+    table.heard(make("i2"), start);
+    table.own_pause(std::chrono::seconds(10));
+    cr_assert(table.alive(instance_id("i2"), start + std::chrono::seconds(10)));
+}
+
+Test(membership, an_introduction_is_no_sign_of_life_but_is_kept)
+{
+    member_table table{{}};
+    table.introduced(make("i2"), start);
+    table.forget_silent(start + std::chrono::seconds(1));
+    cr_assert(table.find(instance_id("i2")) != nullptr);
+    cr_assert(!table.alive(instance_id("i2"), start));
+    table.forget_silent(start + std::chrono::seconds(61));
+    cr_assert(table.find(instance_id("i2")) == nullptr);
+}
+
+Test(assignment, moves_only_what_a_leaver_owned)
+{
+    std::vector<instance_id> all;
+    for (int i = 1; i <= 8; ++i)
+    {
+        all.emplace_back("i" + std::to_string(i));
+    }
+    auto without_last = all;
+    without_last.pop_back();
+    std::map<instance_id, int> counts;
+    for (int i = 0; i < 800; ++i)
+    {
+        const auto key = "w" + std::to_string(i);
+        const auto before = ownership::rendezvous_owner(key, all);
+        const auto after = ownership::rendezvous_owner(key, without_last);
+        cr_assert(before == all.back() || before == after);
+        ++counts[before];
+    }
+    for (const auto& [id, count] : counts)
+    {
+        cr_assert(count > 50 && count < 150, "%s owns %d", id.str().c_str(),
+                  count);
+    }
+}
+
+Test(holder, reads_what_it_wrote)
+{
+    const ownership::holder item{instance_id("i#1"), 42};
+    cr_assert(ownership::holder::parse(item.str()) == item);
+    cr_assert(ownership::holder::parse("i1#x").id.empty());
+    cr_assert(ownership::holder::parse("i1").id.empty());
+}
