--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,13 @@
-#include <cstdio> // puts
+#include <pimentoshunt/cli/run.hpp>
+#include <pimentoshunt/serve.hpp>
 
-auto main() -> int
+#include <iostream> // cout, cerr
+#include <string>   // string
+#include <vector>   // vector
+
+auto main(int argc, char** argv) -> int
 {
-    std::puts("pimentoshunt " PIMENTOSHUNT_VERSION);
-    return 0;
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return pimentoshunt::cli::run(arguments, {std::cout, std::cerr},
+                                  pimentoshunt::serve);
 }
