--- a/include/pimentoshunt/entry/request_desk.hpp
+++ b/include/pimentoshunt/entry/request_desk.hpp
@@ -99,9 +99,8 @@
 
         // The check takes the zero inside the generated operator for a
         // pointer.
-        // NOLINTNEXTLINE(modernize-use-nullptr)
         friend auto operator<=>(const urgency&, const urgency&)
-            -> std::strong_ordering = default;
+            -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
     };
 
     struct waiting_item
--- a/include/pimentoshunt/identifier.hpp
+++ b/include/pimentoshunt/identifier.hpp
@@ -36,9 +36,8 @@
     }
 
     // The check takes the zero inside the generated operator for a pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const identifier&, const identifier&)
-        -> std::strong_ordering = default;
+        -> std::strong_ordering = default; // NOLINT(modernize-use-nullptr)
 
     friend auto operator<<(std::ostream& out, const identifier& id)
         -> std::ostream&
