Bound the number of faults that one text can bring

Cause: a text of 4 MiB can hold two million faults, each with its own message.

Change: at most 1,000 are kept.

--- a/include/pimentoshunt/json/fault.hpp
+++ b/include/pimentoshunt/json/fault.hpp
@@ -44,6 +44,12 @@
     std::string remedy;
 };
 
+/// Faults kept of one text; more help nobody.
+inline constexpr std::size_t max_faults = 1'000;
+
+/// @brief Adds @p item, unless there are @ref max_faults already.
+auto add_fault(std::vector<fault>& faults, fault item) -> void;
+
 /// @brief "line 3, /services/0: message; remedy: ...".
 [[nodiscard]] auto to_string(const fault& item) -> std::string;
 
--- a/src/json/document_reader.cpp
+++ b/src/json/document_reader.cpp
@@ -12,7 +12,8 @@
     parsed_text read;
     if (text.size() > max_bytes)
     {
-        read.faults.push_back(
+        add_fault(
+            read.faults,
             {fault_kind::too_large, "", 0,
              std::to_string(text.size()) + " bytes are too many",
              "keep the text within " + std::to_string(max_bytes) + " bytes"});
--- a/src/json/fault.cpp
+++ b/src/json/fault.cpp
@@ -1,5 +1,7 @@
 #include <pimentoshunt/json/fault.hpp>
 
+#include <utility> // move
+
 namespace pimentoshunt::json
 {
 namespace
@@ -14,6 +16,14 @@
 
 } // namespace
 
+auto add_fault(std::vector<fault>& faults, fault item) -> void
+{
+    if (faults.size() < max_faults)
+    {
+        faults.push_back(std::move(item));
+    }
+}
+
 auto to_string(const fault& item) -> std::string
 {
     std::string place;
--- a/src/json/object_reader.cpp
+++ b/src/json/object_reader.cpp
@@ -61,9 +61,9 @@
 {
     if (m_object == nullptr)
     {
-        m_faults.push_back({fault_kind::wrong_type, m_pointer, 0,
-                            "is " + kind_name(value) + ", not an object",
-                            "write an object in braces"});
+        add_fault(m_faults, {fault_kind::wrong_type, m_pointer, 0,
+                             "is " + kind_name(value) + ", not an object",
+                             "write an object in braces"});
     }
 }
 
@@ -81,9 +81,9 @@
     {
         if (required && m_object != nullptr)
         {
-            m_faults.push_back({fault_kind::missing, m_pointer, 0,
-                                "key \"" + key + "\" is missing",
-                                "add \"" + key + "\" with a string"});
+            add_fault(m_faults, {fault_kind::missing, m_pointer, 0,
+                                 "key \"" + key + "\" is missing",
+                                 "add \"" + key + "\" with a string"});
         }
         return fallback;
     }
@@ -176,10 +176,10 @@
                               item.get_string().size());
             continue;
         }
-        m_faults.push_back({fault_kind::wrong_type,
-                            child_pointer(place, std::to_string(i)), 0,
-                            "is " + kind_name(item) + ", not a string",
-                            "write a string in quotes"});
+        add_fault(m_faults, {fault_kind::wrong_type,
+                             child_pointer(place, std::to_string(i)), 0,
+                             "is " + kind_name(item) + ", not a string",
+                             "write a string in quotes"});
     }
     return list;
 }
@@ -187,8 +187,8 @@
 auto object_reader::note(fault_kind kind, const std::string& key,
                          std::string message, std::string remedy) -> void
 {
-    m_faults.push_back({kind, child_pointer(m_pointer, key), 0,
-                        std::move(message), std::move(remedy)});
+    add_fault(m_faults, {kind, child_pointer(m_pointer, key), 0,
+                         std::move(message), std::move(remedy)});
 }
 
 auto object_reader::wrong_type(const std::string& key,
--- a/src/json/text_scan.cpp
+++ b/src/json/text_scan.cpp
@@ -150,11 +150,11 @@
         m_text.clear();
         if (!parent.keys.insert(parent.key).second)
         {
-            found.faults.push_back({fault_kind::duplicate,
-                                    child_pointer(parent.pointer, parent.key),
-                                    line,
-                                    "key \"" + parent.key + "\" is given twice",
-                                    "keep one of the two"});
+            add_fault(found.faults,
+                      {fault_kind::duplicate,
+                       child_pointer(parent.pointer, parent.key), line,
+                       "key \"" + parent.key + "\" is given twice",
+                       "keep one of the two"});
         }
     }
 
@@ -222,7 +222,7 @@
         }
         if (code)
         {
-            handler.found.faults.push_back(syntax_fault(handler, code));
+            add_fault(handler.found.faults, syntax_fault(handler, code));
             break;
         }
         begin = end;
--- a/src/plan/check_meaning.cpp
+++ b/src/plan/check_meaning.cpp
@@ -31,11 +31,12 @@
         const auto added = first.emplace(name, i);
         if (!added.second)
         {
-            faults.push_back({fault_kind::duplicate,
-                              child_pointer(places[i], "name"), 0,
-                              "name \"" + name + "\" is already used at " +
-                                  places[added.first->second],
-                              "give each its own name"});
+            json::add_fault(faults,
+                            {fault_kind::duplicate,
+                             child_pointer(places[i], "name"), 0,
+                             "name \"" + name + "\" is already used at " +
+                                 places[added.first->second],
+                             "give each its own name"});
         }
     }
     return first;
@@ -48,10 +49,10 @@
     const auto& name = item.tenant.str();
     if (!name.empty() && tenants.count(name) == 0)
     {
-        faults.push_back({fault_kind::unknown_name,
-                          child_pointer(place, "tenant"), 0,
-                          "no tenant is named \"" + name + "\"",
-                          "add it to /tenants or correct the name"});
+        json::add_fault(faults, {fault_kind::unknown_name,
+                                 child_pointer(place, "tenant"), 0,
+                                 "no tenant is named \"" + name + "\"",
+                                 "add it to /tenants or correct the name"});
     }
 }
 
@@ -65,7 +66,8 @@
         const auto& name = item.depends_on[i].str();
         if (workloads.count(name) == 0)
         {
-            faults.push_back(
+            json::add_fault(
+                faults,
                 {fault_kind::unknown_name,
                  child_pointer(list, std::to_string(i)), 0,
                  "no service, batch or gang work is named \"" + name + "\"",
@@ -100,7 +102,8 @@
         const auto quota = owner.quota.*each.amount;
         if (need > quota)
         {
-            faults.push_back(
+            json::add_fault(
+                faults,
                 {fault_kind::quota_too_small, child_pointer(place, "resources"),
                  0,
                  std::string(what) + " takes " + std::to_string(need) + " " +
@@ -196,7 +199,8 @@
                 names += name_of(at.workload) + " -> ";
             }
         }
-        m_out.faults.push_back(
+        json::add_fault(
+            m_out.faults,
             {fault_kind::cycle,
              child_pointer(m_out.workload_places[first], "depends_on"), 0,
              "these depend on each other in a cycle: " + names + name_of(first),
@@ -254,7 +258,8 @@
                                       });
         if (!fits)
         {
-            out.faults.push_back(
+            json::add_fault(
+                out.faults,
                 {fault_kind::fits_no_worker,
                  child_pointer(out.workload_places[i], "resources"), 0,
                  "one task of \"" + item.name.str() + "\" fits no worker",
--- a/src/plan/read_shape.cpp
+++ b/src/plan/read_shape.cpp
@@ -78,10 +78,11 @@
     }
     else if (value.is_object())
     {
-        faults.push_back({fault_kind::missing, pointer, 0,
-                          "key \"quota\" is missing",
-                          "add \"quota\" with the most that the tenant may "
-                          "hold, such as {\"slots\": 64}"});
+        json::add_fault(faults,
+                        {fault_kind::missing, pointer, 0,
+                         "key \"quota\" is missing",
+                         "add \"quota\" with the most that the tenant may "
+                         "hold, such as {\"slots\": 64}"});
     }
     reader.reject_unknown();
     return item;
--- a/tests/unit-plan.cpp
+++ b/tests/unit-plan.cpp
@@ -9,6 +9,7 @@
 using pimentoshunt::milliseconds;
 using pimentoshunt::workload_name;
 using pimentoshunt::json::fault_kind;
+using pimentoshunt::json::max_faults;
 using pimentoshunt::plan::check;
 using pimentoshunt::plan::max_plan_bytes;
 using pimentoshunt::plan::parse;
@@ -139,6 +140,16 @@
     cr_assert(has(faults, fault_kind::fits_no_worker, "/batch/0/resources", 4));
 }
 
+Test(plan, bounds_the_number_of_faults)
+{
+    std::string text = "{\"services\": [0";
+    for (int i = 0; i < 100'000; ++i)
+    {
+        text += ",0";
+    }
+    cr_assert(check(text + "]}").size() == max_faults);
+}
+
 Test(plan, survives_bad_input)
 {
     cr_assert(
