--- a/src/cli/cell_commands.cpp
+++ b/src/cli/cell_commands.cpp
@@ -62,6 +62,18 @@
     return text + " free";
 }
 
+/// @brief What is free of a worker, or all it has where only its owner knows.
+auto amounts_in_state(const std::string& state, const resources& free,
+                      const resources& capacity) -> std::string
+{
+    if (state != "elsewhere")
+    {
+        return amounts(free, capacity);
+    }
+    return std::to_string(capacity.slots) + " slots; ask their owners what is "
+                                            "free";
+}
+
 auto print_head(std::ostream& out, const boost::json::object& status) -> void
 {
     out << "instance " << fields::text_of(status, "instance");
@@ -110,7 +122,7 @@
     for (const auto& [state, sum] : sums)
     {
         out << "  " << sum.count << " " << state << ": "
-            << amounts(sum.free, sum.capacity) << "\n";
+            << amounts_in_state(state, sum.free, sum.capacity) << "\n";
     }
 }
 
@@ -120,11 +132,12 @@
                 [&](const boost::json::object& one)
                 {
                     const auto owner = fields::text_of(one, "owner");
-                    out << "  " << fields::text_of(one, "id") << " "
-                        << fields::text_of(one, "state")
+                    const auto state = fields::text_of(one, "state");
+                    out << "  " << fields::text_of(one, "id") << " " << state
                         << (owner.empty() ? "" : ", owner " + owner) << ": "
-                        << amounts(fields::resources_of(one, "free"),
-                                   fields::resources_of(one, "capacity"))
+                        << amounts_in_state(
+                               state, fields::resources_of(one, "free"),
+                               fields::resources_of(one, "capacity"))
                         << "\n";
                 });
 }
