Quality bench for the pure decisions, beside an ideal queue and baselines

Cause: the order, the room for short work, admission and fairness need figures of their own before the engine runs.

--- /dev/null
+++ b/bench/policy_quality.cpp
@@ -0,0 +1,434 @@
+/// @file
+/// Measures the quality of the pure decisions: queue, admission and picker fed
+/// with seeded arrivals in memory, beside the ideal queue and baselines.
+#include "support/ideal_queue.hpp"
+#include "support/quality_run.hpp"
+#include "support/random_choice.hpp"
+
+#include <boost/json/serialize.hpp> // serialize
+#include <boost/json/value.hpp>     // value, array, object
+
+#include <algorithm>  // sort, max
+#include <cmath>      // fmod, log
+#include <cstdlib>    // strtoul
+#include <fstream>    // ofstream
+#include <functional> // function
+#include <iomanip>    // setw
+#include <iostream>   // cout
+#include <random>     // mt19937_64, exponential_distribution
+#include <string>     // string
+#include <vector>     // vector
+
+namespace
+{
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::bench;
+
+using real_s = std::chrono::duration<double>;
+using real_ms = std::chrono::duration<double, std::milli>;
+
+constexpr std::size_t entries = 8;
+constexpr double proof_mean_s = 0.04;
+constexpr double render_mean_s = 4.0;
+/// Arrivals before this time are served and not counted.
+constexpr double warm_up_s = 5.0;
+
+auto to_nanoseconds(double seconds) -> nanoseconds
+{
+    return std::chrono::duration_cast<nanoseconds>(real_s(seconds));
+}
+
+/// @brief Seeded arrivals of one workload.
+struct source
+{
+    std::size_t workload = 0;
+    double mean_s = 0;
+    /// Sigma of the log-normal run time.
+    double spread = 0.5;
+    /// Arrivals a second at a time since the begin.
+    std::function<double(double)> rate;
+    double highest_rate = 0;
+};
+
+/// @brief Adds open-loop arrivals of @p from until @p end_s.
+auto add_arrivals(std::vector<arrival>& all, const source& from, double end_s,
+                  std::mt19937_64& random) -> void
+{
+    std::exponential_distribution<double> gap(from.highest_rate);
+    std::uniform_real_distribution<double> keep(0.0, from.highest_rate);
+    const auto middle = std::log(from.mean_s) - from.spread * from.spread / 2;
+    std::lognormal_distribution<double> run(middle, from.spread);
+    for (double at = gap(random); at < end_s; at += gap(random))
+    {
+        // thinning: the rate changes within the run
+        if (keep(random) > from.rate(at))
+        {
+            continue;
+        }
+        all.push_back({to_nanoseconds(at), to_nanoseconds(run(random)),
+                       from.workload, random() % entries});
+    }
+}
+
+auto by_time(std::vector<arrival>& all) -> void
+{
+    std::stable_sort(all.begin(), all.end(),
+                     [](const arrival& left, const arrival& right)
+                     {
+                         return left.at < right.at;
+                     });
+}
+
+auto make(const std::string& name, const std::string& tenant,
+          plan::work_class cls, milliseconds deadline) -> plan::workload
+{
+    plan::workload made;
+    made.name = workload_name(name);
+    made.tenant = tenant_name(tenant);
+    made.cls = cls;
+    made.each = {1, 1'000, 1'000, 0};
+    made.deadline = deadline;
+    // declared far off, for all of them
+    made.run_time = milliseconds(1'000);
+    return made;
+}
+
+auto p99(std::vector<double> values) -> double
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    return values[values.size() * 99 / 100];
+}
+
+auto counts(const arrival& item, std::size_t workload) -> bool
+{
+    return item.workload == workload && item.at > to_nanoseconds(warm_up_s);
+}
+
+/// @brief p99 over one workload of what @p value gives for an index, in ms.
+auto p99_of(const std::vector<arrival>& arrivals, std::size_t workload,
+            const std::function<real_ms(std::size_t)>& value) -> double
+{
+    std::vector<double> all;
+    for (std::size_t i = 0; i < arrivals.size(); ++i)
+    {
+        if (counts(arrivals[i], workload))
+        {
+            all.push_back(value(i).count());
+        }
+    }
+    return p99(std::move(all));
+}
+
+/// @brief Wait and answer p99 of one workload.
+struct tail
+{
+    double wait_ms = 0;
+    double answer_ms = 0;
+};
+
+template<class Wait>
+auto tail_of(const std::vector<arrival>& arrivals, std::size_t workload,
+             Wait&& wait) -> tail
+{
+    return {p99_of(arrivals, workload, wait),
+            p99_of(arrivals, workload,
+                   [&](std::size_t i)
+                   {
+                       return real_ms(wait(i) + arrivals[i].run_time);
+                   })};
+}
+
+auto tail_of(const std::vector<arrival>& arrivals, std::size_t workload,
+             const quality_result& result) -> tail
+{
+    return tail_of(arrivals, workload,
+                   [&](std::size_t i)
+                   {
+                       return result.all[i].wait;
+                   });
+}
+
+enum class ideal_order
+{
+    first_come,
+    services_first
+};
+
+auto ideal_tail(const plan::document& document,
+                const std::vector<arrival>& arrivals, std::size_t slots,
+                std::size_t workload, ideal_order order) -> tail
+{
+    std::vector<ideal_request> requests;
+    requests.reserve(arrivals.size());
+    for (const auto& item : arrivals)
+    {
+        const auto& of = document.workloads[item.workload];
+        const bool later = order == ideal_order::services_first &&
+                           of.cls != plan::work_class::service;
+        requests.push_back({item.at, item.run_time, later ? 1 : 0, item.at});
+    }
+    const auto answers = ideal_queue(requests, slots);
+    return tail_of(arrivals, workload,
+                   [&](std::size_t i)
+                   {
+                       return answers[i].wait;
+                   });
+}
+
+auto random_tail(const std::vector<arrival>& arrivals,
+                 const quality_setup& setup, std::size_t workload, int choices,
+                 unsigned seed) -> tail
+{
+    const auto waits = random_choice(
+        arrivals, setup.owners * setup.workers_per_owner,
+        static_cast<std::size_t>(setup.slots_per_worker), choices, seed);
+    return tail_of(arrivals, workload,
+                   [&](std::size_t i)
+                   {
+                       return waits[i];
+                   });
+}
+
+auto print_tail(boost::json::object& out, const std::string& name,
+                const tail& value) -> void
+{
+    std::cout << "  " << std::left << std::setw(34) << name << std::right
+              << std::setw(11) << value.wait_ms << std::setw(12)
+              << value.answer_ms << "\n";
+    out[name] = {{"wait_p99_ms", value.wait_ms},
+                 {"answer_p99_ms", value.answer_ms}};
+}
+
+auto print_value(boost::json::object& out, const std::string& name,
+                 double value) -> void
+{
+    std::cout << "  " << std::left << std::setw(34) << name << std::right
+              << std::setw(11) << value << "\n";
+    out[name] = value;
+}
+
+auto print_head(const std::string& name) -> void
+{
+    std::cout << name << "\n  " << std::left << std::setw(34) << ""
+              << std::right << std::setw(11) << "wait p99" << std::setw(12)
+              << "answer p99"
+              << " (ms)\n";
+}
+
+/// @brief A rate that swings between two loads of the slots.
+auto swing(double slots, double low, double high, double period_s,
+           double crest_s) -> source
+{
+    const auto top = slots * high / proof_mean_s;
+    const auto bottom = slots * low / proof_mean_s;
+    const auto rate = [=](double at)
+    {
+        return std::fmod(at, period_s) < period_s - crest_s ? bottom : top;
+    };
+    return {0, proof_mean_s, 0.5, rate, top};
+}
+
+/// @brief Short proofs on a swinging load, with and without renders that never
+///        run out.
+auto run_renders(unsigned seed, const quality_setup& setup)
+    -> boost::json::object
+{
+    plan::document document;
+    document.workloads = {
+        make("proof", "shops", plan::work_class::service, milliseconds(5'000)),
+        make("render", "archive", plan::work_class::batch,
+             milliseconds(100'000'000))};
+    std::mt19937_64 random(seed);
+    const auto slots = static_cast<double>(setup.slots());
+    constexpr double end_s = 45.0;
+    std::vector<arrival> alone;
+    add_arrivals(alone, swing(slots, 0.3, 0.7, 8.0, 3.0), end_s, random);
+    auto mixed = alone;
+    const auto rate = slots / render_mean_s * 1.5;
+    add_arrivals(mixed,
+                 {1, render_mean_s, 1.0,
+                  [=](double)
+                  {
+                      return rate;
+                  },
+                  rate},
+                 end_s, random);
+    by_time(mixed);
+
+    boost::json::object out;
+    print_head("short proofs, renders that run 100 times longer");
+    const auto without = quality_run(document, setup).run(alone);
+    const auto with = quality_run(document, setup).run(mixed);
+    const auto base = tail_of(alone, 0, without);
+    const auto held = tail_of(mixed, 0, with);
+    print_tail(out, "picker without renders", base);
+    print_tail(out, "picker with renders", held);
+    auto preempting = setup;
+    preempting.checkpoints = true;
+    const auto helped = quality_run(document, preempting).run(mixed);
+    print_tail(out, "picker with renders, checkpoints",
+               tail_of(mixed, 0, helped));
+    print_tail(out, "ideal queue, services first",
+               ideal_tail(document, mixed, setup.slots(), 0,
+                          ideal_order::services_first));
+    print_tail(
+        out, "first come first served",
+        ideal_tail(document, mixed, setup.slots(), 0, ideal_order::first_come));
+    print_tail(out, "random worker", random_tail(mixed, setup, 0, 1, seed));
+    print_tail(out, "two random choices",
+               random_tail(mixed, setup, 0, 2, seed));
+    print_value(out, "answer p99 with / without",
+                held.answer_ms / base.answer_ms);
+    const auto left = slots * end_s - without.service_slot_s;
+    print_value(out, "renders' share of what is left",
+                with.other_slot_s / left);
+    print_value(out, "checkpoints", static_cast<double>(helped.checkpoints));
+    return out;
+}
+
+/// @brief A swing above capacity for some seconds; nothing else runs.
+auto run_crest(unsigned seed, const quality_setup& setup) -> boost::json::object
+{
+    plan::document document;
+    document.workloads = {make("booking", "dock", plan::work_class::service,
+                               milliseconds(10'000))};
+    std::mt19937_64 random(seed);
+    const auto slots = static_cast<double>(setup.slots());
+    std::vector<arrival> arrivals;
+    add_arrivals(arrivals, swing(slots, 0.4, 1.3, 10.0, 2.0), 40.0, random);
+    boost::json::object out;
+    print_head("crest: 1.3 of capacity for 2 s in 10 s");
+    const auto result = quality_run(document, setup).run(arrivals);
+    const auto own = tail_of(arrivals, 0, result);
+    const auto ideal = ideal_tail(document, arrivals, setup.slots(), 0,
+                                  ideal_order::first_come);
+    print_tail(out, "picker", own);
+    print_tail(out, "ideal queue", ideal);
+    print_tail(out, "random worker", random_tail(arrivals, setup, 0, 1, seed));
+    print_tail(out, "two random choices",
+               random_tail(arrivals, setup, 0, 2, seed));
+    print_value(out, "wait p99 over the ideal", own.wait_ms / ideal.wait_ms);
+    return out;
+}
+
+/// @brief Twice the load that can be carried; what is done in time.
+auto run_overload(unsigned seed, const quality_setup& setup)
+    -> boost::json::object
+{
+    plan::document document;
+    document.workloads = {make("booking", "dock", plan::work_class::service,
+                               milliseconds(1'000))};
+    std::mt19937_64 random(seed);
+    const auto slots = static_cast<double>(setup.slots());
+    constexpr double end_s = 20.0;
+    std::vector<arrival> arrivals;
+    add_arrivals(arrivals, swing(slots, 2.0, 2.0, 10.0, 2.0), end_s, random);
+    boost::json::object out;
+    std::cout << "twice the capacity, deadline 1 s\n";
+    for (const bool admission : {true, false})
+    {
+        auto own = setup;
+        own.admission = admission;
+        const auto result = quality_run(document, own).run(arrivals);
+        double in_time = 0;
+        double refused = 0;
+        double expired = 0;
+        for (std::size_t i = 0; i < arrivals.size(); ++i)
+        {
+            const auto& answer = result.all[i];
+            const real_s run = arrivals[i].run_time;
+            in_time += answer.in_time ? run.count() : 0;
+            refused += answer.refused ? 1 : 0;
+            expired += !answer.refused && !answer.ran ? 1 : 0;
+        }
+        const std::string name =
+            admission ? "with admission" : "without admission";
+        const auto count = static_cast<double>(arrivals.size());
+        print_value(out, "goodput / capacity, " + name,
+                    in_time / (slots * end_s));
+        print_value(out, "refused at arrival, " + name, refused / count);
+        print_value(out, "expired in queue, " + name, expired / count);
+    }
+    return out;
+}
+
+/// @brief Ten tenants, the first at ten times its quota or not.
+auto run_fairness(unsigned seed, const quality_setup& setup)
+    -> boost::json::object
+{
+    constexpr std::size_t tenants = 10;
+    plan::document document;
+    const auto quota = static_cast<std::int64_t>(setup.slots() / tenants);
+    for (std::size_t i = 0; i < tenants; ++i)
+    {
+        const auto name = "tenant" + std::to_string(i);
+        document.tenants.push_back({tenant_name(name), {quota, 0, 0, 0}});
+        document.workloads.push_back(make("proof" + std::to_string(i), name,
+                                          plan::work_class::service,
+                                          milliseconds(2'000)));
+    }
+    const auto run_at = [&](double times_quota)
+    {
+        std::mt19937_64 random(seed);
+        std::vector<arrival> arrivals;
+        for (std::size_t i = tenants; i-- > 0;)
+        {
+            const auto load = i == 0 ? times_quota : 0.7;
+            const auto rate = load * static_cast<double>(quota) / proof_mean_s;
+            add_arrivals(arrivals,
+                         {i, proof_mean_s, 0.5,
+                          [=](double)
+                          {
+                              return rate;
+                          },
+                          rate},
+                         20.0, random);
+        }
+        by_time(arrivals);
+        const auto result = quality_run(document, setup).run(arrivals);
+        tail worst;
+        for (std::size_t i = 1; i < tenants; ++i)
+        {
+            const auto one = tail_of(arrivals, i, result);
+            worst.wait_ms = std::max(worst.wait_ms, one.wait_ms);
+            worst.answer_ms = std::max(worst.answer_ms, one.answer_ms);
+        }
+        return worst;
+    };
+    boost::json::object out;
+    print_head("nine tenants at 0.7 of their quota; the worst of them");
+    const auto calm = run_at(0.7);
+    const auto pressed = run_at(10.0);
+    print_tail(out, "tenth tenant at 0.7 of its quota", calm);
+    print_tail(out, "tenth tenant at 10 times its quota", pressed);
+    print_value(out, "answer p99 pressed / calm",
+                pressed.answer_ms / calm.answer_ms);
+    return out;
+}
+
+} // namespace
+
+/// Usage: policy_quality [seed] [json file]
+auto main(int count, char** words) -> int
+{
+    const auto seed = static_cast<unsigned>(
+        count > 1 ? std::strtoul(words[1], nullptr, 10) : 1);
+    std::cout << std::fixed << std::setprecision(3) << "seed " << seed << "\n";
+    const quality_setup setup;
+    boost::json::object all;
+    all["seed"] = seed;
+    all["renders"] = run_renders(seed, setup);
+    all["crest"] = run_crest(seed, setup);
+    all["overload"] = run_overload(seed, setup);
+    all["fairness"] = run_fairness(seed, setup);
+    if (count > 2)
+    {
+        std::ofstream(words[2]) << boost::json::serialize(all) << "\n";
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/support/quality_run.hpp
@@ -0,0 +1,375 @@
+/// @file
+/// Drives queue, admission and picker with a list of arrivals, in memory, with
+/// no delay between an event and the decision.
+#pragma once
+
+#include <pimentoshunt/ledger/capacity_ledger.hpp>
+#include <pimentoshunt/policy/admission.hpp>
+#include <pimentoshunt/policy/grant_picker.hpp>
+#include <pimentoshunt/policy/wait_queue.hpp>
+
+#include <algorithm>  // min
+#include <chrono>     // nanoseconds
+#include <cstddef>    // size_t
+#include <functional> // greater
+#include <map>        // map
+#include <queue>      // priority_queue
+#include <string>     // to_string
+#include <tuple>      // tie
+#include <vector>     // vector
+
+namespace pimentoshunt::bench
+{
+
+using std::chrono::nanoseconds;
+
+/// @brief One request or task of the list; times since the run began.
+struct arrival
+{
+    nanoseconds at{0};
+    nanoseconds run_time{0};
+    /// Index of the workload in the plan.
+    std::size_t workload = 0;
+    std::size_t entry = 0;
+};
+
+/// @brief What became of one arrival.
+struct served
+{
+    bool ran = false;
+    bool refused = false;
+    nanoseconds wait{0};
+    /// Wait and run ended before the deadline.
+    bool in_time = false;
+};
+
+/// @brief Sizes of one run.
+struct quality_setup
+{
+    std::size_t entries = 8;
+    std::size_t owners = 8;
+    std::size_t workers_per_owner = 6;
+    std::int64_t slots_per_worker = 8;
+    bool admission = true;
+    bool checkpoints = false;
+    policy::grant_picker_options picker;
+
+    [[nodiscard]] auto slots() const -> std::size_t
+    {
+        return owners * workers_per_owner *
+               static_cast<std::size_t>(slots_per_worker);
+    }
+};
+
+/// @brief Outcome of a run, one entry for each arrival, and slot times.
+struct quality_result
+{
+    std::vector<served> all;
+    /// Slot time in use by services, and by the rest, until the last arrival.
+    double service_slot_s = 0;
+    double other_slot_s = 0;
+    std::size_t checkpoints = 0;
+};
+
+namespace detail
+{
+
+/// @brief The end of one run.
+struct completion
+{
+    nanoseconds at{0};
+    std::size_t arrival = 0;
+    std::size_t owner = 0;
+    worker_id worker;
+
+    friend auto operator>(const completion& left, const completion& right)
+        -> bool
+    {
+        return std::tie(left.at, left.arrival) >
+               std::tie(right.at, right.arrival);
+    }
+};
+
+/// @brief One owner: its ledger and its picker.
+struct owner
+{
+    ledger::capacity_ledger accounts;
+    policy::grant_picker picker;
+};
+
+} // namespace detail
+
+/// @brief One run over a plan.
+class quality_run
+{
+  public:
+    quality_run(const plan::document& document, const quality_setup& setup)
+        : m_document(document), m_setup(setup), m_queues(setup.entries)
+    {
+        for (std::size_t i = 0; i < setup.owners; ++i)
+        {
+            add_owner(i);
+        }
+    }
+
+    /// @brief Serves @p arrivals, which are in the order of time.
+    auto run(const std::vector<arrival>& arrivals) -> quality_result
+    {
+        m_arrivals = &arrivals;
+        m_result.all.assign(arrivals.size(), {});
+        std::size_t next = 0;
+        while (next < arrivals.size() || !m_ends.empty())
+        {
+            const bool arrives =
+                next < arrivals.size() &&
+                (m_ends.empty() || arrivals[next].at <= m_ends.top().at);
+            if (arrives)
+            {
+                advance(arrivals[next].at);
+                arrive(next++);
+                m_counting = next < arrivals.size();
+            }
+            else
+            {
+                complete();
+            }
+        }
+        return std::move(m_result);
+    }
+
+  private:
+    auto add_owner(std::size_t number) -> void
+    {
+        detail::owner made{{}, policy::grant_picker(m_setup.picker)};
+        made.picker.set_plan(m_document);
+        made.picker.set_cell_share(1.0 / static_cast<double>(m_setup.owners));
+        for (std::size_t i = 0; i < m_setup.workers_per_owner; ++i)
+        {
+            worker::description machine;
+            machine.id = worker_id("w" + std::to_string(number) + "-" +
+                                   std::to_string(i));
+            machine.capacity = {m_setup.slots_per_worker, 16'000, 64'000, 0};
+            made.accounts.open(machine, 1, {}, {});
+        }
+        m_owners.push_back(std::move(made));
+    }
+
+    [[nodiscard]] auto clock() const -> time_point
+    {
+        return time_point(std::chrono::hours(1) + m_now);
+    }
+
+    auto advance(nanoseconds to) -> void
+    {
+        const std::chrono::duration<double> step = to - m_now;
+        if (m_counting)
+        {
+            m_result.service_slot_s += step.count() * m_service_slots;
+            m_result.other_slot_s += step.count() * m_other_slots;
+        }
+        m_now = to;
+    }
+
+    auto count_slots(const plan::workload& workload, double change) -> void
+    {
+        const bool service = workload.cls == plan::work_class::service;
+        (service ? m_service_slots : m_other_slots) += change;
+    }
+
+    auto arrive(std::size_t index) -> void
+    {
+        const auto& item = (*m_arrivals)[index];
+        const auto& workload = m_document.workloads[item.workload];
+        const auto deadline = clock() + workload.deadline;
+        if (m_setup.admission && !admitted(workload, deadline, item.entry))
+        {
+            m_result.all[index].refused = true;
+            return;
+        }
+        m_queues[item.entry].push(workload.name, workload.priority, deadline,
+                                  clock(), index);
+        auto lines = demand();
+        for (std::size_t i = 0; i < m_owners.size(); ++i)
+        {
+            const auto turn = (index + i) % m_owners.size();
+            if (m_owners[turn].accounts.free_total().slots > 0)
+            {
+                grant(turn, lines);
+            }
+        }
+    }
+
+    auto admitted(const plan::workload& workload, time_point deadline,
+                  std::size_t entry) -> bool
+    {
+        const auto& judge = m_owners[entry % m_owners.size()];
+        std::int64_t slots = 0;
+        for (const auto& [name, used] : judge.accounts.used_by_workload())
+        {
+            const auto* const holder = m_document.find(name);
+            slots += judge.picker.is_long(*holder) ? used.total.slots : 0;
+        }
+        // the owner's own workers stand for all
+        slots = (judge.accounts.capacity_total().slots - slots) *
+                static_cast<std::int64_t>(m_owners.size());
+        const auto ahead = judge.picker.ahead_of(judge.accounts, demand(),
+                                                 workload, deadline, clock());
+        return m_admission
+            .judge(workload, deadline, ahead, slots, judge.picker.run_times(),
+                   clock())
+            .admitted();
+    }
+
+    auto complete() -> void
+    {
+        const auto end = m_ends.top();
+        m_ends.pop();
+        advance(end.at);
+        auto& owner = m_owners[end.owner];
+        const attempt_id attempt(std::to_string(end.arrival));
+        if (!owner.accounts.release(end.worker, attempt))
+        {
+            // it was checkpointed before
+            return;
+        }
+        const auto& item = (*m_arrivals)[end.arrival];
+        const auto& workload = m_document.workloads[item.workload];
+        count_slots(workload, -1);
+        owner.picker.observe(workload, item.run_time);
+        auto lines = demand();
+        grant(end.owner, lines);
+    }
+
+    /// @brief What waits at all entries, expired requests left out.
+    auto demand() -> std::vector<policy::demand_line>
+    {
+        std::vector<policy::demand_line> lines;
+        for (std::size_t i = 0; i < m_queues.size(); ++i)
+        {
+            m_queues[i].expire(clock());
+            for (const auto& line : m_queues[i].summaries())
+            {
+                lines.push_back({instance_id(std::to_string(i)),
+                                 m_document.find(line.workload),
+                                 static_cast<std::int64_t>(line.count),
+                                 line.next_deadline, line.oldest_arrival});
+            }
+        }
+        return lines;
+    }
+
+    auto grant(std::size_t number, std::vector<policy::demand_line>& lines)
+        -> void
+    {
+        if (lines.empty())
+        {
+            return;
+        }
+        auto& owner = m_owners[number];
+        report_usage(number);
+        std::vector<std::int64_t> given(lines.size(), 0);
+        owner.picker.pick(
+            owner.accounts, lines,
+            [&](const policy::placement& choice)
+            {
+                ++given[choice.line];
+                return start(number, lines[choice.line], choice.worker);
+            },
+            clock());
+        for (std::size_t i = 0; i < lines.size(); ++i)
+        {
+            lines[i].count -= given[i];
+        }
+        if (m_setup.checkpoints)
+        {
+            checkpoint(number, lines);
+        }
+    }
+
+    auto report_usage(std::size_t number) -> void
+    {
+        if (m_document.tenants.empty())
+        {
+            return;
+        }
+        std::vector<policy::tenant_usage> usages;
+        for (const auto& tenant : m_document.tenants)
+        {
+            resources sum;
+            for (std::size_t i = 0; i < m_owners.size(); ++i)
+            {
+                if (i != number)
+                {
+                    sum += m_owners[i].accounts.used_by(tenant.name).total;
+                }
+            }
+            usages.push_back({tenant.name, sum});
+        }
+        m_owners[number].picker.set_usage_elsewhere(usages);
+    }
+
+    auto start(std::size_t number, const policy::demand_line& line,
+               const worker_id& worker) -> bool
+    {
+        const auto entry =
+            static_cast<std::size_t>(std::stoul(line.entry.str()));
+        const auto& workload = *line.workload;
+        const auto taken = m_queues[entry].pop(workload.name, clock());
+        if (!taken.has_value())
+        {
+            return false;
+        }
+        const auto& item = (*m_arrivals)[*taken];
+        ledger::holding held;
+        held.attempt = attempt_id(std::to_string(*taken));
+        held.workload = workload.name;
+        held.tenant = workload.tenant;
+        held.each = workload.each;
+        held.granted_at = clock();
+        if (!m_owners[number].accounts.take(worker, held))
+        {
+            return false;
+        }
+        count_slots(workload, 1);
+        auto& answer = m_result.all[*taken];
+        answer.ran = true;
+        answer.wait = m_now - item.at;
+        answer.in_time = answer.wait + item.run_time <= workload.deadline;
+        m_ends.push({m_now + item.run_time, *taken, number, worker});
+        return true;
+    }
+
+    auto checkpoint(std::size_t number,
+                    const std::vector<policy::demand_line>& lines) -> void
+    {
+        auto& owner = m_owners[number];
+        const auto chosen =
+            owner.picker.checkpoint_candidates(owner.accounts, lines, clock());
+        for (const auto& candidate : chosen)
+        {
+            const auto index =
+                static_cast<std::size_t>(std::stoul(candidate.attempt.str()));
+            owner.accounts.release(candidate.worker, candidate.attempt);
+            const auto& item = (*m_arrivals)[index];
+            count_slots(m_document.workloads[item.workload], -1);
+            ++m_result.checkpoints;
+        }
+    }
+
+    const plan::document& m_document;
+    quality_setup m_setup;
+    std::vector<policy::wait_queue<std::size_t>> m_queues;
+    std::vector<detail::owner> m_owners;
+    policy::admission m_admission;
+    const std::vector<arrival>* m_arrivals = nullptr;
+    std::priority_queue<detail::completion, std::vector<detail::completion>,
+                        std::greater<detail::completion>>
+        m_ends;
+    nanoseconds m_now{0};
+    quality_result m_result;
+    double m_service_slots = 0;
+    double m_other_slots = 0;
+    bool m_counting = true;
+};
+
+} // namespace pimentoshunt::bench
--- a/include/pimentoshunt/policy/grant_picker.hpp
+++ b/include/pimentoshunt/policy/grant_picker.hpp
@@ -6,6 +6,7 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/ledger/capacity_ledger.hpp>
 #include <pimentoshunt/plan/document.hpp>
+#include <pimentoshunt/policy/admission.hpp>
 #include <pimentoshunt/policy/run_time_estimator.hpp>
 #include <pimentoshunt/policy/short_reserve.hpp>
 #include <pimentoshunt/policy/tenant_shares.hpp>
@@ -147,6 +148,17 @@
               const std::vector<demand_line>& lines, Take&& take,
               time_point now) -> void;
 
+    /// @brief What is served before a new arrival, for admission.
+    /// @param lines  all that waits, as for @ref pick
+    /// @return counts that rest on the order of @ref pick: of a line that is
+    ///         as urgent, only what is due earlier counts
+    /// @complexity linear in the number of lines
+    [[nodiscard]] auto ahead_of(const ledger::capacity_ledger& accounts,
+                                const std::vector<demand_line>& lines,
+                                const plan::workload& workload,
+                                time_point deadline, time_point now) const
+        -> std::vector<work_ahead>;
+
     /// @brief Names long batch attempts to checkpoint for waiting short work.
     /// @param lines  what still waits after @ref pick
     /// @return as few as make room for this owner's share of it; work over its
--- a/src/policy/grant_picker.cpp
+++ b/src/policy/grant_picker.cpp
@@ -247,6 +247,40 @@
     kept.for_gang = smaller(missing, most);
 }
 
+auto grant_picker::ahead_of(const ledger::capacity_ledger& accounts,
+                            const std::vector<demand_line>& lines,
+                            const plan::workload& workload, time_point deadline,
+                            time_point now) const -> std::vector<work_ahead>
+{
+    const demand_line arrival{{}, &workload, 1, deadline, now};
+    const auto own = urgency_of(accounts, arrival, 0, now);
+    std::vector<work_ahead> ahead;
+    for (const auto& line : lines)
+    {
+        if (line.count <= 0 || line.deadline <= now)
+        {
+            continue;
+        }
+        auto last = urgency_of(accounts, line, line.count - 1, now);
+        auto first = urgency_of(accounts, line, 0, now);
+        if (last < own)
+        {
+            ahead.push_back({line.workload, line.count});
+            continue;
+        }
+        if (!(first < own))
+        {
+            continue;
+        }
+        const auto step = (last.deadline - first.deadline) /
+                          std::max<std::int64_t>(line.count - 1, 1);
+        const auto earlier =
+            step.count() > 0 ? (deadline - first.deadline) / step : line.count;
+        ahead.push_back({line.workload, std::min(line.count, earlier + 1)});
+    }
+    return ahead;
+}
+
 auto grant_picker::checkpoint_candidates(
     const ledger::capacity_ledger& accounts,
     const std::vector<demand_line>& lines, time_point now) const
