--- a/include/pimentoshunt/policy/grant_picker.hpp
+++ b/include/pimentoshunt/policy/grant_picker.hpp
@@ -6,6 +6,7 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/ledger/capacity_ledger.hpp>
 #include <pimentoshunt/plan/document.hpp>
+#include <pimentoshunt/policy/admission.hpp>
 #include <pimentoshunt/policy/run_time_estimator.hpp>
 #include <pimentoshunt/policy/short_reserve.hpp>
 #include <pimentoshunt/policy/tenant_shares.hpp>
@@ -50,12 +51,17 @@
 {
     /// Work is long when its mean run time is this many short medians.
     double long_ratio = 8.0;
+    /// Whether the caller checkpoints what checkpoint_candidates names, which
+    /// allows long work into most of the room of the last peak.
+    bool checkpoints = false;
     /// Time after which a peak of short use counts half.
     milliseconds peak_half_life{60'000};
+    /// The same where batch work is checkpointed.
+    milliseconds peak_half_life_with_checkpoints{1'000};
     /// Largest share of the capacity kept free for a gang that waits.
     double gang_room_share = 0.25;
     /// Short medians that short work waits before a checkpoint is due.
-    double checkpoint_patience = 4.0;
+    double checkpoint_patience = 1.0;
 };
 
 namespace detail
@@ -147,11 +153,23 @@
               const std::vector<demand_line>& lines, Take&& take,
               time_point now) -> void;
 
+    /// @brief What is served before a new arrival, for admission.
+    /// @param lines  all that waits, as for @ref pick
+    /// @return counts that rest on the order of @ref pick: of a line that is
+    ///         as urgent, only what is due earlier counts
+    /// @complexity linear in the number of lines
+    [[nodiscard]] auto ahead_of(const ledger::capacity_ledger& accounts,
+                                const std::vector<demand_line>& lines,
+                                const plan::workload& workload,
+                                time_point deadline, time_point now) const
+        -> std::vector<work_ahead>;
+
     /// @brief Names long batch attempts to checkpoint for waiting short work.
     /// @param lines  what still waits after @ref pick
     /// @return as few as make room for this owner's share of it; work over its
     ///         tenant's quota first, then the lowest priority, then the
-    ///         youngest; none before short work has waited long enough
+    ///         youngest; none before short work has waited long enough, or
+    ///         without grant_picker_options::checkpoints
     /// @complexity linear in the number of holdings
     [[nodiscard]] auto
     checkpoint_candidates(const ledger::capacity_ledger& accounts,
