Job tracker: who may start when, as a pure state machine

Cause: a task must never run in two places, whatever fails.

Ruled out: judging the end of an attempt by time since the last answered renewal alone (a renewal under way may still extend the lease), and asking all workers after a takeover (the record names those that may run a task).

Change: job_tracker takes typed events and hands out typed effects; a task has one attempt at a time, ended by the worker's word or by the lease with drift and margin after the end of the last call. Gangs hold all or let all go.

--- /dev/null
+++ b/src/jobs/job_tracker.cpp
@@ -0,0 +1,447 @@
+#include <pimentoshunt/jobs/job_tracker.hpp>
+
+#include <algorithm> // any_of, max
+#include <utility>   // exchange, move
+
+namespace pimentoshunt::jobs
+{
+
+using detail::attempt_phase;
+
+namespace
+{
+
+constexpr std::int64_t no_task = -1;
+constexpr int permille = 1'000;
+constexpr int exit_not_reported = -1;
+
+} // namespace
+
+job_tracker::job_tracker(int partition, std::uint64_t epoch,
+                         tracker_limits limits, std::uint32_t seed)
+    : m_partition(partition), m_epoch(epoch), m_limits(limits), m_random(seed)
+{
+}
+
+auto job_tracker::effects() -> std::vector<job_effect>
+{
+    return std::exchange(m_effects, {});
+}
+
+auto job_tracker::find(const job_id& job) const -> const job_progress*
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second.record.progress;
+}
+
+auto job_tracker::find_job(const job_id& job) -> job_entry*
+{
+    const auto found = m_jobs.find(job);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+auto job_tracker::find_attempt(const attempt_id& attempt, job_entry*& job)
+    -> attempt_entry*
+{
+    const auto found = m_places.find(attempt);
+    if (found == m_places.end())
+    {
+        return nullptr;
+    }
+    job = find_job(found->second.job);
+    return &job->attempts.at(found->second.task);
+}
+
+auto job_tracker::lease_wait() const -> boot_clock::duration
+{
+    const auto drift =
+        m_limits.lease * m_limits.clock_drift_permille / permille;
+    return m_limits.lease + drift + m_limits.lease_margin;
+}
+
+auto job_tracker::on_loaded(const job_record& record, time_point now) -> bool
+{
+    if (record.progress.state != job_state::active ||
+        m_jobs.count(record.spec.id) != 0)
+    {
+        return false;
+    }
+    auto& job = m_jobs[record.spec.id];
+    job.record = record;
+    job.unfenced = record.progress.workers;
+    if (job.unfenced.empty())
+    {
+        judge_unreported(job);
+    }
+    settle(job, now);
+    return true;
+}
+
+auto job_tracker::on_all_loaded() -> void
+{
+    m_all_loaded = true;
+}
+
+auto job_tracker::takes_placements(const job_entry& job, time_point now) -> bool
+{
+    if (job.target != job_state::active || !job.unfenced.empty() ||
+        job.gang_broken)
+    {
+        return false;
+    }
+    // A gang that has begun takes no more; one that failed waits for a while.
+    return !job.record.spec.gang ||
+           (now >= job.backoff_until && !job.gang_ran &&
+            job.gang_done.size() == 0);
+}
+
+auto job_tracker::pick_task(job_entry& job, time_point now) -> std::int64_t
+{
+    const auto takes = [&](std::int64_t task)
+    {
+        return job.attempts.count(task) == 0 &&
+               !job.record.progress.done.contains(task);
+    };
+    for (auto at = job.waiting.begin(); at != job.waiting.end();)
+    {
+        const auto task = at->task;
+        if (!takes(task))
+        {
+            at = job.waiting.erase(at);
+            continue;
+        }
+        if (at->not_before <= now)
+        {
+            job.waiting.erase(at);
+            return task;
+        }
+        ++at;
+    }
+    const auto waits = [&](std::int64_t task)
+    {
+        return std::any_of(job.waiting.begin(), job.waiting.end(),
+                           [task](const detail::waiting_task& item)
+                           {
+                               return item.task == task;
+                           });
+    };
+    while (true)
+    {
+        const auto task = job.record.progress.done.next_absent(job.next_fresh);
+        if (task >= job.record.spec.tasks)
+        {
+            return no_task;
+        }
+        job.next_fresh = task + 1;
+        if (takes(task) && !waits(task))
+        {
+            return task;
+        }
+    }
+}
+
+auto job_tracker::note_placement(job_entry& job, attempt_entry& entry) -> void
+{
+    auto& progress = job.record.progress;
+    const bool known =
+        std::any_of(progress.workers.begin(), progress.workers.end(),
+                    [&](const job_worker& each)
+                    {
+                        return each.id == entry.worker.id;
+                    });
+    bool changed = !known;
+    if (!known)
+    {
+        progress.workers.push_back(entry.worker);
+    }
+    if (!job.record.spec.idempotent)
+    {
+        changed = progress.started.insert(entry.task) || changed;
+    }
+    if (changed)
+    {
+        change(job, true);
+        job.critical = job.sequence;
+    }
+    entry.needs_sequence = job.critical;
+}
+
+auto job_tracker::on(const placement_granted& event, time_point now) -> void
+{
+    if (m_places.count(event.attempt) != 0)
+    {
+        return;
+    }
+    auto* const job = find_job(event.job);
+    if (job != nullptr && job->wanted > 0)
+    {
+        --job->wanted;
+    }
+    const auto task = job != nullptr && takes_placements(*job, now)
+                          ? pick_task(*job, now)
+                          : no_task;
+    if (task == no_task)
+    {
+        m_effects.emplace_back(release_placement{event.job, event.attempt,
+                                                 event.worker.id,
+                                                 attempt_outcome::not_run});
+        return;
+    }
+    auto& entry = job->attempts[task];
+    entry.attempt = event.attempt;
+    entry.task = task;
+    entry.worker = event.worker;
+    entry.epoch = event.epoch;
+    entry.held_until = now + m_limits.hold_for;
+    m_places.emplace(event.attempt, place{event.job, task});
+    if (!job->record.spec.gang)
+    {
+        note_placement(*job, entry);
+    }
+    advance(*job, now);
+    settle(*job, now);
+}
+
+auto job_tracker::advance(job_entry& job, time_point) -> void
+{
+    const auto& spec = job.record.spec;
+    if (spec.gang && (job.gang_ran || static_cast<std::int64_t>(
+                                          job.attempts.size()) < spec.tasks))
+    {
+        return;
+    }
+    bool ready = true;
+    for (auto& [task, entry] : job.attempts)
+    {
+        if (spec.gang)
+        {
+            note_placement(job, entry);
+        }
+        ready = ready && entry.needs_sequence <= job.persisted;
+    }
+    for (auto& [task, entry] : job.attempts)
+    {
+        const bool may_start =
+            spec.gang ? ready : entry.needs_sequence <= job.persisted;
+        if (entry.phase == attempt_phase::held && may_start)
+        {
+            start(job, entry);
+        }
+    }
+}
+
+auto job_tracker::start(job_entry& job, attempt_entry& entry) -> void
+{
+    const auto& spec = job.record.spec;
+    entry.phase = attempt_phase::starting;
+    entry.calls = 1;
+    job.gang_ran = spec.gang;
+    worker::task_start message;
+    message.attempt = entry.attempt;
+    message.workload = spec.workload;
+    message.job = spec.id;
+    message.task = entry.task;
+    message.epoch = entry.epoch;
+    message.partition = partition_name(m_partition);
+    message.partition_epoch = m_epoch;
+    message.each = spec.each;
+    message.lease = m_limits.lease;
+    message.run_time = spec.run_time;
+    message.body = spec.body;
+    m_effects.emplace_back(start_task{entry.worker, std::move(message)});
+}
+
+auto job_tracker::on(const start_result& event, time_point now) -> void
+{
+    job_entry* job = nullptr;
+    auto* const entry = find_attempt(event.attempt, job);
+    if (entry == nullptr || entry->phase != attempt_phase::starting)
+    {
+        return;
+    }
+    close_start(*job, *entry, event.answer, now);
+    settle(*job, now);
+}
+
+auto job_tracker::close_start(job_entry& job, attempt_entry& entry,
+                              start_answer answer, time_point now) -> void
+{
+    entry.calls = 0;
+    entry.lapse_at = now + lease_wait();
+    entry.last_heard = now;
+    entry.next_try = now;
+    const bool stopping = job.target != job_state::active || job.gang_broken;
+    switch (answer)
+    {
+    case start_answer::not_run:
+        end_not_run(job, entry.task, now);
+        break;
+    case start_answer::started:
+        entry.phase = attempt_phase::running;
+        entry.stop = stopping;
+        entry.renew = !stopping;
+        break;
+    case start_answer::unknown:
+        entry.phase = attempt_phase::unsure;
+        entry.inspect = true;
+        entry.stop = stopping;
+        entry.renew = !stopping;
+        break;
+    }
+}
+
+auto job_tracker::on(const lease_report& event, time_point now) -> void
+{
+    m_renewing.erase(event.worker);
+    for (const auto& attempt : event.attempts)
+    {
+        job_entry* job = nullptr;
+        auto* const entry = find_attempt(attempt, job);
+        if (entry == nullptr || entry->calls == 0)
+        {
+            continue;
+        }
+        --entry->calls;
+        entry->lapse_at = std::max(entry->lapse_at, now + lease_wait());
+        entry->last_heard = event.answered ? now : entry->last_heard;
+    }
+    for (const auto& attempt : event.lapsed)
+    {
+        job_entry* job = nullptr;
+        auto* const entry = find_attempt(attempt, job);
+        if (entry != nullptr && entry->phase == attempt_phase::running)
+        {
+            // It has ended; how, the worker says when asked.
+            entry->inspect = true;
+            m_effects.emplace_back(inspect_attempt{entry->worker, attempt});
+            entry->next_try = now + m_limits.retry_interval;
+        }
+    }
+}
+
+auto job_tracker::on(const attempt_inspected& event, time_point now) -> void
+{
+    job_entry* job = nullptr;
+    auto* const entry = find_attempt(event.attempt, job);
+    if (entry == nullptr || !event.report ||
+        entry->phase == attempt_phase::held ||
+        entry->phase == attempt_phase::starting)
+    {
+        return;
+    }
+    entry->last_heard = now;
+    switch (event.report->state)
+    {
+    case worker::attempt_state::running:
+        entry->phase = attempt_phase::running;
+        entry->inspect = false;
+        entry->renew = !entry->stop;
+        break;
+    case worker::attempt_state::finished:
+        end_finished(*job, entry->task,
+                     event.report->exit.value_or(exit_not_reported), now);
+        break;
+    case worker::attempt_state::stopped:
+        end_stopped(*job, entry->task, now);
+        break;
+    case worker::attempt_state::revoked:
+        // A worker that does not know an attempt that did run has forgotten it.
+        if (entry->phase == attempt_phase::unsure)
+        {
+            end_not_run(*job, entry->task, now);
+        }
+        else
+        {
+            end_stopped(*job, entry->task, now);
+        }
+        break;
+    }
+    settle(*job, now);
+}
+
+auto job_tracker::on(const stop_result& event, time_point now) -> void
+{
+    job_entry* job = nullptr;
+    auto* const entry = find_attempt(event.attempt, job);
+    if (entry == nullptr || !event.stopped ||
+        entry->phase != attempt_phase::running)
+    {
+        return;
+    }
+    end_stopped(*job, entry->task, now);
+    settle(*job, now);
+}
+
+auto job_tracker::on_finished(const attempt_id& attempt, int exit,
+                              time_point now) -> void
+{
+    job_entry* job = nullptr;
+    auto* const entry = find_attempt(attempt, job);
+    if (entry == nullptr || entry->phase == attempt_phase::held)
+    {
+        return;
+    }
+    end_finished(*job, entry->task, exit, now);
+    settle(*job, now);
+}
+
+auto job_tracker::on_preempted(const attempt_id& attempt, time_point now)
+    -> void
+{
+    job_entry* job = nullptr;
+    auto* const entry = find_attempt(attempt, job);
+    if (entry == nullptr || entry->phase != attempt_phase::running)
+    {
+        return;
+    }
+    const auto task = entry->task;
+    remove(*job, task, attempt_outcome::stopped);
+    if (job->record.spec.gang)
+    {
+        break_gang(*job, job_fault::outcome_unknown);
+    }
+    else
+    {
+        wait_again(*job, task, 0, now);
+    }
+    settle(*job, now);
+}
+
+auto job_tracker::on_cancel(const job_id& id, time_point now) -> bool
+{
+    auto* const job = find_job(id);
+    if (job == nullptr)
+    {
+        return false;
+    }
+    if (job->target == job_state::active)
+    {
+        job->target = job_state::cancelled;
+        stop_all(*job);
+        settle(*job, now);
+    }
+    return true;
+}
+
+auto job_tracker::on(const progress_persisted& event, time_point now) -> void
+{
+    auto* const job = find_job(event.job);
+    if (job == nullptr || job->persisting != event.sequence)
+    {
+        return;
+    }
+    job->persisting = 0;
+    if (event.committed)
+    {
+        job->persisted = event.sequence;
+        advance(*job, now);
+    }
+    else
+    {
+        job->urgent = false;
+        job->next_persist = now + m_limits.retry_interval;
+    }
+    settle(*job, now);
+}
+
+} // namespace pimentoshunt::jobs
--- /dev/null
+++ b/src/jobs/job_tracker_tick.cpp
@@ -0,0 +1,310 @@
+#include <pimentoshunt/jobs/job_tracker.hpp>
+
+#include <algorithm> // count_if, find, min
+#include <utility>   // move
+
+namespace pimentoshunt::jobs
+{
+
+using detail::attempt_phase;
+
+auto job_tracker::change(job_entry& job, bool urgent) -> void
+{
+    ++job.sequence;
+    job.urgent = job.urgent || urgent;
+}
+
+auto job_tracker::persist(job_entry& job, time_point now) -> void
+{
+    const bool due = job.urgent || now >= job.next_persist;
+    if (job.persisting != 0 || job.persisted == job.sequence || !due)
+    {
+        return;
+    }
+    job.persisting = job.sequence;
+    job.urgent = false;
+    job.next_persist = now + m_limits.persist_interval;
+    m_effects.emplace_back(persist_progress{job.record.spec.id, job.sequence,
+                                            job.record.progress});
+}
+
+auto job_tracker::startable(const job_entry& job, time_point now) const
+    -> std::int64_t
+{
+    const auto& spec = job.record.spec;
+    const auto early = std::count_if(job.waiting.begin(), job.waiting.end(),
+                                     [now](const detail::waiting_task& item)
+                                     {
+                                         return item.not_before > now;
+                                     });
+    const auto rest = spec.tasks - job.record.progress.done.size() -
+                      static_cast<std::int64_t>(job.attempts.size()) - early;
+    // A gang asks for all at once: a part of it is of no use.
+    return spec.gang ? rest : std::min(rest, m_limits.wanted_at_once);
+}
+
+auto job_tracker::update_wish(job_entry& job, time_point now) -> void
+{
+    const auto count = takes_placements(job, now) ? startable(job, now) : 0;
+    if (count == job.wanted)
+    {
+        return;
+    }
+    job.wanted = count;
+    want_placements wish{
+        job.record.spec.id, job.record.spec.workload, count, {}};
+    for (const auto& failed : job.record.progress.failures)
+    {
+        for (const auto& worker : failed.workers)
+        {
+            if (std::find(wish.avoid.begin(), wish.avoid.end(), worker) ==
+                wish.avoid.end())
+            {
+                wish.avoid.push_back(worker);
+            }
+        }
+    }
+    m_effects.emplace_back(std::move(wish));
+}
+
+auto job_tracker::lacks_members(const job_entry& job) -> bool
+{
+    // Only after a takeover: an earlier owner began it, and part of it is lost.
+    const auto members =
+        static_cast<std::int64_t>(job.attempts.size()) + job.gang_done.size();
+    return job.record.spec.gang && job.gang_ran && job.unfenced.empty() &&
+           members != job.record.spec.tasks;
+}
+
+auto job_tracker::settle(job_entry& job, time_point now) -> void
+{
+    auto& progress = job.record.progress;
+    if (lacks_members(job))
+    {
+        break_gang(job, job_fault::outcome_unknown);
+    }
+    if (job.gang_broken && job.attempts.empty() && job.unfenced.empty())
+    {
+        restart_gang(job, now);
+    }
+    if (job.target == job_state::active &&
+        progress.done.size() >= job.record.spec.tasks)
+    {
+        job.target = job_state::succeeded;
+    }
+    // Not before the last task that an earlier owner began is accounted for.
+    if (job.target != job_state::active && job.attempts.empty() &&
+        job.unfenced.empty() && progress.state == job_state::active)
+    {
+        progress.state = job.target;
+        change(job, true);
+    }
+    update_wish(job, now);
+    persist(job, now);
+    if (progress.state != job_state::active && job.persisted == job.sequence &&
+        job.sequence != 0)
+    {
+        m_ended.push_back(job.record.spec.id);
+    }
+}
+
+auto job_tracker::forget_ended() -> void
+{
+    for (const auto& id : m_ended)
+    {
+        const auto found = m_jobs.find(id);
+        if (found != m_jobs.end())
+        {
+            m_effects.emplace_back(
+                job_ended{id, found->second.record.progress.state});
+            m_jobs.erase(found);
+        }
+    }
+    m_ended.clear();
+}
+
+auto job_tracker::on_worker_gone(const worker_id& worker, time_point now)
+    -> void
+{
+    m_gone.emplace(worker, now + lease_wait());
+    for (auto& [id, job] : m_jobs)
+    {
+        for (auto& [task, entry] : job.attempts)
+        {
+            if (entry.worker.id == worker)
+            {
+                entry.renew = false;
+                entry.inspect = true;
+            }
+        }
+    }
+}
+
+auto job_tracker::is_gone(const worker_id& worker, time_point now) const -> bool
+{
+    const auto found = m_gone.find(worker);
+    return found != m_gone.end() && now >= found->second;
+}
+
+auto job_tracker::certainly_lapsed(const attempt_entry& entry,
+                                   time_point now) const -> bool
+{
+    if (entry.calls != 0 || now < entry.lapse_at ||
+        (entry.renew && entry.phase == attempt_phase::running))
+    {
+        return false;
+    }
+    return !entry.adopted || m_limits.renewals_are_fenced ||
+           is_gone(entry.worker.id, now);
+}
+
+auto job_tracker::tick_attempt(job_entry& job, attempt_entry& entry,
+                               time_point now) -> void
+{
+    if (entry.phase == attempt_phase::held ||
+        entry.phase == attempt_phase::starting)
+    {
+        return;
+    }
+    if (certainly_lapsed(entry, now))
+    {
+        end_stopped(job, entry.task, now);
+        return;
+    }
+    if (entry.renew && now - entry.last_heard > m_limits.give_up_after)
+    {
+        entry.renew = false;
+        entry.inspect = true;
+    }
+    if (now < entry.next_try)
+    {
+        return;
+    }
+    const bool stop = entry.stop && entry.phase == attempt_phase::running;
+    if (stop)
+    {
+        m_effects.emplace_back(stop_task{entry.worker, entry.attempt});
+    }
+    else if (entry.inspect)
+    {
+        m_effects.emplace_back(inspect_attempt{entry.worker, entry.attempt});
+    }
+    entry.next_try = now + m_limits.retry_interval;
+}
+
+auto job_tracker::expire_holds(job_entry& job, time_point now) -> void
+{
+    std::vector<std::int64_t> expired;
+    for (const auto& [task, entry] : job.attempts)
+    {
+        if (entry.phase == attempt_phase::held && now >= entry.held_until)
+        {
+            expired.push_back(task);
+        }
+    }
+    if (expired.empty())
+    {
+        return;
+    }
+    if (job.record.spec.gang)
+    {
+        // All holds go together, so that two gangs never wait for each other.
+        break_gang(job, job_fault::attempts_used);
+        return;
+    }
+    for (const auto task : expired)
+    {
+        end_not_run(job, task, now);
+    }
+}
+
+auto job_tracker::tick_attempts(job_entry& job, time_point now) -> void
+{
+    expire_holds(job, now);
+    std::vector<std::int64_t> tasks;
+    tasks.reserve(job.attempts.size());
+    for (const auto& [task, entry] : job.attempts)
+    {
+        tasks.push_back(task);
+    }
+    for (const auto task : tasks)
+    {
+        // The end of one attempt may have removed others.
+        const auto found = job.attempts.find(task);
+        if (found != job.attempts.end())
+        {
+            tick_attempt(job, found->second, now);
+        }
+    }
+}
+
+auto job_tracker::tick_fences(time_point now) -> void
+{
+    std::unordered_set<worker_id> asked;
+    for (auto& [id, job] : m_jobs)
+    {
+        const auto workers = job.unfenced;
+        for (const auto& worker : workers)
+        {
+            if (is_gone(worker.id, now))
+            {
+                mark_fenced(job, worker.id);
+            }
+        }
+        if (!m_all_loaded || job.unfenced.empty() || now < job.next_fence)
+        {
+            continue;
+        }
+        job.next_fence = now + m_limits.retry_interval;
+        for (const auto& worker : job.unfenced)
+        {
+            if (asked.insert(worker.id).second)
+            {
+                m_effects.emplace_back(
+                    fence_worker{worker, partition_name(m_partition), m_epoch});
+            }
+        }
+    }
+}
+
+auto job_tracker::tick_leases(time_point now) -> void
+{
+    std::unordered_map<worker_id, renew_leases> due;
+    for (auto& [id, job] : m_jobs)
+    {
+        for (auto& [task, entry] : job.attempts)
+        {
+            const auto& worker = entry.worker.id;
+            if (entry.phase != attempt_phase::running || !entry.renew ||
+                m_renewing.count(worker) != 0 || now < m_next_renewal[worker])
+            {
+                continue;
+            }
+            ++entry.calls;
+            auto& call = due[worker];
+            call.worker = entry.worker;
+            call.lease = m_limits.lease;
+            call.attempts.push_back(entry.attempt);
+        }
+    }
+    for (auto& [worker, call] : due)
+    {
+        m_renewing.insert(worker);
+        m_next_renewal[worker] = now + m_limits.renew_interval;
+        m_effects.emplace_back(std::move(call));
+    }
+}
+
+auto job_tracker::tick(time_point now) -> void
+{
+    tick_fences(now);
+    for (auto& [id, job] : m_jobs)
+    {
+        tick_attempts(job, now);
+        settle(job, now);
+    }
+    tick_leases(now);
+    forget_ended();
+}
+
+} // namespace pimentoshunt::jobs
--- /dev/null
+++ b/tests/unit-jobs-tracker.cpp
@@ -0,0 +1,312 @@
+#include <pimentoshunt/jobs/job_tracker.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string> // string
+#include <vector> // vector
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::jobs;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const job_id id("j1");
+
+auto job_of(std::int64_t tasks, bool gang = false, bool idempotent = true)
+    -> job_record
+{
+    job_record out;
+    out.spec.id = id;
+    out.spec.tasks = tasks;
+    out.spec.gang = gang;
+    out.spec.idempotent = idempotent;
+    return out;
+}
+
+auto worker_of(int number) -> job_worker
+{
+    const auto text = std::to_string(number);
+    return {worker_id("w" + text), "http://127.0.0.1:1/w/" + text};
+}
+
+/// A tracker whose effects are kept by kind, and which commits at once.
+class bench
+{
+  public:
+    explicit bench(const job_record& job, tracker_limits limits = {})
+        : m_tracker(5, 2, limits, 1)
+    {
+        m_tracker.on_loaded(job, m_now);
+        m_tracker.on_all_loaded();
+        run();
+    }
+
+    /// Takes the effects; commits succeed unless held back.
+    auto run() -> void
+    {
+        auto effects = m_tracker.effects();
+        while (!effects.empty())
+        {
+            for (auto& effect : effects)
+            {
+                m_all.push_back(effect);
+                const auto* wish = std::get_if<want_placements>(&effect);
+                m_wish = wish != nullptr ? wish->count : m_wish;
+                const auto* commit = std::get_if<persist_progress>(&effect);
+                if (commit != nullptr && m_store_up)
+                {
+                    m_last = commit->progress;
+                    m_tracker.on(
+                        progress_persisted{commit->job, commit->sequence, true},
+                        m_now);
+                }
+                else if (commit != nullptr)
+                {
+                    m_tracker.on(progress_persisted{commit->job,
+                                                    commit->sequence, false},
+                                 m_now);
+                }
+            }
+            effects = m_tracker.effects();
+        }
+    }
+
+    auto pass(milliseconds time) -> void
+    {
+        for (auto left = time; left > 0ms; left -= 100ms)
+        {
+            m_now += 100ms;
+            m_tracker.tick(m_now);
+            run();
+        }
+    }
+
+    template<class Event>
+    auto on(const Event& event) -> void
+    {
+        m_tracker.on(event, m_now);
+        run();
+    }
+
+    auto grant(const std::string& attempt, int worker = 1) -> void
+    {
+        m_wish -= m_wish > 0 ? 1 : 0;
+        on(placement_granted{id, attempt_id(attempt), worker_of(worker), 7});
+    }
+
+    auto start(const std::string& attempt, int worker = 1,
+               start_answer answer = start_answer::started) -> void
+    {
+        grant(attempt, worker);
+        on(start_result{attempt_id(attempt), answer});
+    }
+
+    auto finish(const std::string& attempt, int exit) -> void
+    {
+        m_tracker.on_finished(attempt_id(attempt), exit, m_now);
+        run();
+    }
+
+    /// How many effects of a kind there were.
+    template<class Effect>
+    [[nodiscard]] auto count() const -> int
+    {
+        int found = 0;
+        for (const auto& effect : m_all)
+        {
+            found += std::holds_alternative<Effect>(effect) ? 1 : 0;
+        }
+        return found;
+    }
+
+    /// The placements wished for at present.
+    [[nodiscard]] auto wish() const -> std::int64_t
+    {
+        return m_wish;
+    }
+
+    job_tracker m_tracker;
+    time_point m_now{std::chrono::hours(1)};
+    std::vector<job_effect> m_all;
+    job_progress m_last;
+    bool m_store_up = true;
+    std::int64_t m_wish = 0;
+};
+
+} // namespace
+
+Test(jobs_tracker, job_runs_to_its_end)
+{
+    bench b(job_of(2));
+    cr_assert(b.wish() == 2);
+    b.start("a1");
+    b.start("a2", 2);
+    b.grant("a3");
+    cr_assert(b.count<start_task>() == 2);
+    cr_assert(b.count<release_placement>() == 1);
+    b.finish("a1", 0);
+    b.finish("a2", 0);
+    b.pass(200ms);
+    cr_assert(b.m_last.state == job_state::succeeded);
+    cr_assert(b.count<job_ended>() == 1);
+    cr_assert(b.m_tracker.attempts() == 0);
+}
+
+Test(jobs_tracker, worker_is_recorded_before_the_first_start_there)
+{
+    bench b(job_of(9));
+    b.m_store_up = false;
+    b.grant("a1");
+    cr_assert(b.count<start_task>() == 0);
+    b.m_store_up = true;
+    b.pass(1'500ms);
+    cr_assert(b.count<start_task>() == 1);
+    cr_assert(b.m_last.workers.size() == 1);
+    // Further starts there need no commit, also while the store is down.
+    b.m_store_up = false;
+    b.grant("a2");
+    cr_assert(b.count<start_task>() == 2);
+}
+
+Test(jobs_tracker, silent_worker_s_task_waits_for_the_whole_lease)
+{
+    const tracker_limits limits;
+    bench b(job_of(1));
+    b.start("a1");
+    b.pass(3'000ms);
+    const auto renewals = b.count<renew_leases>();
+    cr_assert(renewals >= 1);
+    // The renewal has no end yet: however late, it may extend the lease.
+    b.pass(120s);
+    cr_assert(b.wish() == 0);
+    b.on(lease_report{worker_of(1).id, {attempt_id("a1")}, false, {}});
+    const auto wait = limits.lease + limits.lease / 100 + limits.lease_margin;
+    b.pass(wait - 200ms);
+    cr_assert(b.wish() == 0);
+    b.pass(limits.longest_backoff + 400ms);
+    cr_assert(b.wish() == 1);
+    cr_assert(b.count<renew_leases>() == renewals);
+}
+
+Test(jobs_tracker, start_of_unknown_outcome_is_looked_up_first)
+{
+    bench b(job_of(1));
+    b.start("a1", 1, start_answer::unknown);
+    b.pass(1'000ms);
+    cr_assert(b.wish() == 0);
+    cr_assert(b.count<inspect_attempt>() >= 1);
+    b.on(attempt_inspected{
+        attempt_id("a1"),
+        worker::attempt_report{worker::attempt_state::revoked, std::nullopt}});
+    b.pass(1'000ms);
+    cr_assert(b.wish() == 1);
+}
+
+Test(jobs_tracker, job_that_fails_on_three_workers_is_at_fault)
+{
+    auto job = job_of(1);
+    job.spec.max_attempts = 9;
+    bench b(job);
+    for (int i = 1; i <= 3; ++i)
+    {
+        b.pass(10s);
+        b.start("a" + std::to_string(i), i);
+        b.finish("a" + std::to_string(i), 1);
+    }
+    cr_assert(b.m_last.state == job_state::failed);
+    cr_assert(b.m_last.fault == job_fault::job);
+}
+
+Test(jobs_tracker, attempts_on_one_bad_worker_do_not_blame_the_job)
+{
+    bench b(job_of(1));
+    for (int i = 1; i <= 3; ++i)
+    {
+        b.pass(10s);
+        b.start("a" + std::to_string(i));
+        b.finish("a" + std::to_string(i), 1);
+    }
+    cr_assert(b.m_last.state == job_state::failed);
+    cr_assert(b.m_last.fault == job_fault::attempts_used);
+}
+
+Test(jobs_tracker, task_that_is_not_idempotent_never_runs_again)
+{
+    bench b(job_of(1, false, false));
+    b.start("a1");
+    b.on(attempt_inspected{
+        attempt_id("a1"),
+        worker::attempt_report{worker::attempt_state::stopped, std::nullopt}});
+    cr_assert(b.m_last.state == job_state::failed);
+    cr_assert(b.m_last.fault == job_fault::outcome_unknown);
+    // A later owner judges by the record of starts alone.
+    auto found = job_of(3, false, false);
+    found.progress.started.insert(1);
+    found.progress.workers.push_back(worker_of(1));
+    bench later(found);
+    later.pass(100ms);
+    cr_assert(later.count<fence_worker>() == 1);
+    later.on(worker_fenced{worker_of(1), true, {}});
+    cr_assert(later.m_last.fault == job_fault::outcome_unknown);
+}
+
+Test(jobs_tracker, gang_starts_whole_or_lets_all_holds_go)
+{
+    bench b(job_of(3, true));
+    b.grant("a1");
+    b.grant("a2", 2);
+    cr_assert(b.count<start_task>() == 0);
+    b.pass(2'100ms);
+    cr_assert(b.count<release_placement>() == 2);
+    b.pass(1'000ms);
+    cr_assert(b.wish() == 3);
+    b.grant("a4");
+    b.grant("a5", 2);
+    b.grant("a6", 3);
+    cr_assert(b.count<start_task>() == 3);
+    b.on(start_result{attempt_id("a4"), start_answer::started});
+    b.on(start_result{attempt_id("a5"), start_answer::not_run});
+    b.on(start_result{attempt_id("a6"), start_answer::started});
+    b.pass(1'000ms);
+    cr_assert(b.count<stop_task>() >= 2);
+    cr_assert(b.wish() == 0);
+    b.on(stop_result{attempt_id("a4"), true});
+    b.on(stop_result{attempt_id("a6"), true});
+    b.pass(2'000ms);
+    cr_assert(b.wish() == 3);
+}
+
+Test(jobs_tracker, cancelled_job_ends_once_its_tasks_have_stopped)
+{
+    bench b(job_of(5));
+    b.start("a1");
+    cr_assert(b.m_tracker.on_cancel(id, b.m_now));
+    b.pass(1'000ms);
+    cr_assert(b.wish() == 0);
+    cr_assert(b.m_last.state == job_state::active);
+    b.on(stop_result{attempt_id("a1"), true});
+    cr_assert(b.m_last.state == job_state::cancelled);
+}
+
+Test(jobs_tracker, later_owner_adopts_what_runs_and_starts_the_rest)
+{
+    auto found = job_of(4);
+    found.progress.done.insert(0);
+    found.progress.workers = {worker_of(1), worker_of(2)};
+    bench b(found);
+    b.pass(100ms);
+    b.on(worker_fenced{
+        worker_of(1), true, {{attempt_id("old"), id, 2, {}, {}}}});
+    cr_assert(b.wish() == 0);
+    b.on(worker_fenced{worker_of(2), true, {}});
+    cr_assert(b.wish() == 2);
+    b.start("a1");
+    b.start("a2");
+    for (const auto* name : {"a1", "a2", "old"})
+    {
+        b.finish(name, 0);
+    }
+    cr_assert(b.m_last.state == job_state::succeeded);
+}
