Job tracker: costs of large jobs, and what no clock proves

Change: tests for attempts that an earlier owner may still renew, for machines that are gone and for preemption; retry_queue in place of a searched list; one grant no longer walks over all attempts of its job.

--- a/include/pimentoshunt/jobs/job_tracker.hpp
+++ b/include/pimentoshunt/jobs/job_tracker.hpp
@@ -6,10 +6,10 @@
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/jobs/job_events.hpp>
 #include <pimentoshunt/jobs/job_record.hpp>
+#include <pimentoshunt/jobs/retry_queue.hpp>
 
 #include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
-#include <deque>         // deque
 #include <map>           // map
 #include <random>        // mt19937
 #include <string>        // string
@@ -93,13 +93,6 @@
     time_point lapse_at;
 };
 
-/// @brief A task that waits for its next start.
-struct waiting_task
-{
-    std::int64_t task = 0;
-    time_point not_before;
-};
-
 /// @brief A job with all that is in flight for it.
 struct tracked_job
 {
@@ -108,7 +101,7 @@
     std::map<std::int64_t, tracked_attempt> attempts;
     /// Tasks below that were started before, or done.
     std::int64_t next_fresh = 0;
-    std::deque<waiting_task> waiting;
+    retry_queue waiting;
     /// Ended starts of a task that were no failures.
     std::unordered_map<std::int64_t, int> stopped;
     /// Workers of earlier owners that have not been fenced yet.
@@ -222,13 +215,13 @@
                                                time_point now) -> bool;
     [[nodiscard]] auto pick_task(job_entry& job, time_point now)
         -> std::int64_t;
-    [[nodiscard]] auto startable(const job_entry& job, time_point now) const
-        -> std::int64_t;
+    [[nodiscard]] auto startable(const job_entry& job) const -> std::int64_t;
     [[nodiscard]] auto is_gone(const worker_id& worker, time_point now) const
         -> bool;
 
     auto note_placement(job_entry& job, attempt_entry& entry) -> void;
-    auto advance(job_entry& job, time_point now) -> void;
+    /// Starts what is held and has nothing left to wait for.
+    auto advance(job_entry& job) -> void;
     auto start(job_entry& job, attempt_entry& entry) -> void;
     auto adopt(job_entry& job, const worker_fenced& event,
                const worker::running_task& task, time_point now) -> void;
--- /dev/null
+++ b/include/pimentoshunt/jobs/retry_queue.hpp
@@ -0,0 +1,80 @@
+/// @file
+/// Tasks that wait for their next start, each until its backoff has passed.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+
+#include <cstddef>       // size_t
+#include <cstdint>       // int64_t
+#include <deque>         // deque
+#include <map>           // multimap
+#include <optional>      // optional
+#include <unordered_set> // unordered_set
+
+namespace pimentoshunt::jobs
+{
+
+/// @brief A queue in order of due time; each task is in it at most once.
+class retry_queue
+{
+  public:
+    /// @brief Adds a task; a repeat does nothing.
+    /// @complexity logarithmic in the number of waiting tasks
+    auto insert(std::int64_t task, time_point not_before) -> void
+    {
+        if (m_tasks.insert(task).second)
+        {
+            m_early.emplace(not_before, task);
+        }
+    }
+
+    /// @brief Makes the tasks whose time has come takable.
+    /// @complexity amortised logarithmic for each task
+    auto promote(time_point now) -> void
+    {
+        while (!m_early.empty() && m_early.begin()->first <= now)
+        {
+            m_due.push_back(m_early.begin()->second);
+            m_early.erase(m_early.begin());
+        }
+    }
+
+    /// @brief Takes the task that has been due for longest, or nothing.
+    [[nodiscard]] auto take() -> std::optional<std::int64_t>
+    {
+        if (m_due.empty())
+        {
+            return std::nullopt;
+        }
+        const auto task = m_due.front();
+        m_due.pop_front();
+        m_tasks.erase(task);
+        return task;
+    }
+
+    /// @brief Whether the task waits, due or not.
+    [[nodiscard]] auto contains(std::int64_t task) const -> bool
+    {
+        return m_tasks.count(task) != 0;
+    }
+
+    /// @brief How many tasks were not due at the last promote().
+    [[nodiscard]] auto early() const noexcept -> std::size_t
+    {
+        return m_early.size();
+    }
+
+    auto clear() noexcept -> void
+    {
+        m_early.clear();
+        m_due.clear();
+        m_tasks.clear();
+    }
+
+  private:
+    std::multimap<time_point, std::int64_t> m_early;
+    std::deque<std::int64_t> m_due;
+    std::unordered_set<std::int64_t> m_tasks;
+};
+
+} // namespace pimentoshunt::jobs
--- a/src/jobs/job_tracker.cpp
+++ b/src/jobs/job_tracker.cpp
@@ -102,29 +102,14 @@
         return job.attempts.count(task) == 0 &&
                !job.record.progress.done.contains(task);
     };
-    for (auto at = job.waiting.begin(); at != job.waiting.end();)
+    job.waiting.promote(now);
+    while (const auto task = job.waiting.take())
     {
-        const auto task = at->task;
-        if (!takes(task))
+        if (takes(*task))
         {
-            at = job.waiting.erase(at);
-            continue;
-        }
-        if (at->not_before <= now)
-        {
-            job.waiting.erase(at);
-            return task;
+            return *task;
         }
-        ++at;
     }
-    const auto waits = [&](std::int64_t task)
-    {
-        return std::any_of(job.waiting.begin(), job.waiting.end(),
-                           [task](const detail::waiting_task& item)
-                           {
-                               return item.task == task;
-                           });
-    };
     while (true)
     {
         const auto task = job.record.progress.done.next_absent(job.next_fresh);
@@ -133,7 +118,7 @@
             return no_task;
         }
         job.next_fresh = task + 1;
-        if (takes(task) && !waits(task))
+        if (takes(task) && !job.waiting.contains(task))
         {
             return task;
         }
@@ -194,15 +179,22 @@
     entry.epoch = event.epoch;
     entry.held_until = now + m_limits.hold_for;
     m_places.emplace(event.attempt, place{event.job, task});
-    if (!job->record.spec.gang)
+    if (job->record.spec.gang)
+    {
+        advance(*job);
+    }
+    else
     {
         note_placement(*job, entry);
+        if (entry.needs_sequence <= job->persisted)
+        {
+            start(*job, entry);
+        }
     }
-    advance(*job, now);
     settle(*job, now);
 }
 
-auto job_tracker::advance(job_entry& job, time_point) -> void
+auto job_tracker::advance(job_entry& job) -> void
 {
     const auto& spec = job.record.spec;
     if (spec.gang && (job.gang_ran || static_cast<std::int64_t>(
@@ -434,7 +426,7 @@
     if (event.committed)
     {
         job->persisted = event.sequence;
-        advance(*job, now);
+        advance(*job);
     }
     else
     {
--- a/src/jobs/job_tracker_ends.cpp
+++ b/src/jobs/job_tracker_ends.cpp
@@ -43,7 +43,7 @@
 {
     if (job.target == job_state::active)
     {
-        job.waiting.push_back({task, now + backoff(rounds)});
+        job.waiting.insert(task, now + backoff(rounds));
     }
 }
 
--- a/src/jobs/job_tracker_tick.cpp
+++ b/src/jobs/job_tracker_tick.cpp
@@ -1,6 +1,6 @@
 #include <pimentoshunt/jobs/job_tracker.hpp>
 
-#include <algorithm> // count_if, find, min
+#include <algorithm> // find, min
 #include <utility>   // move
 
 namespace pimentoshunt::jobs
@@ -28,25 +28,24 @@
                                             job.record.progress});
 }
 
-auto job_tracker::startable(const job_entry& job, time_point now) const
-    -> std::int64_t
+auto job_tracker::startable(const job_entry& job) const -> std::int64_t
 {
     const auto& spec = job.record.spec;
-    const auto early = std::count_if(job.waiting.begin(), job.waiting.end(),
-                                     [now](const detail::waiting_task& item)
-                                     {
-                                         return item.not_before > now;
-                                     });
     const auto rest = spec.tasks - job.record.progress.done.size() -
-                      static_cast<std::int64_t>(job.attempts.size()) - early;
+                      static_cast<std::int64_t>(job.attempts.size()) -
+                      static_cast<std::int64_t>(job.waiting.early());
     // A gang asks for all at once: a part of it is of no use.
     return spec.gang ? rest : std::min(rest, m_limits.wanted_at_once);
 }
 
 auto job_tracker::update_wish(job_entry& job, time_point now) -> void
 {
-    const auto count = takes_placements(job, now) ? startable(job, now) : 0;
-    if (count == job.wanted)
+    job.waiting.promote(now);
+    const auto count = takes_placements(job, now) ? startable(job) : 0;
+    // A long queue is topped up in halves, not with each placement.
+    const bool enough =
+        count > job.wanted && job.wanted * 2 > m_limits.wanted_at_once;
+    if (count == job.wanted || enough)
     {
         return;
     }
--- a/tests/unit-jobs-faults.cpp
+++ b/tests/unit-jobs-faults.cpp
@@ -160,7 +160,7 @@
     /// One call: @p act runs at the worker, or not; @p done gets whether the
     /// answer came, and whether the caller knows that nothing was sent.
     auto call(owner& from, const job_worker& to, std::function<void()> act,
-              std::function<void(bool answered, bool sent)> done) -> void
+              const std::function<void(bool answered, bool sent)>& done) -> void
     {
         auto* const caller = &from;
         const auto finish = [this, caller, done](bool answered, bool sent)
--- a/tests/unit-jobs-tracker.cpp
+++ b/tests/unit-jobs-tracker.cpp
@@ -54,6 +54,14 @@
                 m_all.push_back(effect);
                 const auto* wish = std::get_if<want_placements>(&effect);
                 m_wish = wish != nullptr ? wish->count : m_wish;
+                const auto* renewal = std::get_if<renew_leases>(&effect);
+                if (renewal != nullptr && m_renewals_fail)
+                {
+                    m_tracker.on(
+                        lease_report{
+                            renewal->worker.id, renewal->attempts, false, {}},
+                        m_now);
+                }
                 const auto* commit = std::get_if<persist_progress>(&effect);
                 if (commit != nullptr && m_store_up)
                 {
@@ -132,6 +140,7 @@
     std::vector<job_effect> m_all;
     job_progress m_last;
     bool m_store_up = true;
+    bool m_renewals_fail = false;
     std::int64_t m_wish = 0;
 };
 
@@ -310,3 +319,67 @@
     }
     cr_assert(b.m_last.state == job_state::succeeded);
 }
+
+Test(jobs_tracker, no_clock_ends_what_an_earlier_owner_may_still_renew)
+{
+    const auto adopt = [](bench& b)
+    {
+        b.pass(100ms);
+        b.on(worker_fenced{
+            worker_of(1), true, {{attempt_id("old"), id, 0, {}, {}}}});
+        b.m_renewals_fail = true;
+        b.pass(60s);
+    };
+    auto found = job_of(1);
+    found.progress.workers = {worker_of(1)};
+    bench b(found);
+    adopt(b);
+    cr_assert(b.m_tracker.attempts() == 1);
+    cr_assert(b.wish() == 0);
+    // Once the machine is gone and the longest lease has passed, it has ended.
+    b.m_tracker.on_worker_gone(worker_of(1).id, b.m_now);
+    b.pass(14s);
+    cr_assert(b.m_tracker.attempts() == 1);
+    b.pass(10s);
+    cr_assert(b.wish() == 1);
+    // Where workers refuse an earlier owner's renewals, the clock is enough.
+    tracker_limits fenced;
+    fenced.renewals_are_fenced = true;
+    bench c(found, fenced);
+    adopt(c);
+    cr_assert(c.wish() == 1);
+}
+
+Test(jobs_tracker, ended_lease_is_looked_up_and_preemption_counts_for_nothing)
+{
+    bench b(job_of(1, false, false));
+    b.start("a1");
+    b.m_tracker.on_preempted(attempt_id("a1"), b.m_now);
+    b.pass(1'000ms);
+    cr_assert(b.wish() == 1);
+    b.start("a2");
+    b.on(lease_report{
+        worker_of(1).id, {attempt_id("a2")}, true, {attempt_id("a2")}});
+    cr_assert(b.count<inspect_attempt>() == 1);
+    b.on(attempt_inspected{
+        attempt_id("a2"),
+        worker::attempt_report{worker::attempt_state::finished, 0}});
+    cr_assert(b.m_last.state == job_state::succeeded);
+}
+
+Test(jobs_tracker, large_job_costs_no_more_for_each_task)
+{
+    constexpr int tasks = 20'000;
+    bench b(job_of(tasks));
+    for (int i = 0; i < tasks; ++i)
+    {
+        b.start("a" + std::to_string(i), i % 8);
+        b.m_all.clear();
+    }
+    cr_assert(b.m_tracker.attempts() == tasks);
+    for (int i = 0; i < tasks; ++i)
+    {
+        b.finish("a" + std::to_string(i), 0);
+    }
+    cr_assert(b.m_last.state == job_state::succeeded);
+}
