Batch and gang jobs: the tracker wired into the control thread

Cause: the tracker and the job table stood alone. Change: partitions of jobs are shared out over the serving instances and claimed in the table; a job's wishes are demand like any other, its grants are bound late; starts, leases, fences and commits run on I/O threads. Batch can be checkpointed for waiting short work. Ruled out: one owner for all jobs (its loss would stop them all).

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -8,6 +8,7 @@
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/control/events.hpp>
 #include <pimentoshunt/entry/request_desk.hpp>
+#include <pimentoshunt/jobs/job_desk.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
 #include <pimentoshunt/ownership/demand_board.hpp>
 #include <pimentoshunt/ownership/worker_keeper.hpp>
@@ -62,6 +63,12 @@
     plan::plan_ptr new_plan;
     /// The lives taken for alive, "instance#incarnation", when they changed.
     std::optional<std::unordered_set<std::string>> alive;
+    /// What the job desk wants done.
+    jobs::desk_effects jobs;
+    /// Jobs that another instance told of, to be looked up.
+    std::vector<job_announced> announced;
+    /// Batch attempts to save and stop, to make room for short work.
+    std::vector<ownership::revoke_call> checkpoints;
 };
 
 /// @brief The control state of one instance. Single-threaded.
@@ -116,6 +123,8 @@
     auto on(plan_accepted& news, time_point now) -> void;
     auto on(drain_begun& news, time_point now) -> void;
     auto on(status_wanted& news, time_point now) -> void;
+    auto on(jobs::desk_event& news, time_point now) -> void;
+    auto on(job_announced& news, time_point now) -> void;
 
     auto on_beat(const wire::envelope& message, time_point now) -> void;
     auto on_plan_text(const wire::plan_text& message, time_point now) -> void;
@@ -138,6 +147,10 @@
     auto view(time_point now) const -> ownership::claim_view;
     auto quorate(time_point now) const -> bool;
     auto send_demand(time_point now) -> void;
+    auto bind(const entry::grant& item, time_point now) -> bool;
+    auto collect_jobs(time_point now) -> void;
+    auto make_room(const std::vector<policy::demand_line>& lines,
+                   time_point now) -> void;
     auto place(time_point now) -> void;
     auto hand_out(const instance_id& entry,
                   const std::vector<entry::grant>& grants, time_point now)
@@ -163,6 +176,7 @@
     ownership::worker_keeper m_keeper;
     ownership::demand_board m_board;
     entry::request_desk m_desk;
+    jobs::job_desk m_jobs;
     policy::grant_picker m_picker;
     policy::worker_health m_health;
     /// What each other owner says that tenants hold there.
@@ -185,6 +199,7 @@
     time_point m_next_list;
     time_point m_next_plan;
     time_point m_next_plan_request;
+    time_point m_next_checkpoint;
 };
 
 } // namespace pimentoshunt::control
--- a/include/pimentoshunt/control/events.hpp
+++ b/include/pimentoshunt/control/events.hpp
@@ -5,6 +5,7 @@
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/control/status.hpp>
 #include <pimentoshunt/entry/ticket.hpp>
+#include <pimentoshunt/jobs/desk_events.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
 #include <pimentoshunt/ownership/worker_keeper.hpp>
 #include <pimentoshunt/plan/document.hpp>
@@ -104,15 +105,23 @@
 {
 };
 
+/// @brief Tell the other instances of a job that was submitted or cancelled.
+struct job_announced
+{
+    job_id job;
+    bool cancelled = false;
+};
+
 /// @brief Somebody wants to see the state.
 struct status_wanted
 {
     std::shared_ptr<std::promise<cell_status>> answer;
 };
 
-using event = std::variant<peer_message, request_arrived, request_cancelled,
-                           attempt_ended, fence_ended, inspection_ended,
-                           revocation_ended, list_read, plan_read,
-                           plan_accepted, drain_begun, status_wanted>;
+using event =
+    std::variant<peer_message, request_arrived, request_cancelled,
+                 attempt_ended, fence_ended, inspection_ended, revocation_ended,
+                 list_read, plan_read, plan_accepted, drain_begun,
+                 status_wanted, jobs::desk_event, job_announced>;
 
 } // namespace pimentoshunt::control
--- /dev/null
+++ b/include/pimentoshunt/control/io_call_message.hpp
@@ -0,0 +1,9 @@
+/// @file
+/// Lets a blocking call be a message within the process.
+#pragma once
+
+#include <pimentoshunt/kernel/io_pool.hpp>
+
+#include <caf/allowed_unsafe_message_type.hpp>
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(pimentoshunt::kernel::io_call)
--- a/include/pimentoshunt/control/remote_calls.hpp
+++ b/include/pimentoshunt/control/remote_calls.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pimentoshunt/control/control_loop.hpp>
+#include <pimentoshunt/control/job_calls.hpp>
 #include <pimentoshunt/entry/key_guard.hpp>
 #include <pimentoshunt/kernel/directory.hpp>
 #include <pimentoshunt/kernel/io_pool.hpp>
@@ -27,7 +28,7 @@
                  plan::plan_store<platform::http_platform>& plans,
                  worker::http_worker& workers, plan::plan_cell& in_force,
                  membership::live_holders& alive,
-                 entry::platform_idempotency_log& keys,
+                 entry::platform_idempotency_log& keys, job_calls& jobs,
                  membership::member self);
 
     /// @brief The functions that the control thread is given.
@@ -41,6 +42,8 @@
         -> void;
     auto revoke(control_loop& control, const ownership::revoke_call& call)
         -> void;
+    auto checkpoint(control_loop& control, const ownership::revoke_call& call)
+        -> void;
     auto read_list(control_loop& control) -> void;
     auto read_plan(control_loop& control) -> void;
     auto tend_keys() -> result<void>;
@@ -55,6 +58,7 @@
     plan::plan_cell& m_in_force;
     membership::live_holders& m_alive;
     entry::platform_idempotency_log& m_keys;
+    job_calls& m_jobs;
     membership::member m_self;
     std::atomic<bool> m_list_running{false};
     std::atomic<bool> m_plan_running{false};
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -90,6 +90,15 @@
     {
         m_calls.revoke(std::move(call));
     }
+    for (auto& call : wanted.checkpoints)
+    {
+        m_calls.checkpoint(std::move(call));
+    }
+    for (auto& job : wanted.announced)
+    {
+        m_calls.find_job(std::move(job));
+    }
+    m_calls.jobs(std::move(wanted.jobs));
     if (wanted.read_list)
     {
         m_calls.read_list();
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -25,6 +25,8 @@
       m_keeper(ownership::holder{m_config.self.id, m_config.self.incarnation},
                m_config.keeper),
       m_board(grant_timeout), m_desk(m_config.desk, m_config.self.incarnation),
+      m_jobs(m_config.self.id, jobs::desk_times{},
+             static_cast<std::uint32_t>(m_config.self.incarnation)),
       m_plan(std::make_shared<plan::revisioned_plan>()), m_last_tick(now)
 {
     m_desk.owner_alive(self_id(), 0);
@@ -64,6 +66,10 @@
     case wire::envelope::kReleased:
         on_releases(message.released(), now);
         break;
+    case wire::envelope::kJob:
+        m_effects.announced.push_back(
+            {job_id(message.job().job()), message.job().cancelled()});
+        break;
     case wire::envelope::BODY_NOT_SET:
         break;
     }
@@ -221,6 +227,23 @@
     return message;
 }
 
+auto engine::on(jobs::desk_event& news, time_point now) -> void
+{
+    m_jobs.handle(std::move(news), now);
+}
+
+auto engine::on(job_announced& news, time_point) -> void
+{
+    wire::envelope message;
+    message.mutable_job()->set_job(news.job.str());
+    message.mutable_job()->set_cancelled(news.cancelled);
+    for (const auto& [id, item] : m_members.all())
+    {
+        send_to(id, message);
+    }
+    m_effects.announced.push_back(news);
+}
+
 auto engine::on(drain_begun&, time_point) -> void
 {
     m_config.self.state = membership::member_state::draining;
@@ -232,6 +255,7 @@
 {
     note_pause(now);
     m_desk.tick(now);
+    m_jobs.tick(now);
     m_demand_changed = m_demand_changed || m_desk.size() > 0;
     if (now >= m_next_slow)
     {
@@ -275,6 +299,7 @@
     {
         m_membership_changed = false;
         m_keeper.assign(seen);
+        m_jobs.assign(seen.serving);
         publish_alive(now);
     }
     m_keeper.tick(seen, now, m_effects.calls);
@@ -314,6 +339,7 @@
 
 auto engine::flush(time_point now) -> effects
 {
+    collect_jobs(now);
     if (m_demand_changed)
     {
         m_demand_changed = false;
@@ -330,6 +356,8 @@
         m_demand_changed = false;
         send_demand(now);
     }
+    // A grant bound to a job leads to calls of its own.
+    collect_jobs(now);
     for (auto& [owner, items] : m_returns)
     {
         wire::envelope message;
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -3,7 +3,9 @@
 #include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/transport/wire_codec.hpp>
 
-#include <utility> // move
+#include <algorithm> // move
+#include <iterator>  // back_inserter
+#include <utility>   // move
 
 namespace pimentoshunt::control
 {
@@ -12,6 +14,8 @@
 
 /// An unchanged demand is repeated after this.
 constexpr milliseconds demand_repeat{100};
+/// Between two looks for batch work that could make room.
+constexpr milliseconds checkpoint_interval{50};
 
 } // namespace
 
@@ -45,7 +49,7 @@
         auto granted = transport::from_wire(item);
         granted.owner = owner;
         granted.owner_incarnation = message.incarnation();
-        if (!m_desk.bind(granted))
+        if (!bind(granted, now))
         {
             give_back(granted, ownership::attempt_outcome::never_started, {},
                       now);
@@ -134,11 +138,57 @@
     m_returns[item.owner].push_back(std::move(message));
 }
 
+auto engine::bind(const entry::grant& item, time_point now) -> bool
+{
+    return m_desk.bind(item) || m_jobs.bind(item, now);
+}
+
+auto engine::collect_jobs(time_point now) -> void
+{
+    auto wanted = m_jobs.take_effects();
+    for (const auto& item : wanted.ended)
+    {
+        give_back(item.item, item.outcome, item.run_time, now);
+    }
+    auto& all = m_effects.jobs;
+    std::move(wanted.calls.begin(), wanted.calls.end(),
+              std::back_inserter(all.calls));
+    std::move(wanted.reads.begin(), wanted.reads.end(),
+              std::back_inserter(all.reads));
+    if (wanted.commit)
+    {
+        all.commit = std::move(wanted.commit);
+    }
+    m_demand_changed |= m_jobs.take_demand_changed();
+}
+
+auto engine::make_room(const std::vector<policy::demand_line>& lines,
+                       time_point now) -> void
+{
+    if (now < m_next_checkpoint)
+    {
+        return;
+    }
+    m_next_checkpoint = now + checkpoint_interval;
+    const auto chosen =
+        m_picker.checkpoint_candidates(m_keeper.ledger(), lines, now);
+    for (const auto& item : chosen)
+    {
+        const auto* const account = m_keeper.ledger().find(item.worker);
+        if (account != nullptr)
+        {
+            m_effects.checkpoints.push_back({account->worker, item.attempt});
+        }
+    }
+}
+
 auto engine::send_demand(time_point now) -> void
 {
+    const auto of_jobs = m_jobs.demand();
     for (auto& [id, link] : m_links)
     {
         sent_demand next{m_desk.demand_of(id), link.grants_seen};
+        next.lines.insert(next.lines.end(), of_jobs.begin(), of_jobs.end());
         if (id == self_id())
         {
             m_board.told(id, std::move(next.lines), link.grants_seen);
@@ -198,6 +248,7 @@
     {
         hand_out(entry, grants, now);
     }
+    make_room(m_board.lines(m_plan->parsed, now), now);
 }
 
 auto engine::hand_out(const instance_id& entry,
@@ -208,7 +259,7 @@
     {
         for (const auto& item : grants)
         {
-            if (!m_desk.bind(item))
+            if (!bind(item, now))
             {
                 give_back(item, ownership::attempt_outcome::never_started, {},
                           now);
--- /dev/null
+++ b/src/control/job_calls.cpp
@@ -0,0 +1,259 @@
+#include <pimentoshunt/control/job_calls.hpp>
+
+#include <pimentoshunt/control/io_call_message.hpp>
+
+#include <memory>  // make_shared
+#include <utility> // move
+
+namespace pimentoshunt::control
+{
+namespace
+{
+
+/// Jobs read of one partition at a time.
+constexpr std::size_t list_limit = 1'000;
+
+/// Answers each worker call by its own event.
+class call_answerer
+{
+  public:
+    explicit call_answerer(worker::http_worker& workers) : m_workers(workers)
+    {
+    }
+
+    auto operator()(const jobs::start_task& call) -> jobs::worker_answer
+    {
+        const auto answer = handle(
+            [&]() -> result<jobs::start_answer>
+            {
+                BOOST_LEAF_AUTO(
+                    outcome, m_workers.start_task(call.worker.url, call.start));
+                return jobs::answer_of(outcome);
+            },
+            [](const error& fault)
+            {
+                return jobs::answer_of(fault);
+            });
+        return jobs::start_result{call.start.attempt, answer};
+    }
+
+    auto operator()(const jobs::renew_leases& call) -> jobs::worker_answer
+    {
+        jobs::lease_report report{call.worker.id, call.attempts, false, {}};
+        leaf::try_handle_all(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_ASSIGN(report.lapsed,
+                                  m_workers.renew(call.worker.url,
+                                                  call.attempts, call.lease));
+                report.answered = true;
+                return {};
+            },
+            [] {});
+        return report;
+    }
+
+    auto operator()(const jobs::inspect_attempt& call) -> jobs::worker_answer
+    {
+        jobs::attempt_inspected news{call.attempt, std::nullopt};
+        leaf::try_handle_all(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_ASSIGN(news.report, m_workers.revoke(call.worker.url,
+                                                                call.attempt));
+                return {};
+            },
+            [] {});
+        return news;
+    }
+
+    auto operator()(const jobs::stop_task& call) -> jobs::worker_answer
+    {
+        jobs::stop_result news{call.attempt, false};
+        leaf::try_handle_all(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_CHECK(m_workers.stop(call.worker.url, call.attempt));
+                news.stopped = true;
+                return {};
+            },
+            [] {});
+        return news;
+    }
+
+    auto operator()(const jobs::fence_worker& call) -> jobs::worker_answer
+    {
+        jobs::worker_fenced news{call.worker, false, {}};
+        leaf::try_handle_all(
+            [&]() -> result<void>
+            {
+                BOOST_LEAF_AUTO(
+                    outcome, m_workers.partition_fence(
+                                 call.worker.url, call.partition, call.epoch));
+                news.accepted = outcome.accepted;
+                news.running = std::move(outcome.running);
+                return {};
+            },
+            [] {});
+        return news;
+    }
+
+  private:
+    worker::http_worker& m_workers;
+};
+
+} // namespace
+
+auto job_calls::start(control_loop& control, jobs::desk_effects wanted) -> void
+{
+    for (auto& item : wanted.calls)
+    {
+        const auto run = [this, &control, item = std::move(item)]
+        {
+            control.post(jobs::desk_event(jobs::worker_answered{
+                item.partition, item.epoch, answer(item.call)}));
+        };
+        m_services.send(kernel::worker_io_service, kernel::io_call{run});
+    }
+    for (const auto& item : wanted.reads)
+    {
+        const auto run = [this, &control, item]
+        {
+            read(control, item);
+        };
+        m_services.send(kernel::platform_io_service, kernel::io_call{run});
+    }
+    if (wanted.commit)
+    {
+        auto shared =
+            std::make_shared<jobs::wanted_commit>(std::move(*wanted.commit));
+        const auto run = [this, &control, shared]
+        {
+            commit(control, *shared);
+        };
+        m_services.send(kernel::platform_io_service, kernel::io_call{run});
+    }
+}
+
+auto job_calls::answer(const jobs::worker_call& call) -> jobs::worker_answer
+{
+    return std::visit(call_answerer(m_workers), call);
+}
+
+auto job_calls::read_partition(const jobs::wanted_read& wanted)
+    -> result<jobs::partition_read>
+{
+    jobs::partition_read news{wanted.partition, wanted.claim, {}, {}, {}};
+    BOOST_LEAF_AUTO(state, m_store.read_partition(wanted.partition));
+    if (wanted.claim)
+    {
+        BOOST_LEAF_ASSIGN(state, m_store.claim(state));
+    }
+    // After the claim: what the earlier owner committed is all there.
+    BOOST_LEAF_ASSIGN(news.jobs,
+                      m_store.list(wanted.partition, job_id(), list_limit));
+    BOOST_LEAF_ASSIGN(news.cancels, m_store.list_cancels(wanted.partition,
+                                                         job_id(), list_limit));
+    news.state = std::move(state);
+    return news;
+}
+
+auto job_calls::read(control_loop& control, const jobs::wanted_read& wanted)
+    -> void
+{
+    control.post(jobs::desk_event(handle(
+        [&]
+        {
+            return read_partition(wanted);
+        },
+        [&](const error&)
+        {
+            return jobs::partition_read{
+                wanted.partition, wanted.claim, {}, {}, {}};
+        })));
+}
+
+auto job_calls::refresh(const jobs::partition_state& claim,
+                        jobs::commit_ended& news) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(current, m_store.refresh(claim));
+            news.claims.push_back(std::move(current));
+            return {};
+        },
+        [&](const error& fault)
+        {
+            if (fault.id == jobs::partition_lost)
+            {
+                news.lost.push_back(claim.partition);
+            }
+        },
+        [] {});
+}
+
+auto job_calls::commit(control_loop& control, jobs::wanted_commit& wanted)
+    -> void
+{
+    const bool answered = handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_CHECK(m_store.persist(wanted.updates));
+            return true;
+        },
+        [](const error&)
+        {
+            return false;
+        });
+    jobs::commit_ended news;
+    for (const auto& update : wanted.updates)
+    {
+        if (answered && update.committed)
+        {
+            news.claims.push_back(update.claim);
+            continue;
+        }
+        refresh(update.claim, news);
+    }
+    for (auto& job : wanted.jobs)
+    {
+        for (const auto& update : wanted.updates)
+        {
+            if (update.claim.partition == job.partition)
+            {
+                job.progress.committed = answered && update.committed;
+            }
+        }
+    }
+    news.jobs = std::move(wanted.jobs);
+    control.post(jobs::desk_event(std::move(news)));
+}
+
+auto job_calls::find(control_loop& control, const job_id& job, bool cancelled)
+    -> void
+{
+    const auto run = [this, &control, job, cancelled]
+    {
+        leaf::try_handle_all(
+            [&]() -> result<void>
+            {
+                if (cancelled)
+                {
+                    control.post(jobs::desk_event(jobs::job_cancelled{job}));
+                    return {};
+                }
+                BOOST_LEAF_AUTO(record, m_store.read(job));
+                if (record)
+                {
+                    control.post(
+                        jobs::desk_event(jobs::job_found{std::move(*record)}));
+                }
+                return {};
+            },
+            [] {});
+    };
+    m_services.send(kernel::platform_io_service, kernel::io_call{run});
+}
+
+} // namespace pimentoshunt::control
--- a/src/control/remote_calls.cpp
+++ b/src/control/remote_calls.cpp
@@ -1,19 +1,17 @@
 #include <pimentoshunt/control/remote_calls.hpp>
 
+#include <pimentoshunt/control/io_call_message.hpp>
 #include <pimentoshunt/entry/operator_server.hpp>
 #include <pimentoshunt/membership/member_codec.hpp>
 #include <pimentoshunt/ownership/holder.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 
-#include <caf/allowed_unsafe_message_type.hpp>
 #include <caf/behavior.hpp>
 #include <caf/event_based_actor.hpp>
 
 #include <cstring> // strlen
 #include <utility> // move
 
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(pimentoshunt::kernel::io_call)
-
 namespace pimentoshunt::control
 {
 namespace
@@ -61,9 +59,9 @@
                            plan::plan_cell& in_force,
                            membership::live_holders& alive,
                            entry::platform_idempotency_log& keys,
-                           membership::member self)
+                           job_calls& jobs, membership::member self)
     : m_services(services), m_store(store), m_plans(plans), m_workers(workers),
-      m_in_force(in_force), m_alive(alive), m_keys(keys),
+      m_in_force(in_force), m_alive(alive), m_keys(keys), m_jobs(jobs),
       m_self(std::move(self))
 {
 }
@@ -105,6 +103,22 @@
                 revoke(control, call);
             });
     };
+    made.checkpoint = [=, this, &control](const ownership::revoke_call& call)
+    {
+        on_worker_io(
+            [this, &control, call]
+            {
+                checkpoint(control, call);
+            });
+    };
+    made.jobs = [this, &control](jobs::desk_effects wanted)
+    {
+        m_jobs.start(control, std::move(wanted));
+    };
+    made.find_job = [this, &control](const job_announced& news)
+    {
+        m_jobs.find(control, news.job, news.cancelled);
+    };
     made.read_list = [=, this, &control]
     {
         if (!m_list_running.exchange(true))
@@ -204,6 +218,21 @@
     control.post(std::move(news));
 }
 
+auto remote_calls::checkpoint(control_loop& control,
+                              const ownership::revoke_call& call) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_CHECK(
+                m_workers.checkpoint(call.worker.base_url, call.attempt));
+            control.post(revocation_ended{call.worker.id, call.attempt,
+                                          worker::attempt_state::stopped});
+            return {};
+        },
+        [] {});
+}
+
 auto remote_calls::register_self() -> result<void>
 {
     if (m_registered)
--- /dev/null
+++ b/src/entry/job_routes.cpp
@@ -0,0 +1,250 @@
+#include <pimentoshunt/entry/job_routes.hpp>
+
+#include <pimentoshunt/entry/json_answer.hpp>
+#include <pimentoshunt/jobs/job_record.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <future> // promise
+#include <random> // random_device
+#include <string> // string
+#include <vector> // vector
+
+namespace pimentoshunt::entry
+{
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr int created_status = 201;
+constexpr int accepted_status = 202;
+constexpr int not_found_status = 404;
+/// Jobs listed of each partition.
+constexpr std::size_t list_limit = 100;
+
+auto describe(const jobs::job_record& job) -> json::object
+{
+    return {{"id", job.spec.id.str()},
+            {"workload", job.spec.workload.str()},
+            {"tenant", job.spec.tenant.str()},
+            {"state", to_string(job.progress.state)},
+            {"tasks", job.spec.tasks},
+            {"done", job.progress.done.size()},
+            {"fault", to_string(job.progress.fault)},
+            {"reason", job.progress.reason}};
+}
+
+auto fresh_id() -> std::string
+{
+    std::random_device source;
+    return "j" + std::to_string(source()) + "-" + std::to_string(source());
+}
+
+/// The same key gives the same job, whichever instance is asked.
+auto id_for(const httplib::Request& request) -> job_id
+{
+    const auto key = request.get_header_value("Idempotency-Key");
+    return job_id(key.empty() ? fresh_id() : key);
+}
+
+auto spec_of(const plan::workload& workload, const job_id& id,
+             const std::string& body) -> jobs::job_spec
+{
+    jobs::job_spec spec;
+    spec.id = id;
+    spec.tenant = workload.tenant;
+    spec.workload = workload.name;
+    spec.gang = workload.cls == plan::work_class::gang;
+    spec.tasks = workload.tasks;
+    spec.each = workload.each;
+    spec.run_time = workload.run_time;
+    spec.idempotent = workload.idempotent;
+    spec.body = body;
+    return spec;
+}
+
+auto capacities(control::control_loop& control) -> std::vector<resources>
+{
+    constexpr milliseconds limit{2'000};
+    std::vector<resources> all;
+    auto answer = std::make_shared<std::promise<control::cell_status>>();
+    auto coming = answer->get_future();
+    control.post(control::status_wanted{std::move(answer)});
+    if (coming.wait_for(limit) == std::future_status::ready)
+    {
+        for (const auto& worker : coming.get().workers)
+        {
+            all.push_back(worker.capacity);
+        }
+    }
+    return all;
+}
+
+/// Why a workload can't be submitted as a job, or nothing.
+auto fault_of(job_context& context, const workload_name& name,
+              const plan::workload* workload) -> std::optional<error>
+{
+    if (workload == nullptr)
+    {
+        return error{error_kind::job, 661, name.str(),
+                     "the plan in force has no such workload",
+                     "check the name against the plan"};
+    }
+    if (workload->cls == plan::work_class::service)
+    {
+        return error{error_kind::job, 662, name.str(), "it is a service",
+                     "send requests to /services/" + name.str()};
+    }
+    const auto known = capacities(context.control);
+    const auto spec = spec_of(*workload, job_id("x"), "");
+    if (!known.empty() && !jobs::fits_somewhere(spec, known))
+    {
+        return error{error_kind::job, 663, name.str(),
+                     "no worker is large enough for it, or not enough of them",
+                     "lower its resources or its number of tasks"};
+    }
+    return std::nullopt;
+}
+
+auto submit(job_context& context, const httplib::Request& request,
+            httplib::Response& response) -> void
+{
+    const auto in_force = context.in_force.get();
+    const workload_name name(request.matches[1].str());
+    const auto* const workload = in_force->parsed.find(name);
+    if (const auto fault = fault_of(context, name, workload))
+    {
+        answer_error(response,
+                     workload == nullptr ? not_found_status
+                                         : unprocessable_status,
+                     *fault);
+        return;
+    }
+    const auto spec = spec_of(*workload, id_for(request), request.body);
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(outcome, context.store.submit(spec));
+            context.control.post(control::job_announced{spec.id, false});
+            answer_json(response, outcome.created ? created_status : ok_status,
+                        describe({spec, {}}));
+            return {};
+        },
+        [&](const error& fault)
+        {
+            const bool own = fault.kind == error_kind::job;
+            answer_error(response,
+                         own ? unprocessable_status : unavailable_status,
+                         fault);
+        },
+        [&]
+        {
+            answer_unknown_failure(response);
+        });
+}
+
+auto list(job_context& context, httplib::Response& response) -> void
+{
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            json::array all;
+            for (int partition = 0; partition < jobs::partition_count;
+                 ++partition)
+            {
+                BOOST_LEAF_AUTO(
+                    found, context.store.list(partition, job_id(), list_limit));
+                for (const auto& job : found)
+                {
+                    all.push_back(describe(job));
+                }
+            }
+            answer_json(response, ok_status, {{"jobs", std::move(all)}});
+            return {};
+        },
+        [&](const error& fault)
+        {
+            answer_error(response, unavailable_status, fault);
+        },
+        [&]
+        {
+            answer_unknown_failure(response);
+        });
+}
+
+/// Reads a job and answers with it, after @p change has been made.
+template<class Change>
+auto answer_job(job_context& context, const httplib::Request& request,
+                httplib::Response& response, int status, Change change) -> void
+{
+    const job_id id(request.matches[1].str());
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(job, context.store.read(id));
+            if (!job)
+            {
+                answer_error(response, not_found_status,
+                             {error_kind::job, 664, id.str(),
+                              "there is no such job",
+                              "list the jobs, or check the id"});
+                return {};
+            }
+            BOOST_LEAF_CHECK(change(id));
+            answer_json(response, status, describe(*job));
+            return {};
+        },
+        [&](const error& fault)
+        {
+            answer_error(response, unavailable_status, fault);
+        },
+        [&]
+        {
+            answer_unknown_failure(response);
+        });
+}
+
+} // namespace
+
+auto add_job_routes(http_listener& listener, job_context& context) -> void
+{
+    auto& server = listener.server();
+    server.Post(
+        R"(/jobs/([^/]+))",
+        [&context](const httplib::Request& request, httplib::Response& response)
+        {
+            submit(context, request, response);
+        });
+    server.Get("/jobs",
+               [&context](const httplib::Request&, httplib::Response& response)
+               {
+                   list(context, response);
+               });
+    server.Get(
+        R"(/jobs/([^/]+))",
+        [&context](const httplib::Request& request, httplib::Response& response)
+        {
+            answer_job(context, request, response, ok_status,
+                       [](const job_id&) -> result<void>
+                       {
+                           return {};
+                       });
+        });
+    server.Delete(
+        R"(/jobs/([^/]+))",
+        [&context](const httplib::Request& request, httplib::Response& response)
+        {
+            answer_job(
+                context, request, response, accepted_status,
+                [&context](const job_id& id) -> result<void>
+                {
+                    BOOST_LEAF_CHECK(context.store.request_cancel(id));
+                    context.control.post(control::job_announced{id, true});
+                    return {};
+                });
+        });
+}
+
+} // namespace pimentoshunt::entry
--- a/src/entry/operator_server.cpp
+++ b/src/entry/operator_server.cpp
@@ -1,5 +1,6 @@
 #include <pimentoshunt/entry/operator_server.hpp>
 
+#include <pimentoshunt/entry/json_answer.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 #include <pimentoshunt/platform/json_fields.hpp>
 
@@ -18,35 +19,11 @@
 
 namespace json = boost::json;
 
-constexpr int ok_status = 200;
 constexpr int accepted_status = 202;
 constexpr int bad_request_status = 400;
 constexpr int conflict_status = 409;
-constexpr int unprocessable_status = 422;
-constexpr int unavailable_status = 503;
 /// How long the control thread may take to tell its state.
 constexpr milliseconds status_timeout{2'000};
-constexpr const char* retry_after_seconds = "2";
-
-auto answer_json(httplib::Response& response, int status,
-                 const json::object& body) -> void
-{
-    response.status = status;
-    if (status == unavailable_status)
-    {
-        response.set_header("Retry-After", retry_after_seconds);
-    }
-    response.set_content(json::serialize(body), "application/json");
-}
-
-auto answer_error(httplib::Response& response, int status, const error& fault)
-    -> void
-{
-    answer_json(response, status,
-                {{"error", fault.message()},
-                 {"id", fault.id},
-                 {"remedy", fault.remedy}});
-}
 
 auto ask_status(operator_context& context)
     -> std::optional<control::cell_status>
--- /dev/null
+++ b/src/jobs/job_desk.cpp
@@ -0,0 +1,441 @@
+#include <pimentoshunt/jobs/job_desk.hpp>
+
+#include <pimentoshunt/logging.hpp>
+#include <pimentoshunt/ownership/assignment.hpp>
+
+#include <algorithm> // find, find_if
+#include <utility>   // move, exchange
+
+namespace pimentoshunt::jobs
+{
+namespace
+{
+
+/// Jobs wait for as long as it takes; among them the earlier goes first.
+constexpr std::chrono::hours no_deadline{24 * 365};
+
+auto to_outcome(attempt_outcome outcome) -> ownership::attempt_outcome
+{
+    switch (outcome)
+    {
+    case attempt_outcome::not_run:
+        return ownership::attempt_outcome::never_started;
+    case attempt_outcome::succeeded:
+        return ownership::attempt_outcome::finished;
+    case attempt_outcome::failed:
+        return ownership::attempt_outcome::failed;
+    case attempt_outcome::stopped:
+        // The worker's owner asks the worker itself before it reuses the room.
+        return ownership::attempt_outcome::unknown;
+    }
+    return ownership::attempt_outcome::unknown;
+}
+
+} // namespace
+
+auto job_desk::assign(const std::vector<instance_id>& serving) -> void
+{
+    for (int partition = 0; partition < partition_count; ++partition)
+    {
+        const auto owner = ownership::rendezvous_owner(
+            "partition/" + partition_name(partition), serving);
+        m_wanted[static_cast<std::size_t>(partition)] = owner == m_self;
+    }
+}
+
+auto job_desk::handle(desk_event&& news, time_point now) -> void
+{
+    std::visit(
+        [&](auto& item)
+        {
+            on(item, now);
+        },
+        news);
+}
+
+auto job_desk::find(int partition, std::uint64_t epoch) -> owned_partition*
+{
+    const auto found = m_owned.find(partition);
+    const bool same =
+        found != m_owned.end() && found->second.claim.epoch == epoch;
+    return same ? &found->second : nullptr;
+}
+
+auto job_desk::on(worker_answered& news, time_point now) -> void
+{
+    auto* const owned = find(news.partition, news.epoch);
+    if (owned == nullptr)
+    {
+        return;
+    }
+    std::visit(
+        [&](const auto& answer)
+        {
+            owned->tracker.on(answer, now);
+        },
+        news.answer);
+    collect(*owned, now);
+}
+
+auto job_desk::on(partition_read& news, time_point now) -> void
+{
+    if (news.claiming)
+    {
+        take_over(news, now);
+        return;
+    }
+    const auto found = m_owned.find(news.partition);
+    if (found == m_owned.end() || !news.state)
+    {
+        return;
+    }
+    if (news.state->epoch > found->second.claim.epoch)
+    {
+        drop(news.partition);
+        return;
+    }
+    for (const auto& job : news.jobs)
+    {
+        found->second.tracker.on_loaded(job, now);
+    }
+    for (const auto& job : news.cancels)
+    {
+        found->second.tracker.on_cancel(job, now);
+    }
+    collect(found->second, now);
+}
+
+auto job_desk::take_over(partition_read& news, time_point now) -> void
+{
+    if (!news.state)
+    {
+        return;
+    }
+    drop(news.partition);
+    const auto seed = m_seed + static_cast<std::uint32_t>(news.partition);
+    owned_partition owned{
+        *news.state,
+        job_tracker(news.partition, news.state->epoch, tracker_limits{}, seed),
+        now + m_times.read_interval};
+    auto& added =
+        m_owned.emplace(news.partition, std::move(owned)).first->second;
+    for (const auto& job : news.jobs)
+    {
+        added.tracker.on_loaded(job, now);
+    }
+    for (const auto& job : news.cancels)
+    {
+        added.tracker.on_cancel(job, now);
+    }
+    added.tracker.on_all_loaded();
+    collect(added, now);
+}
+
+auto job_desk::drop(int partition) -> void
+{
+    if (m_owned.erase(partition) == 0)
+    {
+        return;
+    }
+    // Grants of its jobs that were not started are settled by their owners.
+    for (auto item = m_wishes.begin(); item != m_wishes.end();)
+    {
+        const bool gone = item->second.partition == partition;
+        item = gone ? m_wishes.erase(item) : std::next(item);
+    }
+    m_demand_changed = true;
+}
+
+auto job_desk::on(job_found& news, time_point now) -> void
+{
+    const auto found = m_owned.find(partition_of(news.job.spec.id));
+    if (found != m_owned.end())
+    {
+        found->second.tracker.on_loaded(news.job, now);
+        collect(found->second, now);
+    }
+}
+
+auto job_desk::on(job_cancelled& news, time_point now) -> void
+{
+    const auto found = m_owned.find(partition_of(news.job));
+    if (found != m_owned.end())
+    {
+        found->second.tracker.on_cancel(news.job, now);
+        collect(found->second, now);
+    }
+}
+
+auto job_desk::on(commit_ended& news, time_point now) -> void
+{
+    m_committing = false;
+    for (const auto& claim : news.claims)
+    {
+        if (auto* const owned = find(claim.partition, claim.epoch))
+        {
+            owned->claim.version = claim.version;
+        }
+    }
+    for (const auto partition : news.lost)
+    {
+        drop(partition);
+    }
+    for (const auto& job : news.jobs)
+    {
+        if (auto* const owned = find(job.partition, job.epoch))
+        {
+            owned->tracker.on(job.progress, now);
+            collect(*owned, now);
+        }
+    }
+    release_commit();
+}
+
+auto job_desk::collect(owned_partition& owned, time_point now) -> void
+{
+    for (auto& effect : owned.tracker.effects())
+    {
+        dispatch(owned, std::move(effect), now);
+    }
+    release_commit();
+}
+
+auto job_desk::dispatch(owned_partition& owned, job_effect&& effect,
+                        time_point now) -> void
+{
+    const auto partition = owned.claim.partition;
+    if (auto* const wanted = std::get_if<want_placements>(&effect))
+    {
+        note_wish(partition, std::move(*wanted), now);
+        return;
+    }
+    if (auto* const progress = std::get_if<persist_progress>(&effect))
+    {
+        note_progress(owned, std::move(*progress));
+        return;
+    }
+    if (const auto* const released = std::get_if<release_placement>(&effect))
+    {
+        note_release(*released, now);
+        return;
+    }
+    if (const auto* const ended = std::get_if<job_ended>(&effect))
+    {
+        m_wishes.erase(ended->job);
+        m_demand_changed = true;
+        logging::info("job ended")
+            .with("job", ended->job)
+            .with("state", to_string(ended->state));
+        return;
+    }
+    std::visit(
+        [&](auto& call)
+        {
+            using call_type = std::decay_t<decltype(call)>;
+            if constexpr (std::is_constructible_v<worker_call, call_type>)
+            {
+                m_effects.calls.push_back(
+                    {partition, owned.claim.epoch, std::move(call)});
+            }
+        },
+        effect);
+}
+
+auto job_desk::note_wish(int partition, want_placements&& wanted,
+                         time_point now) -> void
+{
+    m_demand_changed = true;
+    if (wanted.count <= 0)
+    {
+        m_wishes.erase(wanted.job);
+        return;
+    }
+    auto& item = m_wishes[wanted.job];
+    if (item.since == time_point{})
+    {
+        item.since = now;
+    }
+    item.partition = partition;
+    item.workload = wanted.workload;
+    item.count = wanted.count;
+    item.avoid = std::move(wanted.avoid);
+}
+
+auto job_desk::note_progress(const owned_partition& owned,
+                             persist_progress&& progress) -> void
+{
+    auto& updates = m_next_commit.updates;
+    const auto partition = owned.claim.partition;
+    auto found = std::find_if(updates.begin(), updates.end(),
+                              [&](const partition_update& item)
+                              {
+                                  return item.claim.partition == partition;
+                              });
+    if (found == updates.end())
+    {
+        partition_update added;
+        added.claim = owned.claim;
+        updates.push_back(std::move(added));
+        found = std::prev(updates.end());
+    }
+    found->jobs.push_back({progress.job, std::move(progress.progress)});
+    m_next_commit.jobs.push_back({partition,
+                                  owned.claim.epoch,
+                                  {progress.job, progress.sequence, false}});
+}
+
+auto job_desk::release_commit() -> void
+{
+    // One commit at a time: each advances the versions that the next expects.
+    if (m_committing || m_next_commit.updates.empty())
+    {
+        return;
+    }
+    auto commit = std::exchange(m_next_commit, wanted_commit{});
+    for (auto& update : commit.updates)
+    {
+        const auto owned = m_owned.find(update.claim.partition);
+        const bool same = owned != m_owned.end() &&
+                          owned->second.claim.epoch == update.claim.epoch;
+        if (same)
+        {
+            update.claim.version = owned->second.claim.version;
+        }
+    }
+    m_committing = true;
+    m_effects.commit = std::move(commit);
+}
+
+auto job_desk::note_release(const release_placement& released, time_point now)
+    -> void
+{
+    const auto found = m_grants.find(released.attempt);
+    if (found == m_grants.end())
+    {
+        // Granted to an earlier owner of the partition: the worker's owner
+        // sees its end in the worker's own report.
+        return;
+    }
+    const auto run_time = std::chrono::duration_cast<std::chrono::microseconds>(
+        now - found->second.granted_at);
+    m_effects.ended.push_back({std::move(found->second.item),
+                               to_outcome(released.outcome), run_time});
+    m_grants.erase(found);
+}
+
+auto job_desk::choose_wish(const entry::grant& item)
+    -> std::map<job_id, wish>::iterator
+{
+    auto best = m_wishes.end();
+    bool best_avoids = true;
+    for (auto at = m_wishes.begin(); at != m_wishes.end(); ++at)
+    {
+        const auto& candidate = at->second;
+        if (candidate.workload != item.workload || candidate.count <= 0)
+        {
+            continue;
+        }
+        const bool avoids =
+            std::find(candidate.avoid.begin(), candidate.avoid.end(),
+                      item.worker) != candidate.avoid.end();
+        const bool better =
+            best == m_wishes.end() || avoids < best_avoids ||
+            (avoids == best_avoids && candidate.since < best->second.since);
+        if (better)
+        {
+            best = at;
+            best_avoids = avoids;
+        }
+    }
+    return best;
+}
+
+auto job_desk::bind(const entry::grant& item, time_point now) -> bool
+{
+    const auto chosen = choose_wish(item);
+    if (chosen == m_wishes.end())
+    {
+        return false;
+    }
+    const auto job = chosen->first;
+    const auto owned = m_owned.find(chosen->second.partition);
+    if (owned == m_owned.end())
+    {
+        return false;
+    }
+    if (--chosen->second.count == 0)
+    {
+        m_wishes.erase(chosen);
+    }
+    m_demand_changed = true;
+    m_grants.emplace(item.attempt, held_grant{item, now});
+    owned->second.tracker.on(
+        placement_granted{
+            job, item.attempt, {item.worker, item.base_url}, item.epoch},
+        now);
+    collect(owned->second, now);
+    return true;
+}
+
+auto job_desk::tick(time_point now) -> void
+{
+    if (now < m_next_tick)
+    {
+        return;
+    }
+    m_next_tick = now + m_times.tick_interval;
+    for (auto& [partition, owned] : m_owned)
+    {
+        owned.tracker.tick(now);
+        collect(owned, now);
+        if (now >= owned.next_read)
+        {
+            owned.next_read = now + m_times.read_interval;
+            m_effects.reads.push_back({partition, false});
+        }
+    }
+    for (int partition = 0; partition < partition_count; ++partition)
+    {
+        auto& next = m_claiming[partition];
+        const bool wanted = m_wanted[static_cast<std::size_t>(partition)];
+        if (wanted && m_owned.count(partition) == 0 && now >= next)
+        {
+            next = now + m_times.claim_interval;
+            m_effects.reads.push_back({partition, true});
+        }
+    }
+}
+
+auto job_desk::demand() const -> std::vector<entry::asked_line>
+{
+    std::map<workload_name, entry::asked_line> lines;
+    for (const auto& [job, item] : m_wishes)
+    {
+        auto& line = lines[item.workload];
+        const bool first = line.count == 0;
+        line.workload = item.workload;
+        line.count += item.count;
+        line.waiting_since =
+            first ? item.since : std::min(line.waiting_since, item.since);
+        line.deadline = line.waiting_since + no_deadline;
+    }
+    std::vector<entry::asked_line> all;
+    all.reserve(lines.size());
+    for (auto& [name, line] : lines)
+    {
+        all.push_back(std::move(line));
+    }
+    return all;
+}
+
+auto job_desk::take_demand_changed() -> bool
+{
+    return std::exchange(m_demand_changed, false);
+}
+
+auto job_desk::take_effects() -> desk_effects
+{
+    return std::exchange(m_effects, desk_effects{});
+}
+
+} // namespace pimentoshunt::jobs
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -3,6 +3,7 @@
 #include <pimentoshunt/control/control_loop.hpp>
 #include <pimentoshunt/control/remote_calls.hpp>
 #include <pimentoshunt/entry/caller_server.hpp>
+#include <pimentoshunt/entry/job_routes.hpp>
 #include <pimentoshunt/entry/operator_server.hpp>
 #include <pimentoshunt/kernel/directory.hpp>
 #include <pimentoshunt/logging.hpp>
@@ -109,9 +110,10 @@
                   store_limits(config)),
           m_plans(m_store, holder_name()), m_workers(worker_limits(config)),
           m_runs(config.worker_connect_timeout, worker_connections),
-          m_keys(m_store, holder_name()),
+          m_keys(m_store, holder_name()), m_jobs(m_store, holder_name()),
+          m_job_calls(m_services, m_jobs, m_workers),
           m_calls(m_services, m_store, m_plans, m_workers, m_in_force, m_alive,
-                  m_keys, m_engine_config.self),
+                  m_keys, m_job_calls, m_engine_config.self),
           m_control(m_engine_config, m_services, m_calls.starter(m_control)),
           m_handler(m_control, m_in_force, m_runs, {m_keys, m_workers, m_alive},
                     m_meters),
@@ -142,6 +144,7 @@
         control::spawn_control(m_system, m_services, m_control);
         entry::add_caller_routes(m_callers, m_handler);
         entry::add_operator_routes(m_operators, m_operator_context);
+        entry::add_job_routes(m_operators, m_job_context);
         BOOST_LEAF_CHECK(listen_to_peers());
         BOOST_LEAF_CHECK(
             m_operators.start(m_config.host, m_config.operator_port));
@@ -244,12 +247,15 @@
     membership::live_holders m_alive;
     entry::platform_idempotency_log m_keys;
     metrics::registry m_meters;
+    control::platform_job_store m_jobs;
+    control::job_calls m_job_calls;
     control::remote_calls m_calls;
     control::control_loop m_control;
     entry::request_handler m_handler;
     entry::http_listener m_callers;
     entry::http_listener m_operators;
     entry::operator_context m_operator_context;
+    entry::job_context m_job_context{m_control, m_in_force, m_jobs};
     std::unique_ptr<transport::peer_receiver> m_receiver;
 };
 
