Task calls on I/O threads of their own

Cause: a stop may last until the task has ended; 16 of them would have kept fences and inspections waiting. Change: a service of its own and more control connections a worker.

--- a/include/pimentoshunt/kernel/directory.hpp
+++ b/include/pimentoshunt/kernel/directory.hpp
@@ -19,6 +19,8 @@
 inline constexpr service_name control_service = caf::atom("control");
 inline constexpr service_name transport_service = caf::atom("transport");
 inline constexpr service_name worker_io_service = caf::atom("workerio");
+/// Calls for tasks, which may take long: apart from fences and inspections.
+inline constexpr service_name task_io_service = caf::atom("taskio");
 inline constexpr service_name platform_io_service = caf::atom("platformio");
 
 /// @brief The services of one process, by name.
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -113,7 +113,7 @@
             control.post(jobs::desk_event(jobs::worker_answered{
                 item.partition, item.epoch, answer(item.call)}));
         };
-        m_services.send(kernel::worker_io_service, kernel::io_call{run});
+        m_services.send(kernel::task_io_service, kernel::io_call{run});
     }
     for (const auto& item : wanted.reads)
     {
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -33,6 +33,8 @@
 constexpr std::size_t spare_connections = 128;
 /// Connections of this entry to one worker.
 constexpr std::size_t worker_connections = 64;
+/// The same for control calls; a stop may hold one until the task has ended.
+constexpr std::size_t control_connections = 6;
 
 auto or_default(const std::string& advertised, const settings& config, int port)
     -> std::string
@@ -138,6 +140,8 @@
     {
         control::spawn_io(m_system, m_services, kernel::worker_io_service,
                           m_worker_io);
+        control::spawn_io(m_system, m_services, kernel::task_io_service,
+                          m_task_io);
         control::spawn_io(m_system, m_services, kernel::platform_io_service,
                           m_platform_io);
         transport::spawn_transport(m_system, m_services, m_sender);
@@ -174,7 +178,8 @@
         m_receiver.reset();
         for (const auto name :
              {kernel::control_service, kernel::transport_service,
-              kernel::worker_io_service, kernel::platform_io_service})
+              kernel::worker_io_service, kernel::task_io_service,
+              kernel::platform_io_service})
         {
             caf::anon_send_exit(m_services.find(name),
                                 caf::exit_reason::user_shutdown);
@@ -197,6 +202,7 @@
     {
         worker::http_worker_limits limits;
         limits.connect_timeout = config.worker_connect_timeout;
+        limits.connections = control_connections;
         return limits;
     }
 
@@ -238,6 +244,7 @@
     zmq::context_t m_zmq;
     transport::peer_sender m_sender{m_zmq};
     kernel::io_pool m_worker_io{m_config.io_threads * 2};
+    kernel::io_pool m_task_io{m_config.io_threads * 2};
     kernel::io_pool m_platform_io{m_config.io_threads};
     plan::plan_cell m_in_force;
     platform::http_platform m_store;
