--- /dev/null
+++ b/tests/integration/integration-jobs.cpp
@@ -0,0 +1,201 @@
+#include "support/cell.hpp"
+#include "support/checker.hpp"
+#include "support/wait_until.hpp"
+
+#include <boost/json/parse.hpp>
+
+#include <criterion/criterion.h>
+
+#include <httplib.h>
+
+#include <string> // string
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::testing;
+
+namespace
+{
+
+constexpr const char* jobs_plan = R"({
+  "tenants": [{"name": "press", "quota": {"slots": 64, "millicpus": 64000,
+                                          "memory_mb": 64000}}],
+  "batch": [{"name": "sweep", "tenant": "press", "idempotent": true,
+             "run_time_ms": 300, "resources": {"slots": 1, "millicpus": 100,
+                                               "memory_mb": 100}}],
+  "gangs": [{"name": "plates", "tenant": "press", "tasks": 12,
+             "idempotent": true, "run_time_ms": 2500,
+             "resources": {"slots": 1, "millicpus": 100, "memory_mb": 100}}]
+})";
+
+/// How long a job may take after the worst of these failures.
+constexpr milliseconds end_bound{45'000};
+constexpr milliseconds run_bound{15'000};
+
+/// A cell with the plan of jobs in force at its first instance.
+class job_run
+{
+  public:
+    explicit job_run(const cell_options& options) : m_cell(options)
+    {
+        const auto trouble = m_cell.start();
+        cr_assert(trouble.empty(), "%s", trouble.c_str());
+        httplib::Client client("127.0.0.1", port(0));
+        const auto answer =
+            client.Put("/plan?revision=0", jobs_plan, "application/json");
+        cr_assert(answer && answer->status == 200);
+    }
+
+    auto parts() -> cell&
+    {
+        return m_cell;
+    }
+
+    auto port(std::size_t instance) -> int
+    {
+        return m_cell.instances().at(instance).operator_port;
+    }
+
+    /// Submits until the plan is in force there; a repeat makes no second job.
+    auto submit(std::size_t instance, const std::string& workload,
+                const std::string& id) -> void
+    {
+        httplib::Client client("127.0.0.1", port(instance));
+        const auto taken = [&]
+        {
+            const auto answer =
+                client.Post("/jobs/" + workload, {{"Idempotency-Key", id}}, "x",
+                            "text/plain");
+            return answer && answer->status / 100 == 2;
+        };
+        cr_assert(wait_until(taken, run_bound), "%s is not taken", id.c_str());
+    }
+
+    auto state(std::size_t instance, const std::string& id) -> std::string
+    {
+        const auto text = http_get(port(instance), "/jobs/" + id);
+        return text ? boost::json::parse(*text).at("state").as_string().c_str()
+                    : "unknown";
+    }
+
+    auto wait_state(std::size_t instance, const std::string& id,
+                    const std::string& wanted) -> bool
+    {
+        return wait_until(
+            [&]
+            {
+                return state(instance, id) == wanted;
+            },
+            end_bound);
+    }
+
+    auto starts(const std::string& job) -> std::size_t
+    {
+        std::size_t count = 0;
+        for (const auto& event : m_cell.evidence_with({}).events)
+        {
+            count += event.kind == observed_kind::start && event.job == job;
+        }
+        return count;
+    }
+
+    auto wait_starts(const std::string& job, std::size_t least) -> bool
+    {
+        return wait_until(
+            [&]
+            {
+                return starts(job) >= least;
+            },
+            run_bound);
+    }
+
+    auto judge() -> void
+    {
+        const auto violations = check(m_cell.evidence_with({}));
+        cr_assert(violations.empty(), "%s", describe(violations).c_str());
+    }
+
+  private:
+    cell m_cell;
+};
+
+auto three_instances() -> cell_options
+{
+    cell_options options;
+    options.instances = 3;
+    options.workers_per_process = 4;
+    return options;
+}
+
+} // namespace
+
+Test(jobs, gangs_larger_than_what_is_left_take_turns)
+{
+    job_run run(three_instances());
+    // Three gangs of twelve on 32 slots: not all fit at once.
+    run.submit(0, "plates", "gang-a");
+    run.submit(1, "plates", "gang-b");
+    run.submit(2, "plates", "gang-c");
+    for (const auto* const id : {"gang-a", "gang-b", "gang-c"})
+    {
+        cr_assert(run.wait_state(0, id, "succeeded"), "%s is %s", id,
+                  run.state(0, id).c_str());
+    }
+    run.judge();
+}
+
+Test(jobs, a_repeat_of_a_submission_makes_no_second_job)
+{
+    job_run run(three_instances());
+    run.submit(0, "sweep", "once");
+    run.submit(1, "sweep", "once");
+    cr_assert(run.wait_state(2, "once", "succeeded"));
+    cr_assert(run.starts("once") == 1);
+}
+
+Test(jobs, no_task_is_in_two_places_after_the_loss_of_an_instance)
+{
+    job_run run(three_instances());
+    run.submit(0, "plates", "loss-a");
+    run.submit(1, "plates", "loss-b");
+    cr_assert(run.wait_starts("loss-a", 1) && run.wait_starts("loss-b", 1));
+    run.parts().instances().at(1).program.kill();
+    cr_assert(run.wait_state(0, "loss-a", "succeeded"), "it is %s",
+              run.state(0, "loss-a").c_str());
+    cr_assert(run.wait_state(0, "loss-b", "succeeded"), "it is %s",
+              run.state(0, "loss-b").c_str());
+    run.judge();
+}
+
+Test(jobs, an_owner_paused_past_its_leases_starts_nothing_twice)
+{
+    job_run run(three_instances());
+    run.submit(0, "plates", "pause-a");
+    run.submit(0, "plates", "pause-b");
+    cr_assert(run.wait_starts("pause-a", 1) && run.wait_starts("pause-b", 1));
+    auto& paused = run.parts().instances().at(2).program;
+    paused.pause();
+    cr_assert(run.wait_state(0, "pause-a", "succeeded") &&
+              run.wait_state(0, "pause-b", "succeeded"));
+    paused.resume();
+    run.submit(0, "sweep", "after");
+    cr_assert(run.wait_state(0, "after", "succeeded"));
+    run.judge();
+}
+
+Test(jobs, a_cancelled_job_ends_and_its_tasks_stop)
+{
+    job_run run(three_instances());
+    run.submit(0, "plates", "cancel");
+    cr_assert(run.wait_starts("cancel", 12));
+    httplib::Client client("127.0.0.1", run.port(1));
+    const auto answer = client.Delete("/jobs/cancel");
+    cr_assert(answer && answer->status == 202);
+    cr_assert(run.wait_state(0, "cancel", "cancelled"));
+    cr_assert(wait_until(
+        [&]
+        {
+            return run.parts().workers_idle();
+        },
+        run_bound));
+    run.judge();
+}
