--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -28,6 +28,8 @@
 
 constexpr int warm_up = 2'000;
 constexpr int rounds = 20'000;
+/// 20 workloads at each of 8 entries.
+constexpr std::size_t lines_of_8_entries = 160;
 constexpr int rounds_of_scan = 300;
 /// Share of the slots in use while it measures.
 constexpr double fill = 0.95;
@@ -127,7 +129,8 @@
 class bench
 {
   public:
-    bench(std::size_t workers, unsigned seed) : m_random(seed)
+    bench(std::size_t workers, unsigned seed, std::size_t lines = 1)
+        : m_random(seed), m_line_count(lines)
     {
         m_workloads = make_workloads(m_random);
         plan::document document;
@@ -161,35 +164,43 @@
         for (int i = -warm_up; i < count; ++i)
         {
             release_one();
-            const auto begin = std::chrono::steady_clock::now();
             place();
-            const auto took = nanoseconds_since(begin);
             if (i >= 0)
             {
-                times.push_back(took);
+                times.push_back(m_took);
             }
         }
         return summary(m_accounts.accounts().size(), times);
     }
 
   private:
-    /// @brief One unit of a random workload.
+    /// @brief One unit of random workloads, as many as lines that wait.
     auto place() -> bool
     {
         m_lines.clear();
         const auto now = time_point(std::chrono::hours(1));
-        const auto& workload = m_workloads[m_random() % m_workloads.size()];
-        m_lines.push_back({instance_id("e"), &workload, 1,
-                           now + milliseconds(100), now - milliseconds(5)});
+        for (std::size_t i = 0; i < m_line_count; ++i)
+        {
+            const auto& workload = m_workloads[m_random() % m_workloads.size()];
+            const milliseconds left(1 + m_random() % 1'000);
+            m_lines.push_back({instance_id("e"), &workload, 1, now + left,
+                               now - milliseconds(5)});
+        }
+        const auto begin = std::chrono::steady_clock::now();
         bool taken = false;
         m_picker.pick(
             m_accounts, m_lines,
             [&](const placement& choice)
             {
+                if (taken)
+                {
+                    return false;
+                }
                 taken = take(*m_lines[choice.line].workload, choice.worker);
                 return taken;
             },
             now);
+        m_took = nanoseconds_since(begin);
         return taken;
     }
 
@@ -212,6 +223,9 @@
     }
 
     std::mt19937_64 m_random;
+    std::size_t m_line_count;
+    /// Time of the last decision.
+    double m_took = 0;
     std::vector<plan::workload> m_workloads;
     capacity_ledger m_accounts;
     Picker m_picker;
@@ -220,6 +234,33 @@
     std::uint64_t m_attempts = 0;
 };
 
+/// @brief The worst case of the index: each resource is free on half of the
+///        workers, both together on none.
+auto search_in_vain(std::size_t workers) -> outcome
+{
+    capacity_ledger accounts;
+    open_workers(accounts, workers);
+    std::size_t number = 0;
+    for (std::size_t i = 0; i < workers; ++i)
+    {
+        ledger::holding item;
+        item.attempt = attempt_id(std::to_string(++number));
+        item.each = i % 2 == 0 ? resources{1, 15'000, 1'000, 0}
+                               : resources{1, 1'000, 63'000, 0};
+        accounts.take(worker_id("worker-" + std::to_string(i)), item);
+    }
+    std::vector<double> times;
+    times.reserve(rounds_of_scan);
+    for (int i = 0; i < rounds_of_scan; ++i)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto* const found = accounts.best_fit(
+            {1, 8'000, 32'000, 0}, ledger::accelerator_use::allow);
+        times.push_back(found == nullptr ? nanoseconds_since(begin) : 0);
+    }
+    return summary(workers, times);
+}
+
 auto report(const char* name, const outcome& result, double base_ns)
     -> boost::json::object
 {
@@ -256,6 +297,21 @@
         all.push_back(report("index", result, base_ns));
     }
     base_ns = 0;
+    for (const std::size_t workers : {48, 480, 4'800, 26'000})
+    {
+        const auto result =
+            bench<grant_picker>(workers, seed, lines_of_8_entries).run(rounds);
+        base_ns = base_ns > 0 ? base_ns : result.mean_ns;
+        all.push_back(report("160 line", result, base_ns));
+    }
+    base_ns = 0;
+    for (const std::size_t workers : {48, 480, 4'800, 26'000})
+    {
+        const auto result = search_in_vain(workers);
+        base_ns = base_ns > 0 ? base_ns : result.mean_ns;
+        all.push_back(report("in vain", result, base_ns));
+    }
+    base_ns = 0;
     for (const std::size_t workers : {48, 480, 4'800})
     {
         const auto result =
--- a/bench/policy_quality.cpp
+++ b/bench/policy_quality.cpp
@@ -1,23 +1,19 @@
 /// @file
 /// Measures the quality of the pure decisions: queue, admission and picker fed
 /// with seeded arrivals in memory, beside the ideal queue and baselines.
-#include "support/ideal_queue.hpp"
-#include "support/quality_run.hpp"
-#include "support/random_choice.hpp"
+#include "support/packing.hpp"
+#include "support/scenario.hpp"
 
 #include <boost/json/serialize.hpp> // serialize
-#include <boost/json/value.hpp>     // value, array, object
 
-#include <algorithm>  // sort, max
-#include <cmath>      // fmod, log
-#include <cstdlib>    // strtoul
-#include <fstream>    // ofstream
-#include <functional> // function
-#include <iomanip>    // setw
-#include <iostream>   // cout
-#include <random>     // mt19937_64, exponential_distribution
-#include <string>     // string
-#include <vector>     // vector
+#include <algorithm> // max
+#include <cstdlib>   // strtoul
+#include <fstream>   // ofstream
+#include <iomanip>   // setprecision
+#include <iostream>  // cout
+#include <random>    // mt19937_64
+#include <string>    // string
+#include <vector>    // vector
 
 namespace
 {
@@ -25,214 +21,6 @@
 using namespace pimentoshunt;
 using namespace pimentoshunt::bench;
 
-using real_s = std::chrono::duration<double>;
-using real_ms = std::chrono::duration<double, std::milli>;
-
-constexpr std::size_t entries = 8;
-constexpr double proof_mean_s = 0.04;
-constexpr double render_mean_s = 4.0;
-/// Arrivals before this time are served and not counted.
-constexpr double warm_up_s = 10.0;
-
-auto to_nanoseconds(double seconds) -> nanoseconds
-{
-    return std::chrono::duration_cast<nanoseconds>(real_s(seconds));
-}
-
-/// @brief Seeded arrivals of one workload.
-struct source
-{
-    std::size_t workload = 0;
-    double mean_s = 0;
-    /// Sigma of the log-normal run time.
-    double spread = 0.5;
-    /// Arrivals a second at a time since the begin.
-    std::function<double(double)> rate;
-    double highest_rate = 0;
-};
-
-/// @brief Adds open-loop arrivals of @p from until @p end_s.
-auto add_arrivals(std::vector<arrival>& all, const source& from, double end_s,
-                  std::mt19937_64& random) -> void
-{
-    std::exponential_distribution<double> gap(from.highest_rate);
-    std::uniform_real_distribution<double> keep(0.0, from.highest_rate);
-    const auto middle = std::log(from.mean_s) - from.spread * from.spread / 2;
-    std::lognormal_distribution<double> run(middle, from.spread);
-    for (double at = gap(random); at < end_s; at += gap(random))
-    {
-        // thinning: the rate changes within the run
-        if (keep(random) > from.rate(at))
-        {
-            continue;
-        }
-        all.push_back({to_nanoseconds(at), to_nanoseconds(run(random)),
-                       from.workload, random() % entries});
-    }
-}
-
-auto by_time(std::vector<arrival>& all) -> void
-{
-    std::stable_sort(all.begin(), all.end(),
-                     [](const arrival& left, const arrival& right)
-                     {
-                         return left.at < right.at;
-                     });
-}
-
-auto make(const std::string& name, const std::string& tenant,
-          plan::work_class cls, milliseconds deadline) -> plan::workload
-{
-    plan::workload made;
-    made.name = workload_name(name);
-    made.tenant = tenant_name(tenant);
-    made.cls = cls;
-    made.each = {1, 1'000, 1'000, 0};
-    made.deadline = deadline;
-    // declared far off, for all of them
-    made.run_time = milliseconds(1'000);
-    return made;
-}
-
-auto p99(std::vector<double> values) -> double
-{
-    if (values.empty())
-    {
-        return 0;
-    }
-    std::sort(values.begin(), values.end());
-    return values[values.size() * 99 / 100];
-}
-
-auto counts(const arrival& item, std::size_t workload) -> bool
-{
-    return item.workload == workload && item.at > to_nanoseconds(warm_up_s);
-}
-
-/// @brief p99 over one workload of what @p value gives for an index, in ms.
-auto p99_of(const std::vector<arrival>& arrivals, std::size_t workload,
-            const std::function<real_ms(std::size_t)>& value) -> double
-{
-    std::vector<double> all;
-    for (std::size_t i = 0; i < arrivals.size(); ++i)
-    {
-        if (counts(arrivals[i], workload))
-        {
-            all.push_back(value(i).count());
-        }
-    }
-    return p99(std::move(all));
-}
-
-/// @brief Wait and answer p99 of one workload.
-struct tail
-{
-    double wait_ms = 0;
-    double answer_ms = 0;
-};
-
-template<class Wait>
-auto tail_of(const std::vector<arrival>& arrivals, std::size_t workload,
-             Wait&& wait) -> tail
-{
-    return {p99_of(arrivals, workload, wait),
-            p99_of(arrivals, workload,
-                   [&](std::size_t i)
-                   {
-                       return real_ms(wait(i) + arrivals[i].run_time);
-                   })};
-}
-
-auto tail_of(const std::vector<arrival>& arrivals, std::size_t workload,
-             const quality_result& result) -> tail
-{
-    return tail_of(arrivals, workload,
-                   [&](std::size_t i)
-                   {
-                       return result.all[i].wait;
-                   });
-}
-
-enum class ideal_order
-{
-    first_come,
-    services_first
-};
-
-auto ideal_tail(const plan::document& document,
-                const std::vector<arrival>& arrivals, std::size_t slots,
-                std::size_t workload, ideal_order order) -> tail
-{
-    std::vector<ideal_request> requests;
-    requests.reserve(arrivals.size());
-    for (const auto& item : arrivals)
-    {
-        const auto& of = document.workloads[item.workload];
-        const bool later = order == ideal_order::services_first &&
-                           of.cls != plan::work_class::service;
-        requests.push_back({item.at, item.run_time, later ? 1 : 0, item.at});
-    }
-    const auto answers = ideal_queue(requests, slots);
-    return tail_of(arrivals, workload,
-                   [&](std::size_t i)
-                   {
-                       return answers[i].wait;
-                   });
-}
-
-auto random_tail(const std::vector<arrival>& arrivals,
-                 const quality_setup& setup, std::size_t workload, int choices,
-                 unsigned seed) -> tail
-{
-    const auto waits = random_choice(
-        arrivals, setup.owners * setup.workers_per_owner,
-        static_cast<std::size_t>(setup.slots_per_worker), choices, seed);
-    return tail_of(arrivals, workload,
-                   [&](std::size_t i)
-                   {
-                       return waits[i];
-                   });
-}
-
-auto print_tail(boost::json::object& out, const std::string& name,
-                const tail& value) -> void
-{
-    std::cout << "  " << std::left << std::setw(38) << name << std::right
-              << std::setw(11) << value.wait_ms << std::setw(12)
-              << value.answer_ms << "\n";
-    out[name] = {{"wait_p99_ms", value.wait_ms},
-                 {"answer_p99_ms", value.answer_ms}};
-}
-
-auto print_value(boost::json::object& out, const std::string& name,
-                 double value) -> void
-{
-    std::cout << "  " << std::left << std::setw(38) << name << std::right
-              << std::setw(11) << value << "\n";
-    out[name] = value;
-}
-
-auto print_head(const std::string& name) -> void
-{
-    std::cout << name << "\n  " << std::left << std::setw(38) << ""
-              << std::right << std::setw(11) << "wait p99" << std::setw(12)
-              << "answer p99"
-              << " (ms)\n";
-}
-
-/// @brief A rate that swings between two loads of the slots.
-auto swing(double slots, double low, double high, double period_s,
-           double crest_s) -> source
-{
-    const auto top = slots * high / proof_mean_s;
-    const auto bottom = slots * low / proof_mean_s;
-    const auto rate = [=](double at)
-    {
-        return std::fmod(at, period_s) < period_s - crest_s ? bottom : top;
-    };
-    return {0, proof_mean_s, 0.5, rate, top};
-}
-
 /// @brief Short proofs on a swinging load, with and without renders that never
 ///        run out.
 auto run_renders(unsigned seed, const quality_setup& setup)
@@ -418,6 +206,66 @@
     return out;
 }
 
+/// @brief A gang of wide tasks that arrives while renders wait without end.
+auto run_gang(unsigned seed, const quality_setup& setup) -> boost::json::object
+{
+    constexpr std::size_t tasks = 12;
+    constexpr double end_s = 40.0;
+    plan::document document;
+    document.workloads = {
+        make("proof", "shops", plan::work_class::service, milliseconds(5'000)),
+        make("render", "archive", plan::work_class::batch,
+             milliseconds(100'000'000)),
+        make("plates", "printers", plan::work_class::gang,
+             milliseconds(1'000'000))};
+    document.workloads[2].each.slots = 4;
+    std::mt19937_64 random(seed);
+    const auto slots = static_cast<double>(setup.slots());
+    std::vector<arrival> arrivals;
+    add_arrivals(arrivals, swing(slots, 0.3, 0.3, 8.0, 3.0), end_s, random);
+    const auto rate = slots / render_mean_s * 1.5;
+    add_arrivals(arrivals,
+                 {1, render_mean_s, 1.0,
+                  [=](double)
+                  {
+                      return rate;
+                  },
+                  rate},
+                 end_s, random);
+    const auto arrives_at = to_nanoseconds(15.0);
+    for (std::size_t i = 0; i < tasks; ++i)
+    {
+        arrivals.push_back({arrives_at, to_nanoseconds(60.0), 2, 0});
+    }
+    by_time(arrivals);
+    boost::json::object out;
+    std::cout << "gang of 12 tasks of 4 slots, renders without end\n";
+    for (const double share : {0.0, 0.25, 0.5})
+    {
+        auto own = setup;
+        own.picker.gang_room_share = share;
+        const auto result = quality_run(document, own).run(arrivals);
+        double last_s = 0;
+        double started = 0;
+        for (std::size_t i = 0; i < arrivals.size(); ++i)
+        {
+            if (arrivals[i].workload == 2 && result.all[i].ran &&
+                arrivals[i].at + result.all[i].wait <= to_nanoseconds(end_s))
+            {
+                const real_s wait = result.all[i].wait;
+                last_s = std::max(last_s, wait.count());
+                started += 1;
+            }
+        }
+        const auto name = "room " + std::to_string(share).substr(0, 4);
+        print_value(out, "tasks started in 25 s, " + name, started);
+        print_value(out, "wait of the last of them (s), " + name, last_s);
+        print_value(out, "slots of renders and gang, " + name,
+                    result.other_slot_s / end_s);
+    }
+    return out;
+}
+
 /// @brief Ten tenants, the first at ten times its quota or not.
 auto run_fairness(unsigned seed, const quality_setup& setup)
     -> boost::json::object
@@ -479,6 +327,25 @@
     return out;
 }
 
+/// @brief What still fits at 60% of the slots, by the way of packing.
+auto run_packing(unsigned seed) -> boost::json::object
+{
+    boost::json::object out;
+    std::cout
+        << "48 workers at 60% of the slots, a quarter with accelerators\n";
+    for (const auto way : {packing_way::best_fit, packing_way::random_fit,
+                           packing_way::emptiest})
+    {
+        const auto room = pack(way, seed);
+        const std::string name = to_string(way);
+        print_value(out, "whole workers free, " + name,
+                    static_cast<double>(room.whole_workers));
+        print_value(out, "accelerators usable, " + name,
+                    static_cast<double>(room.accelerators));
+    }
+    return out;
+}
+
 } // namespace
 
 /// Usage: policy_quality [seed] [json file]
@@ -493,6 +360,8 @@
     all["renders"] = run_renders(seed, setup);
     all["crest"] = run_crest(seed, setup);
     all["overload"] = run_overload(seed, setup);
+    all["gang"] = run_gang(seed, setup);
+    all["packing"] = run_packing(seed);
     all["fairness"] = run_fairness(seed, setup);
     if (count > 2)
     {
--- a/tests/unit-policy-grant-picker.cpp
+++ b/tests/unit-policy-grant-picker.cpp
@@ -256,6 +256,32 @@
               "a quarter of 16 slots stays free for the rest of the gang");
 }
 
+Test(grant_picker, tells_what_is_served_before_an_arrival)
+{
+    const auto proof = make("proof", work_class::service);
+    const auto batch = make("batch", work_class::batch);
+    auto urgent = make("urgent", work_class::service);
+    urgent.priority = 1;
+    const cell one(1);
+    // 10 proofs due evenly from 500 on, as they arrived from 0 to 100
+    const std::vector<demand_line> lines{line(proof, 10, 500, 0),
+                                         line(batch, 7, 200, 0),
+                                         line(urgent, 3, 900, 0)};
+    const auto count = [&](int deadline)
+    {
+        std::int64_t sum = 0;
+        for (const auto& ahead : one.picker.ahead_of(one.accounts, lines, proof,
+                                                     at(deadline), at(100)))
+        {
+            sum += ahead.count;
+        }
+        return sum;
+    };
+    cr_assert(count(400) == 3);
+    cr_assert(count(545) == 8);
+    cr_assert(count(2000) == 13);
+}
+
 Test(grant_picker, names_batch_to_checkpoint_only_for_short_work_that_waits)
 {
     const auto proof = make("proof", work_class::service);
