--- /dev/null
+++ b/tests/integration/cell_run.hpp
@@ -0,0 +1,258 @@
+/// @file
+/// One run of a small cell under load: the plan in force, callers in the
+/// background, and the verdict from the workers' and callers' records.
+#pragma once
+
+#include "support/caller.hpp"
+#include "support/cell.hpp"
+#include "support/checker.hpp"
+#include "support/wait_until.hpp"
+
+#include <criterion/criterion.h>
+
+#include <httplib.h>
+
+#include <atomic>     // atomic
+#include <cstddef>    // size_t
+#include <functional> // function
+#include <future>     // async, future
+#include <string>     // string
+#include <utility>    // move
+#include <vector>     // vector
+
+namespace pimentoshunt::testing
+{
+
+/// "desk" may run once, "reader" again; "wide" takes half a worker; "brief"
+/// gives up soon; "patient" outlasts an outage of the table.
+inline constexpr const char* plan_text = R"({
+  "tenants": [{"name": "dock", "quota": {"slots": 400, "millicpus": 800000,
+                                         "memory_mb": 3200000}}],
+  "services": [
+    {"name": "desk", "tenant": "dock", "deadline_ms": 10000, "run_time_ms": 10,
+     "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
+    {"name": "reader", "tenant": "dock", "deadline_ms": 10000,
+     "run_time_ms": 10, "idempotent": true,
+     "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
+    {"name": "wide", "tenant": "dock", "deadline_ms": 10000, "run_time_ms": 20,
+     "resources": {"slots": 1, "millicpus": 4000, "memory_mb": 8192}},
+    {"name": "brief", "tenant": "dock", "deadline_ms": 300, "run_time_ms": 10,
+     "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}}
+  ]})";
+
+inline constexpr milliseconds settle_bound{15'000};
+
+/// @brief Three instances and eight workers in two processes; a worker holds
+/// four "desk" requests by its processors, three by its connections.
+inline auto small_cell() -> cell_options
+{
+    cell_options options;
+    options.instances = 3;
+    options.worker_processes = 2;
+    options.workers_per_process = 4;
+    options.worker_flags = {"--slots=6", "--millicpus=8000",
+                            "--memory_mb=16384", "--connections=3"};
+    return options;
+}
+
+/// @brief A cell that is up, has its plan, and answers at each instance.
+class cell_run
+{
+  public:
+    explicit cell_run(const cell_options& options) : m_cell(options)
+    {
+        const auto trouble = m_cell.start();
+        cr_assert(trouble.empty(), "%s", trouble.c_str());
+        put_plan();
+        for (const auto port : m_cell.entry_ports())
+        {
+            cr_assert(wait_until(
+                          [&]
+                          {
+                              call_spec spec;
+                              spec.request_id =
+                                  "warm-" + std::to_string(++m_warm);
+                              return call(port, spec).status == 200;
+                          },
+                          settle_bound),
+                      "an instance gives no answer");
+        }
+    }
+
+    [[nodiscard]] auto parts() -> cell&
+    {
+        return m_cell;
+    }
+
+    /// @brief A load on all instances, to be adapted.
+    [[nodiscard]] auto load(const std::string& prefix) const -> caller_options
+    {
+        caller_options options;
+        options.ports = m_cell.entry_ports();
+        options.id_prefix = prefix;
+        options.callers = 40;
+        options.requests_per_caller = 40;
+        return options;
+    }
+
+    /// @brief Starts callers in the background; @ref judge waits for them.
+    auto begin(caller_options options) -> void
+    {
+        m_loads.push_back(std::async(std::launch::async,
+                                     [options = std::move(options)]
+                                     {
+                                         return run_callers(options);
+                                     }));
+    }
+
+    /// @brief One call in the background.
+    auto begin_call(int port, call_spec spec) -> std::future<call_record>
+    {
+        return std::async(std::launch::async,
+                          [port, spec = std::move(spec)]
+                          {
+                              return call(port, spec);
+                          });
+    }
+
+    auto note(call_record record) -> void
+    {
+        m_calls.push_back(std::move(record));
+    }
+
+    /// @brief Waits for the background loads.
+    auto join() -> void
+    {
+        for (auto& load : m_loads)
+        {
+            const auto records = load.get();
+            m_calls.insert(m_calls.end(), records.begin(), records.end());
+        }
+        m_loads.clear();
+    }
+
+    [[nodiscard]] auto calls() const -> const std::vector<call_record>&
+    {
+        return m_calls;
+    }
+
+    [[nodiscard]] auto
+    count(const std::function<bool(const call_record&)>& of) const
+        -> std::size_t
+    {
+        std::size_t found = 0;
+        for (const auto& record : m_calls)
+        {
+            found += of(record) ? 1 : 0;
+        }
+        return found;
+    }
+
+    [[nodiscard]] auto events() const -> std::vector<observed_event>
+    {
+        return m_cell.evidence_with({}).events;
+    }
+
+    [[nodiscard]] auto starts_of(const std::string& request) const
+        -> std::size_t
+    {
+        std::size_t found = 0;
+        for (const auto& event : events())
+        {
+            found += event.kind == observed_kind::start &&
+                             event.request_id == request
+                         ? 1
+                         : 0;
+        }
+        return found;
+    }
+
+    /// @brief Waits until so many attempts run at one moment.
+    auto wait_running(std::size_t wanted) -> bool
+    {
+        return wait_until(
+            [&]
+            {
+                std::size_t running = 0;
+                for (const auto& event : events())
+                {
+                    running += event.kind == observed_kind::start ? 1 : 0;
+                    running -= ends_attempt(event.kind) ? 1 : 0;
+                }
+                return running >= wanted;
+            },
+            settle_bound);
+    }
+
+    /// @brief How many workers an instance holds, as the workers say.
+    [[nodiscard]] auto held_by(const std::string& instance) -> std::size_t
+    {
+        std::size_t held = 0;
+        for (const auto& group : m_cell.workers())
+        {
+            for (std::size_t i = 0; i < group.count; ++i)
+            {
+                const auto state =
+                    http_get(group.port, "/w/" + std::to_string(i) + "/state");
+                const auto mark = "\"holder\":\"" + instance + "#";
+                held += state && state->find(mark) != std::string::npos ? 1 : 0;
+            }
+        }
+        return held;
+    }
+
+    auto wait_held(const std::string& instance, bool some) -> bool
+    {
+        return wait_until(
+            [&]
+            {
+                return (held_by(instance) > 0) == some;
+            },
+            settle_bound);
+    }
+
+    /// @brief Waits for the end of all work and judges the whole run.
+    /// @param answered  fewest calls that must have been run and answered, so
+    ///        that the verdict is about something
+    auto judge(std::size_t answered) -> void
+    {
+        join();
+        cr_assert(wait_until(
+                      [&]
+                      {
+                          return m_cell.workers_idle();
+                      },
+                      settle_bound),
+                  "work does not end");
+        const auto found = check(m_cell.evidence_with(m_calls));
+        cr_assert(found.empty(), "%zu violations:\n%s", found.size(),
+                  describe(found).substr(0, longest_report).c_str());
+        const auto ran = count(
+            [](const call_record& record)
+            {
+                return record.ran == ran_claim::yes;
+            });
+        cr_assert(ran >= answered, "only %zu of %zu were run and answered", ran,
+                  m_calls.size());
+    }
+
+  private:
+    static constexpr std::size_t longest_report = 1'500;
+
+    auto put_plan() -> void
+    {
+        httplib::Client client("127.0.0.1",
+                               m_cell.instances().front().operator_port);
+        const auto answer =
+            client.Put("/plan?revision=0", plan_text, "application/json");
+        cr_assert(answer && answer->status == 200, "the plan is refused: %s",
+                  answer ? answer->body.c_str() : "no answer");
+    }
+
+    cell m_cell;
+    std::size_t m_warm = 0;
+    std::vector<std::future<std::vector<call_record>>> m_loads;
+    std::vector<call_record> m_calls;
+};
+
+} // namespace pimentoshunt::testing
--- /dev/null
+++ b/tests/integration/integration-not-run.cpp
@@ -0,0 +1,193 @@
+#include "cell_run.hpp"
+
+#include <string> // string
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::testing;
+
+namespace
+{
+
+auto with_worker_links() -> cell_options
+{
+    auto options = small_cell();
+    options.proxy_workers = true;
+    return options;
+}
+
+auto add_to_runs(cell_run& run, exchange_fault fault, std::int64_t times,
+                 std::size_t bytes) -> void
+{
+    for (const auto& link : run.parts().links())
+    {
+        link.proxy->add({fault, times, bytes, "/run/"});
+    }
+}
+
+auto count_claims(const cell_run& run, ran_claim claim) -> std::size_t
+{
+    return run.count(
+        [claim](const call_record& record)
+        {
+            return record.ran == claim;
+        });
+}
+
+auto all_answered(const cell_run& run) -> bool
+{
+    return run.count(
+               [](const call_record& record)
+               {
+                   return !record.answered;
+               }) == 0;
+}
+
+} // namespace
+
+Test(not_run, worker_links_cut_while_requests_are_sent_and_run)
+{
+    cell_run run(with_worker_links());
+    run.begin(run.load("cut"));
+    auto& link = *run.parts().workers().front().from_instances;
+    for (int round = 0; round < 4; ++round)
+    {
+        cr_assert(run.wait_running(2));
+        link.set_faults({.cut = true});
+        const auto before = run.events().size();
+        cr_assert(wait_until(
+            [&]
+            {
+                return run.events().size() > before + 20;
+            },
+            settle_bound));
+        link.heal();
+    }
+    run.judge(400);
+    cr_assert(all_answered(run));
+}
+
+Test(not_run, connections_closed_before_and_within_the_request)
+{
+    cell_run run(with_worker_links());
+    for (const std::size_t bytes : {0, 1, 40, 300, 2'000})
+    {
+        add_to_runs(run, exchange_fault::close_request_after, 12, bytes);
+    }
+    auto load = run.load("within");
+    load.smallest_body = 4'000;
+    run.begin(load);
+    run.judge(1'000);
+    cr_assert(all_answered(run));
+}
+
+Test(not_run, replies_lost_after_the_effect)
+{
+    cell_run run(with_worker_links());
+    add_to_runs(run, exchange_fault::drop_reply, 30, 0);
+    add_to_runs(run, exchange_fault::close_reply_after, 30, 60);
+    run.begin(run.load("after"));
+    run.judge(1'000);
+    cr_assert(all_answered(run));
+    // What ran and lost its reply is told as unknown, all of it.
+    cr_assert(count_claims(run, ran_claim::unknown) >= 100);
+}
+
+Test(not_run, settlement_lost_too)
+{
+    cell_run run(with_worker_links());
+    add_to_runs(run, exchange_fault::close_request_after, 30, 300);
+    add_to_runs(run, exchange_fault::drop_reply, 30, 0);
+    for (const auto& link : run.parts().links())
+    {
+        link.proxy->add({exchange_fault::drop_reply, 30, 0, "/revoke"});
+    }
+    run.begin(run.load("settle"));
+    run.judge(900);
+    cr_assert(all_answered(run));
+}
+
+Test(not_run, deadline_passes_in_the_queue)
+{
+    cell_run run(small_cell());
+    auto busy = run.load("busy");
+    busy.callers = 30;
+    busy.requests_per_caller = 4;
+    busy.shortest_run = milliseconds(400);
+    busy.longest_run = milliseconds(800);
+    run.begin(busy);
+    cr_assert(run.wait_running(20));
+    auto brief = run.load("brief");
+    brief.workload = "brief";
+    brief.callers = 20;
+    brief.requests_per_caller = 6;
+    run.begin(brief);
+    run.judge(100);
+    cr_assert(all_answered(run));
+    cr_assert(count_claims(run, ran_claim::no) > 0);
+    cr_assert(run.count(
+                  [](const call_record& record)
+                  {
+                      return record.ran == ran_claim::no &&
+                             !record.has_retry_after;
+                  }) == 0);
+}
+
+Test(not_run, callers_that_leave_while_they_wait_and_while_it_runs)
+{
+    cell_run run(small_cell());
+    auto impatient = run.load("leave");
+    impatient.shortest_run = milliseconds(50);
+    impatient.longest_run = milliseconds(300);
+    impatient.requests_per_caller = 10;
+    impatient.timeout = milliseconds(120);
+    run.begin(impatient);
+    run.join();
+    auto load = run.load("stay");
+    load.requests_per_caller = 5;
+    run.begin(load);
+    run.judge(200);
+}
+
+Test(not_run, instance_stops_under_load)
+{
+    cell_run run(small_cell());
+    auto load = run.load("stop");
+    load.shortest_run = milliseconds(20);
+    load.longest_run = milliseconds(200);
+    load.requests_per_caller = 20;
+    run.begin(load);
+    cr_assert(run.wait_running(15));
+    run.parts().instances().front().program.terminate();
+    run.judge(300);
+}
+
+Test(not_run, workers_frozen_past_the_deadline)
+{
+    cell_run run(with_worker_links());
+    auto load = run.load("frozen");
+    load.workload = "brief";
+    load.requests_per_caller = 15;
+    run.begin(load);
+    cr_assert(run.wait_running(2));
+    auto& link = *run.parts().workers().front().from_instances;
+    link.set_faults({.freeze = true});
+    run.join();
+    // What was kept on the way arrives now, long after its answer.
+    link.heal();
+    run.judge(20);
+    cr_assert(all_answered(run));
+}
+
+Test(not_run, workers_killed_with_requests_running)
+{
+    cell_run run(small_cell());
+    auto load = run.load("died");
+    load.shortest_run = milliseconds(20);
+    load.longest_run = milliseconds(200);
+    load.requests_per_caller = 15;
+    run.begin(load);
+    cr_assert(run.wait_running(15));
+    run.parts().kill_workers(0);
+    run.judge(200);
+    cr_assert(all_answered(run));
+}
