--- /dev/null
+++ b/tests/integration/integration-answers.cpp
@@ -0,0 +1,300 @@
+#include "cell_run.hpp"
+
+#include <mutex>   // mutex
+#include <string>  // string
+#include <thread>  // jthread
+#include <utility> // exchange
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::testing;
+
+namespace
+{
+
+namespace json = boost::json;
+
+auto unlike_bodies(const cell_run& run, const std::string& prefix)
+    -> caller_options
+{
+    auto options = run.load(prefix);
+    options.callers = 64;
+    options.requests_per_caller = 25;
+    options.largest_body = 32'768;
+    options.shortest_run = milliseconds(0);
+    return options;
+}
+
+auto with_links(bool workers, bool callers) -> cell_options
+{
+    auto options = small_cell();
+    options.proxy_workers = workers;
+    options.proxy_callers = callers;
+    return options;
+}
+
+auto whole_links(cell_run& run, const link_faults& faults) -> void
+{
+    for (const auto& link : run.parts().links())
+    {
+        link.proxy->set_faults(faults);
+    }
+}
+
+/// A worker that always gives the answer of the attempt before: what a late
+/// or duplicate answer on a kept connection looks like.
+class late_worker
+{
+  public:
+    late_worker() : m_port(m_server.bind_to_any_port("127.0.0.1"))
+    {
+        // A kept connection holds a thread, and there is one an instance and
+        // request.
+        m_server.new_task_queue = []
+        {
+            constexpr std::size_t threads = 64;
+            return new httplib::ThreadPool(threads);
+        };
+        install();
+        m_thread = std::jthread(
+            [this]
+            {
+                m_server.listen_after_bind();
+            });
+        while (!m_server.is_running())
+        {
+            std::this_thread::yield();
+        }
+    }
+    late_worker(const late_worker&) = delete;
+    auto operator=(const late_worker&) -> late_worker& = delete;
+    ~late_worker()
+    {
+        m_server.stop();
+    }
+
+    [[nodiscard]] auto list_entry() const -> std::string
+    {
+        const json::object entry{
+            {"id", "late"},
+            {"kind", "worker"},
+            {"base_url", "http://127.0.0.1:" + std::to_string(m_port)},
+            {"data_centre", "dc1"},
+            {"rack", "r0"},
+            {"state", "live"},
+            {"connections", 8},
+            {"resources", json::object{{"slots", 8},
+                                       {"millicpus", 32'000},
+                                       {"memory_mb", 65'536},
+                                       {"accelerators", 0}}}};
+        return json::serialize(json::object{{"instances", json::array{entry}}});
+    }
+
+    [[nodiscard]] auto given() -> int
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_given;
+    }
+
+  private:
+    auto install() -> void
+    {
+        m_server.Post(
+            "/fence",
+            [this](const httplib::Request& request, httplib::Response& response)
+            {
+                fence(request, response);
+            });
+        m_server.Get(
+            "/state",
+            [this](const httplib::Request&, httplib::Response& response)
+            {
+                const std::lock_guard lock(m_mutex);
+                response.set_content(report(), "application/json");
+            });
+        m_server.Post(R"(/attempts/.*)",
+                      [](const httplib::Request&, httplib::Response& response)
+                      {
+                          response.set_content(R"({"state":"finished"})",
+                                               "application/json");
+                      });
+        m_server.Post(
+            R"(/run/.*)",
+            [this](const httplib::Request& request, httplib::Response& response)
+            {
+                answer_the_one_before(request, response);
+            });
+    }
+
+    auto fence(const httplib::Request& request, httplib::Response& response)
+        -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto asked = json::parse(request.body);
+        const auto epoch = asked.at("epoch").to_number<std::int64_t>();
+        if (epoch <= m_epoch)
+        {
+            response.status = 409;
+        }
+        else
+        {
+            m_epoch = epoch;
+            m_holder = asked.at("holder").as_string().c_str();
+        }
+        response.set_content(report(), "application/json");
+    }
+
+    auto answer_the_one_before(const httplib::Request& request,
+                               httplib::Response& response) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto attempt = request.get_header_value("Pimentoshunt-Attempt");
+        response.set_header("Pimentoshunt-Attempt",
+                            std::exchange(m_attempt, attempt));
+        response.set_content(std::exchange(m_body, request.body),
+                             "application/octet-stream");
+        ++m_given;
+    }
+
+    [[nodiscard]] auto report() const -> std::string
+    {
+        return json::serialize(json::object{{"epoch", m_epoch},
+                                            {"holder", m_holder},
+                                            {"leaving", false},
+                                            {"running", json::array{}}});
+    }
+
+    httplib::Server m_server;
+    int m_port;
+    std::mutex m_mutex;
+    std::int64_t m_epoch = 0;
+    std::string m_holder;
+    std::string m_attempt = "none";
+    std::string m_body = "none";
+    int m_given = 0;
+    std::jthread m_thread;
+};
+
+} // namespace
+
+Test(answers, unlike_bodies_late_and_out_of_order)
+{
+    cell_run run(with_links(true, true));
+    whole_links(run, {.delay = milliseconds(1), .jitter = milliseconds(20)});
+    run.begin(unlike_bodies(run, "order"));
+    run.judge(1'500);
+}
+
+Test(answers, worker_connections_closed_in_mid_body)
+{
+    cell_run run(with_links(true, false));
+    for (const std::size_t bytes : {1, 100, 200, 1'000, 5'000, 20'000})
+    {
+        for (const auto& link : run.parts().links())
+        {
+            link.proxy->add(
+                {exchange_fault::close_reply_after, 15, bytes, "/run/"});
+        }
+    }
+    auto load = unlike_bodies(run, "body");
+    load.smallest_body = 1'000;
+    run.begin(load);
+    load.workload = "reader";
+    load.idempotent = true;
+    load.id_prefix = "again";
+    run.begin(load);
+    run.judge(2'500);
+}
+
+Test(answers, worker_closes_in_mid_body_itself)
+{
+    cell_run run(small_cell());
+    for (int i = 0; i < 10; ++i)
+    {
+        call_spec spec;
+        spec.request_id = "half-" + std::to_string(i);
+        spec.rest = "x?fail_mode=close_mid_body";
+        spec.body = make_body(spec.request_id, 9'000, 3);
+        const auto told = call(
+            run.parts().entry_ports()[static_cast<std::size_t>(i) % 3], spec);
+        run.note(told);
+        cr_assert(told.status == 502 && told.ran == ran_claim::unknown,
+                  "status %d", told.status);
+    }
+    run.judge(0);
+}
+
+Test(answers, caller_connections_closed_in_mid_body)
+{
+    cell_run run(with_links(false, true));
+    for (const std::size_t bytes : {50, 400, 3'000, 15'000})
+    {
+        for (const auto& link : run.parts().links())
+        {
+            link.proxy->add({exchange_fault::close_reply_after, 20, bytes, ""});
+            link.proxy->add(
+                {exchange_fault::close_request_after, 10, bytes, ""});
+        }
+    }
+    auto load = unlike_bodies(run, "caller");
+    load.smallest_body = 4'000;
+    run.begin(load);
+    run.judge(1'000);
+    const auto lost = run.count(
+        [](const call_record& record)
+        {
+            return !record.answered;
+        });
+    cr_assert(lost >= 200, "only %zu were hit", lost);
+}
+
+Test(answers, attempts_given_up_and_answered_late)
+{
+    cell_run run(with_links(true, false));
+    auto load = unlike_bodies(run, "late");
+    load.workload = "brief";
+    load.callers = 40;
+    load.requests_per_caller = 15;
+    run.begin(load);
+    auto& link = *run.parts().workers().back().from_instances;
+    for (int round = 0; round < 3; ++round)
+    {
+        const auto before = run.events().size();
+        cr_assert(wait_until(
+            [&]
+            {
+                return run.events().size() > before + 30;
+            },
+            settle_bound));
+        // Longer than the deadline: the answers come to requests that were
+        // given up.
+        link.set_faults({.delay = milliseconds(400)});
+        const auto then = boot_clock::now();
+        cr_assert(wait_until(
+            [&]
+            {
+                return boot_clock::now() - then > milliseconds(450);
+            },
+            settle_bound));
+        link.heal();
+    }
+    run.judge(50);
+}
+
+Test(answers, answer_to_another_attempt)
+{
+    late_worker late;
+    cell_run run(small_cell());
+    cr_assert(http_post(run.parts().platform_port(),
+                        "/control/instances?mode=add", late.list_entry()));
+    for (int round = 0; round < 40 && late.given() < 30; ++round)
+    {
+        auto load = unlike_bodies(run, "other" + std::to_string(round));
+        load.callers = 30;
+        load.requests_per_caller = 10;
+        load.longest_run = milliseconds(5);
+        run.begin(load);
+        run.join();
+    }
+    cr_assert(late.given() >= 30, "the late worker got no work");
+    run.judge(100);
+}
--- /dev/null
+++ b/tests/integration/integration-one-place.cpp
@@ -0,0 +1,63 @@
+#include "cell_run.hpp"
+
+#include <string> // string
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::testing;
+
+namespace
+{
+
+/// Work that may run again, but not in two places at a time.
+auto reading(const cell_run& run, const std::string& prefix) -> caller_options
+{
+    auto options = run.load(prefix);
+    options.workload = "reader";
+    options.idempotent = true;
+    options.callers = 20;
+    options.requests_per_caller = 8;
+    options.shortest_run = milliseconds(100);
+    options.longest_run = milliseconds(400);
+    return options;
+}
+
+} // namespace
+
+Test(one_place, worker_unreachable_but_running)
+{
+    auto options = small_cell();
+    options.proxy_workers = true;
+    cell_run run(options);
+    run.begin(reading(run, "cut"));
+    auto& link = *run.parts().workers().front().from_instances;
+    for (int round = 0; round < 6; ++round)
+    {
+        cr_assert(run.wait_running(15));
+        link.set_faults({.cut = true});
+        // Back before the work is over: it runs on behind the cut.
+        link.heal();
+    }
+    run.judge(100);
+}
+
+Test(one_place, owner_killed_after_the_start)
+{
+    cell_run run(small_cell());
+    run.begin(reading(run, "kill"));
+    cr_assert(run.wait_running(15));
+    run.parts().instances().front().program.kill();
+    cr_assert(run.wait_held("i0", false), "nobody takes over");
+    run.judge(60);
+}
+
+Test(one_place, owner_paused_and_resumed)
+{
+    cell_run run(small_cell());
+    run.begin(reading(run, "pause"));
+    cr_assert(run.wait_running(15));
+    auto& paused = run.parts().instances()[1].program;
+    paused.pause();
+    cr_assert(run.wait_held("i1", false), "nobody takes over");
+    paused.resume();
+    run.judge(100);
+}
