Tell repeats of a key at once that its answer was lost

Cause: a keyed request whose answer was lost (worker's reply dropped) was told 502 unknown, but its row stayed "started". While its instance lived, each repeat waited for an answer that could never come, up to its whole deadline, and was then told 409 "still runs".

Ruled out: a wait for the worker (the worker keeps no answers); freeing the key (it may have run).

Change: the row gets a state of its own, "lost", when the final answer is "unknown"; a repeat is then told 502 unknown without a wait. If the table doesn't take that write within its bound, the row stays "started" as before.

Conclusion: final answers are given at once, and at most once is unchanged.

--- a/include/pimentoshunt/entry/idempotency_log.hpp
+++ b/include/pimentoshunt/entry/idempotency_log.hpp
@@ -200,6 +200,12 @@
     [[nodiscard]] auto record_not_run(const idempotency_ticket& ticket,
                                       time_point until) -> result<void>;
 
+    /// @brief Records that its outcome will never be known.
+    /// @throw (leaf) request 552; platform errors: the row stays "started",
+    ///        and repeats wait as for a request that runs
+    [[nodiscard]] auto record_lost(const idempotency_ticket& ticket,
+                                   time_point until) -> result<void>;
+
     /// @brief Tries again to record answers that wait in memory.
     /// @return how many still wait
     auto flush(time_point until) -> std::size_t;
--- a/include/pimentoshunt/entry/idempotency_log_impl.hpp
+++ b/include/pimentoshunt/entry/idempotency_log_impl.hpp
@@ -67,6 +67,11 @@
         out.verdict = idempotency_verdict::in_progress;
         return out;
     }
+    if (record.state == record_state::lost)
+    {
+        out.verdict = idempotency_verdict::unknown;
+        return out;
+    }
     if (record.state == record_state::answered)
     {
         BOOST_LEAF_AUTO(answer, load_body(record));
@@ -353,6 +358,16 @@
     return {};
 }
 
+template<class Platform>
+auto idempotency_log<Platform>::record_lost(const idempotency_ticket& ticket,
+                                            time_point until) -> result<void>
+{
+    auto record = ticket.record;
+    record.state = record_state::lost;
+    BOOST_LEAF_CHECK(rewrite(ticket, record, until));
+    return {};
+}
+
 template<class Platform>
 auto idempotency_log<Platform>::sweep(std::chrono::system_clock::time_point now,
                                       std::size_t batch)
--- a/include/pimentoshunt/entry/idempotency_record.hpp
+++ b/include/pimentoshunt/entry/idempotency_record.hpp
@@ -73,7 +73,9 @@
     /// It has run, and its answer is kept.
     answered,
     /// It has certainly not run; a repeat may run it.
-    not_run
+    not_run,
+    /// It may have run, and its answer will never be known.
+    lost
 };
 
 /// @brief One row.
--- a/include/pimentoshunt/entry/key_guard.hpp
+++ b/include/pimentoshunt/entry/key_guard.hpp
@@ -54,6 +54,10 @@
     /// @brief Frees the key for a repeat: nothing has run.
     auto not_run() -> void;
 
+    /// @brief Tells repeats that the outcome will never be known, so that
+    ///        none waits for it.
+    auto lost() -> void;
+
   private:
     auto decide(const idempotency_decision& decision)
         -> std::optional<caller_answer>;
--- a/src/entry/idempotency_record.cpp
+++ b/src/entry/idempotency_record.cpp
@@ -42,6 +42,8 @@
         return "started";
     case record_state::answered:
         return "answered";
+    case record_state::lost:
+        return "lost";
     case record_state::not_run:
         break;
     }
@@ -51,7 +53,8 @@
 auto parse_state(const std::string& text) -> std::optional<record_state>
 {
     for (const auto state :
-         {record_state::started, record_state::answered, record_state::not_run})
+         {record_state::started, record_state::answered,
+          record_state::not_run, record_state::lost})
     {
         if (text == to_string(state))
         {
--- a/src/entry/key_guard.cpp
+++ b/src/entry/key_guard.cpp
@@ -181,4 +181,23 @@
         }));
 }
 
+auto key_guard::lost() -> void
+{
+    if (!m_ticket)
+    {
+        return;
+    }
+    static_cast<void>(handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_CHECK(m_services.log.record_lost(
+                *m_ticket, boot_clock::now() + record_limit));
+            return true;
+        },
+        [](const error&)
+        {
+            return false;
+        }));
+}
+
 } // namespace pimentoshunt::entry
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -92,6 +92,10 @@
     {
         state.key->not_run();
     }
+    if (state.key && answer.did_run == ran::unknown)
+    {
+        state.key->lost();
+    }
     meter(state, answer);
     return answer;
 }
--- a/tests/integration/cell_run.hpp
+++ b/tests/integration/cell_run.hpp
@@ -26,7 +26,7 @@
 {
 
 /// "desk" may run once, "reader" again; "wide" takes half a worker; "brief"
-/// gives up soon; "patient" outlasts an outage of the table.
+/// gives up soon, "prompt" a little later.
 inline constexpr const char* plan_text = R"({
   "tenants": [{"name": "dock", "quota": {"slots": 400, "millicpus": 800000,
                                          "memory_mb": 3200000}}],
@@ -38,6 +38,9 @@
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
     {"name": "wide", "tenant": "dock", "deadline_ms": 10000, "run_time_ms": 20,
      "resources": {"slots": 1, "millicpus": 4000, "memory_mb": 8192}},
+    {"name": "prompt", "tenant": "dock", "deadline_ms": 3000,
+     "run_time_ms": 10,
+     "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
     {"name": "brief", "tenant": "dock", "deadline_ms": 300, "run_time_ms": 10,
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}}
   ]})";
--- a/tests/integration/integration-at-most-once.cpp
+++ b/tests/integration/integration-at-most-once.cpp
@@ -371,3 +371,47 @@
     run.judge(0);
     cr_assert(total_starts(run, "unanswered") == 1);
 }
+
+Test(at_most_once, claim_whose_reply_was_lost_frees_the_key)
+{
+    auto options = small_cell();
+    options.proxy_platform = true;
+    cell_run run(options);
+    auto busy = run.load("busy");
+    busy.callers = 30;
+    busy.requests_per_caller = 1;
+    busy.shortest_run = milliseconds(800);
+    busy.longest_run = milliseconds(800);
+    run.begin(busy);
+    cr_assert(run.wait_running(24));
+    // It waits for a place; its claim comes after that.
+    auto spec = keyed("first", "unsent");
+    spec.workload = "prompt";
+    auto& link = *run.parts().instances().front().to_platform;
+    const auto ports = run.parts().entry_ports();
+    const auto before = key_reads(run);
+    auto first = run.begin_call(ports[0], spec);
+    // The look at the row comes first; without a row it leaves no trace.
+    cr_assert(wait_until(
+        [&]
+        {
+            return run.parts().platform_stats() != before;
+        },
+        settle_bound));
+    link.add({exchange_fault::drop_reply, 200, 0, "idem/"});
+    const auto told = first.get();
+    run.note(told);
+    cr_assert(told.status == 503 && told.ran == ran_claim::no, "status %d",
+              told.status);
+    cr_assert(claimed_keys(run), "the claim took no effect");
+    // Its instance lives, but nothing was sent: the key is free.
+    for (int i = 0; i < 3; ++i)
+    {
+        spec.request_id = "again-" + std::to_string(i);
+        const auto again = call(ports[1], spec);
+        run.note(again);
+        cr_assert(again.status == 200, "status %d", again.status);
+    }
+    run.judge(3);
+    cr_assert(total_starts(run, "unsent") == 1);
+}
--- a/tests/unit-idempotency.cpp
+++ b/tests/unit-idempotency.cpp
@@ -182,6 +182,17 @@
     cr_assert(lost.verdict == idempotency_verdict::run);
 }
 
+Test(idempotency, lost_answer_is_told_without_a_wait)
+{
+    fake_platform table;
+    fake_worker workers;
+    idem_log log(table, "i1#1", quick_limits());
+    const auto mine = begin(log, claim_of("a1"), workers);
+    cr_assert(!!log.record_lost(*mine.ticket, boot_clock::now() + 1s));
+    cr_assert(begin(log, claim_of("a2"), workers, false).verdict ==
+              idempotency_verdict::unknown);
+}
+
 Test(idempotency, not_run_is_taken_over_and_rebinding_keeps_the_claim)
 {
     fake_platform table;
