--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -169,6 +169,40 @@
     return call_on(*client, spec);
 }
 
+class caller_connections::implementation
+{
+  public:
+    explicit implementation(milliseconds timeout) : m_timeout(timeout)
+    {
+    }
+
+    auto client_for(int port) -> httplib::Client&
+    {
+        auto& client = m_clients[port];
+        if (client == nullptr)
+        {
+            client = make_client(port, m_timeout);
+        }
+        return *client;
+    }
+
+  private:
+    milliseconds m_timeout;
+    std::map<int, std::unique_ptr<httplib::Client>> m_clients;
+};
+
+caller_connections::caller_connections(milliseconds timeout)
+    : m_implementation(std::make_unique<implementation>(timeout))
+{
+}
+
+caller_connections::~caller_connections() = default;
+
+auto caller_connections::call(int port, const call_spec& spec) -> call_record
+{
+    return call_on(m_implementation->client_for(port), spec);
+}
+
 auto run_callers(const caller_options& options) -> std::vector<call_record>
 {
     std::vector<call_record> all;
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef> // size_t
 #include <cstdint> // uint64_t
+#include <memory>  // unique_ptr
 #include <string>  // string
 #include <vector>  // vector
 
@@ -76,6 +77,23 @@
 /// @param port  an instance's caller port, or a proxy's in front of it
 [[nodiscard]] auto call(int port, const call_spec& spec) -> call_record;
 
+/// @brief Kept connections of one caller, one to each port.
+class caller_connections
+{
+  public:
+    explicit caller_connections(milliseconds timeout);
+    ~caller_connections();
+    caller_connections(const caller_connections&) = delete;
+    auto operator=(const caller_connections&) -> caller_connections& = delete;
+
+    /// @brief Makes one request and waits for the answer.
+    auto call(int port, const call_spec& spec) -> call_record;
+
+  private:
+    class implementation;
+    std::unique_ptr<implementation> m_implementation;
+};
+
 /// @brief A load of many concurrent callers.
 struct caller_options
 {
--- /dev/null
+++ b/tests/support/operator_calls.hpp
@@ -0,0 +1,73 @@
+/// @file
+/// What operators ask of instances, and seeded plans for them.
+#pragma once
+
+#include "cell.hpp"
+
+#include <pimentoshunt/clock.hpp>
+
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <string>  // string
+
+namespace pimentoshunt::testing
+{
+
+/// @brief A service of a test's plan.
+struct plan_service
+{
+    std::string name = "desk";
+    bool idempotent = false;
+    milliseconds deadline{10'000};
+};
+
+/// @brief The text of a plan with one tenant and one service.
+[[nodiscard]] auto plan_text(const plan_service& service = {}) -> std::string;
+
+/// @brief How an instance answered a submitted plan.
+struct submission_answer
+{
+    /// 0 when none came.
+    int status = 0;
+    std::string body;
+};
+
+/// @brief Submits a plan to an instance's operator interface.
+[[nodiscard]] auto submit_plan(int operator_port, const std::string& text,
+                               std::uint64_t based_on) -> submission_answer;
+
+/// @brief The plan in force as one instance tells it.
+struct told_plan
+{
+    std::uint64_t revision = 0;
+    std::string text;
+    milliseconds confirmed_ago{0};
+};
+
+/// @brief Asks an instance for its plan; revision 0 when it does not answer.
+[[nodiscard]] auto plan_at(int operator_port) -> told_plan;
+
+/// @brief Whether each running instance has that plan in force.
+[[nodiscard]] auto everywhere(cell& whole, std::uint64_t revision,
+                              const std::string& text) -> bool;
+
+/// @brief An instance's own status; empty when it does not answer.
+[[nodiscard]] auto status_of(const cell_instance& instance)
+    -> boost::json::object;
+
+/// @brief How many workers an instance holds; -1 when it does not answer.
+[[nodiscard]] auto held_by(const cell_instance& instance) -> std::int64_t;
+
+/// @brief Whether the running instances hold @p count workers together.
+[[nodiscard]] auto all_held(cell& whole, std::int64_t count) -> bool;
+
+/// @brief Requests that wait at an instance; -1 when it does not answer.
+[[nodiscard]] auto waiting_at(const cell_instance& instance) -> std::int64_t;
+
+/// @brief Starts a cell, submits a plan and waits until it is in force and
+/// every worker is held.
+/// @return an empty text, or what failed
+[[nodiscard]] auto start_with_plan(cell& whole, const std::string& text,
+                                   std::int64_t workers) -> std::string;
+
+} // namespace pimentoshunt::testing
