Load command: real instances under seeded open-loop arrivals

Cause: the decisions could only be measured by themselves. What callers wait, and what control costs, needs instances, workers and arrivals that don't wait for answers. Waiting is counted from the planned arrival; the yardstick is the ideal queue fed the same arrivals. Ruled out: a closed loop of callers, which slows down with the system and hides waiting.

--- /dev/null
+++ b/bench/load_bench.cpp
@@ -0,0 +1,489 @@
+/// @file
+/// Drives a cell of real instances and stand-ins with seeded arrivals, and
+/// reports waiting times beside an ideal queue and the cost of control.
+#include "support/ideal_queue.hpp"
+#include "support/open_loop.hpp"
+#include "support/process_meter.hpp"
+
+#include <support/cell.hpp>
+#include <support/wait_until.hpp>
+
+#include <boost/json.hpp> // object
+#include <gflags/gflags.h>
+#include <httplib.h>
+
+#include <algorithm> // sort, max
+#include <csignal>   // signal
+#include <cstdio>    // printf
+#include <fstream>   // ofstream
+#include <map>       // map
+#include <set>       // set
+#include <thread>    // sleep_for
+
+DEFINE_string(scenario, "dock",
+              "dock, proofs, proofs_alone, fair, fair_alone, steady or idle");
+DEFINE_uint64(seed, 1, "seed of arrivals and run times");
+DEFINE_uint64(instances, 8, "instances");
+DEFINE_uint64(workers, 48, "workers");
+DEFINE_uint64(worker_processes, 4, "processes that hold the workers");
+DEFINE_uint64(slots, 8, "slots of a worker");
+DEFINE_uint64(client_threads, 1600, "most calls in flight");
+DEFINE_double(rate, 1'000, "steady: arrivals a second");
+DEFINE_int32(seconds, 8, "steady and idle: length of the run");
+DEFINE_int32(run_ms, 40, "steady: run time");
+DEFINE_int32(inspect_interval_ms, 1'000, "setting of the instances");
+DEFINE_string(json, "", "file for the report");
+
+namespace
+{
+
+namespace json = boost::json;
+using namespace pimentoshunt;
+using namespace pimentoshunt::bench;
+using nanoseconds = std::chrono::nanoseconds;
+
+constexpr milliseconds ready_bound{20'000};
+/// Lets connections of the start and the first inspections pass.
+constexpr milliseconds settle_time{2'000};
+
+struct scenario
+{
+    std::vector<planned_call> calls;
+    std::vector<arrival_kind> kinds;
+    json::object tenant_slots;
+    milliseconds idle{0};
+};
+
+auto slots() -> double
+{
+    return static_cast<double>(FLAGS_workers * FLAGS_slots);
+}
+
+auto mean_run(const arrival_kind& kind) -> double
+{
+    return static_cast<double>((kind.shortest_run + kind.longest_run).count()) /
+           2e3;
+}
+
+/// Adds arrivals whose rates are given as shares of the cell's capacity.
+auto add(scenario& made, const arrival_kind& kind,
+         std::vector<rate_phase> phases, std::uint64_t seed) -> void
+{
+    for (auto& phase : phases)
+    {
+        phase.per_second *= slots() / mean_run(kind);
+    }
+    made.kinds.push_back(kind);
+    made.tenant_slots[kind.tenant] =
+        static_cast<std::int64_t>(FLAGS_workers * FLAGS_slots);
+    add_arrivals(made.calls, kind, phases, seed);
+}
+
+/// Low, about capacity, twice capacity, low again.
+auto dock() -> scenario
+{
+    using ms = milliseconds;
+    scenario made;
+    const auto swing = [](double share) -> std::vector<rate_phase>
+    {
+        return {{ms(2'000), 0.2 * share},
+                {ms(3'000), 0.95 * share},
+                {ms(3'000), 2.0 * share},
+                {ms(3'000), 0.2 * share}};
+    };
+    add(made, {"bookings", "dock", 5, ms(200), ms(600), ms(2'000), true},
+        swing(0.8), FLAGS_seed);
+    add(made,
+        {"certificates", "hospitals", 5, ms(200), ms(600), ms(2'000), true},
+        swing(0.2), FLAGS_seed + 1);
+    return made;
+}
+
+/// Short proofs, with or without long renders that would fill the cell.
+auto proofs(bool with_renders) -> scenario
+{
+    using ms = milliseconds;
+    scenario made;
+    add(made, {"proofs", "print-shops", 8, ms(100), ms(300), ms(5'000), true},
+        {{ms(3'000), 0.2}, {ms(3'000), 0.5}, {ms(3'000), 0.2}}, FLAGS_seed);
+    if (with_renders)
+    {
+        add(made,
+            {"renders", "libraries", 1, ms(3'000), ms(5'000), ms(60'000), true},
+            {{ms(9'000), 1.0}}, FLAGS_seed + 1);
+    }
+    return made;
+}
+
+/// Three tenants within their quota, and one at ten times its quota.
+auto fairness(bool with_hog) -> scenario
+{
+    using ms = milliseconds;
+    scenario made;
+    for (const auto* const name : {"a", "b", "c"})
+    {
+        add(made, {name, name, 5, ms(100), ms(300), ms(1'500), true},
+            {{ms(6'000), 0.2}}, FLAGS_seed + made.kinds.size());
+        made.tenant_slots[name] = static_cast<std::int64_t>(slots() * 0.3);
+    }
+    if (with_hog)
+    {
+        add(made, {"hog", "hog", 5, ms(100), ms(300), ms(1'500), true},
+            {{ms(1'500), 0.1}, {ms(3'000), 1.0}, {ms(1'500), 0.1}},
+            FLAGS_seed + 9);
+        made.tenant_slots["hog"] = static_cast<std::int64_t>(slots() * 0.1);
+    }
+    return made;
+}
+
+auto steady() -> scenario
+{
+    scenario made;
+    const arrival_kind kind{"bookings",
+                            "dock",
+                            5,
+                            milliseconds(FLAGS_run_ms),
+                            milliseconds(FLAGS_run_ms),
+                            milliseconds(5'000),
+                            true};
+    const auto share = FLAGS_rate * mean_run(kind) / slots();
+    add(made, kind, {{milliseconds(FLAGS_seconds * 1'000), share}}, FLAGS_seed);
+    return made;
+}
+
+auto make_scenario() -> scenario
+{
+    const auto& name = FLAGS_scenario;
+    if (name == "dock")
+    {
+        return dock();
+    }
+    if (name == "proofs" || name == "proofs_alone")
+    {
+        return proofs(name == "proofs");
+    }
+    if (name == "fair" || name == "fair_alone")
+    {
+        return fairness(name == "fair");
+    }
+    if (name == "steady")
+    {
+        return steady();
+    }
+    scenario idle;
+    idle.idle = milliseconds(FLAGS_seconds * 1'000);
+    return idle;
+}
+
+auto plan_text(const scenario& made) -> std::string
+{
+    json::array tenants;
+    for (const auto& item : made.tenant_slots)
+    {
+        tenants.push_back(
+            {{"name", item.key()}, {"quota", {{"slots", item.value()}}}});
+    }
+    json::array services;
+    for (const auto& kind : made.kinds)
+    {
+        const auto run = static_cast<std::int64_t>(mean_run(kind) * 1e3);
+        services.push_back({{"name", kind.workload},
+                            {"tenant", kind.tenant},
+                            {"run_time_ms", run},
+                            {"deadline_ms", kind.deadline.count()},
+                            {"priority", kind.priority}});
+    }
+    return json::serialize(
+        json::object{{"tenants", tenants}, {"services", services}});
+}
+
+/// Puts the plan in force on all instances.
+auto install_plan(testing::cell& cell, const scenario& made) -> bool
+{
+    httplib::Client client("127.0.0.1", cell.instances()[0].operator_port);
+    const auto answer =
+        client.Put("/plan?revision=0", plan_text(made), "application/json");
+    if (!answer || answer->status != 200)
+    {
+        std::fprintf(stderr, "the plan was not accepted: %s\n",
+                     answer ? answer->body.c_str() : "no answer");
+        return false;
+    }
+    const auto in_force = [&]
+    {
+        std::size_t held = 0;
+        for (auto& instance : cell.instances())
+        {
+            const auto text =
+                testing::http_get(instance.operator_port, "/status");
+            const auto status = text ? json::parse(*text) : json::value();
+            if (!status.is_object() ||
+                status.at("plan").at("revision").to_number<int>() < 1)
+            {
+                return false;
+            }
+            for (const auto& worker : status.at("workers").as_array())
+            {
+                held += worker.at("state").as_string() == "open" ? 1 : 0;
+            }
+        }
+        return held == FLAGS_workers;
+    };
+    return testing::wait_until(in_force, ready_bound);
+}
+
+auto pids_of(testing::cell& cell) -> std::vector<pid_t>
+{
+    std::vector<pid_t> pids;
+    for (auto& instance : cell.instances())
+    {
+        pids.push_back(instance.program.pid());
+    }
+    return pids;
+}
+
+auto quantile_ms(std::vector<nanoseconds> values, double q) -> double
+{
+    if (values.empty())
+    {
+        return 0;
+    }
+    std::sort(values.begin(), values.end());
+    const auto last = static_cast<double>(values.size() - 1);
+    const auto& value = values[static_cast<std::size_t>(last * q)];
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+/// The yardstick fed the same arrivals. With @p latest_start it drops what can
+/// no longer end in time, with full knowledge of the run time.
+auto ideal_answers(const std::vector<planned_call>& calls)
+    -> std::vector<ideal_answer>
+{
+    std::vector<ideal_request> requests;
+    requests.reserve(calls.size());
+    for (const auto& call : calls)
+    {
+        requests.push_back({call.at, call.run_time, -call.priority,
+                            call.at + call.deadline,
+                            call.at + call.deadline - call.run_time});
+    }
+    return ideal_queue(requests, FLAGS_workers * FLAGS_slots);
+}
+
+struct class_report
+{
+    std::size_t offered = 0;
+    std::map<std::string, std::size_t> kinds;
+    std::vector<nanoseconds> waits;
+    std::vector<nanoseconds> ideal_waits;
+    std::size_t ideal_started = 0;
+    double run_seconds = 0;
+    double ideal_run_seconds = 0;
+};
+
+auto kind_of(const call_outcome& outcome) -> std::string
+{
+    if (outcome.status == 0)
+    {
+        return "no answer";
+    }
+    return std::to_string(outcome.status) + " " + outcome.ran;
+}
+
+auto by_class(const std::vector<planned_call>& calls,
+              const std::vector<call_outcome>& outcomes)
+    -> std::map<std::string, class_report>
+{
+    const auto ideal = ideal_answers(calls);
+    std::map<std::string, class_report> reports;
+    for (std::size_t i = 0; i < calls.size(); ++i)
+    {
+        auto& report = reports[calls[i].workload + "/" + calls[i].tenant];
+        const auto seconds =
+            std::chrono::duration<double>(calls[i].run_time).count();
+        ++report.offered;
+        ++report.kinds[kind_of(outcomes[i])];
+        if (outcomes[i].ran == "yes" && outcomes[i].status == 200)
+        {
+            report.waits.push_back(outcomes[i].latency - calls[i].run_time);
+            report.run_seconds += seconds;
+        }
+        if (ideal[i].started)
+        {
+            report.ideal_waits.push_back(ideal[i].wait);
+            report.ideal_run_seconds += seconds;
+            ++report.ideal_started;
+        }
+    }
+    return reports;
+}
+
+auto print_class(const std::string& name, const class_report& report)
+    -> json::object
+{
+    const auto answered = report.waits.size();
+    const auto p50 = quantile_ms(report.waits, 0.5);
+    const auto p99 = quantile_ms(report.waits, 0.99);
+    const auto ideal_p50 = quantile_ms(report.ideal_waits, 0.5);
+    const auto ideal_p99 = quantile_ms(report.ideal_waits, 0.99);
+    std::printf("%-24s offered %6zu answered %6zu (ideal %6zu) goodput/ideal "
+                "%.3f\n    wait p50 %.1f p99 %.1f ms, ideal p50 %.1f p99 "
+                "%.1f ms\n   ",
+                name.c_str(), report.offered, answered, report.ideal_started,
+                report.run_seconds / std::max(report.ideal_run_seconds, 1e-9),
+                p50, p99, ideal_p50, ideal_p99);
+    json::object kinds;
+    for (const auto& [kind, count] : report.kinds)
+    {
+        std::printf(" [%s: %zu]", kind.c_str(), count);
+        kinds[kind] = count;
+    }
+    std::printf("\n");
+    return {{"class", name},
+            {"offered", report.offered},
+            {"answered", answered},
+            {"ideal_started", report.ideal_started},
+            {"run_seconds", report.run_seconds},
+            {"ideal_run_seconds", report.ideal_run_seconds},
+            {"wait_p50_ms", p50},
+            {"wait_p99_ms", p99},
+            {"ideal_wait_p50_ms", ideal_p50},
+            {"ideal_wait_p99_ms", ideal_p99},
+            {"answers", kinds}};
+}
+
+struct snapshot
+{
+    process_use use;
+    std::int64_t reads = 0;
+    std::int64_t writes = 0;
+    time_point at;
+};
+
+auto take_snapshot(testing::cell& cell) -> snapshot
+{
+    snapshot taken;
+    taken.use = measure_use(pids_of(cell));
+    const auto stats = cell.platform_stats();
+    taken.reads = stats.at("reads").to_number<std::int64_t>();
+    taken.writes = stats.at("writes").to_number<std::int64_t>();
+    taken.at = boot_clock::now();
+    return taken;
+}
+
+/// Cost for the whole cell; @p answered divides where there were calls.
+auto print_cost(const snapshot& before, const snapshot& after,
+                std::size_t answered) -> json::object
+{
+    const auto used = after.use - before.use;
+    const auto seconds =
+        std::chrono::duration<double>(after.at - before.at).count();
+    const auto each = static_cast<double>(FLAGS_instances) * seconds;
+    json::object cost{
+        {"seconds", seconds},
+        {"cpu_seconds", used.cpu_seconds},
+        {"core_percent_an_instance", 100 * used.cpu_seconds / each},
+        {"sent_bytes_a_second_an_instance",
+         static_cast<double>(used.sent_bytes) / each},
+        {"segments_a_second_an_instance",
+         static_cast<double>(used.data_segments) / each},
+        {"resident_mb_an_instance", static_cast<double>(after.use.resident_kb) /
+                                        1024 /
+                                        static_cast<double>(FLAGS_instances)},
+        {"threads_an_instance", static_cast<double>(after.use.threads) /
+                                    static_cast<double>(FLAGS_instances)},
+        {"table_reads_a_second",
+         static_cast<double>(after.reads - before.reads) / seconds},
+        {"table_writes_a_second",
+         static_cast<double>(after.writes - before.writes) / seconds}};
+    if (answered > 0)
+    {
+        const auto count = static_cast<double>(answered);
+        cost["cpu_ms_a_placement"] = 1e3 * used.cpu_seconds / count;
+        cost["sent_bytes_a_placement"] =
+            static_cast<double>(used.sent_bytes) / count;
+    }
+    for (const auto& item : cost)
+    {
+        std::printf("  %-34s %.2f\n", std::string(item.key()).c_str(),
+                    item.value().to_number<double>());
+    }
+    return cost;
+}
+
+auto run(testing::cell& cell, const scenario& made) -> json::object
+{
+    std::this_thread::sleep_for(settle_time);
+    const auto before = take_snapshot(cell);
+    std::vector<call_outcome> outcomes;
+    if (made.calls.empty())
+    {
+        std::this_thread::sleep_for(made.idle);
+    }
+    else
+    {
+        outcomes =
+            run_open_loop(made.calls, cell.entry_ports(), FLAGS_client_threads);
+    }
+    const auto after = take_snapshot(cell);
+    std::vector<nanoseconds> lags;
+    std::size_t answered = 0;
+    for (const auto& outcome : outcomes)
+    {
+        lags.push_back(outcome.client_lag);
+        answered += outcome.ran == "yes" ? 1 : 0;
+    }
+    json::array classes;
+    for (const auto& [name, report] : by_class(made.calls, outcomes))
+    {
+        classes.push_back(print_class(name, report));
+    }
+    const auto lag = quantile_ms(lags, 0.99);
+    std::printf("client lag p99 %.1f ms\n", lag);
+    return {{"scenario", FLAGS_scenario},
+            {"seed", FLAGS_seed},
+            {"instances", FLAGS_instances},
+            {"workers", FLAGS_workers},
+            {"client_lag_p99_ms", lag},
+            {"classes", classes},
+            {"cost", print_cost(before, after, answered)}};
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::signal(SIGPIPE, SIG_IGN);
+    auto made = make_scenario();
+    std::stable_sort(made.calls.begin(), made.calls.end(),
+                     [](const planned_call& left, const planned_call& right)
+                     {
+                         return left.at < right.at;
+                     });
+    testing::cell_options options;
+    options.instances = FLAGS_instances;
+    options.worker_processes = FLAGS_worker_processes;
+    options.workers_per_process = FLAGS_workers / FLAGS_worker_processes;
+    options.worker_flags = {"--slots=" + std::to_string(FLAGS_slots),
+                            "--threads=2000"};
+    options.settings["inspect_interval_ms"] = FLAGS_inspect_interval_ms;
+    options.settings["log_level"] = "warn";
+    options.seed = FLAGS_seed;
+    testing::cell cell(options);
+    const auto trouble = cell.start();
+    if (!trouble.empty() || !install_plan(cell, made))
+    {
+        std::fprintf(stderr, "the cell did not start: %s\n", trouble.c_str());
+        return 1;
+    }
+    std::printf("%s, seed %lu, %lu instances, %lu workers of %lu slots\n",
+                FLAGS_scenario.c_str(), FLAGS_seed, FLAGS_instances,
+                FLAGS_workers, FLAGS_slots);
+    const auto report = run(cell, made);
+    if (!FLAGS_json.empty())
+    {
+        std::ofstream(FLAGS_json) << json::serialize(report) << "\n";
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/support/open_loop.hpp
@@ -0,0 +1,154 @@
+/// @file
+/// Seeded arrivals that do not wait for answers, and what became of them.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+
+#include <httplib.h>
+
+#include <algorithm> // stable_sort
+#include <atomic>    // atomic
+#include <chrono>    // duration
+#include <cstddef>   // size_t
+#include <random>    // mt19937_64
+#include <string>    // string
+#include <thread>    // thread
+#include <vector>    // vector
+
+namespace pimentoshunt::bench
+{
+
+/// @brief One request that is to be made.
+struct planned_call
+{
+    std::string workload;
+    std::string tenant;
+    /// As the plan has it; higher goes first.
+    int priority = 0;
+    /// Since the run began.
+    milliseconds at{0};
+    milliseconds run_time{0};
+    milliseconds deadline{0};
+    /// Whether its phase is counted.
+    bool counted = true;
+};
+
+/// @brief What became of it.
+struct call_outcome
+{
+    int status = 0;
+    /// "yes", "no", "unknown", or empty without an answer.
+    std::string ran;
+    /// From the planned arrival to the answer.
+    std::chrono::nanoseconds latency{0};
+    /// From the planned arrival until the client had a thread for it.
+    std::chrono::nanoseconds client_lag{0};
+};
+
+/// @brief A stretch of constant rate.
+struct rate_phase
+{
+    milliseconds length{0};
+    double per_second = 0;
+};
+
+/// @brief What all arrivals of one workload have in common.
+struct arrival_kind
+{
+    std::string workload;
+    std::string tenant;
+    int priority = 0;
+    milliseconds shortest_run{0};
+    milliseconds longest_run{0};
+    milliseconds deadline{0};
+    bool counted = true;
+};
+
+/// @brief Adds Poisson arrivals of @p kind over @p phases to @p calls.
+inline auto add_arrivals(std::vector<planned_call>& calls,
+                         const arrival_kind& kind,
+                         const std::vector<rate_phase>& phases,
+                         std::uint64_t seed) -> void
+{
+    std::mt19937_64 random(seed);
+    std::uniform_int_distribution<std::int64_t> run(kind.shortest_run.count(),
+                                                    kind.longest_run.count());
+    double begin = 0;
+    for (const auto& phase : phases)
+    {
+        const auto end = begin + static_cast<double>(phase.length.count());
+        if (phase.per_second > 0)
+        {
+            std::exponential_distribution<double> gap(phase.per_second / 1e3);
+            for (auto at = begin + gap(random); at < end; at += gap(random))
+            {
+                calls.push_back({kind.workload, kind.tenant, kind.priority,
+                                 milliseconds(static_cast<std::int64_t>(at)),
+                                 milliseconds(run(random)), kind.deadline,
+                                 kind.counted});
+            }
+        }
+        begin = end;
+    }
+}
+
+/// @brief Makes the calls at their times.
+/// @param ports  where instances take callers; a thread keeps to one
+/// @param threads  most calls in flight
+/// @return one outcome for each call, at the same index
+inline auto run_open_loop(const std::vector<planned_call>& calls,
+                          const std::vector<int>& ports, std::size_t threads)
+    -> std::vector<call_outcome>
+{
+    constexpr milliseconds lead{300};
+    constexpr milliseconds grace{5'000};
+    std::vector<call_outcome> outcomes(calls.size());
+    std::atomic<std::size_t> next{0};
+    const auto began = boot_clock::now() + lead;
+    const auto work = [&](std::size_t number)
+    {
+        httplib::Client client("127.0.0.1", ports[number % ports.size()]);
+        client.set_keep_alive(true);
+        client.set_tcp_nodelay(true);
+        client.set_connection_timeout(grace);
+        for (auto i = next++; i < calls.size(); i = next++)
+        {
+            const auto& call = calls[i];
+            auto& outcome = outcomes[i];
+            const auto due = began + call.at;
+            const auto now = boot_clock::now();
+            if (due > now)
+            {
+                std::this_thread::sleep_for(due - now);
+            }
+            outcome.client_lag = boot_clock::now() - due;
+            client.set_read_timeout(call.deadline + grace);
+            const httplib::Headers headers{
+                {"Pimentoshunt-Deadline-Ms",
+                 std::to_string(call.deadline.count())}};
+            const auto answer =
+                client.Get("/services/" + call.workload + "/x?run_ms=" +
+                               std::to_string(call.run_time.count()),
+                           headers);
+            outcome.latency = boot_clock::now() - due;
+            if (answer)
+            {
+                outcome.status = answer->status;
+                outcome.ran = answer->get_header_value("Pimentoshunt-Ran");
+            }
+        }
+    };
+    std::vector<std::thread> pool;
+    pool.reserve(threads);
+    for (std::size_t i = 0; i < threads; ++i)
+    {
+        pool.emplace_back(work, i);
+    }
+    for (auto& thread : pool)
+    {
+        thread.join();
+    }
+    return outcomes;
+}
+
+} // namespace pimentoshunt::bench
--- /dev/null
+++ b/bench/support/process_meter.hpp
@@ -0,0 +1,140 @@
+/// @file
+/// What processes have used so far: processor time, memory and bytes over
+/// their TCP connections.
+#pragma once
+
+#include <sys/types.h>
+#include <unistd.h>
+
+#include <array>   // array
+#include <cstdint> // int64_t
+#include <cstdio>  // popen
+#include <fstream> // ifstream
+#include <memory>  // unique_ptr
+#include <sstream> // istringstream
+#include <string>  // string
+#include <vector>  // vector
+
+namespace pimentoshunt::bench
+{
+
+/// @brief Totals of some processes since their start.
+struct process_use
+{
+    double cpu_seconds = 0;
+    std::int64_t resident_kb = 0;
+    /// Bytes sent over connections that are open now.
+    std::int64_t sent_bytes = 0;
+    /// TCP segments sent that held data: an upper bound for messages.
+    std::int64_t data_segments = 0;
+    std::int64_t threads = 0;
+
+    friend auto operator-(const process_use& left, const process_use& right)
+        -> process_use
+    {
+        return {left.cpu_seconds - right.cpu_seconds,
+                left.resident_kb - right.resident_kb,
+                left.sent_bytes - right.sent_bytes,
+                left.data_segments - right.data_segments,
+                left.threads - right.threads};
+    }
+};
+
+namespace detail
+{
+
+/// @brief Number after @p key in @p text, 0 where there is none.
+inline auto number_after(const std::string& text, const std::string& key)
+    -> std::int64_t
+{
+    const auto place = text.find(key);
+    return place == std::string::npos
+               ? 0
+               : std::strtoll(text.c_str() + place + key.size(), nullptr, 10);
+}
+
+/// @brief Processor seconds of one process.
+inline auto cpu_seconds(pid_t pid) -> double
+{
+    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    const auto end_of_name = text.rfind(')');
+    if (end_of_name == std::string::npos)
+    {
+        return 0;
+    }
+    std::istringstream fields(text.substr(end_of_name + 2));
+    constexpr int fields_before_time = 11;
+    std::string skipped;
+    for (int i = 0; i < fields_before_time; ++i)
+    {
+        fields >> skipped;
+    }
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+inline auto whole_file(const std::string& path) -> std::string
+{
+    std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+/// @brief Adds what the kernel tells of open connections.
+inline auto add_connections(process_use& total, const std::vector<pid_t>& pids)
+    -> void
+{
+    const std::unique_ptr<std::FILE, int (*)(std::FILE*)> pipe(
+        ::popen("ss -tinpHO 2>/dev/null", "r"), ::pclose);
+    if (pipe == nullptr)
+    {
+        return;
+    }
+    std::vector<std::string> marks;
+    marks.reserve(pids.size());
+    for (const auto pid : pids)
+    {
+        marks.push_back("pid=" + std::to_string(pid) + ",");
+    }
+    std::array<char, 8192> buffer{};
+    while (std::fgets(buffer.data(), buffer.size(), pipe.get()) != nullptr)
+    {
+        const std::string text(buffer.data());
+        for (const auto& mark : marks)
+        {
+            if (text.find(mark) != std::string::npos)
+            {
+                total.sent_bytes += number_after(text, " bytes_sent:");
+                total.data_segments += number_after(text, " data_segs_out:");
+                break;
+            }
+        }
+    }
+}
+
+} // namespace detail
+
+/// @brief Reads the use of @p pids, summed.
+/// @note Bytes of connections that have closed since are not in it.
+[[nodiscard]] inline auto measure_use(const std::vector<pid_t>& pids)
+    -> process_use
+{
+    process_use total;
+    for (const auto pid : pids)
+    {
+        const auto status =
+            detail::whole_file("/proc/" + std::to_string(pid) + "/status");
+        total.cpu_seconds += detail::cpu_seconds(pid);
+        total.resident_kb += detail::number_after(status, "VmRSS:");
+        total.threads += detail::number_after(status, "Threads:");
+    }
+    detail::add_connections(total, pids);
+    return total;
+}
+
+} // namespace pimentoshunt::bench
