Start no request that can no longer end in time

Cause: at twice the capacity waiting work was bound up to its very deadline. It then ran in a slot until the deadline cut it off, so that at the crest half of the slots' time went to answers that nobody got (504 unknown). Ruled out: refusing at arrival by the estimated queue alone (the owners' queues are not known at the entry, and what is not certain has to be admitted); the declared run time as the reserve, as it may be far off. Change: the desk keeps the 95% quantile of the learned run time before each deadline, at most half of the time limit, and refuses at that moment. Not mended: an instance that holds no worker learns nothing and keeps the old behaviour; a read that ends within a millisecond of the deadline is answered 502 in place of 504.

--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -27,7 +27,7 @@
 DEFINE_uint64(workers, 48, "workers");
 DEFINE_uint64(worker_processes, 4, "processes that hold the workers");
 DEFINE_uint64(slots, 8, "slots of a worker");
-DEFINE_uint64(client_threads, 1600, "most calls in flight");
+DEFINE_uint64(client_threads, 2400, "most calls in flight");
 DEFINE_double(rate, 1'000, "steady: arrivals a second");
 DEFINE_int32(seconds, 8, "steady and idle: length of the run");
 DEFINE_int32(run_ms, 40, "steady: run time");
@@ -91,10 +91,10 @@
                 {ms(3'000), 2.0 * share},
                 {ms(3'000), 0.2 * share}};
     };
-    add(made, {"bookings", "dock", 5, ms(200), ms(600), ms(2'000), true},
+    add(made, {"bookings", "dock", 5, ms(200), ms(600), ms(1'200), true},
         swing(0.8), FLAGS_seed);
     add(made,
-        {"certificates", "hospitals", 5, ms(200), ms(600), ms(2'000), true},
+        {"certificates", "hospitals", 5, ms(200), ms(600), ms(1'200), true},
         swing(0.2), FLAGS_seed + 1);
     return made;
 }
@@ -469,6 +469,7 @@
                             "--threads=2000"};
     options.settings["inspect_interval_ms"] = FLAGS_inspect_interval_ms;
     options.settings["log_level"] = "warn";
+    options.settings["caller_threads"] = 400;
     options.seed = FLAGS_seed;
     testing::cell cell(options);
     const auto trouble = cell.start();
--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -150,6 +150,7 @@
         -> void;
     auto learn(const entry::grant& item, ownership::attempt_outcome outcome,
                std::chrono::microseconds run_time, time_point now) -> void;
+    auto expect_run(const plan::workload& workload) -> void;
     auto send_to(const instance_id& id, wire::envelope message) -> void;
     auto stamp(wire::envelope message) const -> wire::envelope;
     auto next_attempt() -> attempt_id;
--- a/include/pimentoshunt/entry/request_desk.hpp
+++ b/include/pimentoshunt/entry/request_desk.hpp
@@ -64,8 +64,13 @@
     /// @return false when nothing of that workload waits: give it back
     auto bind(const grant& item) -> bool;
 
-    /// @brief Refuses those whose deadline has passed, and opens to all owners
-    ///        what was asked of one for too long.
+    /// @brief Takes the time that runs of a workload may need; what could no
+    ///        longer end in time is not started.
+    /// @param run_time  0 where nothing is known
+    auto expect_run(const workload_name& name, milliseconds run_time) -> void;
+
+    /// @brief Refuses those that are too late to start, and opens to all
+    ///        owners what was asked of one for too long.
     auto tick(time_point now) -> void;
 
     /// @brief Refuses everything that waits.
@@ -130,6 +135,8 @@
     };
 
     auto choose_owner() -> instance_id;
+    [[nodiscard]] auto expected_run(const workload_name& name) const
+        -> milliseconds;
     auto remove(std::uint64_t number) -> ticket_ptr;
     auto forget_ask(line& from, const workload_name& name, waiting_item& entry)
         -> void;
@@ -141,6 +148,7 @@
     std::unordered_map<std::uint64_t, position> m_entries;
     std::unordered_map<workload_name, line> m_lines;
     std::map<instance_id, owner_view> m_owners;
+    std::unordered_map<workload_name, milliseconds> m_expected_runs;
 };
 
 } // namespace pimentoshunt::entry
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -12,6 +12,8 @@
 
 /// An unchanged demand is repeated after this.
 constexpr milliseconds demand_repeat{100};
+/// Share of runs that fit into the time kept for a run before its deadline.
+constexpr double run_quantile = 0.95;
 
 } // namespace
 
@@ -97,6 +99,7 @@
     if (good && workload != nullptr)
     {
         m_picker.observe(*workload, run_time);
+        expect_run(*workload);
     }
     m_health.add(item.worker);
     const auto change = m_health.record(item.worker, item.workload,
@@ -115,6 +118,19 @@
     }
 }
 
+auto engine::expect_run(const plan::workload& workload) -> void
+{
+    const auto& times = m_picker.run_times();
+    if (!times.learned(workload.name))
+    {
+        // What is declared may be far off: nothing is refused for it.
+        return;
+    }
+    m_desk.expect_run(workload.name,
+                      std::chrono::duration_cast<milliseconds>(
+                          times.quantile(workload, run_quantile)));
+}
+
 auto engine::give_back(const entry::grant& item,
                        ownership::attempt_outcome outcome,
                        std::chrono::microseconds run_time, time_point now)
--- a/src/entry/request_desk.cpp
+++ b/src/entry/request_desk.cpp
@@ -1,10 +1,36 @@
 #include <pimentoshunt/entry/request_desk.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // min
 #include <utility>   // move
 
 namespace pimentoshunt::entry
 {
+namespace
+{
+
+/// Latest start that still lets a run of the expected time end. Half of the
+/// time limit is always left for waiting: run times that are learned wrong, or
+/// that exceed the deadline, must not refuse everything.
+auto latest_start(const ticket& item, milliseconds expected_run) -> time_point
+{
+    const auto most = (item.deadline() - item.arrived()) / 2;
+    return item.deadline() - std::min<time_point::duration>(expected_run, most);
+}
+
+} // namespace
+
+auto request_desk::expect_run(const workload_name& name, milliseconds run_time)
+    -> void
+{
+    m_expected_runs[name] = run_time;
+}
+
+auto request_desk::expected_run(const workload_name& name) const -> milliseconds
+{
+    const auto found = m_expected_runs.find(name);
+    return found == m_expected_runs.end() ? milliseconds::zero()
+                                          : found->second;
+}
 
 auto request_desk::arrived(const ticket_ptr& item, time_point now) -> void
 {
@@ -123,9 +149,10 @@
     for (auto& [name, queue] : m_lines)
     {
         open_late(queue, name, now);
+        const auto run_time = expected_run(name);
         for (const auto& [place, entry] : queue.items)
         {
-            if (place.deadline <= now)
+            if (latest_start(*entry.item, run_time) <= now)
             {
                 expired.push_back(place.number);
             }
--- a/tests/unit-request-desk.cpp
+++ b/tests/unit-request-desk.cpp
@@ -172,3 +172,27 @@
     const auto later = start + milliseconds(1'001);
     cr_assert(board.lines(c.in_force->parsed, later).size() == 1);
 }
+
+Test(request_desk, refuses_what_can_no_longer_end_in_time)
+{
+    desk_case at;
+    at.desk.expect_run(workload_name("s"), milliseconds(400));
+    const auto item = at.add(milliseconds(1'000));
+    at.desk.tick(start + milliseconds(599));
+    cr_expect(at.desk.size() == 1);
+    at.desk.tick(start + milliseconds(600));
+    const auto answer = answer_of(item);
+    cr_assert(std::holds_alternative<entry::refusal>(answer));
+    cr_expect(at.desk.size() == 0);
+}
+
+Test(request_desk, leaves_half_of_the_limit_for_waiting)
+{
+    desk_case at;
+    at.desk.expect_run(workload_name("s"), milliseconds(60'000));
+    const auto item = at.add(milliseconds(1'000));
+    at.desk.tick(start + milliseconds(499));
+    cr_expect(at.desk.size() == 1);
+    cr_expect(at.desk.bind(grant_named("a")));
+    cr_expect(std::holds_alternative<entry::grant>(answer_of(item)));
+}
