--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds demand_repeat{100};
 /// Between two looks for batch work that could make room.
 constexpr milliseconds checkpoint_interval{50};
+/// Share of runs that fit into the time kept for a run before its deadline.
+constexpr double run_quantile = 0.95;
 
 } // namespace
 
@@ -101,6 +103,7 @@
     if (good && workload != nullptr)
     {
         m_picker.observe(*workload, run_time);
+        expect_run(*workload);
     }
     m_health.add(item.worker);
     const auto change = m_health.record(item.worker, item.workload,
@@ -119,6 +122,19 @@
     }
 }
 
+auto engine::expect_run(const plan::workload& workload) -> void
+{
+    const auto& times = m_picker.run_times();
+    if (!times.learned(workload.name))
+    {
+        // What is declared may be far off: nothing is refused for it.
+        return;
+    }
+    m_desk.expect_run(workload.name,
+                      std::chrono::duration_cast<milliseconds>(
+                          times.quantile(workload, run_quantile)));
+}
+
 auto engine::give_back(const entry::grant& item,
                        ownership::attempt_outcome outcome,
                        std::chrono::microseconds run_time, time_point now)
