Pass messages unchanged, name each request, honour the plan's path

Cause: the plan's path was not put before the caller's, X-Request-Id was neither made nor echoed, and a POST without a length was read until its connection ended. A caller's header Pimentoshunt-Hidden-Pimentoshunt-Epoch came out as one of our own headers, a body of GET was taken for the next request, and only the first of several Accept-Encoding headers was passed on.

Ruled out: a closing handler of the library's own; it has none, so the answer after which a connection must be closed ends in a provider that fails.

Change: message_guard hides headers, checks where a body ends and refuses what can't be read for certain (400, 411, 413) before routing; each answer names its request; the library's own refusals have the documented form. The stand-in for workers no longer unpacks what it echoes.

--- a/include/pimentoshunt/entry/http_listener.hpp
+++ b/include/pimentoshunt/entry/http_listener.hpp
@@ -87,6 +87,12 @@
         return m_in_flight;
     }
 
+    /// @brief Bytes of the longest body.
+    [[nodiscard]] auto body_limit() const noexcept -> std::size_t
+    {
+        return m_limits.body_bytes;
+    }
+
     /// @brief Binds and serves on threads of its own.
     /// @throw (leaf) settings 110 when the address can't be bound
     auto start(const std::string& host, int port) -> result<void>;
--- a/include/pimentoshunt/entry/run_client.hpp
+++ b/include/pimentoshunt/entry/run_client.hpp
@@ -4,8 +4,8 @@
 
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/entry/ticket.hpp>
+#include <pimentoshunt/plan/document.hpp>
 #include <pimentoshunt/platform/http_pool.hpp>
-#include <pimentoshunt/resources.hpp>
 
 #include <memory>        // shared_ptr
 #include <mutex>         // mutex
@@ -20,7 +20,7 @@
 struct run_request
 {
     std::string method;
-    /// Path and query below the worker's /run, encoded as the caller sent it.
+    /// Path and query below the workload's own, encoded as the caller sent it.
     std::string path;
     std::string body;
     std::vector<platform::http_header> headers;
@@ -62,7 +62,8 @@
     }
 
     /// @brief Runs one attempt; blocks until its answer or @p deadline.
-    [[nodiscard]] auto run(const grant& where, const resources& each,
+    /// @param item  gives the resources, and the path before the caller's
+    [[nodiscard]] auto run(const grant& where, const plan::workload& item,
                            const run_request& request, time_point deadline)
         -> run_end;
 
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -1,8 +1,12 @@
 #include <pimentoshunt/entry/caller_server.hpp>
 
-#include <algorithm> // any_of
-#include <array>     // array
+#include <pimentoshunt/entry/message_guard.hpp>
+
+#include <atomic>    // atomic
 #include <charconv>  // from_chars
+#include <cstdint>   // uint64_t
+#include <memory>    // make_shared
+#include <random>    // random_device
 #include <string>    // string
 #include <strings.h> // strcasecmp
 
@@ -13,72 +17,8 @@
 
 constexpr int bad_request_status = 400;
 constexpr int payload_too_large_status = 413;
-constexpr const char* hidden_prefix = "Pimentoshunt-Hidden-";
 constexpr const char* service_root = "/services/";
-
-/// Headers on which the library would act by itself; a body is opaque here.
-constexpr std::array hidden_headers{"Content-Type", "Content-Encoding",
-                                    "Accept-Encoding", "Range"};
-
-/// Headers that belong to one connection, or that the library makes.
-constexpr std::array dropped_headers{
-    "Host",       "Connection",      "Keep-Alive",  "Transfer-Encoding",
-    "TE",         "Trailer",         "Upgrade",     "Content-Length",
-    "Expect",     "REMOTE_ADDR",     "REMOTE_PORT", "LOCAL_ADDR",
-    "LOCAL_PORT", "Proxy-Connection"};
-
-template<class Names>
-auto listed(const Names& names, const std::string& name) -> bool
-{
-    return std::any_of(names.begin(), names.end(),
-                       [&](const char* item)
-                       {
-                           return ::strcasecmp(item, name.c_str()) == 0;
-                       });
-}
-
-auto is_ours(const std::string& name) -> bool
-{
-    constexpr const char* prefix = "Pimentoshunt-";
-    const std::string start(prefix);
-    return ::strncasecmp(name.c_str(), prefix, start.size()) == 0;
-}
-
-/// Renames what the library would interpret; undone when it is passed on.
-auto hide_headers(httplib::Request& request) -> void
-{
-    for (const auto* const name : hidden_headers)
-    {
-        const auto found = request.headers.find(name);
-        if (found == request.headers.end())
-        {
-            continue;
-        }
-        const auto value = found->second;
-        request.headers.erase(name);
-        request.headers.emplace(std::string(hidden_prefix) + name, value);
-    }
-    request.ranges.clear();
-}
-
-auto forwarded_headers(const httplib::Request& request)
-    -> std::vector<platform::http_header>
-{
-    std::vector<platform::http_header> headers;
-    const std::string hidden(hidden_prefix);
-    for (const auto& [name, value] : request.headers)
-    {
-        if (name.compare(0, hidden.size(), hidden) == 0)
-        {
-            headers.push_back({name.substr(hidden.size()), value});
-        }
-        else if (!listed(dropped_headers, name) && !is_ours(name))
-        {
-            headers.push_back({name, value});
-        }
-    }
-    return headers;
-}
+constexpr const char* request_id_header = "X-Request-Id";
 
 auto read_deadline(const httplib::Request& request, milliseconds& deadline)
     -> bool
@@ -125,7 +65,8 @@
         {
             content_type = item.value;
         }
-        else if (!listed(dropped_headers, item.name) && !is_ours(item.name))
+        else if (is_returned(item.name) &&
+                 ::strcasecmp(item.name.c_str(), request_id_header) != 0)
         {
             response.headers.emplace(item.name, item.value);
         }
@@ -141,6 +82,57 @@
     response.set_content(answer.body, content_type);
 }
 
+/// Writes an answer after which the connection is closed: what follows on it
+/// can't be told from a next request.
+auto write_and_close(const caller_answer& answer, httplib::Response& response)
+    -> void
+{
+    write(answer, response);
+    response.body.clear();
+    response.set_content_provider(
+        answer.body.size(), "application/json",
+        [body = answer.body](std::size_t, std::size_t, httplib::DataSink& out)
+        {
+            out.write(body.data(), body.size());
+            // A failed provider is the library's one way to a close.
+            return false;
+        });
+}
+
+/// Makes ids that no other instance or life makes.
+class id_source
+{
+  public:
+    auto next() -> std::string
+    {
+        return m_prefix + std::to_string(++m_count);
+    }
+
+  private:
+    static auto make_prefix() -> std::string
+    {
+        std::random_device random;
+        return std::to_string(random()) + "-" + std::to_string(random()) + "-";
+    }
+
+    const std::string m_prefix = make_prefix();
+    std::atomic<std::uint64_t> m_count{0};
+};
+
+/// The caller's own id, or one that is made, in request and answer.
+auto name_request(id_source& ids, httplib::Request& request,
+                  httplib::Response& response) -> void
+{
+    auto id = request.get_header_value(request_id_header);
+    request.headers.erase(request_id_header);
+    if (id.empty())
+    {
+        id = ids.next();
+    }
+    request.set_header(request_id_header, id);
+    response.set_header(request_id_header, id);
+}
+
 auto write_fault(httplib::Response& response, int status,
                  const std::string& what, const std::string& remedy) -> void
 {
@@ -191,6 +183,20 @@
     bool m_admitted;
 };
 
+/// The answer to HEAD tells the length of a body that does not follow.
+auto keep_length(const caller_answer& answer, httplib::Response& response)
+    -> void
+{
+    for (const auto& item : answer.headers)
+    {
+        if (::strcasecmp(item.name.c_str(), "Content-Length") == 0)
+        {
+            response.set_header("Content-Length", item.value);
+            return;
+        }
+    }
+}
+
 auto serve_request(http_listener& listener, request_handler& handler,
                    const httplib::Request& request, std::string body,
                    httplib::Response& response) -> void
@@ -217,11 +223,16 @@
         return;
     }
     parsed.idempotency_key = request.get_header_value("Idempotency-Key");
-    parsed.request_id = request.get_header_value("X-Request-Id");
-    parsed.forward.method = request.method;
+    parsed.request_id = request.get_header_value(request_id_header);
+    parsed.forward.method = method_of(request);
     parsed.forward.body = std::move(body);
     parsed.forward.headers = forwarded_headers(request);
-    write(handler.serve(parsed), response);
+    const auto answer = handler.serve(parsed);
+    write(answer, response);
+    if (request.method == "HEAD")
+    {
+        keep_length(answer, response);
+    }
 }
 
 } // namespace
@@ -230,14 +241,40 @@
     -> void
 {
     auto& server = listener.server();
+    const auto ids = std::make_shared<id_source>();
     server.set_pre_routing_handler(
-        [](const httplib::Request& request, httplib::Response&)
+        [&listener, ids](const httplib::Request& request,
+                         httplib::Response& response)
         {
             // The request object is the library's own and not const; it offers
             // no other way to keep a body and its headers untouched.
-            hide_headers(const_cast<httplib::Request&>(request));
+            auto& opened = const_cast<httplib::Request&>(request);
+            name_request(*ids, opened, response);
+            const auto fault = guard_message(opened, listener.body_limit());
+            if (fault)
+            {
+                write_and_close(*fault, response);
+                return httplib::Server::HandlerResponse::Handled;
+            }
             return httplib::Server::HandlerResponse::Unhandled;
         });
+    server.set_error_handler(
+        [ids](const httplib::Request&, httplib::Response& response)
+        {
+            if (!response.has_header(request_id_header))
+            {
+                response.set_header(request_id_header, ids->next());
+            }
+            // Without it, the library itself refused the message.
+            if (!response.has_header("Pimentoshunt-Ran"))
+            {
+                write_fault(response, response.status,
+                            "the request is no sound HTTP/1.1 request to a "
+                            "service",
+                            "ask for /services/NAME/PATH, with header lines "
+                            "of at most 8 KiB");
+            }
+        });
     const auto without_body =
         [&listener, &handler](const httplib::Request& request,
                               httplib::Response& response)
--- /dev/null
+++ b/src/entry/message_guard.cpp
@@ -0,0 +1,217 @@
+#include <pimentoshunt/entry/message_guard.hpp>
+
+#include <algorithm> // any_of, transform
+#include <array>     // array
+#include <cctype>    // tolower
+#include <charconv>  // from_chars
+#include <strings.h> // strcasecmp
+
+namespace pimentoshunt::entry
+{
+namespace
+{
+
+constexpr int bad_request_status = 400;
+constexpr int length_required_status = 411;
+constexpr int payload_too_large_status = 413;
+constexpr const char* hidden_prefix = "Pimentoshunt-Hidden-";
+constexpr const char* hidden_method = "Pimentoshunt-Hidden-Method";
+constexpr const char* length_header = "Content-Length";
+constexpr const char* coding_header = "Transfer-Encoding";
+
+/// Headers on which the library would act by itself; a body is opaque here.
+constexpr std::array hidden_headers{"Content-Type", "Content-Encoding",
+                                    "Accept-Encoding", "Range"};
+
+/// Headers that belong to one connection, or that the library makes.
+constexpr std::array dropped_headers{
+    "Host",       "Connection",      "Keep-Alive",  "Transfer-Encoding",
+    "TE",         "Trailer",         "Upgrade",     "Content-Length",
+    "Expect",     "REMOTE_ADDR",     "REMOTE_PORT", "LOCAL_ADDR",
+    "LOCAL_PORT", "Proxy-Connection"};
+
+template<class Names>
+auto listed(const Names& names, const std::string& name) -> bool
+{
+    return std::any_of(names.begin(), names.end(),
+                       [&](const char* item)
+                       {
+                           return ::strcasecmp(item, name.c_str()) == 0;
+                       });
+}
+
+auto begins_with(const std::string& name, const std::string& start) -> bool
+{
+    return ::strncasecmp(name.c_str(), start.c_str(), start.size()) == 0;
+}
+
+auto is_ours(const std::string& name) -> bool
+{
+    return begins_with(name, "Pimentoshunt-");
+}
+
+/// A caller must not name what only this module may hide: it would come out
+/// again as one of our own headers.
+auto drop_forged(httplib::Request& request) -> void
+{
+    auto& headers = request.headers;
+    for (auto item = headers.begin(); item != headers.end();)
+    {
+        const bool forged = begins_with(item->first, hidden_prefix);
+        item = forged ? headers.erase(item) : std::next(item);
+    }
+}
+
+/// Renames what the library would interpret; undone when it is passed on.
+auto hide_headers(httplib::Request& request) -> void
+{
+    for (const auto* const name : hidden_headers)
+    {
+        std::vector<std::string> values;
+        const auto range = request.headers.equal_range(name);
+        for (auto item = range.first; item != range.second; ++item)
+        {
+            values.push_back(item->second);
+        }
+        request.headers.erase(name);
+        for (auto& value : values)
+        {
+            request.headers.emplace(std::string(hidden_prefix) + name,
+                                    std::move(value));
+        }
+    }
+    request.ranges.clear();
+}
+
+auto read_length(const std::string& text) -> std::optional<std::size_t>
+{
+    std::size_t length = 0;
+    const auto* const last = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), last, length);
+    if (text.empty() || read.ec != std::errc{} || read.ptr != last)
+    {
+        return std::nullopt;
+    }
+    return length;
+}
+
+auto check_chunked(const httplib::Request& request)
+    -> std::optional<caller_answer>
+{
+    auto coding = request.get_header_value(coding_header);
+    std::transform(coding.begin(), coding.end(), coding.begin(),
+                   [](unsigned char c)
+                   {
+                       return static_cast<char>(std::tolower(c));
+                   });
+    // Two statements of a body's end may be read in two ways.
+    if (coding != "chunked" || request.has_header(length_header) ||
+        request.get_header_value_count(coding_header) > 1)
+    {
+        return faulty_answer(bad_request_status,
+                             "the end of the body can't be told for certain",
+                             "give either Content-Length or "
+                             "Transfer-Encoding: chunked");
+    }
+    return std::nullopt;
+}
+
+auto check_length(const httplib::Request& request, std::size_t body_limit)
+    -> std::optional<caller_answer>
+{
+    const auto length = read_length(request.get_header_value(length_header));
+    if (!length || request.get_header_value_count(length_header) > 1)
+    {
+        return faulty_answer(bad_request_status,
+                             "Content-Length is no number of bytes",
+                             "give it once, as a whole number");
+    }
+    if (*length > body_limit)
+    {
+        return faulty_answer(payload_too_large_status,
+                             "the body is longer than " +
+                                 std::to_string(body_limit) + " bytes",
+                             "send a whole body within max_body_bytes");
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+auto guard_message(httplib::Request& request, std::size_t body_limit)
+    -> std::optional<caller_answer>
+{
+    drop_forged(request);
+    hide_headers(request);
+    const bool chunked = request.has_header(coding_header);
+    const bool sized = request.has_header(length_header);
+    auto fault = chunked ? check_chunked(request)
+                 : sized ? check_length(request, body_limit)
+                         : std::nullopt;
+    if (fault)
+    {
+        return fault;
+    }
+    if (chunked || sized)
+    {
+        // The library reads bodies of some methods only, and would take the
+        // rest for the next request.
+        if (request.method == "GET" || request.method == "OPTIONS")
+        {
+            request.set_header(hidden_method, request.method);
+            request.method = "POST";
+        }
+        return std::nullopt;
+    }
+    if (request.method == "DELETE")
+    {
+        request.set_header(length_header, "0");
+    }
+    if (request.method == "POST" || request.method == "PUT" ||
+        request.method == "PATCH")
+    {
+        // Read to the end of the connection, it might never end.
+        return faulty_answer(length_required_status,
+                             "the length of the body is not given",
+                             "add Content-Length, 0 where there is no body, or "
+                             "Transfer-Encoding: chunked");
+    }
+    return std::nullopt;
+}
+
+auto method_of(const httplib::Request& request) -> std::string
+{
+    return request.has_header(hidden_method)
+               ? request.get_header_value(hidden_method)
+               : request.method;
+}
+
+auto forwarded_headers(const httplib::Request& request)
+    -> std::vector<platform::http_header>
+{
+    std::vector<platform::http_header> headers;
+    const std::string hidden(hidden_prefix);
+    for (const auto& [name, value] : request.headers)
+    {
+        if (::strcasecmp(name.c_str(), hidden_method) == 0)
+        {
+            continue;
+        }
+        if (begins_with(name, hidden))
+        {
+            headers.push_back({name.substr(hidden.size()), value});
+        }
+        else if (!listed(dropped_headers, name) && !is_ours(name))
+        {
+            headers.push_back({name, value});
+        }
+    }
+    return headers;
+}
+
+auto is_returned(const std::string& name) -> bool
+{
+    return !listed(dropped_headers, name) && !is_ours(name);
+}
+
+} // namespace pimentoshunt::entry
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -182,7 +182,7 @@
     }
     ++state.attempts;
     const auto begun = boot_clock::now();
-    auto end = m_runs.run(where, state.workload->each, state.request.forward,
+    auto end = m_runs.run(where, *state.workload, state.request.forward,
                           state.deadline);
     const auto run_time = std::chrono::duration_cast<std::chrono::microseconds>(
         boot_clock::now() - begun);
--- a/src/entry/run_client.cpp
+++ b/src/entry/run_client.cpp
@@ -11,20 +11,21 @@
 
 constexpr int conflict_status = 409;
 
-auto to_call(const grant& where, const resources& each,
+auto to_call(const grant& where, const plan::workload& item,
              const run_request& request, milliseconds timeout)
     -> platform::http_call
 {
     platform::http_call call;
     call.method = request.method;
-    call.path = "/run" + request.path;
+    call.path = "/run" + item.path + request.path;
     call.body = request.body;
     call.content_type.clear();
     call.headers = request.headers;
     call.headers.push_back({"Pimentoshunt-Attempt", where.attempt.str()});
     call.headers.push_back({"Pimentoshunt-Epoch", std::to_string(where.epoch)});
     call.headers.push_back({"Pimentoshunt-Workload", where.workload.str()});
-    call.headers.push_back({"Pimentoshunt-Resources", worker::to_header(each)});
+    call.headers.push_back(
+        {"Pimentoshunt-Resources", worker::to_header(item.each)});
     call.timeout = timeout;
     return call;
 }
@@ -84,7 +85,7 @@
     return pool;
 }
 
-auto run_client::run(const grant& where, const resources& each,
+auto run_client::run(const grant& where, const plan::workload& item,
                      const run_request& request, time_point deadline) -> run_end
 {
     const auto left =
@@ -96,7 +97,7 @@
         end.state = run_state::never_sent;
         return end;
     }
-    return judge(where, pool->call(to_call(where, each, request, left)));
+    return judge(where, pool->call(to_call(where, item, request, left)));
 }
 
 } // namespace pimentoshunt::entry
--- /dev/null
+++ b/tests/integration/integration-product.cpp
@@ -0,0 +1,230 @@
+#include "../support/cell.hpp"
+#include "../support/raw_http.hpp"
+#include "../support/wait_until.hpp"
+
+#include <criterion/criterion.h>
+#include <httplib.h>
+
+#include <set>    // set
+#include <string> // string
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::testing;
+
+namespace
+{
+
+constexpr milliseconds answer_bound{10'000};
+constexpr milliseconds prompt{3'000};
+
+constexpr const char* plan_text = R"({
+  "tenants": [{"name": "dock", "quota": {"slots": 100}}],
+  "services": [
+    {"name": "desk", "tenant": "dock", "path": "/desk", "deadline_ms": 20000},
+    {"name": "wide", "tenant": "dock", "resources": {"slots": 4},
+     "deadline_ms": 20000}]})";
+
+auto one_instance() -> cell_options
+{
+    cell_options options;
+    options.instances = 1;
+    options.workers_per_process = 2;
+    options.settings["max_body_bytes"] = 1 << 20;
+    return options;
+}
+
+/// A cell with a plan in force, and clients of its first instance.
+struct served_cell
+{
+    explicit served_cell(cell_options options = one_instance())
+        : running(std::move(options))
+    {
+        const auto trouble = running.start();
+        cr_assert(trouble.empty(), "%s", trouble.c_str());
+        auto client = operators();
+        const auto put =
+            client.Put("/plan?revision=0", plan_text, "application/json");
+        cr_assert(put && put->status == 200);
+        auto caller = callers();
+        cr_assert(wait_until(
+            [&]
+            {
+                const auto answer = caller.Get("/services/desk/first");
+                return answer && answer->status == 200;
+            },
+            answer_bound));
+    }
+
+    [[nodiscard]] auto callers() -> httplib::Client
+    {
+        return client_of(running.instances()[0].caller_port);
+    }
+    [[nodiscard]] auto operators() -> httplib::Client
+    {
+        return client_of(running.instances()[0].operator_port);
+    }
+    [[nodiscard]] auto raw(const std::string& bytes,
+                           const std::string& until = {}) -> raw_answer
+    {
+        return raw_exchange(running.instances()[0].caller_port, bytes, prompt,
+                            until);
+    }
+    [[nodiscard]] auto alive() -> bool
+    {
+        auto caller = callers();
+        const auto answer = caller.Get("/services/desk/alive");
+        return answer && answer->status == 200;
+    }
+
+    static auto client_of(int port) -> httplib::Client
+    {
+        httplib::Client client("127.0.0.1", port);
+        client.set_read_timeout(std::chrono::seconds(30));
+        client.set_decompress(false);
+        return client;
+    }
+
+    cell running;
+};
+
+auto all_bytes() -> std::string
+{
+    std::string body;
+    for (int i = 0; i < 4 * 256; ++i)
+    {
+        body += static_cast<char>(i);
+    }
+    return body;
+}
+
+} // namespace
+
+Test(product, bodies_pass_byte_for_byte_whatever_they_claim_to_be)
+{
+    served_cell cell;
+    auto client = cell.callers();
+    const auto bytes = all_bytes();
+    for (const auto* const type :
+         {"multipart/form-data; boundary=x",
+          "application/x-www-form-urlencoded", "application/json; q"})
+    {
+        for (const auto* const encoding : {"gzip", "br", "deflate", "own"})
+        {
+            const auto answer =
+                client.Post("/services/desk/echo",
+                            {{"Content-Encoding", encoding}}, bytes, type);
+            cr_assert(answer);
+            cr_expect_eq(answer->status, 200, "%s %s: %d", type, encoding,
+                         answer->status);
+            cr_expect(answer->body == bytes, "%s %s", type, encoding);
+            cr_expect_eq(answer->get_header_value("X-Standin-Content-Type"),
+                         type);
+        }
+    }
+}
+
+Test(product, each_answer_names_its_request)
+{
+    served_cell cell;
+    auto client = cell.callers();
+    std::set<std::string> made;
+    for (const auto* const path :
+         {"/services/desk/a", "/services/desk/a", "/services/none/a", "/other"})
+    {
+        const auto answer = client.Get(path);
+        cr_assert(answer);
+        cr_expect(made.insert(answer->get_header_value("X-Request-Id")).second);
+    }
+    cr_expect_eq(made.count(""), 0u);
+    const auto unnamed = client.Get("/services/desk/a");
+    const auto own =
+        client.Get("/services/desk/a", {{"X-Request-Id", "mine-7"}});
+    cr_assert(unnamed && own);
+    cr_expect_eq(own->get_header_value("X-Request-Id"), "mine-7");
+    // The worker's record holds the id that it was sent.
+    const auto record = http_get(cell.running.workers()[0].port, "/record");
+    cr_assert(record);
+    cr_expect(record->find("mine-7") != std::string::npos);
+    cr_expect(record->find(unnamed->get_header_value("X-Request-Id")) !=
+              std::string::npos);
+}
+
+Test(product, head_has_no_body_and_leaves_the_connection_in_order)
+{
+    served_cell cell;
+    auto client = cell.callers();
+    client.set_keep_alive(true);
+    for (int i = 0; i < 3; ++i)
+    {
+        const auto answer = client.Head("/services/desk/a");
+        cr_assert(answer);
+        cr_expect_eq(answer->status, 200);
+        cr_expect_eq(answer->get_header_value("Pimentoshunt-Ran"), "yes");
+        cr_expect(answer->body.empty());
+    }
+    cr_expect(client.Get("/services/desk/a"));
+}
+
+Test(product, messages_that_are_not_sound_are_refused_at_once)
+{
+    served_cell cell;
+    const std::string post = "POST /services/desk/a HTTP/1.1\r\nHost: x\r\n";
+    const std::string get = "GET /services/desk/a HTTP/1.1\r\nHost: x\r\n";
+    const auto expect = [&](const std::string& bytes, int status)
+    {
+        const auto answer = cell.raw(bytes, "remedy");
+        cr_expect_eq(answer.status(), status, "%d for %.60s, got %.300s",
+                     answer.status(), bytes.c_str(), answer.bytes.c_str());
+        cr_expect(answer.has("remedy"), "%.60s", bytes.c_str());
+        cr_expect(answer.has("Pimentoshunt-Ran: no"), "%.60s", bytes.c_str());
+        cr_expect(answer.has("X-Request-Id: "), "%.60s", bytes.c_str());
+    };
+    expect(post + "\r\n", 411);
+    expect(post + "Content-Length: x\r\n\r\n", 400);
+    expect(post + "Content-Length: 99999999999999999999\r\n\r\n", 400);
+    expect(post + "Content-Length: 2000000\r\n\r\n", 413);
+    expect(post + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+           400);
+    expect(get + "X-Long: " + std::string(20'000, 'a') + "\r\n\r\n", 400);
+    expect("GET /services/" + std::string(20'000, 'a') + " HTTP/1.1\r\n\r\n",
+           414);
+    expect("\x01\x02 nonsense\r\n\r\n", 400);
+    expect("BREW /services/desk/a HTTP/1.1\r\n\r\n", 400);
+    cr_expect(cell.alive());
+}
+
+Test(product, what_follows_a_refused_message_is_no_request)
+{
+    served_cell cell;
+    const auto answer =
+        cell.raw("POST /services/desk/a HTTP/1.1\r\nHost: x\r\n\r\n"
+                 "GET /services/desk/smuggled HTTP/1.1\r\nHost: x\r\n\r\n");
+    cr_expect_eq(answer.status(), 411);
+    cr_expect(answer.closed);
+    cr_expect(!answer.has("200 OK"));
+    // A body of GET is read as one and not as the next request.
+    const auto get = cell.raw("GET /services/desk/a HTTP/1.1\r\nHost: x\r\n"
+                              "Connection: close\r\nContent-Length: 5\r\n\r\n"
+                              "hello");
+    cr_expect_eq(get.status(), 200, "%s", get.bytes.c_str());
+}
+
+Test(product, wrong_bodies_of_operators_get_clear_errors)
+{
+    served_cell cell;
+    auto client = cell.operators();
+    const std::string deep(100'000, '[');
+    const std::string wrong_utf8 = "{\"tenants\": [{\"name\": \"\xff\xfe\"}]}";
+    for (const auto& body : {deep, wrong_utf8, std::string("{"), std::string()})
+    {
+        const auto answer =
+            client.Put("/plan?revision=1", body, "application/json");
+        cr_assert(answer);
+        cr_expect_eq(answer->status, 422, "%d", answer->status);
+        cr_expect(answer->body.find("remedy") != std::string::npos);
+    }
+    const auto large = client.Put("/plan?revision=1",
+                                  std::string(5u << 20, ' '), "text/plain");
+    cr_expect(!large || large->status == 413 || large->status == 422);
+    cr_expect(cell.alive());
+}
--- a/tests/standins/worker_service.cpp
+++ b/tests/standins/worker_service.cpp
@@ -103,12 +103,15 @@
 }
 
 /// The body as it was sent. The library would parse a multipart body, and
-/// fails at that with a plain reader: the type is hidden from it.
+/// fails at that with a plain reader, and would unpack a packed one: type and
+/// encoding are hidden from it.
 auto read_body(const httplib::Request& request,
                const httplib::ContentReader& reader) -> std::string
 {
     // The library's own object, which is not const.
-    const_cast<httplib::Request&>(request).headers.erase("Content-Type");
+    auto& headers = const_cast<httplib::Request&>(request).headers;
+    headers.erase("Content-Type");
+    headers.erase("Content-Encoding");
     std::string body;
     reader(
         [&](const char* data, std::size_t size)
