Tell operators what changed, how long work waits, and what is in use

Cause: the 409 of PUT /plan held no changes, GET /plan no since_ms, queues no waits, and the gauges, refusals, grants and bytes that the alarms name were never set. A worker closed by its health was shown as open.

Ruled out: reading the ledger from the metrics thread, which belongs to the control thread.

--- a/include/pimentoshunt/control/control_loop.hpp
+++ b/include/pimentoshunt/control/control_loop.hpp
@@ -26,6 +26,8 @@
     std::function<void(plan::plan_ptr)> publish;
     /// Publishes the lives that are taken for alive.
     std::function<void(std::unordered_set<std::string>)> publish_alive;
+    /// Publishes numbers for the metrics.
+    std::function<void(const gauge_snapshot&)> publish_gauges;
 };
 
 /// @brief The engine with its inbox. post() is for all threads, the rest for
@@ -51,6 +53,13 @@
         return m_ready;
     }
 
+    /// @brief Longest declared run time of the work that held slots of this
+    ///        instance's workers a second ago at most; for all threads.
+    [[nodiscard]] auto longest_held() const noexcept -> milliseconds
+    {
+        return m_longest_held;
+    }
+
   private:
     auto carry_out(effects wanted) -> void;
 
@@ -59,6 +68,7 @@
     call_starter m_calls;
     kernel::inbox<event> m_inbox;
     std::atomic<bool> m_ready{false};
+    std::atomic<milliseconds> m_longest_held{milliseconds(0)};
 };
 
 /// @brief Spawns the control thread and registers it by name.
--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -7,6 +7,7 @@
 
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/control/events.hpp>
+#include <pimentoshunt/control/gauges.hpp>
 #include <pimentoshunt/entry/request_desk.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
 #include <pimentoshunt/ownership/demand_board.hpp>
@@ -62,6 +63,8 @@
     plan::plan_ptr new_plan;
     /// The lives taken for alive, "instance#incarnation", when they changed.
     std::optional<std::unordered_set<std::string>> alive;
+    /// Due about once a second.
+    std::optional<gauge_snapshot> gauges;
 };
 
 /// @brief The control state of one instance. Single-threaded.
@@ -131,6 +134,7 @@
     auto slow_tick(time_point now) -> void;
     auto update_links(time_point now) -> void;
     auto publish_alive(time_point now) -> void;
+    auto update_gauges(time_point now) -> void;
     auto update_readiness() -> void;
     auto adopt(plan::plan_ptr newer) -> void;
     auto announce_plan() -> void;
@@ -179,12 +183,15 @@
     bool m_capacity_changed = false;
     bool m_membership_changed = true;
     std::uint64_t m_attempts = 0;
+    /// Of m_attempts, those that a snapshot has told.
+    std::uint64_t m_attempts_told = 0;
     time_point m_last_tick;
     time_point m_next_slow;
     time_point m_next_beat;
     time_point m_next_list;
     time_point m_next_plan;
     time_point m_next_plan_request;
+    time_point m_next_gauges;
 };
 
 } // namespace pimentoshunt::control
--- a/include/pimentoshunt/entry/caller_answer.hpp
+++ b/include/pimentoshunt/entry/caller_answer.hpp
@@ -6,8 +6,9 @@
 #include <pimentoshunt/entry/ticket.hpp>
 #include <pimentoshunt/platform/http_pool.hpp>
 
-#include <string> // string
-#include <vector> // vector
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace pimentoshunt::entry
 {
@@ -31,8 +32,13 @@
     std::vector<platform::http_header> headers;
     /// Zero: no Retry-After.
     milliseconds retry_after{0};
+    /// Why it got no worker; nothing for other answers.
+    std::optional<refusal_reason> refused;
 };
 
+/// @brief The reason as one word, for metrics and logs.
+[[nodiscard]] auto to_string(refusal_reason reason) -> const char*;
+
 /// @brief The answer to a request that did not run for want of a place.
 [[nodiscard]] auto refused_answer(const refusal& why) -> caller_answer;
 
--- a/include/pimentoshunt/entry/operator_server.hpp
+++ b/include/pimentoshunt/entry/operator_server.hpp
@@ -4,6 +4,7 @@
 
 #include <pimentoshunt/control/control_loop.hpp>
 #include <pimentoshunt/entry/http_listener.hpp>
+#include <pimentoshunt/metrics/registry.hpp>
 #include <pimentoshunt/plan/plan_cell.hpp>
 #include <pimentoshunt/plan/plan_store.hpp>
 #include <pimentoshunt/platform/http_platform.hpp>
@@ -21,6 +22,7 @@
     const plan::plan_cell& in_force;
     plan::plan_store<platform::http_platform>& plans;
     platform::http_platform& store;
+    const metrics::registry& meters;
     /// Starts a graceful stop of this instance.
     std::function<void()> drain_self;
     /// Text for /metrics.
--- a/include/pimentoshunt/entry/request_handler.hpp
+++ b/include/pimentoshunt/entry/request_handler.hpp
@@ -51,6 +51,10 @@
     /// @brief Serves a request; blocks until its final answer.
     [[nodiscard]] auto serve(const caller_request& request) -> caller_answer;
 
+    /// @brief Counts a refusal that needs no look at the workload.
+    /// @return the answer to it
+    [[nodiscard]] auto refuse(const refusal& why) -> caller_answer;
+
   private:
     /// What is needed through all attempts of one request.
     struct request_state
@@ -74,6 +78,7 @@
     auto run_to_end(request_state& state) -> caller_answer;
     auto guard_key(request_state& state) -> void;
     auto meter(const request_state& state, const caller_answer& answer) -> void;
+    auto note_waiting(const request_state& state) -> void;
     auto wait_for_place(const request_state& state) -> placement_answer;
     auto attempt(request_state& state, const grant& where) -> step_result;
     auto on_answer(request_state& state, const grant& where, run_end end,
--- a/include/pimentoshunt/plan/plan_cell.hpp
+++ b/include/pimentoshunt/plan/plan_cell.hpp
@@ -2,6 +2,7 @@
 /// The plan in force, published by the control thread to all others.
 #pragma once
 
+#include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/plan/document.hpp>
 
 #include <mutex>   // mutex
@@ -26,11 +27,21 @@
     {
         const std::lock_guard lock(m_mutex);
         m_plan = std::move(newer);
+        m_since = boot_clock::now();
+    }
+
+    /// @brief When it came into force on this instance; the zero time before
+    /// the first plan.
+    [[nodiscard]] auto since() const -> time_point
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_since;
     }
 
   private:
     mutable std::mutex m_mutex;
     plan_ptr m_plan = std::make_shared<revisioned_plan>();
+    time_point m_since;
 };
 
 } // namespace pimentoshunt::plan
--- a/src/cli/cell_commands.cpp
+++ b/src/cli/cell_commands.cpp
@@ -97,12 +97,15 @@
     each_object(status, "instances",
                 [&](const boost::json::object& one)
                 {
+                    // Its workers are taken over, so the number is past.
+                    const bool dead = fields::text_of(one, "state") == "dead";
                     out << "  " << fields::text_of(one, "id") << " in "
                         << fields::text_of(one, "data_centre") << ": "
                         << fields::text_of(one, "state") << ", heard "
-                        << fields::number_of(one, "age_ms") << " ms ago, holds "
-                        << fields::number_of(one, "workers_held")
-                        << " workers\n";
+                        << fields::number_of(one, "age_ms") << " ms ago, "
+                        << (dead ? "held " : "holds ")
+                        << fields::number_of(one, "workers_held") << " workers"
+                        << (dead ? " then" : "") << "\n";
                 });
 }
 
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -78,6 +78,11 @@
     {
         m_calls.publish_alive(std::move(*wanted.alive));
     }
+    if (wanted.gauges)
+    {
+        m_longest_held = wanted.gauges->longest_held;
+        m_calls.publish_gauges(*wanted.gauges);
+    }
     for (auto& call : wanted.calls.fences)
     {
         m_calls.fence(std::move(call));
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -279,6 +279,7 @@
     }
     m_keeper.tick(seen, now, m_effects.calls);
     update_policy(now);
+    update_gauges(now);
 }
 
 auto engine::update_policy(time_point now) -> void
--- a/src/control/engine_status.cpp
+++ b/src/control/engine_status.cpp
@@ -1,7 +1,54 @@
 #include <pimentoshunt/control/engine.hpp>
 
+#include <algorithm> // max
+
 namespace pimentoshunt::control
 {
+namespace
+{
+
+/// Between two snapshots for the metrics.
+constexpr milliseconds gauge_interval{1'000};
+
+} // namespace
+
+auto engine::update_gauges(time_point now) -> void
+{
+    if (now < m_next_gauges)
+    {
+        return;
+    }
+    m_next_gauges = now + gauge_interval;
+    gauge_snapshot seen;
+    const auto& accounts = m_keeper.ledger();
+    seen.slots_free = accounts.free_total().slots;
+    seen.workers_held = static_cast<std::int64_t>(accounts.accounts().size());
+    seen.plan_revision = m_plan->revision;
+    seen.grants = m_attempts - m_attempts_told;
+    m_attempts_told = m_attempts;
+    // A class without waiting work has to be told too, else its last length
+    // would stand.
+    for (const auto cls : {plan::work_class::service, plan::work_class::batch,
+                           plan::work_class::gang})
+    {
+        seen.waiting[cls] = 0;
+    }
+    const auto& in_use = accounts.used_by_workload();
+    for (const auto& item : m_plan->parsed.workloads)
+    {
+        seen.waiting[item.cls] +=
+            static_cast<std::int64_t>(m_desk.waiting(item.name));
+        if (in_use.count(item.name) != 0)
+        {
+            seen.longest_held = std::max(seen.longest_held, item.run_time);
+        }
+    }
+    for (const auto& [name, used] : in_use)
+    {
+        seen.slots_in_use += used.total.slots;
+    }
+    m_effects.gauges = std::move(seen);
+}
 
 auto engine::on(status_wanted& news, time_point now) -> void
 {
@@ -45,7 +92,7 @@
         if (const auto* const account = m_keeper.ledger().find(item.id))
         {
             one.held = true;
-            one.open_for_grants = !account->worker.leaving;
+            one.open_for_grants = account->accepting();
             one.free = account->free;
             one.holdings = account->holdings.size();
         }
--- a/src/entry/caller_answer.cpp
+++ b/src/entry/caller_answer.cpp
@@ -42,6 +42,28 @@
 
 } // namespace
 
+auto to_string(refusal_reason reason) -> const char*
+{
+    switch (reason)
+    {
+    case refusal_reason::deadline_passed:
+        return "deadline_passed";
+    case refusal_reason::queue_full:
+        return "queue_full";
+    case refusal_reason::overload:
+        return "overload";
+    case refusal_reason::stopping:
+        return "stopping";
+    case refusal_reason::fits_nowhere:
+        return "fits_nowhere";
+    case refusal_reason::no_start:
+        return "no_start";
+    case refusal_reason::store_down:
+        return "store_down";
+    }
+    return "unknown";
+}
+
 auto refused_answer(const refusal& why) -> caller_answer
 {
     caller_answer answer;
@@ -50,6 +72,7 @@
                         : unavailable_status;
     answer.did_run = ran::no;
     answer.retry_after = why.retry_after;
+    answer.refused = why.reason;
     answer.body = message_body(describe(why.reason) + "; it did not run",
                                "send it again after Retry-After");
     return answer;
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -204,7 +204,7 @@
     const admission_slot slot(listener);
     if (!slot.admitted())
     {
-        write(refused_answer({refusal_reason::queue_full, milliseconds(1'000)}),
+        write(handler.refuse({refusal_reason::queue_full, milliseconds(1'000)}),
               response);
         return;
     }
--- a/src/entry/operator_server.cpp
+++ b/src/entry/operator_server.cpp
@@ -1,5 +1,6 @@
 #include <pimentoshunt/entry/operator_server.hpp>
 
+#include <pimentoshunt/plan/diff.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 #include <pimentoshunt/platform/json_fields.hpp>
 
@@ -103,15 +104,28 @@
     return list;
 }
 
-auto queues_json(const control::cell_status& status) -> json::array
+auto queues_json(const operator_context& context,
+                 const control::cell_status& status) -> json::array
 {
+    constexpr double half = 0.5;
+    constexpr double nearly_all = 0.99;
     json::array list;
     for (const auto& item : status.queues)
     {
+        const metrics::label_set wanted{
+            item.tenant.str(), item.cls, item.workload.str(), {}};
+        const auto waited = [&](double p)
+        {
+            return context.meters
+                .time_quantile(metrics::measure::waiting, wanted, p)
+                .count();
+        };
         list.push_back(json::object{{"workload", item.workload.str()},
                                     {"tenant", item.tenant.str()},
                                     {"class", item.cls},
-                                    {"length", item.length}});
+                                    {"length", item.length},
+                                    {"wait_p50_ms", waited(half)},
+                                    {"wait_p99_ms", waited(nearly_all)}});
     }
     return list;
 }
@@ -137,7 +151,7 @@
                  {"plan", plan_json(*status)},
                  {"instances", instances_json(*status)},
                  {"workers", workers_json(*status)},
-                 {"queues", queues_json(*status)}});
+                 {"queues", queues_json(context, *status)}});
 }
 
 auto get_plan(operator_context& context, httplib::Response& response) -> void
@@ -149,11 +163,17 @@
         return;
     }
     const auto in_force = context.in_force.get();
-    answer_json(response, ok_status,
-                {{"revision", in_force->revision},
-                 {"text", in_force->text},
-                 {"confirmed_ms_ago", status->plan_confirmed.count()},
-                 {"instances", instances_json(*status)}});
+    json::object body{{"revision", in_force->revision},
+                      {"text", in_force->text},
+                      {"confirmed_ms_ago", status->plan_confirmed.count()},
+                      {"instances", instances_json(*status)}};
+    if (in_force->revision != 0)
+    {
+        const auto since = std::chrono::duration_cast<milliseconds>(
+            boot_clock::now() - context.in_force.since());
+        body["since_ms"] = since.count();
+    }
+    answer_json(response, ok_status, body);
 }
 
 auto read_revision(const httplib::Request& request, std::uint64_t& revision)
@@ -191,6 +211,41 @@
     return capacities;
 }
 
+/// The text of a revision, nothing when it can't be had now.
+auto text_of(operator_context& context, std::optional<std::uint64_t> revision)
+    -> std::optional<std::string>
+{
+    return handle(
+        [&]() -> result<std::optional<std::string>>
+        {
+            BOOST_LEAF_AUTO(stored, revision ? context.plans.read(*revision)
+                                             : context.plans.read());
+            return stored ? std::optional<std::string>(std::move(stored->text))
+                          : std::nullopt;
+        },
+        [](const error&)
+        {
+            return std::optional<std::string>();
+        });
+}
+
+auto changes_since(operator_context& context, std::uint64_t read) -> json::array
+{
+    json::array list;
+    // Revision 0 is the empty plan, which no row holds.
+    const auto before =
+        read == 0 ? std::optional<std::string>("") : text_of(context, read);
+    const auto after = text_of(context, std::nullopt);
+    if (before && after)
+    {
+        for (const auto& item : plan::diff(*before, *after))
+        {
+            list.emplace_back(plan::to_string(item));
+        }
+    }
+    return list;
+}
+
 /// Tells an operator what the other one changed.
 auto answer_stale(operator_context& context, httplib::Response& response,
                   std::uint64_t read, const error& fault) -> void
@@ -209,7 +264,7 @@
                  {"remedy", fault.remedy},
                  {"read", read},
                  {"current", current},
-                 {"changes", json::array{}}});
+                 {"changes", changes_since(context, read)}});
 }
 
 auto publish(operator_context& context, std::uint64_t revision,
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -19,6 +19,8 @@
 /// How long after a deadline the control thread may still answer.
 constexpr milliseconds control_grace{50};
 constexpr milliseconds retry_soon{1'000};
+/// Work is long beside other work that runs for this fraction of its time.
+constexpr int long_work_factor = 10;
 
 auto fingerprint_of(const caller_request& request) -> std::string
 {
@@ -138,6 +140,16 @@
     metrics::label_set labels = series.labels();
     labels.kind = to_label(answer.did_run);
     m_meters.add(metrics::counter::answers, labels);
+    if (answer.refused)
+    {
+        labels.kind = to_string(*answer.refused);
+        m_meters.add(metrics::counter::refusals, labels);
+    }
+    labels.kind = "in";
+    m_meters.add(metrics::counter::bytes, labels,
+                 state.request.forward.body.size());
+    labels.kind = "out";
+    m_meters.add(metrics::counter::bytes, labels, answer.body.size());
     if (state.attempts > 1)
     {
         m_meters.add(metrics::counter::retries, series.labels(),
@@ -151,6 +163,25 @@
         .with("attempts", state.attempts);
 }
 
+auto request_handler::refuse(const refusal& why) -> caller_answer
+{
+    metrics::label_set labels;
+    labels.kind = to_string(why.reason);
+    m_meters.add(metrics::counter::refusals, labels);
+    return refused_answer(why);
+}
+
+auto request_handler::note_waiting(const request_state& state) -> void
+{
+    const auto waited = boot_clock::now() - state.arrived;
+    auto& series = m_meters.series(*state.workload);
+    series.observe(metrics::measure::waiting, waited);
+    if (m_control.longest_held() >= state.workload->run_time * long_work_factor)
+    {
+        series.observe(metrics::measure::head_of_line, waited);
+    }
+}
+
 auto request_handler::wait_for_place(const request_state& state)
     -> placement_answer
 {
@@ -159,8 +190,7 @@
         number, state.in_force, state.workload, state.arrived, state.deadline);
     m_control.post(control::request_arrived{item});
     auto answer = item->wait_until(state.deadline + control_grace);
-    m_meters.series(*state.workload)
-        .observe(metrics::measure::waiting, boot_clock::now() - state.arrived);
+    note_waiting(state);
     if (answer)
     {
         return std::move(*answer);
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -112,7 +112,7 @@
           m_keys(m_store, holder_name()),
           m_calls(m_services, m_store, m_plans, m_workers, m_in_force, m_alive,
                   m_keys, m_engine_config.self),
-          m_control(m_engine_config, m_services, m_calls.starter(m_control)),
+          m_control(m_engine_config, m_services, make_starter()),
           m_handler(m_control, m_in_force, m_runs, {m_keys, m_workers, m_alive},
                     m_meters),
           m_callers(caller_limits(config)),
@@ -121,6 +121,7 @@
                              m_in_force,
                              m_plans,
                              m_store,
+                             m_meters,
                              []
                              {
                                  ::kill(::getpid(), SIGTERM);
@@ -197,6 +198,16 @@
         return limits;
     }
 
+    auto make_starter() -> control::call_starter
+    {
+        auto made = m_calls.starter(m_control);
+        made.publish_gauges = [this](const control::gauge_snapshot& seen)
+        {
+            control::publish(seen, m_meters);
+        };
+        return made;
+    }
+
     [[nodiscard]] auto holder_name() const -> std::string
     {
         return ownership::holder{m_config.instance,
--- a/tests/integration/integration-product.cpp
+++ b/tests/integration/integration-product.cpp
@@ -228,3 +228,70 @@
     cr_expect(!large || large->status == 413 || large->status == 422);
     cr_expect(cell.alive());
 }
+
+Test(product, a_stale_submission_is_told_what_changed)
+{
+    served_cell cell;
+    auto client = cell.operators();
+    const std::string first(plan_text);
+    auto changed = first;
+    changed.replace(changed.find("20000"), 5, "30000");
+    cr_assert_eq(client.Put("/plan?revision=1", changed, "text/plain")->status,
+                 200);
+    const auto stale = client.Put("/plan?revision=1", first, "text/plain");
+    cr_assert(stale);
+    cr_expect_eq(stale->status, 409);
+    const auto body = boost::json::parse(stale->body).as_object();
+    const auto& changes = body.at("changes").as_array();
+    cr_assert_eq(changes.size(), 1u, "%s", stale->body.c_str());
+    cr_expect_eq(changes[0].as_string(),
+                 "changed service desk: deadline_ms 20000 -> 30000");
+    const auto in_force = client.Get("/plan");
+    cr_assert(in_force);
+    const auto plan = boost::json::parse(in_force->body).as_object();
+    cr_expect_geq(plan.at("since_ms").as_int64(), 0);
+    cr_expect_eq(plan.at("text").as_string(), changed);
+}
+
+Test(product, operators_see_waits_gauges_and_counters)
+{
+    served_cell cell;
+    auto callers = cell.callers();
+    cr_assert_eq(callers.Post("/services/desk/a", "12345", "x/y")->status, 200);
+    const auto late =
+        callers.Get("/services/wide/a", {{"Pimentoshunt-Deadline-Ms", "1"}});
+    auto client = cell.operators();
+    const auto status =
+        boost::json::parse(client.Get("/status")->body).as_object();
+    cr_expect_eq(status.at("instances").as_array()[0].at("state").as_string(),
+                 "ready");
+    for (const auto& queue : status.at("queues").as_array())
+    {
+        cr_expect_geq(queue.at("wait_p50_ms").as_int64(), 0);
+        cr_expect_geq(queue.at("wait_p99_ms").as_int64(),
+                      queue.at("wait_p50_ms").as_int64());
+    }
+    const auto shows = [&](const std::string& text)
+    {
+        return wait_until(
+            [&]
+            {
+                const auto page = client.Get("/metrics");
+                return page && page->body.find(text) != std::string::npos;
+            },
+            answer_bound);
+    };
+    for (const auto* const text :
+         {"pimentoshunt_workers_held 2", "pimentoshunt_plan_revision 1",
+          "pimentoshunt_slots_free ", "pimentoshunt_slots_in_use 0",
+          "pimentoshunt_queue_length{class=\"service\"} 0",
+          "pimentoshunt_grants_total ", "kind=\"in\"} 5"})
+    {
+        cr_expect(shows(text), "%s", text);
+    }
+    cr_assert(late);
+    if (late->get_header_value("Pimentoshunt-Ran") == "no")
+    {
+        cr_expect(shows("pimentoshunt_refusals_total{"));
+    }
+}
