Let callers cancel their requests

Ruled out: polling the caller's socket, which the library does not hand out; a cancellation spread to all instances, which would need a message of its own.

A stopped request counts neither for nor against its worker.

--- a/include/pimentoshunt/entry/request_handler.hpp
+++ b/include/pimentoshunt/entry/request_handler.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/control/control_loop.hpp>
 #include <pimentoshunt/entry/caller_answer.hpp>
 #include <pimentoshunt/entry/key_guard.hpp>
+#include <pimentoshunt/entry/open_requests.hpp>
 #include <pimentoshunt/entry/run_client.hpp>
 #include <pimentoshunt/entry/ticket.hpp>
 #include <pimentoshunt/metrics/registry.hpp>
@@ -55,6 +56,12 @@
     /// @return the answer to it
     [[nodiscard]] auto refuse(const refusal& why) -> caller_answer;
 
+    /// @brief Cancels all requests of that id: refuses those that wait, and
+    ///        has running ones stopped; blocks until their workers have
+    ///        answered.
+    /// @return how many there were
+    [[nodiscard]] auto cancel(const std::string& request_id) -> std::size_t;
+
   private:
     /// What is needed through all attempts of one request.
     struct request_state
@@ -64,6 +71,7 @@
         const plan::workload* workload = nullptr;
         time_point arrived;
         time_point deadline;
+        open_request& open;
         int attempts = 0;
         /// Set for a keyed request that may run at most once.
         std::optional<key_guard> key;
@@ -87,6 +95,8 @@
         -> step_result;
     auto not_started(const request_state& state, const grant& where,
                      ownership::attempt_outcome outcome) -> step_result;
+    /// The end of a cancelled request that has not run and will not.
+    auto cancelled_answer() -> caller_answer;
     auto settle(const grant& where) -> std::optional<worker::attempt_state>;
     /// Whether the attempt has ended for certain; stops it where it runs.
     auto ended(const grant& where, std::optional<worker::attempt_state> found)
@@ -102,6 +112,7 @@
     worker::http_worker& m_workers;
     metrics::registry& m_meters;
     std::atomic<std::uint64_t> m_numbers{0};
+    open_requests m_open;
     std::mutex m_budget_mutex;
     policy::retry_budget m_budget;
 };
--- a/include/pimentoshunt/entry/ticket.hpp
+++ b/include/pimentoshunt/entry/ticket.hpp
@@ -45,7 +45,9 @@
     /// Several workers in a row did not take it.
     no_start,
     /// Its idempotency key can't be recorded.
-    store_down
+    store_down,
+    /// Its caller cancelled it.
+    cancelled
 };
 
 /// @brief The final answer to a request that did not run.
--- a/src/entry/caller_answer.cpp
+++ b/src/entry/caller_answer.cpp
@@ -36,6 +36,8 @@
         return "the workers that were tried did not take it";
     case refusal_reason::store_down:
         return "its Idempotency-Key can't be recorded while the table is down";
+    case refusal_reason::cancelled:
+        return "it was cancelled";
     }
     return "refused";
 }
@@ -60,6 +62,8 @@
         return "no_start";
     case refusal_reason::store_down:
         return "store_down";
+    case refusal_reason::cancelled:
+        return "cancelled";
     }
     return "unknown";
 }
--- a/src/entry/caller_server.cpp
+++ b/src/entry/caller_server.cpp
@@ -15,7 +15,9 @@
 namespace
 {
 
+constexpr int accepted_status = 202;
 constexpr int bad_request_status = 400;
+constexpr int not_found_status = 404;
 constexpr int payload_too_large_status = 413;
 constexpr const char* service_root = "/services/";
 constexpr const char* request_id_header = "X-Request-Id";
@@ -235,6 +237,24 @@
     }
 }
 
+/// DELETE /requests/ID
+auto cancel_request(request_handler& handler, const httplib::Request& request,
+                    httplib::Response& response) -> void
+{
+    const auto cancelled = handler.cancel(request.matches[1]);
+    if (cancelled == 0)
+    {
+        write_fault(response, not_found_status,
+                    "no request of that id is open at this instance",
+                    "it may be answered already, or be open at another one");
+        return;
+    }
+    response.status = accepted_status;
+    response.set_header("Pimentoshunt-Ran", to_text(ran::no));
+    response.set_content("{\"cancelled\":" + std::to_string(cancelled) + "}",
+                         "application/json");
+}
+
 } // namespace
 
 auto add_caller_routes(http_listener& listener, request_handler& handler)
@@ -306,6 +326,12 @@
         }
         serve_request(listener, handler, request, std::move(body), response);
     };
+    server.Delete(
+        R"(/requests/(.+))",
+        [&handler](const httplib::Request& request, httplib::Response& response)
+        {
+            cancel_request(handler, request, response);
+        });
     const std::string pattern = R"(/services/.*)";
     server.Get(pattern, without_body);
     server.Options(pattern, without_body);
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -83,7 +83,9 @@
     const auto limit = request.deadline > milliseconds::zero()
                            ? request.deadline
                            : workload->deadline;
-    request_state state{request, in_force, workload, now, now + limit, 0, {}};
+    const open_guard opened(m_open, request.request_id);
+    request_state state{request,     in_force,         workload, now,
+                        now + limit, opened.request(), 0,        {}};
     {
         const std::lock_guard lock(m_budget_mutex);
         m_budget.first_try(workload->name);
@@ -188,9 +190,17 @@
     const auto number = ++m_numbers;
     const auto item = std::make_shared<ticket>(
         number, state.in_force, state.workload, state.arrived, state.deadline);
+    if (!state.open.wait_with(item))
+    {
+        return refusal{refusal_reason::cancelled, retry_soon};
+    }
     m_control.post(control::request_arrived{item});
     auto answer = item->wait_until(state.deadline + control_grace);
     note_waiting(state);
+    if (state.open.cancelled())
+    {
+        m_control.post(control::request_cancelled{number});
+    }
     if (answer)
     {
         return std::move(*answer);
@@ -210,10 +220,16 @@
             return final_answer;
         }
     }
+    if (!state.open.begin(where))
+    {
+        release(where, ownership::attempt_outcome::never_started, {});
+        return cancelled_answer();
+    }
     ++state.attempts;
     const auto begun = boot_clock::now();
     auto end = m_runs.run(where, *state.workload, state.request.forward,
                           state.deadline);
+    state.open.end();
     const auto run_time = std::chrono::duration_cast<std::chrono::microseconds>(
         boot_clock::now() - begun);
     switch (end.state)
@@ -239,6 +255,13 @@
     -> step_result
 {
     const bool failed = end.status >= first_server_error;
+    if (failed && state.open.cancelled())
+    {
+        // The worker ends a stopped request with such a status. The attempt is
+        // over, and tells nothing of the worker's health.
+        release(where, ownership::attempt_outcome::never_started, {});
+        return unknown_answer(bad_gateway_status);
+    }
     release(where,
             failed ? ownership::attempt_outcome::failed
                    : ownership::attempt_outcome::finished,
@@ -267,6 +290,10 @@
     -> step_result
 {
     release(where, outcome, {});
+    if (state.open.cancelled())
+    {
+        return cancelled_answer();
+    }
     // It did not run, so another place may be sought whatever it is.
     if (state.attempts < most_attempts)
     {
@@ -275,6 +302,35 @@
     return refused_answer({refusal_reason::no_start, retry_soon});
 }
 
+auto request_handler::cancelled_answer() -> caller_answer
+{
+    return refused_answer({refusal_reason::cancelled, retry_soon});
+}
+
+auto request_handler::cancel(const std::string& request_id) -> std::size_t
+{
+    const auto found = m_open.cancel(request_id);
+    for (const auto& item : found.running)
+    {
+        // Where it fails, the request ends by its own answer or deadline.
+        static_cast<void>(handle(
+            [&]() -> result<bool>
+            {
+                BOOST_LEAF_CHECK(m_workers.stop(item.base_url, item.attempt));
+                return true;
+            },
+            [](const error&)
+            {
+                return false;
+            }));
+    }
+    logging::info("cancelled")
+        .request(request_id)
+        .with("requests", found.requests)
+        .with("running", found.running.size());
+    return found.requests;
+}
+
 auto request_handler::settle(const grant& where)
     -> std::optional<worker::attempt_state>
 {
@@ -341,7 +397,8 @@
 
 auto request_handler::may_retry(const request_state& state) -> bool
 {
-    if (boot_clock::now() >= state.deadline || state.attempts >= most_attempts)
+    if (boot_clock::now() >= state.deadline ||
+        state.attempts >= most_attempts || state.open.cancelled())
     {
         return false;
     }
