--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -7,6 +7,7 @@
 
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/control/events.hpp>
+#include <pimentoshunt/control/gauges.hpp>
 #include <pimentoshunt/entry/request_desk.hpp>
 #include <pimentoshunt/jobs/job_desk.hpp>
 #include <pimentoshunt/membership/member_table.hpp>
@@ -69,6 +70,8 @@
     std::vector<job_announced> announced;
     /// Batch attempts to save and stop, to make room for short work.
     std::vector<ownership::revoke_call> checkpoints;
+    /// Due about once a second.
+    std::optional<gauge_snapshot> gauges;
 };
 
 /// @brief The control state of one instance. Single-threaded.
@@ -140,6 +143,7 @@
     auto slow_tick(time_point now) -> void;
     auto update_links(time_point now) -> void;
     auto publish_alive(time_point now) -> void;
+    auto update_gauges(time_point now) -> void;
     auto update_readiness() -> void;
     auto adopt(plan::plan_ptr newer) -> void;
     auto announce_plan() -> void;
@@ -194,6 +198,8 @@
     bool m_capacity_changed = false;
     bool m_membership_changed = true;
     std::uint64_t m_attempts = 0;
+    /// Of m_attempts, those that a snapshot has told.
+    std::uint64_t m_attempts_told = 0;
     time_point m_last_tick;
     time_point m_next_slow;
     time_point m_next_beat;
@@ -201,6 +207,7 @@
     time_point m_next_plan;
     time_point m_next_plan_request;
     time_point m_next_checkpoint;
+    time_point m_next_gauges;
 };
 
 } // namespace pimentoshunt::control
--- a/include/pimentoshunt/entry/request_handler.hpp
+++ b/include/pimentoshunt/entry/request_handler.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/control/control_loop.hpp>
 #include <pimentoshunt/entry/caller_answer.hpp>
 #include <pimentoshunt/entry/key_guard.hpp>
+#include <pimentoshunt/entry/open_requests.hpp>
 #include <pimentoshunt/entry/run_client.hpp>
 #include <pimentoshunt/entry/ticket.hpp>
 #include <pimentoshunt/metrics/registry.hpp>
@@ -51,6 +52,16 @@
     /// @brief Serves a request; blocks until its final answer.
     [[nodiscard]] auto serve(const caller_request& request) -> caller_answer;
 
+    /// @brief Counts a refusal that needs no look at the workload.
+    /// @return the answer to it
+    [[nodiscard]] auto refuse(const refusal& why) -> caller_answer;
+
+    /// @brief Cancels all requests of that id: refuses those that wait, and
+    ///        has running ones stopped; blocks until their workers have
+    ///        answered.
+    /// @return how many there were
+    [[nodiscard]] auto cancel(const std::string& request_id) -> std::size_t;
+
   private:
     /// What is needed through all attempts of one request.
     struct request_state
@@ -60,6 +71,7 @@
         const plan::workload* workload = nullptr;
         time_point arrived;
         time_point deadline;
+        open_request& open;
         int attempts = 0;
         /// Set for a keyed request that may run at most once.
         std::optional<key_guard> key;
@@ -74,6 +86,7 @@
     auto run_to_end(request_state& state) -> caller_answer;
     auto guard_key(request_state& state) -> void;
     auto meter(const request_state& state, const caller_answer& answer) -> void;
+    auto note_waiting(const request_state& state) -> void;
     auto wait_for_place(const request_state& state) -> placement_answer;
     auto attempt(request_state& state, const grant& where) -> step_result;
     auto on_answer(request_state& state, const grant& where, run_end end,
@@ -82,6 +95,8 @@
         -> step_result;
     auto not_started(const request_state& state, const grant& where,
                      ownership::attempt_outcome outcome) -> step_result;
+    /// The end of a cancelled request that has not run and will not.
+    auto cancelled_answer() -> caller_answer;
     auto settle(const grant& where) -> std::optional<worker::attempt_state>;
     /// Whether the attempt has ended for certain; stops it where it runs.
     auto ended(const grant& where, std::optional<worker::attempt_state> found)
@@ -97,6 +112,7 @@
     worker::http_worker& m_workers;
     metrics::registry& m_meters;
     std::atomic<std::uint64_t> m_numbers{0};
+    open_requests m_open;
     std::mutex m_budget_mutex;
     policy::retry_budget m_budget;
 };
