Free a key whose claim took effect unseen

Cause: when the table applied a claim and its replies were lost, the instance told the truth (503, not run) but the row said "started" in the name of an instance that lives. A repeat waited for that instance until its deadline and was told 409 "still runs", for as long as the instance lived.

Ruled out: a claim that takes effect after the answer (commits are settled by their write id); a second write by the claimant, which the same outage may lose.

Change: a repeat that has waited 1 s for a live holder asks the worker of the row. An attempt that never started is barred there and the key is free; one that runs or ran is left alone. The same bound in the log goes from 5 s to 1 s.

Conclusion: the worker, not the row, decides whether a claim was used.

--- a/include/pimentoshunt/entry/idempotency_log.hpp
+++ b/include/pimentoshunt/entry/idempotency_log.hpp
@@ -36,7 +36,7 @@
     milliseconds longest_poll{500};
     /// How long a live holder is left alone before its attempt is looked up at
     /// the worker, which bars an attempt that has not started.
-    milliseconds holder_grace{5'000};
+    milliseconds holder_grace{1'000};
     /// How long a holder may take from before the claim until it sends; far
     /// below the ten minutes for which a worker remembers a revocation.
     milliseconds longest_claim_to_send{60'000};
@@ -98,6 +98,8 @@
     attempt_id earlier;
     /// "instance#incarnation" that sends or sent it, where there is a row.
     std::string holder;
+    /// Where the earlier attempt was sent or would be.
+    std::string worker_url;
 };
 
 /// @brief What one sweep did.
--- a/include/pimentoshunt/entry/idempotency_log_impl.hpp
+++ b/include/pimentoshunt/entry/idempotency_log_impl.hpp
@@ -57,6 +57,7 @@
     const auto& record = *found.record;
     out.earlier = record.attempt;
     out.holder = record.holder;
+    out.worker_url = record.worker_url;
     if (record.fingerprint != fingerprint)
     {
         out.verdict = idempotency_verdict::mismatch;
--- a/include/pimentoshunt/entry/key_guard.hpp
+++ b/include/pimentoshunt/entry/key_guard.hpp
@@ -59,6 +59,8 @@
     auto lost() -> void;
 
   private:
+    /// Whether the earlier request's attempt never started and never will.
+    auto never_started(const idempotency_decision& earlier) -> bool;
     auto decide(const idempotency_decision& decision)
         -> std::optional<caller_answer>;
     auto begin(const grant& where, time_point until)
--- a/src/entry/idempotency_record.cpp
+++ b/src/entry/idempotency_record.cpp
@@ -52,9 +52,8 @@
 
 auto parse_state(const std::string& text) -> std::optional<record_state>
 {
-    for (const auto state :
-         {record_state::started, record_state::answered,
-          record_state::not_run, record_state::lost})
+    for (const auto state : {record_state::started, record_state::answered,
+                             record_state::not_run, record_state::lost})
     {
         if (text == to_string(state))
         {
--- a/src/entry/key_guard.cpp
+++ b/src/entry/key_guard.cpp
@@ -14,6 +14,8 @@
 constexpr int unprocessable_status = 422;
 /// Between two looks at the row of an earlier request that runs.
 constexpr milliseconds first_poll{20};
+/// How long a live holder is left alone before the worker is asked.
+constexpr milliseconds holder_grace{1'000};
 constexpr milliseconds longest_poll{250};
 /// An answer may be late by this much for the sake of its record.
 constexpr milliseconds record_limit{1'000};
@@ -75,9 +77,25 @@
     return unknown_answer(bad_gateway_status);
 }
 
+auto key_guard::never_started(const idempotency_decision& earlier) -> bool
+{
+    return handle(
+        [&]() -> result<bool>
+        {
+            BOOST_LEAF_AUTO(report, m_services.workers.revoke(
+                                        earlier.worker_url, earlier.earlier));
+            return report.state == worker::attempt_state::revoked;
+        },
+        [](const error&)
+        {
+            return false;
+        });
+}
+
 auto key_guard::look_up(time_point until) -> std::optional<caller_answer>
 {
     auto poll = first_poll;
+    auto ask_at = boot_clock::now() + holder_grace;
     for (;;)
     {
         bool waits = false;
@@ -89,6 +107,12 @@
                 const bool running =
                     decision.verdict == idempotency_verdict::in_progress;
                 waits = running && m_services.alive.contains(decision.holder);
+                // A live holder may have failed to learn of its own claim.
+                if (waits && boot_clock::now() >= ask_at)
+                {
+                    ask_at = boot_clock::now() + holder_grace;
+                    waits = !never_started(decision);
+                }
                 // What a dead holder left, claim() finds out at the worker.
                 return running && !waits ? std::nullopt : decide(decision);
             },
