--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -382,6 +382,7 @@
     json::object cost{
         {"seconds", seconds},
         {"cpu_seconds", used.cpu_seconds},
+        {"control_percent_an_instance", 100 * used.control_cpu_seconds / each},
         {"core_percent_an_instance", 100 * used.cpu_seconds / each},
         {"sent_bytes_a_second_an_instance",
          static_cast<double>(used.sent_bytes) / each},
@@ -399,6 +400,7 @@
     if (answered > 0)
     {
         const auto count = static_cast<double>(answered);
+        cost["control_ms_a_placement"] = 1e3 * used.control_cpu_seconds / count;
         cost["cpu_ms_a_placement"] = 1e3 * used.cpu_seconds / count;
         cost["sent_bytes_a_placement"] =
             static_cast<double>(used.sent_bytes) / count;
--- a/bench/support/process_meter.hpp
+++ b/bench/support/process_meter.hpp
@@ -6,14 +6,17 @@
 #include <sys/types.h>
 #include <unistd.h>
 
-#include <array>   // array
-#include <cstdint> // int64_t
-#include <cstdio>  // popen
-#include <fstream> // ifstream
-#include <memory>  // unique_ptr
-#include <sstream> // istringstream
-#include <string>  // string
-#include <vector>  // vector
+#include <array>        // array
+#include <cstdint>      // int64_t
+#include <cstdio>       // popen
+#include <cstdlib>      // strtoll
+#include <filesystem>   // directory_iterator
+#include <fstream>      // ifstream
+#include <memory>       // unique_ptr
+#include <sstream>      // istringstream
+#include <string>       // string
+#include <system_error> // error_code
+#include <vector>       // vector
 
 namespace pimentoshunt::bench
 {
@@ -22,6 +25,8 @@
 struct process_use
 {
     double cpu_seconds = 0;
+    /// Of the threads of the actor system and of ZeroMQ alone.
+    double control_cpu_seconds = 0;
     std::int64_t resident_kb = 0;
     /// Bytes sent over connections that are open now.
     std::int64_t sent_bytes = 0;
@@ -33,6 +38,7 @@
         -> process_use
     {
         return {left.cpu_seconds - right.cpu_seconds,
+                left.control_cpu_seconds - right.control_cpu_seconds,
                 left.resident_kb - right.resident_kb,
                 left.sent_bytes - right.sent_bytes,
                 left.data_segments - right.data_segments,
@@ -53,10 +59,11 @@
                : std::strtoll(text.c_str() + place + key.size(), nullptr, 10);
 }
 
-/// @brief Processor seconds of one process.
-inline auto cpu_seconds(pid_t pid) -> double
+/// @brief Processor seconds of one process or thread.
+/// @param directory  its directory below /proc
+inline auto cpu_seconds(const std::string& directory) -> double
 {
-    std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+    std::ifstream in(directory + "/stat");
     std::string text;
     std::getline(in, text);
     const auto end_of_name = text.rfind(')');
@@ -77,6 +84,25 @@
     return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
+/// @brief Processor seconds of a process's control threads, by their names.
+inline auto control_cpu_seconds(const std::string& directory) -> double
+{
+    double total = 0;
+    std::error_code ended;
+    for (const auto& thread :
+         std::filesystem::directory_iterator(directory + "/task", ended))
+    {
+        std::ifstream in(thread.path() / "comm");
+        std::string name;
+        std::getline(in, name);
+        if (name.rfind("caf.", 0) == 0 || name.rfind("ZMQ", 0) == 0)
+        {
+            total += cpu_seconds(thread.path().string());
+        }
+    }
+    return total;
+}
+
 inline auto whole_file(const std::string& path) -> std::string
 {
     std::ifstream in(path);
@@ -127,9 +153,10 @@
     process_use total;
     for (const auto pid : pids)
     {
-        const auto status =
-            detail::whole_file("/proc/" + std::to_string(pid) + "/status");
-        total.cpu_seconds += detail::cpu_seconds(pid);
+        const auto directory = "/proc/" + std::to_string(pid);
+        const auto status = detail::whole_file(directory + "/status");
+        total.cpu_seconds += detail::cpu_seconds(directory);
+        total.control_cpu_seconds += detail::control_cpu_seconds(directory);
         total.resident_kb += detail::number_after(status, "VmRSS:");
         total.threads += detail::number_after(status, "Threads:");
     }
