--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -32,6 +32,7 @@
 DEFINE_int32(seconds, 8, "steady and idle: length of the run");
 DEFINE_int32(run_ms, 40, "steady: run time");
 DEFINE_int32(inspect_interval_ms, 1'000, "setting of the instances");
+DEFINE_int32(list_interval_ms, 1'000, "setting of the instances");
 DEFINE_string(json, "", "file for the report");
 
 namespace
@@ -386,6 +387,8 @@
         {"core_percent_an_instance", 100 * used.cpu_seconds / each},
         {"sent_bytes_a_second_an_instance",
          static_cast<double>(used.sent_bytes) / each},
+        {"received_bytes_a_second_an_instance",
+         static_cast<double>(used.received_bytes) / each},
         {"segments_a_second_an_instance",
          static_cast<double>(used.data_segments) / each},
         {"resident_mb_an_instance", static_cast<double>(after.use.resident_kb) /
@@ -470,6 +473,7 @@
     options.worker_flags = {"--slots=" + std::to_string(FLAGS_slots),
                             "--threads=2000"};
     options.settings["inspect_interval_ms"] = FLAGS_inspect_interval_ms;
+    options.settings["list_interval_ms"] = FLAGS_list_interval_ms;
     options.settings["log_level"] = "warn";
     options.settings["caller_threads"] = 400;
     options.seed = FLAGS_seed;
--- a/bench/support/process_meter.hpp
+++ b/bench/support/process_meter.hpp
@@ -30,6 +30,8 @@
     std::int64_t resident_kb = 0;
     /// Bytes sent over connections that are open now.
     std::int64_t sent_bytes = 0;
+    /// Bytes received over them.
+    std::int64_t received_bytes = 0;
     /// TCP segments sent that held data: an upper bound for messages.
     std::int64_t data_segments = 0;
     std::int64_t threads = 0;
@@ -41,6 +43,7 @@
                 left.control_cpu_seconds - right.control_cpu_seconds,
                 left.resident_kb - right.resident_kb,
                 left.sent_bytes - right.sent_bytes,
+                left.received_bytes - right.received_bytes,
                 left.data_segments - right.data_segments,
                 left.threads - right.threads};
     }
@@ -136,6 +139,7 @@
             if (text.find(mark) != std::string::npos)
             {
                 total.sent_bytes += number_after(text, " bytes_sent:");
+                total.received_bytes += number_after(text, " bytes_received:");
                 total.data_segments += number_after(text, " data_segs_out:");
                 break;
             }
