--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -32,6 +32,7 @@
 DEFINE_int32(seconds, 8, "steady and idle: length of the run");
 DEFINE_int32(run_ms, 40, "steady: run time");
 DEFINE_int32(inspect_interval_ms, 1'000, "setting of the instances");
+DEFINE_int32(list_interval_ms, 1'000, "setting of the instances");
 DEFINE_string(json, "", "file for the report");
 
 namespace
@@ -382,9 +383,12 @@
     json::object cost{
         {"seconds", seconds},
         {"cpu_seconds", used.cpu_seconds},
+        {"control_percent_an_instance", 100 * used.control_cpu_seconds / each},
         {"core_percent_an_instance", 100 * used.cpu_seconds / each},
         {"sent_bytes_a_second_an_instance",
          static_cast<double>(used.sent_bytes) / each},
+        {"received_bytes_a_second_an_instance",
+         static_cast<double>(used.received_bytes) / each},
         {"segments_a_second_an_instance",
          static_cast<double>(used.data_segments) / each},
         {"resident_mb_an_instance", static_cast<double>(after.use.resident_kb) /
@@ -399,6 +403,7 @@
     if (answered > 0)
     {
         const auto count = static_cast<double>(answered);
+        cost["control_ms_a_placement"] = 1e3 * used.control_cpu_seconds / count;
         cost["cpu_ms_a_placement"] = 1e3 * used.cpu_seconds / count;
         cost["sent_bytes_a_placement"] =
             static_cast<double>(used.sent_bytes) / count;
@@ -468,6 +473,7 @@
     options.worker_flags = {"--slots=" + std::to_string(FLAGS_slots),
                             "--threads=2000"};
     options.settings["inspect_interval_ms"] = FLAGS_inspect_interval_ms;
+    options.settings["list_interval_ms"] = FLAGS_list_interval_ms;
     options.settings["log_level"] = "warn";
     options.settings["caller_threads"] = 400;
     options.seed = FLAGS_seed;
