Job tracker: a tick looks only at attempts that need it

Cause: a tick walked over every running attempt, on the thread that also decides placements.

Ruled out: longer ticks, which delay retries of stops and look-ups.

Change: attempts that just run are renewed by worker group and otherwise left alone; first renewals are spread over the interval; an attempt is found by one hash look-up.

--- a/include/pimentoshunt/jobs/job_tracker.hpp
+++ b/include/pimentoshunt/jobs/job_tracker.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>       // uint64_t
 #include <map>           // map
 #include <random>        // mt19937
+#include <set>           // set
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <unordered_set> // unordered_set
@@ -99,6 +100,8 @@
     job_record record;
     /// By task: at most one attempt each, at any time.
     std::map<std::int64_t, tracked_attempt> attempts;
+    /// Tasks whose attempts need each tick: all but those that just run.
+    std::set<std::int64_t> attention;
     /// Tasks below that were started before, or done.
     std::int64_t next_fresh = 0;
     retry_queue waiting;
@@ -181,7 +184,8 @@
     auto on_worker_gone(const worker_id& worker, time_point now) -> void;
 
     /// @brief Time passed; to be called every few hundred milliseconds.
-    /// @complexity linear in the number of attempts
+    /// @complexity linear in the number of jobs, of attempts that do not just
+    ///             run, and of leases that are due
     auto tick(time_point now) -> void;
 
     /// @brief Hands out what was asked for since the last call, in order.
@@ -197,19 +201,32 @@
     }
 
   private:
-    struct place
+    /// The attempts at one worker whose leases are renewed together.
+    struct lease_group
     {
-        job_id job;
-        std::int64_t task = 0;
+        job_worker worker;
+        /// Some may have ended or given up renewal since.
+        std::unordered_set<attempt_id> attempts;
+        time_point next_renewal;
+        bool under_way = false;
     };
 
     using job_entry = detail::tracked_job;
     using attempt_entry = detail::tracked_attempt;
 
+    /// Where an attempt is kept; nodes of maps do not move.
+    struct place
+    {
+        job_entry* job = nullptr;
+        attempt_entry* attempt = nullptr;
+    };
+
     [[nodiscard]] auto find_job(const job_id& job) -> job_entry*;
     [[nodiscard]] auto find_attempt(const attempt_id& attempt, job_entry*& job)
         -> attempt_entry*;
     [[nodiscard]] auto lease_wait() const -> boot_clock::duration;
+    /// A random time up to @p longest.
+    [[nodiscard]] auto spread(milliseconds longest) -> milliseconds;
     [[nodiscard]] auto backoff(int rounds) -> boot_clock::duration;
     [[nodiscard]] static auto takes_placements(const job_entry& job,
                                                time_point now) -> bool;
@@ -261,6 +278,10 @@
     auto expire_holds(job_entry& job, time_point now) -> void;
     [[nodiscard]] auto certainly_lapsed(const attempt_entry& entry,
                                         time_point now) const -> bool;
+    auto keep_renewing(const attempt_entry& entry, time_point now,
+                       milliseconds spread_over) -> void;
+    [[nodiscard]] auto renewal_of(lease_group& group) -> renew_leases;
+    auto give_up(job_entry& job, attempt_entry& entry, time_point now) -> void;
     auto tick_fences(time_point now) -> void;
     auto tick_leases(time_point now) -> void;
     auto forget_ended() -> void;
@@ -271,9 +292,7 @@
     std::mt19937 m_random;
     std::unordered_map<job_id, job_entry> m_jobs;
     std::unordered_map<attempt_id, place> m_places;
-    /// Workers with a renewal under way.
-    std::unordered_set<worker_id> m_renewing;
-    std::unordered_map<worker_id, time_point> m_next_renewal;
+    std::unordered_map<worker_id, lease_group> m_leases;
     /// When no lease lasts any more at machines that are gone.
     std::unordered_map<worker_id, time_point> m_gone;
     bool m_all_loaded = false;
--- a/src/jobs/job_tracker.cpp
+++ b/src/jobs/job_tracker.cpp
@@ -48,8 +48,8 @@
     {
         return nullptr;
     }
-    job = find_job(found->second.job);
-    return &job->attempts.at(found->second.task);
+    job = found->second.job;
+    return found->second.attempt;
 }
 
 auto job_tracker::lease_wait() const -> boot_clock::duration
@@ -178,7 +178,8 @@
     entry.worker = event.worker;
     entry.epoch = event.epoch;
     entry.held_until = now + m_limits.hold_for;
-    m_places.emplace(event.attempt, place{event.job, task});
+    job->attention.insert(task);
+    m_places.emplace(event.attempt, place{job, &entry});
     if (job->record.spec.gang)
     {
         advance(*job);
@@ -272,6 +273,12 @@
         entry.phase = attempt_phase::running;
         entry.stop = stopping;
         entry.renew = !stopping;
+        // A random share of the interval spreads the workers' renewals.
+        keep_renewing(entry, now, m_limits.renew_interval);
+        if (!stopping)
+        {
+            job.attention.erase(entry.task);
+        }
         break;
     case start_answer::unknown:
         entry.phase = attempt_phase::unsure;
@@ -284,7 +291,11 @@
 
 auto job_tracker::on(const lease_report& event, time_point now) -> void
 {
-    m_renewing.erase(event.worker);
+    const auto group = m_leases.find(event.worker);
+    if (group != m_leases.end())
+    {
+        group->second.under_way = false;
+    }
     for (const auto& attempt : event.attempts)
     {
         job_entry* job = nullptr;
@@ -295,7 +306,14 @@
         }
         --entry->calls;
         entry->lapse_at = std::max(entry->lapse_at, now + lease_wait());
-        entry->last_heard = event.answered ? now : entry->last_heard;
+        if (event.answered)
+        {
+            entry->last_heard = now;
+        }
+        else if (now - entry->last_heard > m_limits.give_up_after)
+        {
+            give_up(*job, *entry, now);
+        }
     }
     for (const auto& attempt : event.lapsed)
     {
@@ -305,6 +323,7 @@
         {
             // It has ended; how, the worker says when asked.
             entry->inspect = true;
+            job->attention.insert(entry->task);
             m_effects.emplace_back(inspect_attempt{entry->worker, attempt});
             entry->next_try = now + m_limits.retry_interval;
         }
@@ -328,6 +347,7 @@
         entry->phase = attempt_phase::running;
         entry->inspect = false;
         entry->renew = !entry->stop;
+        keep_renewing(*entry, now, milliseconds(0));
         break;
     case worker::attempt_state::finished:
         end_finished(*job, entry->task,
--- a/src/jobs/job_tracker_adopt.cpp
+++ b/src/jobs/job_tracker_adopt.cpp
@@ -64,7 +64,9 @@
     entry.last_heard = now;
     entry.lapse_at = now + lease_wait();
     job.gang_ran = job.record.spec.gang;
-    m_places.emplace(task.attempt, place{job.record.spec.id, task.task});
+    job.attention.insert(task.task);
+    keep_renewing(entry, now, milliseconds(0));
+    m_places.emplace(task.attempt, place{&job, &entry});
 }
 
 auto job_tracker::mark_fenced(job_entry& job, const worker_id& worker) -> void
--- a/src/jobs/job_tracker_ends.cpp
+++ b/src/jobs/job_tracker_ends.cpp
@@ -22,9 +22,13 @@
     {
         longest = std::min(longest * 2, m_limits.longest_backoff);
     }
-    std::uniform_int_distribution<std::int64_t> spread(longest.count() / 2,
-                                                       longest.count());
-    return milliseconds(spread(m_random));
+    return longest / 2 + spread(longest / 2);
+}
+
+auto job_tracker::spread(milliseconds longest) -> milliseconds
+{
+    std::uniform_int_distribution<std::int64_t> any(0, longest.count());
+    return milliseconds(any(m_random));
 }
 
 auto job_tracker::remove(job_entry& job, std::int64_t task,
@@ -35,6 +39,7 @@
                                              found->second.attempt,
                                              found->second.worker.id, outcome});
     m_places.erase(found->second.attempt);
+    job.attention.erase(task);
     job.attempts.erase(found);
 }
 
@@ -199,6 +204,7 @@
         entry.stop = true;
         entry.renew = false;
         entry.next_try = time_point{};
+        job.attention.insert(task);
     }
     for (const auto task : held)
     {
--- a/src/jobs/job_tracker_tick.cpp
+++ b/src/jobs/job_tracker_tick.cpp
@@ -132,13 +132,25 @@
         {
             if (entry.worker.id == worker)
             {
-                entry.renew = false;
-                entry.inspect = true;
+                give_up(job, entry, now);
             }
         }
     }
 }
 
+auto job_tracker::give_up(job_entry& job, attempt_entry& entry, time_point now)
+    -> void
+{
+    if (entry.phase == attempt_phase::held)
+    {
+        return;
+    }
+    entry.renew = false;
+    entry.inspect = true;
+    entry.next_try = now;
+    job.attention.insert(entry.task);
+}
+
 auto job_tracker::is_gone(const worker_id& worker, time_point now) const -> bool
 {
     const auto found = m_gone.find(worker);
@@ -170,11 +182,6 @@
         end_stopped(job, entry.task, now);
         return;
     }
-    if (entry.renew && now - entry.last_heard > m_limits.give_up_after)
-    {
-        entry.renew = false;
-        entry.inspect = true;
-    }
     if (now < entry.next_try)
     {
         return;
@@ -194,8 +201,9 @@
 auto job_tracker::expire_holds(job_entry& job, time_point now) -> void
 {
     std::vector<std::int64_t> expired;
-    for (const auto& [task, entry] : job.attempts)
+    for (const auto task : job.attention)
     {
+        const auto& entry = job.attempts.at(task);
         if (entry.phase == attempt_phase::held && now >= entry.held_until)
         {
             expired.push_back(task);
@@ -220,20 +228,24 @@
 auto job_tracker::tick_attempts(job_entry& job, time_point now) -> void
 {
     expire_holds(job, now);
-    std::vector<std::int64_t> tasks;
-    tasks.reserve(job.attempts.size());
-    for (const auto& [task, entry] : job.attempts)
-    {
-        tasks.push_back(task);
-    }
+    const std::vector<std::int64_t> tasks(job.attention.begin(),
+                                          job.attention.end());
     for (const auto task : tasks)
     {
         // The end of one attempt may have removed others.
         const auto found = job.attempts.find(task);
-        if (found != job.attempts.end())
+        if (found == job.attempts.end())
         {
-            tick_attempt(job, found->second, now);
+            continue;
+        }
+        const auto& entry = found->second;
+        if (entry.phase == attempt_phase::running && entry.renew &&
+            !entry.stop && !entry.inspect)
+        {
+            job.attention.erase(task);
+            continue;
         }
+        tick_attempt(job, found->second, now);
     }
 }
 
@@ -266,31 +278,64 @@
     }
 }
 
-auto job_tracker::tick_leases(time_point now) -> void
+auto job_tracker::keep_renewing(const attempt_entry& entry, time_point now,
+                                milliseconds spread_over) -> void
 {
-    std::unordered_map<worker_id, renew_leases> due;
-    for (auto& [id, job] : m_jobs)
+    if (!entry.renew)
     {
-        for (auto& [task, entry] : job.attempts)
+        return;
+    }
+    auto& group = m_leases[entry.worker.id];
+    // A new group begins at a random time, so that workers are not all renewed
+    // in one tick; an attempt with an older lease does not wait for that.
+    if (group.attempts.empty() || spread_over == milliseconds(0))
+    {
+        group.worker = entry.worker;
+        group.next_renewal = now + spread(spread_over);
+    }
+    group.attempts.insert(entry.attempt);
+}
+
+auto job_tracker::renewal_of(lease_group& group) -> renew_leases
+{
+    renew_leases out{group.worker, {}, m_limits.lease};
+    for (auto at = group.attempts.begin(); at != group.attempts.end();)
+    {
+        job_entry* job = nullptr;
+        auto* const entry = find_attempt(*at, job);
+        if (entry == nullptr || !entry->renew ||
+            entry->phase != attempt_phase::running)
         {
-            const auto& worker = entry.worker.id;
-            if (entry.phase != attempt_phase::running || !entry.renew ||
-                m_renewing.count(worker) != 0 || now < m_next_renewal[worker])
-            {
-                continue;
-            }
-            ++entry.calls;
-            auto& call = due[worker];
-            call.worker = entry.worker;
-            call.lease = m_limits.lease;
-            call.attempts.push_back(entry.attempt);
+            at = group.attempts.erase(at);
+            continue;
         }
+        ++entry->calls;
+        out.attempts.push_back(*at);
+        ++at;
     }
-    for (auto& [worker, call] : due)
+    return out;
+}
+
+auto job_tracker::tick_leases(time_point now) -> void
+{
+    for (auto at = m_leases.begin(); at != m_leases.end();)
     {
-        m_renewing.insert(worker);
-        m_next_renewal[worker] = now + m_limits.renew_interval;
+        auto& group = at->second;
+        if (group.under_way || now < group.next_renewal)
+        {
+            ++at;
+            continue;
+        }
+        auto call = renewal_of(group);
+        if (call.attempts.empty())
+        {
+            at = m_leases.erase(at);
+            continue;
+        }
+        group.under_way = true;
+        group.next_renewal = now + m_limits.renew_interval;
         m_effects.emplace_back(std::move(call));
+        ++at;
     }
 }
 
