The freshest list of workers passes between instances

Cause: an instance took the platform's list from others only while it had none at all. An owner that is cut off from the platform never learnt that a worker leaves, or that there are new ones, and went on placing work there. Ruled out: sending the plan's text for it, up to 4 MiB each second; trusting lists by arrival instead of by age. Change: heartbeats tell the age of the sender's list; an instance whose list is older than 2.5 s asks for a fresher one, without the plan. Operators' drains of workers pass on as leaving.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -119,6 +119,9 @@
 
     auto on_beat(const wire::envelope& message, time_point now) -> void;
     auto on_plan_text(const wire::plan_text& message, time_point now) -> void;
+    auto take_list(const wire::plan_text& message, time_point now) -> void;
+    auto want_list(const instance_id& sender, std::int64_t age_us,
+                   time_point now) -> void;
     auto on_demand(const wire::envelope& message, time_point now) -> void;
     auto on_grants(const wire::envelope& message, time_point now) -> void;
     auto on_releases(const wire::releases& message, time_point now) -> void;
@@ -133,8 +136,9 @@
     auto publish_alive(time_point now) -> void;
     auto update_readiness() -> void;
     auto adopt(plan::plan_ptr newer) -> void;
-    auto announce_plan() -> void;
-    auto plan_message() const -> wire::envelope;
+    auto announce_plan(time_point now) -> void;
+    auto plan_message(time_point now, bool list_only) const -> wire::envelope;
+    auto list_age_us(time_point now) const -> std::int64_t;
     auto view(time_point now) const -> ownership::claim_view;
     auto quorate(time_point now) const -> bool;
     auto send_demand(time_point now) -> void;
@@ -171,6 +175,8 @@
     time_point m_plan_confirmed;
     bool m_plan_known = false;
     bool m_list_known = false;
+    /// When the platform made, at the earliest, the list that we go by.
+    time_point m_list_as_of;
     std::map<instance_id, owner_link> m_links;
     std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
     std::vector<std::string> m_greeted;
@@ -185,6 +191,7 @@
     time_point m_next_list;
     time_point m_next_plan;
     time_point m_next_plan_request;
+    time_point m_next_list_request;
 };
 
 } // namespace pimentoshunt::control
--- a/include/pimentoshunt/control/events.hpp
+++ b/include/pimentoshunt/control/events.hpp
@@ -77,6 +77,8 @@
 struct list_read
 {
     platform::instance_list list;
+    /// When the question was sent.
+    time_point asked_at;
     /// Instances that registered themselves in the table.
     std::vector<membership::member> registered;
     /// Workers that the operators drain.
--- a/include/pimentoshunt/ownership/worker_keeper.hpp
+++ b/include/pimentoshunt/ownership/worker_keeper.hpp
@@ -164,6 +164,11 @@
         return m_ledger;
     }
 
+    /// @brief The list as another instance may take it over: workers that the
+    ///        operators drain are shown as leaving.
+    [[nodiscard]] auto listed_workers() const
+        -> std::vector<worker::description>;
+
     /// @brief Every listed worker, held here or not.
     [[nodiscard]] auto workers() const -> std::vector<worker::description>;
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -50,7 +50,8 @@
         on_beat(message, now);
         break;
     case wire::envelope::kPlanWanted:
-        send_to(instance_id(message.from()), plan_message());
+        send_to(instance_id(message.from()),
+                plan_message(now, message.plan_wanted().list_only()));
         break;
     case wire::envelope::kPlan:
         on_plan_text(message.plan(), now);
@@ -69,19 +70,10 @@
     }
 }
 
-auto engine::on_plan_text(const wire::plan_text& message, time_point) -> void
+auto engine::on_plan_text(const wire::plan_text& message, time_point now)
+    -> void
 {
-    if (!m_list_known && message.workers_size() > 0)
-    {
-        std::vector<worker::description> workers;
-        for (const auto& item : message.workers())
-        {
-            workers.push_back(transport::from_wire(item));
-        }
-        m_keeper.listed(workers);
-        m_list_known = true;
-        m_membership_changed = true;
-    }
+    take_list(message, now);
     if (message.revision() <= m_plan->revision)
     {
         return;
@@ -145,6 +137,7 @@
 
 auto engine::on(list_read& news, time_point now) -> void
 {
+    m_list_as_of = std::max(m_list_as_of, news.asked_at);
     m_keeper.listed(news.list.workers);
     for (const auto& item : m_keeper.workers())
     {
@@ -178,13 +171,13 @@
     }
 }
 
-auto engine::on(plan_accepted& news, time_point) -> void
+auto engine::on(plan_accepted& news, time_point now) -> void
 {
     m_plan_confirmed = std::max(m_plan_confirmed, news.asked_at);
     if (news.accepted->revision > m_plan->revision)
     {
         adopt(news.accepted);
-        announce_plan();
+        announce_plan(now);
     }
 }
 
@@ -200,21 +193,26 @@
     m_capacity_changed = true;
 }
 
-auto engine::announce_plan() -> void
+auto engine::announce_plan(time_point now) -> void
 {
     for (const auto& [id, item] : m_members.all())
     {
-        send_to(id, plan_message());
+        send_to(id, plan_message(now, false));
     }
 }
 
-auto engine::plan_message() const -> wire::envelope
+auto engine::plan_message(time_point now, bool list_only) const
+    -> wire::envelope
 {
     wire::envelope message;
     auto* const body = message.mutable_plan();
-    body->set_revision(m_plan->revision);
-    body->set_text(m_plan->text);
-    for (const auto& item : m_keeper.workers())
+    if (!list_only)
+    {
+        body->set_revision(m_plan->revision);
+        body->set_text(m_plan->text);
+    }
+    body->set_list_age_us(list_age_us(now));
+    for (const auto& item : m_keeper.listed_workers())
     {
         *body->add_workers() = transport::to_wire(item);
     }
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -12,6 +12,10 @@
 
 /// Between two requests for a newer plan.
 constexpr milliseconds plan_request_interval{100};
+/// A list older than this is asked for at another instance.
+constexpr milliseconds list_too_old{2'500};
+/// Between two requests for a fresher list.
+constexpr milliseconds list_request_interval{500};
 
 } // namespace
 
@@ -47,8 +51,9 @@
         const std::chrono::microseconds age(beat.plan_confirmed_age_us());
         m_plan_confirmed = std::max(m_plan_confirmed, now - age);
     }
+    want_list(sender_id, beat.list_age_us(), now);
     const bool newer = revision > m_plan->revision;
-    if ((newer || !m_list_known) && now >= m_next_plan_request)
+    if (newer && now >= m_next_plan_request)
     {
         m_next_plan_request = now + plan_request_interval;
         wire::envelope wanted;
@@ -57,6 +62,53 @@
     }
 }
 
+auto engine::list_age_us(time_point now) const -> std::int64_t
+{
+    if (!m_list_known)
+    {
+        return -1;
+    }
+    return std::chrono::duration_cast<std::chrono::microseconds>(now -
+                                                                 m_list_as_of)
+        .count();
+}
+
+auto engine::want_list(const instance_id& sender, std::int64_t age_us,
+                       time_point now) -> void
+{
+    const bool too_old = !m_list_known || now - m_list_as_of > list_too_old;
+    const auto theirs = now - std::chrono::microseconds(age_us);
+    if (age_us < 0 || !too_old || theirs <= m_list_as_of ||
+        now < m_next_list_request)
+    {
+        return;
+    }
+    m_next_list_request = now + list_request_interval;
+    wire::envelope wanted;
+    wanted.mutable_plan_wanted()->set_list_only(true);
+    send_to(sender, std::move(wanted));
+}
+
+auto engine::take_list(const wire::plan_text& message, time_point now) -> void
+{
+    const auto as_of = now - std::chrono::microseconds(message.list_age_us());
+    if (message.list_age_us() < 0 || (m_list_known && as_of <= m_list_as_of))
+    {
+        return;
+    }
+    std::vector<worker::description> workers;
+    workers.reserve(message.workers_size());
+    for (const auto& item : message.workers())
+    {
+        workers.push_back(transport::from_wire(item));
+    }
+    m_keeper.listed(workers);
+    m_list_known = true;
+    m_list_as_of = as_of;
+    m_membership_changed = true;
+    m_capacity_changed = true;
+}
+
 auto engine::take_usage(const instance_id& sender, const wire::heartbeat& beat)
     -> void
 {
@@ -190,6 +242,7 @@
             line->set_slots(used.total.slots);
         }
     }
+    body->set_list_age_us(list_age_us(now));
     body->set_plan_confirmed_age_us(-1);
     if (m_plan_confirmed != time_point{})
     {
--- a/src/ownership/worker_keeper.cpp
+++ b/src/ownership/worker_keeper.cpp
@@ -313,6 +313,18 @@
     }
 }
 
+auto worker_keeper::listed_workers() const -> std::vector<worker::description>
+{
+    std::vector<worker::description> all;
+    all.reserve(m_records.size());
+    for (const auto& [id, item] : m_records)
+    {
+        all.push_back(item.worker);
+        all.back().leaving = item.listed_leaving || item.drained;
+    }
+    return all;
+}
+
 auto worker_keeper::workers() const -> std::vector<worker::description>
 {
     std::vector<worker::description> all;
