Refuse what still waits when the time for draining is over

Cause: after drain_timeout the listener was stopped while requests still waited for a worker; its threads ended only with the requests' own deadlines, so a stop took as long as the longest of them. Ruled out: refusing at the signal (other owners place most of them in time); dropping the connections. Change: an event at the end of the drain refuses all that wait, and all that arrive later, finally and with Retry-After. Before: with drain_timeout 3 s, one slot, ten requests of 2 s and 30 s deadlines the process still ran 10 s after SIGTERM. After: it ends in time, all ten answered. Test planned_stop::requests_that_wait_get_their_final_answer.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -115,6 +115,7 @@
     auto on(plan_read& news, time_point now) -> void;
     auto on(plan_accepted& news, time_point now) -> void;
     auto on(drain_begun& news, time_point now) -> void;
+    auto on(drain_over& news, time_point now) -> void;
     auto on(status_wanted& news, time_point now) -> void;
 
     auto on_beat(const wire::envelope& message, time_point now) -> void;
@@ -177,6 +178,7 @@
     bool m_list_known = false;
     /// When the platform made, at the earliest, the list that we go by.
     time_point m_list_as_of;
+    bool m_drain_over = false;
     std::map<instance_id, owner_link> m_links;
     std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
     std::vector<std::string> m_greeted;
--- a/include/pimentoshunt/control/events.hpp
+++ b/include/pimentoshunt/control/events.hpp
@@ -106,15 +106,21 @@
 {
 };
 
+/// @brief The time for draining is over: whatever waits still is refused.
+struct drain_over
+{
+};
+
 /// @brief Somebody wants to see the state.
 struct status_wanted
 {
     std::shared_ptr<std::promise<cell_status>> answer;
 };
 
-using event = std::variant<peer_message, request_arrived, request_cancelled,
-                           attempt_ended, fence_ended, inspection_ended,
-                           revocation_ended, list_read, plan_read,
-                           plan_accepted, drain_begun, status_wanted>;
+using event =
+    std::variant<peer_message, request_arrived, request_cancelled,
+                 attempt_ended, fence_ended, inspection_ended, revocation_ended,
+                 list_read, plan_read, plan_accepted, drain_begun, drain_over,
+                 status_wanted>;
 
 } // namespace pimentoshunt::control
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -101,6 +101,12 @@
 
 auto engine::on(request_arrived& news, time_point now) -> void
 {
+    if (m_drain_over)
+    {
+        news.item->settle(entry::refusal{entry::refusal_reason::stopping,
+                                         m_config.desk.retry_after});
+        return;
+    }
     m_desk.arrived(news.item, now);
     m_demand_changed = true;
 }
@@ -226,6 +232,13 @@
     m_next_beat = time_point{};
 }
 
+auto engine::on(drain_over&, time_point) -> void
+{
+    m_drain_over = true;
+    m_desk.refuse_all(
+        {entry::refusal_reason::stopping, m_config.desk.retry_after});
+}
+
 auto engine::tick(time_point now) -> void
 {
     note_pause(now);
--- a/src/control/remote_calls.cpp
+++ b/src/control/remote_calls.cpp
@@ -254,6 +254,7 @@
         {
             list_read news;
             news.asked_at = boot_clock::now();
+            news.asked_at = boot_clock::now();
             BOOST_LEAF_CHECK(register_self());
             BOOST_LEAF_ASSIGN(news.list, m_store.instances());
             BOOST_LEAF_ASSIGN(news.registered, registered());
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -162,6 +162,8 @@
             }
             std::this_thread::sleep_for(drain_poll);
         }
+        // Whoever waits still has to be told before the listener can end.
+        m_control.post(control::drain_over{});
         m_callers.stop();
         m_operators.stop();
     }
