Renewed rows tell instances that are gone from those not heard

Cause: claims need half of all instances ever heard. With two of three killed at once, or five of eight, the others claimed nothing for 60 s, until the dead were forgotten. And rows of instances stayed in the table for ever, so that heartbeats went on to addresses of the dead. Ruled out: claims without any majority (an instance that is cut off would take workers from the others in turns); a time of day in the row (clocks). Change: each reading of the list renews the instance's row; a row unchanged for 4 s on the reader's clock, while it reads the table, does not count as an instance out of hearing. Rows unchanged for 10 min are removed at their version; an instance that stops in order removes its own.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -142,6 +142,7 @@
     auto list_age_us(time_point now) const -> std::int64_t;
     auto view(time_point now) const -> ownership::claim_view;
     auto quorate(time_point now) const -> bool;
+    auto known_dead(const membership::member& item) const -> bool;
     auto send_demand(time_point now) -> void;
     auto place(time_point now) -> void;
     auto hand_out(const instance_id& entry,
@@ -178,6 +179,8 @@
     bool m_list_known = false;
     /// When the platform made, at the earliest, the list that we go by.
     time_point m_list_as_of;
+    /// When the table last named the instances.
+    time_point m_table_read;
     bool m_drain_over = false;
     std::map<instance_id, owner_link> m_links;
     std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
--- a/include/pimentoshunt/control/remote_calls.hpp
+++ b/include/pimentoshunt/control/remote_calls.hpp
@@ -12,9 +12,11 @@
 #include <pimentoshunt/plan/plan_cell.hpp>
 #include <pimentoshunt/plan/plan_store.hpp>
 #include <pimentoshunt/platform/http_platform.hpp>
+#include <pimentoshunt/platform/write_id.hpp>
 #include <pimentoshunt/worker/http_worker.hpp>
 
 #include <atomic> // atomic
+#include <map>    // map
 
 namespace pimentoshunt::control
 {
@@ -34,6 +36,10 @@
     /// @param control  gets the answers; need not be constructed yet
     [[nodiscard]] auto starter(control_loop& control) -> call_starter;
 
+    /// @brief Removes this life's row from the table, if it still is there.
+    ///        To be called when nothing else runs; blocks.
+    auto deregister_self() -> void;
+
   private:
     auto fence(control_loop& control, const ownership::fence_call& call)
         -> void;
@@ -45,6 +51,7 @@
     auto read_plan(control_loop& control) -> void;
     auto tend_keys() -> result<void>;
     auto register_self() -> result<void>;
+    auto sweep(const std::vector<platform::row>& rows) -> void;
     auto registered() -> result<std::vector<membership::member>>;
     auto drained() -> result<std::vector<worker_id>>;
 
@@ -58,9 +65,17 @@
     membership::member m_self;
     std::atomic<bool> m_list_running{false};
     std::atomic<bool> m_plan_running{false};
-    std::atomic<bool> m_registered{false};
+    /// A row of an instance, and since when it is as it is.
+    struct row_age
+    {
+        std::string write_id;
+        time_point since;
+    };
+
     /// Used by the call that reads the list, of which there is one at a time.
     time_point m_next_sweep;
+    std::map<std::string, row_age> m_rows;
+    platform::write_id_source m_write_ids;
 };
 
 /// @brief Registers a pool of I/O threads as a service.
--- a/include/pimentoshunt/membership/member_table.hpp
+++ b/include/pimentoshunt/membership/member_table.hpp
@@ -47,6 +47,9 @@
     time_point last_direct;
     /// Latest time at which the table named it, on our clock.
     time_point introduced_at;
+    /// The commit that wrote its row, and when we first saw that one.
+    std::string row_write_id;
+    time_point row_changed_at;
 };
 
 /// @brief Limits by which silence is judged.
@@ -103,6 +106,8 @@
     }
 
   private:
+    auto note_row(member& known, const std::string& write_id, time_point now)
+        -> void;
     auto merge(member news, time_point seen) -> bool;
 
     liveness_limits m_limits;
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -143,6 +143,7 @@
 
 auto engine::on(list_read& news, time_point now) -> void
 {
+    m_table_read = now;
     m_list_as_of = std::max(m_list_as_of, news.asked_at);
     m_keeper.listed(news.list.workers);
     for (const auto& item : m_keeper.workers())
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds list_too_old{2'500};
 /// Between two requests for a fresher list.
 constexpr milliseconds list_request_interval{500};
+/// An instance whose row in the table stays as it is for this long is dead.
+constexpr milliseconds row_silence{4'000};
 
 } // namespace
 
@@ -204,6 +206,15 @@
     return seen;
 }
 
+auto engine::known_dead(const membership::member& item) const -> bool
+{
+    // Rows are renewed with each reading of the list, so a row that stays as
+    // it is while we read the table belongs to an instance that is gone. It
+    // may not be taken for one that is merely out of our hearing.
+    return item.row_changed_at != time_point{} &&
+           m_table_read - item.row_changed_at > row_silence;
+}
+
 auto engine::quorate(time_point now) const -> bool
 {
     std::size_t known = 1;
@@ -211,7 +222,8 @@
     for (const auto& [id, item] : m_members.all())
     {
         const bool ever_heard = item.last_direct != time_point{};
-        if (!ever_heard || item.state == membership::member_state::left)
+        if (!ever_heard || item.state == membership::member_state::left ||
+            known_dead(item))
         {
             continue;
         }
--- a/src/control/remote_calls.cpp
+++ b/src/control/remote_calls.cpp
@@ -20,6 +20,8 @@
 {
 
 constexpr const char* instance_prefix = "instance/";
+/// A row that nobody renews for this long is removed.
+constexpr std::chrono::minutes row_expiry{10};
 constexpr std::size_t scan_limit = 1'000;
 /// Old idempotency keys are looked for this often, so many rows at a time.
 constexpr std::chrono::seconds key_sweep_interval{60};
@@ -64,7 +66,9 @@
                            membership::member self)
     : m_services(services), m_store(store), m_plans(plans), m_workers(workers),
       m_in_force(in_force), m_alive(alive), m_keys(keys),
-      m_self(std::move(self))
+      m_self(std::move(self)),
+      m_write_ids("member-" +
+                  ownership::holder{m_self.id, m_self.incarnation}.str())
 {
 }
 
@@ -206,28 +210,73 @@
 
 auto remote_calls::register_self() -> result<void>
 {
-    if (m_registered)
-    {
-        return {};
-    }
-    const auto name = ownership::holder{m_self.id, m_self.incarnation}.str();
+    // Written anew each time: a row that does not change any more tells the
+    // others that its instance is gone.
     const platform::transaction change{
-        "register-" + name,
+        m_write_ids.next(),
         {{instance_prefix + m_self.id.str(), platform::expect_any,
           membership::serialize(m_self)}}};
     BOOST_LEAF_CHECK(m_store.commit(change));
-    m_registered = true;
     return {};
 }
 
+auto remote_calls::deregister_self() -> void
+{
+    const auto key = instance_prefix + m_self.id.str();
+    leaf::try_handle_all(
+        [&]() -> result<void>
+        {
+            BOOST_LEAF_AUTO(row, m_store.read(key));
+            const auto stored =
+                row ? membership::parse_member(row->value) : std::nullopt;
+            if (stored && stored->incarnation == m_self.incarnation)
+            {
+                BOOST_LEAF_CHECK(m_store.commit(
+                    {m_write_ids.next(), {{key, row->version, std::nullopt}}}));
+            }
+            return {};
+        },
+        [] {});
+}
+
+auto remote_calls::sweep(const std::vector<platform::row>& rows) -> void
+{
+    const auto now = boot_clock::now();
+    std::map<std::string, row_age> seen;
+    for (const auto& row : rows)
+    {
+        const auto known = m_rows.find(row.key);
+        const bool same =
+            known != m_rows.end() && known->second.write_id == row.write_id;
+        const auto since = same ? known->second.since : now;
+        seen.emplace(row.key, row_age{row.write_id, since});
+        if (now - since > row_expiry)
+        {
+            // It is expected at its version: a return of the instance wins.
+            leaf::try_handle_all(
+                [&]() -> result<void>
+                {
+                    BOOST_LEAF_CHECK(m_store.commit(
+                        {m_write_ids.next(),
+                         {{row.key, row.version, std::nullopt}}}));
+                    return {};
+                },
+                [] {});
+        }
+    }
+    m_rows = std::move(seen);
+}
+
 auto remote_calls::registered() -> result<std::vector<membership::member>>
 {
     BOOST_LEAF_AUTO(rows, m_store.scan(instance_prefix, "", scan_limit));
+    sweep(rows);
     std::vector<membership::member> members;
     for (const auto& row : rows)
     {
         if (auto item = membership::parse_member(row.value))
         {
+            item->row_write_id = row.write_id;
             members.push_back(std::move(*item));
         }
     }
@@ -254,7 +303,6 @@
         {
             list_read news;
             news.asked_at = boot_clock::now();
-            news.asked_at = boot_clock::now();
             BOOST_LEAF_CHECK(register_self());
             BOOST_LEAF_ASSIGN(news.list, m_store.instances());
             BOOST_LEAF_ASSIGN(news.registered, registered());
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -46,6 +46,8 @@
     news.last_alive = seen;
     news.last_direct = known.last_direct;
     news.introduced_at = known.introduced_at;
+    news.row_write_id = known.row_write_id;
+    news.row_changed_at = known.row_changed_at;
     known = std::move(news);
     return changed;
 }
@@ -72,18 +74,32 @@
 auto member_table::introduced(member news, time_point now) -> void
 {
     news.introduced_at = now;
+    const auto write_id = std::exchange(news.row_write_id, {});
     const auto found = m_members.find(news.id);
     if (found == m_members.end())
     {
-        m_members.emplace(news.id, std::move(news));
+        const auto id = news.id;
+        note_row(m_members[id] = std::move(news), write_id, now);
         return;
     }
-    if (news.incarnation > found->second.incarnation)
+    auto& known = found->second;
+    if (news.incarnation > known.incarnation)
     {
-        found->second = std::move(news);
-        return;
+        news.row_write_id = known.row_write_id;
+        known = std::move(news);
+    }
+    known.introduced_at = now;
+    note_row(known, write_id, now);
+}
+
+auto member_table::note_row(member& known, const std::string& write_id,
+                            time_point now) -> void
+{
+    if (known.row_write_id != write_id)
+    {
+        known.row_write_id = write_id;
+        known.row_changed_at = now;
     }
-    found->second.introduced_at = now;
 }
 
 auto member_table::own_pause(std::chrono::nanoseconds length) -> void
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -180,6 +180,7 @@
             m_services.remove(name);
         }
         m_system.await_all_actors_done();
+        m_calls.deregister_self();
     }
 
   private:
