An instance that is cut off withdraws its readiness

Cause: cut off from the table and from all others an instance stayed ready, and callers were sent to a plan that might have been replaced. Ruled out: withdrawing while only the table is silent: with the store down for all, every instance would go.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -85,6 +85,13 @@
         return m_config.self.state == membership::member_state::ready;
     }
 
+    /// @brief Whether callers may be sent here: it serves, and is not cut off
+    ///        from both the table and most other instances.
+    [[nodiscard]] auto fit_for_callers() const noexcept -> bool
+    {
+        return ready() && !m_isolated;
+    }
+
   private:
     struct sent_demand
     {
@@ -140,6 +147,7 @@
     auto announce_plan(time_point now) -> void;
     auto plan_message(time_point now, bool list_only) const -> wire::envelope;
     auto list_age_us(time_point now) const -> std::int64_t;
+    auto isolated(time_point now) const -> bool;
     auto view(time_point now) const -> ownership::claim_view;
     auto quorate(time_point now) const -> bool;
     auto known_dead(const membership::member& item) const -> bool;
@@ -181,6 +189,7 @@
     time_point m_list_as_of;
     /// When the table last named the instances.
     time_point m_table_read;
+    bool m_isolated = false;
     bool m_drain_over = false;
     std::map<instance_id, owner_link> m_links;
     std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
--- a/src/control/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -69,7 +69,7 @@
 
 auto control_loop::carry_out(effects wanted) -> void
 {
-    m_ready = m_engine.ready();
+    m_ready = m_engine.fit_for_callers();
     if (wanted.new_plan)
     {
         m_calls.publish(std::move(wanted.new_plan));
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -280,6 +280,7 @@
 auto engine::slow_tick(time_point now) -> void
 {
     m_members.forget_silent(now);
+    m_isolated = isolated(now);
     update_readiness();
     update_links(now);
     const auto seen = view(now);
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds list_too_old{2'500};
 /// Between two requests for a fresher list.
 constexpr milliseconds list_request_interval{500};
+/// Without an answer of the table for this long it counts as out of reach.
+constexpr milliseconds table_silence{5'000};
 /// An instance whose row in the table stays as it is for this long is dead.
 constexpr milliseconds row_silence{4'000};
 
@@ -215,6 +217,12 @@
            m_table_read - item.row_changed_at > row_silence;
 }
 
+auto engine::isolated(time_point now) const -> bool
+{
+    const bool table_silent = now - m_table_read > table_silence;
+    return table_silent && !quorate(now);
+}
+
 auto engine::quorate(time_point now) const -> bool
 {
     std::size_t known = 1;
