--- /dev/null
+++ b/tests/integration/integration-stop.cpp
@@ -0,0 +1,188 @@
+#include "support/balanced_callers.hpp"
+#include "support/operator_calls.hpp"
+#include "support/wait_until.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm> // max, sort
+#include <mutex>     // mutex
+
+using namespace pimentoshunt::testing;
+using pimentoshunt::boot_clock;
+using pimentoshunt::milliseconds;
+
+namespace
+{
+
+constexpr std::int64_t worker_count = 8;
+/// Readiness is withdrawn first; then what is in flight ends.
+constexpr milliseconds stop_bound{10'000};
+constexpr milliseconds ready_bound{12'000};
+
+/// Requests that got no whole answer, or not the worker's.
+auto not_served(const std::vector<call_record>& calls) -> std::string
+{
+    std::string text;
+    for (const auto& call : calls)
+    {
+        if (!call.answered || call.status != 200)
+        {
+            text += call.request_id + ": " + std::to_string(call.status) + " " +
+                    call.transport_error + "\n";
+        }
+    }
+    return text;
+}
+
+auto longest_gap(const evidence& run, std::int64_t after_us) -> milliseconds
+{
+    std::vector<std::int64_t> starts{after_us};
+    for (const auto& event : run.events)
+    {
+        if (event.kind == observed_kind::start && event.at_us > after_us)
+        {
+            starts.push_back(event.at_us);
+        }
+    }
+    std::sort(starts.begin(), starts.end());
+    std::int64_t longest = 0;
+    for (std::size_t i = 1; i < starts.size(); ++i)
+    {
+        longest = std::max(longest, starts[i] - starts[i - 1]);
+    }
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::microseconds(longest));
+}
+
+} // namespace
+
+Test(planned_stop, rolling_over_all_instances_cuts_no_request)
+{
+    cell_options options;
+    options.instances = 3;
+    options.workers_per_process = worker_count;
+    cell whole(options);
+    const auto trouble = start_with_plan(whole, plan_text(), worker_count);
+    cr_assert(trouble.empty(), "%s", trouble.c_str());
+    balanced_options callers;
+    callers.longest_run = milliseconds{200};
+    balanced_callers load(whole, callers);
+    for (std::size_t number = 0; number < whole.instances().size(); ++number)
+    {
+        auto& instance = whole.instances()[number];
+        const auto before = load.served();
+        cr_assert(wait_until(
+            [&]
+            {
+                return load.served() > before + 50;
+            },
+            stop_bound));
+        instance.program.terminate();
+        const auto status = instance.program.wait(stop_bound);
+        cr_assert(status.has_value(), "%s still runs", instance.name.c_str());
+        cr_assert(*status == 0, "it ended with %d", *status);
+        whole.restart_instance(number);
+        cr_assert(whole.wait_ready(number, ready_bound));
+    }
+    const auto calls = load.stop();
+    const auto cut = not_served(calls);
+    cr_assert(cut.empty(), "%s", cut.c_str());
+    const auto violations = check(whole.evidence_with(calls));
+    cr_assert(violations.empty(), "%s", describe(violations).c_str());
+}
+
+Test(planned_stop, workers_are_handed_over_before_the_instance_ends)
+{
+    cell_options options;
+    options.instances = 2;
+    options.workers_per_process = 1;
+    cell whole(options);
+    const auto trouble = start_with_plan(whole, plan_text(), 1);
+    cr_assert(trouble.empty(), "%s", trouble.c_str());
+    const std::size_t owner = held_by(whole.instances()[0]) > 0 ? 0 : 1;
+    balanced_options callers;
+    callers.pause = milliseconds{1};
+    callers.longest_run = milliseconds{10};
+    balanced_callers load(whole, callers);
+    cr_assert(wait_until(
+        [&]
+        {
+            return load.served() > 50;
+        },
+        stop_bound));
+    const auto begun = std::chrono::duration_cast<std::chrono::microseconds>(
+                           boot_clock::now().time_since_epoch())
+                           .count();
+    auto& leaving = whole.instances()[owner];
+    leaving.program.terminate();
+    cr_assert(leaving.program.wait(stop_bound) == 0);
+    const auto after = load.served();
+    cr_assert(wait_until(
+        [&]
+        {
+            return load.served() > after + 50;
+        },
+        stop_bound));
+    const auto calls = load.stop();
+    const auto cut = not_served(calls);
+    cr_assert(cut.empty(), "%s", cut.c_str());
+    // Less than the silence after which an instance counts as dead.
+    constexpr milliseconds hand_over_bound{800};
+    const auto gap = longest_gap(whole.evidence_with(calls), begun);
+    cr_assert(gap < hand_over_bound, "no start for %ld ms", gap.count());
+}
+
+Test(planned_stop, requests_that_wait_get_their_final_answer)
+{
+    cell_options options;
+    options.instances = 2;
+    options.workers_per_process = 1;
+    options.worker_flags = {"--slots=1"};
+    options.settings = {{"drain_timeout_ms", 3'000}};
+    cell whole(options);
+    plan_service service;
+    service.deadline = milliseconds{30'000};
+    const auto trouble = start_with_plan(whole, plan_text(service), 1);
+    cr_assert(trouble.empty(), "%s", trouble.c_str());
+    auto& leaving = whole.instances()[0];
+    std::vector<call_record> calls;
+    std::mutex mutex;
+    std::vector<std::jthread> callers;
+    constexpr int waiting = 10;
+    for (int i = 0; i < waiting; ++i)
+    {
+        callers.emplace_back(
+            [&, i]
+            {
+                call_spec spec;
+                spec.request_id = "q" + std::to_string(i);
+                spec.rest = "x?run_ms=2000";
+                spec.body = spec.request_id;
+                const auto record = call(leaving.caller_port, spec);
+                const std::lock_guard lock(mutex);
+                calls.push_back(record);
+            });
+    }
+    cr_assert(wait_until(
+        [&]
+        {
+            return waiting_at(leaving) == waiting - 1;
+        },
+        stop_bound));
+    leaving.program.terminate();
+    cr_assert(leaving.program.wait(stop_bound) == 0);
+    callers.clear();
+    int served = 0;
+    for (const auto& item : calls)
+    {
+        cr_assert(item.answered, "%s: %s", item.request_id.c_str(),
+                  item.transport_error.c_str());
+        served += item.status == 200 ? 1 : 0;
+        cr_assert(item.status == 200 ||
+                  (item.ran == ran_claim::no && item.has_retry_after));
+    }
+    cr_assert(served >= 2);
+    cr_assert(served < waiting);
+    const auto violations = check(whole.evidence_with(calls));
+    cr_assert(violations.empty(), "%s", describe(violations).c_str());
+}
