--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -95,6 +95,13 @@
         return m_config.self.state == membership::member_state::ready;
     }
 
+    /// @brief Whether callers may be sent here: it serves, and is not cut off
+    ///        from both the table and most other instances.
+    [[nodiscard]] auto fit_for_callers() const noexcept -> bool
+    {
+        return ready() && !m_isolated;
+    }
+
   private:
     struct sent_demand
     {
@@ -125,12 +132,16 @@
     auto on(plan_read& news, time_point now) -> void;
     auto on(plan_accepted& news, time_point now) -> void;
     auto on(drain_begun& news, time_point now) -> void;
+    auto on(drain_over& news, time_point now) -> void;
     auto on(status_wanted& news, time_point now) -> void;
     auto on(jobs::desk_event& news, time_point now) -> void;
     auto on(job_announced& news, time_point now) -> void;
 
     auto on_beat(const wire::envelope& message, time_point now) -> void;
     auto on_plan_text(const wire::plan_text& message, time_point now) -> void;
+    auto take_list(const wire::plan_text& message, time_point now) -> void;
+    auto want_list(const instance_id& sender, std::int64_t age_us,
+                   time_point now) -> void;
     auto on_demand(const wire::envelope& message, time_point now) -> void;
     auto on_grants(const wire::envelope& message, time_point now) -> void;
     auto on_releases(const wire::releases& message, time_point now) -> void;
@@ -146,10 +157,13 @@
     auto update_gauges(time_point now) -> void;
     auto update_readiness() -> void;
     auto adopt(plan::plan_ptr newer) -> void;
-    auto announce_plan() -> void;
-    auto plan_message() const -> wire::envelope;
+    auto announce_plan(time_point now) -> void;
+    auto plan_message(time_point now, bool list_only) const -> wire::envelope;
+    auto list_age_us(time_point now) const -> std::int64_t;
+    auto isolated(time_point now) const -> bool;
     auto view(time_point now) const -> ownership::claim_view;
     auto quorate(time_point now) const -> bool;
+    auto known_dead(const membership::member& item) const -> bool;
     auto send_demand(time_point now) -> void;
     auto bind(const entry::grant& item, time_point now) -> bool;
     auto collect_jobs(time_point now) -> void;
@@ -190,6 +204,12 @@
     time_point m_plan_confirmed;
     bool m_plan_known = false;
     bool m_list_known = false;
+    /// When the platform made, at the earliest, the list that we go by.
+    time_point m_list_as_of;
+    /// When the table last named the instances.
+    time_point m_table_read;
+    bool m_isolated = false;
+    bool m_drain_over = false;
     std::map<instance_id, owner_link> m_links;
     std::unordered_map<instance_id, std::vector<wire::release>> m_returns;
     std::vector<std::string> m_greeted;
@@ -208,6 +228,7 @@
     time_point m_next_plan_request;
     time_point m_next_checkpoint;
     time_point m_next_gauges;
+    time_point m_next_list_request;
 };
 
 } // namespace pimentoshunt::control
--- a/include/pimentoshunt/control/events.hpp
+++ b/include/pimentoshunt/control/events.hpp
@@ -78,6 +78,8 @@
 struct list_read
 {
     platform::instance_list list;
+    /// When the question was sent.
+    time_point asked_at;
     /// Instances that registered themselves in the table.
     std::vector<membership::member> registered;
     /// Workers that the operators drain.
@@ -112,6 +114,11 @@
     bool cancelled = false;
 };
 
+/// @brief The time for draining is over: whatever waits still is refused.
+struct drain_over
+{
+};
+
 /// @brief Somebody wants to see the state.
 struct status_wanted
 {
@@ -121,7 +128,7 @@
 using event =
     std::variant<peer_message, request_arrived, request_cancelled,
                  attempt_ended, fence_ended, inspection_ended, revocation_ended,
-                 list_read, plan_read, plan_accepted, drain_begun,
+                 list_read, plan_read, plan_accepted, drain_begun, drain_over,
                  status_wanted, jobs::desk_event, job_announced>;
 
 } // namespace pimentoshunt::control
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -52,7 +52,8 @@
         on_beat(message, now);
         break;
     case wire::envelope::kPlanWanted:
-        send_to(instance_id(message.from()), plan_message());
+        send_to(instance_id(message.from()),
+                plan_message(now, message.plan_wanted().list_only()));
         break;
     case wire::envelope::kPlan:
         on_plan_text(message.plan(), now);
@@ -75,19 +76,10 @@
     }
 }
 
-auto engine::on_plan_text(const wire::plan_text& message, time_point) -> void
+auto engine::on_plan_text(const wire::plan_text& message, time_point now)
+    -> void
 {
-    if (!m_list_known && message.workers_size() > 0)
-    {
-        std::vector<worker::description> workers;
-        for (const auto& item : message.workers())
-        {
-            workers.push_back(transport::from_wire(item));
-        }
-        m_keeper.listed(workers);
-        m_list_known = true;
-        m_membership_changed = true;
-    }
+    take_list(message, now);
     if (message.revision() <= m_plan->revision)
     {
         return;
@@ -115,6 +107,12 @@
 
 auto engine::on(request_arrived& news, time_point now) -> void
 {
+    if (m_drain_over)
+    {
+        news.item->settle(entry::refusal{entry::refusal_reason::stopping,
+                                         m_config.desk.retry_after});
+        return;
+    }
     m_desk.arrived(news.item, now);
     m_demand_changed = true;
 }
@@ -151,6 +149,8 @@
 
 auto engine::on(list_read& news, time_point now) -> void
 {
+    m_table_read = now;
+    m_list_as_of = std::max(m_list_as_of, news.asked_at);
     m_keeper.listed(news.list.workers);
     for (const auto& item : m_keeper.workers())
     {
@@ -184,13 +184,13 @@
     }
 }
 
-auto engine::on(plan_accepted& news, time_point) -> void
+auto engine::on(plan_accepted& news, time_point now) -> void
 {
     m_plan_confirmed = std::max(m_plan_confirmed, news.asked_at);
     if (news.accepted->revision > m_plan->revision)
     {
         adopt(news.accepted);
-        announce_plan();
+        announce_plan(now);
     }
 }
 
@@ -206,21 +206,26 @@
     m_capacity_changed = true;
 }
 
-auto engine::announce_plan() -> void
+auto engine::announce_plan(time_point now) -> void
 {
     for (const auto& [id, item] : m_members.all())
     {
-        send_to(id, plan_message());
+        send_to(id, plan_message(now, false));
     }
 }
 
-auto engine::plan_message() const -> wire::envelope
+auto engine::plan_message(time_point now, bool list_only) const
+    -> wire::envelope
 {
     wire::envelope message;
     auto* const body = message.mutable_plan();
-    body->set_revision(m_plan->revision);
-    body->set_text(m_plan->text);
-    for (const auto& item : m_keeper.workers())
+    if (!list_only)
+    {
+        body->set_revision(m_plan->revision);
+        body->set_text(m_plan->text);
+    }
+    body->set_list_age_us(list_age_us(now));
+    for (const auto& item : m_keeper.listed_workers())
     {
         *body->add_workers() = transport::to_wire(item);
     }
@@ -251,6 +256,13 @@
     m_next_beat = time_point{};
 }
 
+auto engine::on(drain_over&, time_point) -> void
+{
+    m_drain_over = true;
+    m_desk.refuse_all(
+        {entry::refusal_reason::stopping, m_config.desk.retry_after});
+}
+
 auto engine::tick(time_point now) -> void
 {
     note_pause(now);
@@ -292,6 +304,7 @@
 auto engine::slow_tick(time_point now) -> void
 {
     m_members.forget_silent(now);
+    m_isolated = isolated(now);
     update_readiness();
     update_links(now);
     const auto seen = view(now);
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -170,6 +170,8 @@
             }
             std::this_thread::sleep_for(drain_poll);
         }
+        // Whoever waits still has to be told before the listener can end.
+        m_control.post(control::drain_over{});
         m_callers.stop();
         m_operators.stop();
     }
@@ -187,6 +189,7 @@
             m_services.remove(name);
         }
         m_system.await_all_actors_done();
+        m_calls.deregister_self();
     }
 
   private:
