Look workloads and tenants up once a decision; keep totals clear of overdrawn workers

Change: facts for each workload and tenant once a call; a line that exceeds the whole free total is not searched for; overdrawn workers add nothing free.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -234,7 +234,22 @@
     std::uint64_t m_attempts = 0;
 };
 
-/// @brief The worst case of the index: each resource is free on half of the
+/// @brief Time to find that no worker has 8 cores and 32,000 MB.
+auto time_of_vain_search(const capacity_ledger& accounts) -> outcome
+{
+    std::vector<double> times;
+    times.reserve(rounds_of_scan);
+    for (int i = 0; i < rounds_of_scan; ++i)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        const auto* const found = accounts.best_fit(
+            {1, 8'000, 32'000, 0}, ledger::accelerator_use::allow);
+        times.push_back(found == nullptr ? nanoseconds_since(begin) : 0);
+    }
+    return summary(accounts.accounts().size(), times);
+}
+
+/// @brief Each resource is free on half of the
 ///        workers, both together on none.
 auto search_in_vain(std::size_t workers) -> outcome
 {
@@ -249,16 +264,30 @@
                                : resources{1, 1'000, 63'000, 0};
         accounts.take(worker_id("worker-" + std::to_string(i)), item);
     }
-    std::vector<double> times;
-    times.reserve(rounds_of_scan);
-    for (int i = 0; i < rounds_of_scan; ++i)
+    return time_of_vain_search(accounts);
+}
+
+/// @brief The worst case for the bounds: workers without a connection left
+///        stand among workers without memory in the order of the index.
+auto search_in_worst_order(std::size_t workers, unsigned seed) -> outcome
+{
+    std::mt19937_64 random(seed);
+    capacity_ledger accounts;
+    for (std::size_t i = 0; i < workers; ++i)
     {
-        const auto begin = std::chrono::steady_clock::now();
-        const auto* const found = accounts.best_fit(
-            {1, 8'000, 32'000, 0}, ledger::accelerator_use::allow);
-        times.push_back(found == nullptr ? nanoseconds_since(begin) : 0);
+        const bool no_connection = i % 2 == 0;
+        worker::description made;
+        made.id = worker_id("worker-" + std::to_string(i));
+        made.capacity = {8, 16'000, 64'000, 0};
+        made.connections = no_connection ? 1 : 64;
+        accounts.open(made, 1, {}, {});
+        ledger::holding item;
+        item.attempt = attempt_id(std::to_string(i));
+        item.each = {1, static_cast<std::int64_t>(random() % 4'000),
+                     no_connection ? 1'000 : 63'000, 0};
+        accounts.take(made.id, item);
     }
-    return summary(workers, times);
+    return time_of_vain_search(accounts);
 }
 
 auto report(const char* name, const outcome& result, double base_ns)
@@ -312,6 +341,13 @@
         all.push_back(report("in vain", result, base_ns));
     }
     base_ns = 0;
+    for (const std::size_t workers : {48, 480, 4'800, 26'000})
+    {
+        const auto result = search_in_worst_order(workers, seed);
+        base_ns = base_ns > 0 ? base_ns : result.mean_ns;
+        all.push_back(report("worst", result, base_ns));
+    }
+    base_ns = 0;
     for (const std::size_t workers : {48, 480, 4'800})
     {
         const auto result =
--- a/include/pimentoshunt/policy/grant_picker.hpp
+++ b/include/pimentoshunt/policy/grant_picker.hpp
@@ -88,6 +88,8 @@
     std::int64_t left = 0;
     /// Units already placed.
     std::int64_t placed = 0;
+    /// Of its workload, in @ref pick_facts.
+    std::size_t facts = 0;
 
     /// @brief For a heap whose top is the most urgent.
     friend auto operator<(const candidate& left, const candidate& right) -> bool
@@ -97,6 +99,21 @@
     }
 };
 
+/// @brief What one call looks up once for each workload and tenant.
+struct pick_facts
+{
+    struct workload_facts
+    {
+        bool is_long = false;
+        std::size_t tenant = 0;
+    };
+
+    std::unordered_map<const plan::workload*, std::size_t> by_workload;
+    std::unordered_map<tenant_name, std::size_t> by_tenant;
+    std::vector<workload_facts> workloads;
+    std::vector<tenant_position> tenants;
+};
+
 /// @brief What one decision has to leave free.
 struct kept_rooms
 {
@@ -198,14 +215,19 @@
 
     auto begin(const ledger::capacity_ledger& accounts,
                const std::vector<demand_line>& lines,
-               const resources& short_use, time_point now) -> heap;
+               const resources& short_use, detail::pick_facts& facts,
+               time_point now) -> heap;
+    auto facts_of(const ledger::capacity_ledger& accounts,
+                  const plan::workload& workload,
+                  detail::pick_facts& facts) const -> std::size_t;
+    [[nodiscard]] static auto urgency_of(const tenant_position& tenant,
+                                         const demand_line& line,
+                                         std::int64_t placed, time_point now)
+        -> detail::urgency;
     [[nodiscard]] auto runs_long(const plan::workload& workload) const -> bool;
     auto refresh_long() -> void;
-    [[nodiscard]] auto urgency_of(const ledger::capacity_ledger& accounts,
-                                  const demand_line& line, std::int64_t placed,
-                                  time_point now) const -> detail::urgency;
     [[nodiscard]] auto place_for(const ledger::capacity_ledger& accounts,
-                                 const plan::workload& workload,
+                                 const plan::workload& workload, bool is_long,
                                  const detail::kept_rooms& kept) const
         -> const worker_id*;
     auto keep_gang_room(const ledger::capacity_ledger& accounts,
@@ -239,7 +261,8 @@
                         time_point now) -> void
 {
     const auto short_use = short_in_use(accounts);
-    auto waiting = begin(accounts, lines, short_use, now);
+    detail::pick_facts facts;
+    auto waiting = begin(accounts, lines, short_use, facts, now);
     detail::kept_rooms kept;
     kept.for_short = m_reserve.room(short_use, now);
     while (!waiting.empty())
@@ -248,7 +271,9 @@
         waiting.pop();
         const auto& line = lines[next.line];
         const auto& workload = *line.workload;
-        const auto key = urgency_of(accounts, line, next.placed, now);
+        const auto& known = facts.workloads[next.facts];
+        auto& tenant = facts.tenants[known.tenant];
+        const auto key = urgency_of(tenant, line, next.placed, now);
         if (next.key < key)
         {
             // its tenant got more since the key was made
@@ -256,7 +281,8 @@
             waiting.push(next);
             continue;
         }
-        const auto* const worker = place_for(accounts, workload, kept);
+        const auto* const worker =
+            place_for(accounts, workload, known.is_long, kept);
         if (worker == nullptr)
         {
             keep_gang_room(accounts, next, workload, kept);
@@ -266,11 +292,12 @@
         {
             continue;
         }
+        tenant.used += workload.each;
         ++next.placed;
         --next.left;
         if (next.left > 0)
         {
-            next.key = urgency_of(accounts, line, next.placed, now);
+            next.key = urgency_of(tenant, line, next.placed, now);
             waiting.push(next);
         }
     }
--- a/include/pimentoshunt/policy/tenant_shares.hpp
+++ b/include/pimentoshunt/policy/tenant_shares.hpp
@@ -20,6 +20,19 @@
     resources in_use;
 };
 
+/// @brief A tenant's quota and what it holds, for repeated questions.
+struct tenant_position
+{
+    /// All zero without a quota.
+    resources quota;
+    resources used;
+
+    /// @brief Use with @p more as a share of the quota.
+    /// @return the largest share over all resources that the quota limits;
+    ///         above 1 it is over; 0 without a quota
+    [[nodiscard]] auto share(const resources& more) const -> double;
+};
+
 /// @brief Quotas and the usage that other owners report.
 class tenant_shares
 {
@@ -30,12 +43,10 @@
     /// @brief Takes what other owners report in place of all earlier reports.
     auto set_usage_elsewhere(const std::vector<tenant_usage>& usages) -> void;
 
-    /// @brief The tenant's use with @p more, as a share of its quota.
-    /// @return the largest share over all resources that the quota limits;
-    ///         above 1 it is over; 0 without a quota
-    [[nodiscard]] auto share(const ledger::capacity_ledger& accounts,
-                             const tenant_name& tenant,
-                             const resources& more) const -> double;
+    /// @brief Where the tenant stands now, here and elsewhere.
+    [[nodiscard]] auto position(const ledger::capacity_ledger& accounts,
+                                const tenant_name& tenant) const
+        -> tenant_position;
 
   private:
     std::unordered_map<tenant_name, resources> m_quotas;
--- a/src/capacity_ledger.cpp
+++ b/src/capacity_ledger.cpp
@@ -13,6 +13,12 @@
             account.worker.capacity.accelerators > 0};
 }
 
+/// @brief What the account adds to the free total.
+auto free_of(const worker_account& account) -> resources
+{
+    return account.free.negative() ? resources{} : account.free;
+}
+
 template<class Usages, class Name>
 auto add_use(Usages& usages, const Name& name, const resources& each) -> void
 {
@@ -84,10 +90,11 @@
     {
         return false;
     }
+    m_free -= free_of(*account);
     account->free -= item.each;
     account->holdings.emplace(item.attempt, item);
     note_taken(item);
-    m_free -= item.each;
+    m_free += free_of(*account);
     if (account->accepts == intake::probe)
     {
         set_intake(id, intake::closed);
@@ -113,12 +120,14 @@
         return false;
     }
     const auto item = found->second;
+    const auto before = free_of(*account);
     account->free += item.each;
     account->holdings.erase(found);
     note_released(item);
     if (account->accepting())
     {
-        m_free += item.each;
+        m_free -= before;
+        m_free += free_of(*account);
         move_place(*account);
     }
     return true;
@@ -183,7 +192,7 @@
     {
         return;
     }
-    m_free += account.free;
+    m_free += free_of(account);
     m_capacity += account.worker.capacity;
     account.place = m_index.insert(account.worker.id, room_of(account));
 }
@@ -194,7 +203,7 @@
     {
         return;
     }
-    m_free -= account.free;
+    m_free -= free_of(account);
     m_capacity -= account.worker.capacity;
     m_index.erase(account.place);
     account.place = free_index::none;
--- a/src/policy/grant_picker.cpp
+++ b/src/policy/grant_picker.cpp
@@ -172,30 +172,60 @@
 
 auto grant_picker::begin(const ledger::capacity_ledger& accounts,
                          const std::vector<demand_line>& lines,
-                         const resources& short_use, time_point now) -> heap
+                         const resources& short_use, detail::pick_facts& facts,
+                         time_point now) -> heap
 {
-    const auto waits = short_waiting(lines, run_duration(0), now);
-    const auto use = short_use + scaled(waits, m_cell_share);
-    m_reserve.note(smaller(use, accounts.capacity_total()), now);
+    resources waits;
     std::vector<detail::candidate> live;
     live.reserve(lines.size());
     for (std::size_t i = 0; i < lines.size(); ++i)
     {
-        if (lines[i].count > 0 && lines[i].deadline > now)
+        const auto& line = lines[i];
+        if (line.count <= 0 || line.deadline <= now)
+        {
+            continue;
+        }
+        const auto& workload = *line.workload;
+        const auto index = facts_of(accounts, workload, facts);
+        const auto& known = facts.workloads[index];
+        const auto key = urgency_of(facts.tenants[known.tenant], line, 0, now);
+        live.push_back({key, i, line.count, 0, index});
+        if (workload.cls == plan::work_class::service && !known.is_long)
         {
-            live.push_back(
-                {urgency_of(accounts, lines[i], 0, now), i, lines[i].count});
+            waits += scaled(workload.each, static_cast<double>(line.count));
         }
     }
+    const auto use = short_use + scaled(waits, m_cell_share);
+    m_reserve.note(smaller(use, accounts.capacity_total()), now);
     return heap({}, std::move(live));
 }
 
-auto grant_picker::urgency_of(const ledger::capacity_ledger& accounts,
+auto grant_picker::facts_of(const ledger::capacity_ledger& accounts,
+                            const plan::workload& workload,
+                            detail::pick_facts& facts) const -> std::size_t
+{
+    const auto next = facts.workloads.size();
+    const auto entry = facts.by_workload.try_emplace(&workload, next);
+    if (!entry.second)
+    {
+        return entry.first->second;
+    }
+    const auto tenant =
+        facts.by_tenant.try_emplace(workload.tenant, facts.tenants.size());
+    if (tenant.second)
+    {
+        facts.tenants.push_back(m_shares.position(accounts, workload.tenant));
+    }
+    facts.workloads.push_back({is_long(workload), tenant.first->second});
+    return next;
+}
+
+auto grant_picker::urgency_of(const tenant_position& tenant,
                               const demand_line& line, std::int64_t placed,
-                              time_point now) const -> detail::urgency
+                              time_point now) -> detail::urgency
 {
     const auto& workload = *line.workload;
-    const auto share = m_shares.share(accounts, workload.tenant, workload.each);
+    const auto share = tenant.share(workload.each);
     detail::urgency key;
     key.rank = workload.cls == plan::work_class::service ? 0 : 1;
     key.priority = workload.priority;
@@ -209,7 +239,7 @@
 }
 
 auto grant_picker::place_for(const ledger::capacity_ledger& accounts,
-                             const plan::workload& workload,
+                             const plan::workload& workload, bool is_long,
                              const detail::kept_rooms& kept) const
     -> const worker_id*
 {
@@ -218,7 +248,11 @@
     {
         return nullptr;
     }
-    if (!is_long(workload))
+    if (!workload.each.fits_in(accounts.free_total()))
+    {
+        return nullptr;
+    }
+    if (!is_long)
     {
         return accounts.best_fit(workload.each, accelerator_use::allow);
     }
@@ -255,7 +289,11 @@
                             time_point now) const -> std::vector<work_ahead>
 {
     const demand_line arrival{{}, &workload, 1, deadline, now};
-    const auto own = urgency_of(accounts, arrival, 0, now);
+    const auto position = [&](const plan::workload& of)
+    {
+        return m_shares.position(accounts, of.tenant);
+    };
+    const auto own = urgency_of(position(workload), arrival, 0, now);
     std::vector<work_ahead> ahead;
     for (const auto& line : lines)
     {
@@ -263,8 +301,9 @@
         {
             continue;
         }
-        auto last = urgency_of(accounts, line, line.count - 1, now);
-        auto first = urgency_of(accounts, line, 0, now);
+        const auto tenant = position(*line.workload);
+        const auto last = urgency_of(tenant, line, line.count - 1, now);
+        const auto first = urgency_of(tenant, line, 0, now);
         if (last < own)
         {
             ahead.push_back({line.workload, line.count});
@@ -319,7 +358,8 @@
                 continue;
             }
             const auto& workload = known->workload;
-            const auto share = m_shares.share(accounts, workload.tenant, {});
+            const auto share =
+                m_shares.position(accounts, workload.tenant).share({});
             choices.push_back({share > 1.0,
                                workload.priority,
                                item.granted_at,
--- a/src/policy/tenant_shares.cpp
+++ b/src/policy/tenant_shares.cpp
@@ -38,26 +38,30 @@
     }
 }
 
-auto tenant_shares::share(const ledger::capacity_ledger& accounts,
-                          const tenant_name& tenant,
-                          const resources& more) const -> double
+auto tenant_shares::position(const ledger::capacity_ledger& accounts,
+                             const tenant_name& tenant) const -> tenant_position
 {
     const auto quota = m_quotas.find(tenant);
     if (quota == m_quotas.end())
     {
-        return 0;
+        return {};
     }
-    auto used = accounts.used_by(tenant).total + more;
+    tenant_position now{quota->second, accounts.used_by(tenant).total};
     const auto elsewhere = m_elsewhere.find(tenant);
     if (elsewhere != m_elsewhere.end())
     {
-        used += elsewhere->second;
+        now.used += elsewhere->second;
     }
-    const auto& most = quota->second;
-    return std::max({share_of(used.slots, most.slots),
-                     share_of(used.millicpus, most.millicpus),
-                     share_of(used.memory_mb, most.memory_mb),
-                     share_of(used.accelerators, most.accelerators)});
+    return now;
+}
+
+auto tenant_position::share(const resources& more) const -> double
+{
+    const auto all = used + more;
+    return std::max({share_of(all.slots, quota.slots),
+                     share_of(all.millicpus, quota.millicpus),
+                     share_of(all.memory_mb, quota.memory_mb),
+                     share_of(all.accelerators, quota.accelerators)});
 }
 
 } // namespace pimentoshunt::policy
--- a/tests/unit-ledger.cpp
+++ b/tests/unit-ledger.cpp
@@ -136,6 +136,22 @@
     cr_assert(accounts.used_by_workload().empty());
 }
 
+Test(ledger, a_report_above_capacity_takes_nothing_from_other_workers)
+{
+    capacity_ledger accounts;
+    worker::running_attempt wide;
+    wide.attempt = attempt_id("wide");
+    wide.each = {9, 0, 0, 0};
+    accounts.open(machine(1), 1, {wide}, {});
+    accounts.open(machine(2), 1, {}, {});
+    cr_assert(accounts.find(worker_id("w1"))->free.negative());
+    cr_assert(accounts.free_total().slots == 8);
+    cr_assert(*accounts.best_fit({1, 0, 0, 0}, accelerator_use::allow) ==
+              worker_id("w2"));
+    cr_assert(accounts.release(worker_id("w1"), wide.attempt));
+    cr_assert(accounts.free_total().slots == 16);
+}
+
 Test(ledger, totals_index_and_limits_hold_in_random_runs)
 {
     for (unsigned seed = 1; seed <= 5; ++seed)
