--- a/tests/integration/integration-capacity.cpp
+++ b/tests/integration/integration-capacity.cpp
@@ -63,14 +63,26 @@
     cr_assert(run.wait_held("i0", true), "it gets no workers back");
 }
 
-Test(capacity, owner_killed_with_requests_running)
+Test(capacity, owner_killed_with_work_that_outlasts_its_takeover)
 {
     cell_run run(small_cell());
-    begin_mixed(run, long_load(run, "kill"));
-    cr_assert(run.wait_running(15));
+    auto lasting = run.load("lasting");
+    // The entries live, the owner of some of their workers doesn't.
+    lasting.ports.erase(lasting.ports.begin());
+    lasting.callers = 16;
+    lasting.requests_per_caller = 1;
+    lasting.shortest_run = milliseconds(3'000);
+    lasting.longest_run = milliseconds(3'500);
+    auto short_work = run.load("short");
+    short_work.ports = lasting.ports;
+    short_work.callers = 30;
+    short_work.requests_per_caller = 8;
+    run.begin(lasting);
+    cr_assert(run.wait_running(12));
     run.parts().instances().front().program.kill();
+    run.begin(short_work);
     cr_assert(run.wait_held("i0", false), "nobody takes over");
-    run.judge(70);
+    run.judge(100);
 }
 
 Test(capacity, owner_paused_while_the_table_is_down)
