One heartbeat told in a circle is no sign of life

Cause: relays tell the age of what they know, and each adds the time under way. Instances that relay the same heartbeat to each other made it younger with every round; where messages take long, an instance that is gone stays alive for long. Ruled out: dropping relays (they hide one-way cuts); a shorter silence. Change: heartbeats are numbered by their sender; only a later one refreshes.

--- a/bench/recovery_bench.cpp
+++ b/bench/recovery_bench.cpp
@@ -184,6 +184,12 @@
     const auto end = boot_clock::now();
     if (!taken_over)
     {
+        std::printf(
+            "%s, seed %lu: %s\n", name.c_str(), seed,
+            boost::json::serialize(
+                status_of(
+                    whole.instances()[(lost.front() + 1) % instance_count]))
+                .c_str());
         note(all, name + ": not taken over", "runs", 1);
     }
     note(all, name + ": until all workers are held", "ms", since(begun));
--- a/include/pimentoshunt/membership/member_table.hpp
+++ b/include/pimentoshunt/membership/member_table.hpp
@@ -38,6 +38,8 @@
     std::string http_address;
     data_centre_name data_centre;
     member_state state = member_state::joining;
+    /// Grows with each heartbeat: an echo of an older one is no sign of life.
+    std::uint64_t sequence = 0;
     std::uint64_t plan_revision = 0;
     std::int64_t workers_held = 0;
     std::int64_t free_slots = 0;
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -248,6 +248,7 @@
         static_cast<std::int64_t>(m_keeper.ledger().accounts().size());
     m_config.self.free_slots = m_keeper.ledger().free_total().slots;
     m_config.self.last_alive = now;
+    ++m_config.self.sequence;
     m_desk.owner_alive(self_id(), m_config.self.free_slots);
     wire::envelope message;
     auto* const body = message.mutable_beat();
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -38,7 +38,10 @@
         return false;
     }
     const bool reborn = news.incarnation > known.incarnation;
-    if (!reborn && seen < known.last_alive)
+    const bool older =
+        news.sequence < known.sequence ||
+        (news.sequence == known.sequence && seen < known.last_alive);
+    if (!reborn && older)
     {
         return false;
     }
@@ -68,6 +71,15 @@
 auto member_table::relayed(member news, std::chrono::microseconds age,
                            time_point now) -> bool
 {
+    // Each relay adds the time that the message was under way: the same
+    // heartbeat, told in a circle, would seem younger with every round.
+    const auto* const known = find(news.id);
+    if (known != nullptr && known->last_alive != time_point{} &&
+        known->incarnation == news.incarnation &&
+        news.sequence <= known->sequence)
+    {
+        return false;
+    }
     return merge(std::move(news), now - age);
 }
 
--- a/src/transport/wire_codec.cpp
+++ b/src/transport/wire_codec.cpp
@@ -40,6 +40,7 @@
     message.set_data_centre(item.data_centre.str());
     message.set_state(static_cast<std::uint32_t>(item.state));
     message.set_plan_revision(item.plan_revision);
+    message.set_sequence(item.sequence);
     message.set_age_us(to_us(now - item.last_alive));
     message.set_workers_held(item.workers_held);
     message.mutable_free()->set_slots(item.free_slots);
@@ -59,6 +60,7 @@
                      ? static_cast<membership::member_state>(message.state())
                      : membership::member_state::joining;
     item.plan_revision = message.plan_revision();
+    item.sequence = message.sequence();
     item.workers_held = message.workers_held();
     item.free_slots = message.free().slots();
     return item;
