Checkpoint restartable batch for waiting short work

Cause: the picker names candidates only when told that they are acted on, and nobody told it; a checkpoint was not noted in the ledger. Ruled out: stopping work that may run once. Change: the option is on, the ledger notes it, a task may be stopped often without failing its job.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -167,6 +167,8 @@
     auto send_demand(time_point now) -> void;
     auto bind(const entry::grant& item, time_point now) -> bool;
     auto collect_jobs(time_point now) -> void;
+    [[nodiscard]] auto restartable(const ledger::worker_account& account,
+                                   const attempt_id& attempt) const -> bool;
     auto make_room(const std::vector<policy::demand_line>& lines,
                    time_point now) -> void;
     auto place(time_point now) -> void;
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -18,6 +18,14 @@
 /// Grants that an entry did not confirm in this time were lost.
 constexpr milliseconds grant_timeout{1'000};
 
+/// Batch work is checkpointed where the picker names it: see make_room().
+auto picker_options() -> policy::grant_picker_options
+{
+    policy::grant_picker_options options;
+    options.checkpoints = true;
+    return options;
+}
+
 } // namespace
 
 engine::engine(engine_config config, time_point now)
@@ -27,6 +35,7 @@
       m_board(grant_timeout), m_desk(m_config.desk, m_config.self.incarnation),
       m_jobs(m_config.self.id, jobs::desk_times{},
              static_cast<std::uint32_t>(m_config.self.incarnation)),
+      m_picker(picker_options()),
       m_plan(std::make_shared<plan::revisioned_plan>()), m_last_tick(now)
 {
     m_desk.owner_alive(self_id(), 0);
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -178,6 +178,19 @@
     m_demand_changed |= m_jobs.take_demand_changed();
 }
 
+auto engine::restartable(const ledger::worker_account& account,
+                         const attempt_id& attempt) const -> bool
+{
+    const auto held = account.holdings.find(attempt);
+    if (held == account.holdings.end())
+    {
+        return false;
+    }
+    // Work that may run only once is not stopped for others' sake.
+    const auto* const workload = m_plan->parsed.find(held->second.workload);
+    return workload != nullptr && workload->idempotent;
+}
+
 auto engine::make_room(const std::vector<policy::demand_line>& lines,
                        time_point now) -> void
 {
@@ -191,8 +204,9 @@
     for (const auto& item : chosen)
     {
         const auto* const account = m_keeper.ledger().find(item.worker);
-        if (account != nullptr)
+        if (account != nullptr && restartable(*account, item.attempt))
         {
+            m_keeper.ledger().note_checkpoint(item.worker, item.attempt);
             m_effects.checkpoints.push_back({account->worker, item.attempt});
         }
     }
--- a/src/jobs/job_desk.cpp
+++ b/src/jobs/job_desk.cpp
@@ -14,6 +14,16 @@
 /// Jobs wait for as long as it takes; among them the earlier goes first.
 constexpr std::chrono::hours no_deadline{24 * 365};
 
+/// A task may be checkpointed for the sake of others many times.
+constexpr int stops_of_one_task = 1'000;
+
+auto make_limits() -> tracker_limits
+{
+    tracker_limits limits;
+    limits.stopped_attempts = stops_of_one_task;
+    return limits;
+}
+
 auto to_outcome(attempt_outcome outcome) -> ownership::attempt_outcome
 {
     switch (outcome)
@@ -115,7 +125,7 @@
     const auto seed = m_seed + static_cast<std::uint32_t>(news.partition);
     owned_partition owned{
         *news.state,
-        job_tracker(news.partition, news.state->epoch, tracker_limits{}, seed),
+        job_tracker(news.partition, news.state->epoch, make_limits(), seed),
         now + m_times.read_interval};
     auto& added =
         m_owned.emplace(news.partition, std::move(owned)).first->second;
