Heartbeats relay a few members in turn; the actor system's scheduler sleeps

Cause: each heartbeat told of all members, so an instance's bytes grew with the square of their number (316 B/s times N squared, docs/CAPACITY.md); the actor system's scheduler threads poll, one a core, though services have their own. Change: three members a heartbeat in turn; one sleeping scheduler thread.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -151,6 +151,7 @@
 
     auto note_pause(time_point now) -> void;
     auto beat(time_point now) -> void;
+    auto add_relayed(wire::heartbeat& body, time_point now) -> void;
     auto slow_tick(time_point now) -> void;
     auto update_links(time_point now) -> void;
     auto publish_alive(time_point now) -> void;
@@ -220,6 +221,7 @@
     bool m_capacity_changed = false;
     bool m_membership_changed = true;
     std::uint64_t m_attempts = 0;
+    std::size_t m_relay_cursor = 0;
     /// Of m_attempts, those that a snapshot has told.
     std::uint64_t m_attempts_told = 0;
     time_point m_last_tick;
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -2,7 +2,8 @@
 
 #include <pimentoshunt/transport/wire_codec.hpp>
 
-#include <algorithm> // find, max
+#include <algorithm> // find, max, min
+#include <iterator>  // next
 #include <utility>   // move
 
 namespace pimentoshunt::control
@@ -21,6 +22,9 @@
 /// An instance whose row in the table stays as it is for this long is dead.
 constexpr milliseconds row_silence{4'000};
 
+/// Other instances that one heartbeat tells of.
+constexpr std::size_t relays_per_beat = 3;
+
 } // namespace
 
 auto engine::on_beat(const wire::envelope& message, time_point now) -> void
@@ -241,6 +245,30 @@
     return 2 * heard >= known;
 }
 
+auto engine::add_relayed(wire::heartbeat& body, time_point now) -> void
+{
+    const auto& all = m_members.all();
+    if (!m_config.relay || all.empty())
+    {
+        return;
+    }
+    // In turn: each instance is relayed by many others, so a few a beat keep
+    // the knowledge of it fresh, and bytes grow with instances, not squared.
+    const auto count = std::min(relays_per_beat, all.size());
+    auto item = std::next(
+        all.begin(), static_cast<std::ptrdiff_t>(m_relay_cursor % all.size()));
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        if (item->second.last_alive != time_point{})
+        {
+            *body.add_relayed() = transport::to_wire(item->second, now);
+        }
+        ++item;
+        item = item == all.end() ? all.begin() : item;
+    }
+    m_relay_cursor += count;
+}
+
 auto engine::beat(time_point now) -> void
 {
     m_config.self.plan_revision = m_plan->revision;
@@ -271,13 +299,10 @@
             now - m_plan_confirmed);
         body->set_plan_confirmed_age_us(age.count());
     }
+    add_relayed(*body, now);
     std::vector<std::string> addresses = m_config.seeds;
     for (const auto& [id, item] : m_members.all())
     {
-        if (m_config.relay && item.last_alive != time_point{})
-        {
-            *body->add_relayed() = transport::to_wire(item, now);
-        }
         const bool seeded = std::find(addresses.begin(), addresses.end(),
                                       item.address) != addresses.end();
         if (!seeded && !item.address.empty())
--- a/src/serve.cpp
+++ b/src/serve.cpp
@@ -101,6 +101,18 @@
     return signals;
 }
 
+/// One scheduler thread that sleeps: all busy services have threads of their
+/// own, and by default one thread a core would poll for work.
+class actor_config : public caf::actor_system_config
+{
+  public:
+    actor_config()
+    {
+        set("scheduler.policy", caf::atom("sharing"));
+        set("scheduler.max-threads", 1);
+    }
+};
+
 /// All parts of one running instance, in the order of their construction.
 class instance
 {
@@ -252,7 +264,7 @@
 
     settings m_config;
     control::engine_config m_engine_config;
-    caf::actor_system_config m_caf_config;
+    actor_config m_caf_config;
     caf::actor_system m_system;
     kernel::directory m_services;
     zmq::context_t m_zmq;
