A test that a paused owner is replaced under load

Ruled out: membership (the others saw it dead at once); back-off of claims (5 s). Found: the worker stand-in did not answer. Every instance keeps connections to every worker; with all 32 workers in one stand-in process these fill its 400 threads, and those of a paused instance stay. Change: the test, with eight instances, 32 workers and 16 callers.

--- a/tests/integration/integration-outage.cpp
+++ b/tests/integration/integration-outage.cpp
@@ -141,6 +141,41 @@
         configuration_bound));
 }
 
+Test(outage, a_paused_owner_is_replaced)
+{
+    constexpr std::size_t instances = 8;
+    constexpr std::int64_t workers = 32;
+    cell_options options;
+    options.instances = instances;
+    options.workers_per_process = workers;
+    cell whole(options);
+    const auto trouble = start_with_plan(whole, plan_text(), workers);
+    cr_assert(trouble.empty(), "%s", trouble.c_str());
+    balanced_options callers;
+    callers.callers = 16;
+    callers.timeout = milliseconds{2'000};
+    balanced_callers load(whole, callers);
+    cr_assert(wait_until(
+        [&]
+        {
+            return load.served() > 500;
+        },
+        configuration_bound));
+    whole.instances()[1].program.pause();
+    const auto others_hold = [&]
+    {
+        std::int64_t held = 0;
+        for (std::size_t i = 0; i < instances; ++i)
+        {
+            held += i == 1 ? 0 : held_by(whole.instances()[i]);
+        }
+        return held == workers;
+    };
+    const bool replaced = wait_until(others_hold, configuration_bound);
+    load.stop();
+    cr_assert(replaced);
+}
+
 Test(outage, a_wave_of_passed_deadlines_leaves_no_queue)
 {
     cell whole(wave_cell());
