--- a/include/pimentoshunt/entry/http_listener.hpp
+++ b/include/pimentoshunt/entry/http_listener.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/entry/waiting_server.hpp>
 #include <pimentoshunt/error.hpp>
 
 #include <httplib.h>
@@ -102,7 +103,7 @@
 
   private:
     listener_limits m_limits;
-    httplib::Server m_server;
+    waiting_server m_server;
     std::atomic<std::size_t> m_in_flight{0};
     std::thread m_thread;
 };
--- a/src/entry/http_listener.cpp
+++ b/src/entry/http_listener.cpp
@@ -11,6 +11,8 @@
 
 /// Connections that the kernel keeps until a thread takes them.
 constexpr int backlog = 4'096;
+/// Between two looks whether the server runs.
+constexpr milliseconds start_poll{1};
 /// Requests served over one connection before it is closed.
 constexpr std::size_t requests_per_connection = 1'000'000;
 
@@ -129,6 +131,11 @@
         {
             m_server.listen_after_bind();
         });
+    // A stop before the server runs would be missed, and never end.
+    while (!m_server.is_running())
+    {
+        std::this_thread::sleep_for(start_poll);
+    }
     return {};
 }
 
