Count the cell's slots at each list, the demand once where it is used

Cause: reading the change. Every 20 ms the control thread copied all listed workers to add up their slots; each placement built the demand of all entries a second time although checkpoints are looked for every 50 ms; the keeper kept the name of a worker's holder and never read it. Ruled out: any change of a decision (same sums, same lines). Change: the sum is made when a list comes, the lines after the interval's check, the name is gone.

--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -170,8 +170,7 @@
     auto collect_jobs(time_point now) -> void;
     [[nodiscard]] auto restartable(const ledger::worker_account& account,
                                    const attempt_id& attempt) const -> bool;
-    auto make_room(const std::vector<policy::demand_line>& lines,
-                   time_point now) -> void;
+    auto make_room(time_point now) -> void;
     auto place(time_point now) -> void;
     auto hand_out(const instance_id& entry,
                   const std::vector<entry::grant>& grants, time_point now)
--- a/include/pimentoshunt/ownership/worker_keeper.hpp
+++ b/include/pimentoshunt/ownership/worker_keeper.hpp
@@ -15,7 +15,7 @@
 #include <pimentoshunt/plan/document.hpp>
 #include <pimentoshunt/worker/messages.hpp>
 
-#include <cstdint>       // uint64_t
+#include <cstdint>       // int64_t, uint64_t
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
 #include <unordered_set> // unordered_set
@@ -172,6 +172,12 @@
     /// @brief Every listed worker, held here or not.
     [[nodiscard]] auto workers() const -> std::vector<worker::description>;
 
+    /// @brief Slots of every listed worker together, held here or not.
+    [[nodiscard]] auto listed_slots() const noexcept -> std::int64_t
+    {
+        return m_listed_slots;
+    }
+
   private:
     enum class phase
     {
@@ -190,7 +196,6 @@
         bool wanted = false;
         phase state = phase::idle;
         worker::epoch_number epoch = 0;
-        holder known_holder;
         time_point not_before;
         int setbacks = 0;
         bool inspecting = false;
@@ -222,6 +227,7 @@
     keeper_limits m_limits;
     std::unordered_map<worker_id, record> m_records;
     ledger::capacity_ledger m_ledger;
+    std::int64_t m_listed_slots = 0;
     plan::plan_ptr m_plan;
 };
 
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -336,11 +336,7 @@
         m_keeper.ledger().set_intake(worker, ledger::intake::probe);
         m_capacity_changed = true;
     }
-    std::int64_t cell_slots = 0;
-    for (const auto& item : m_keeper.workers())
-    {
-        cell_slots += item.capacity.slots;
-    }
+    const auto cell_slots = m_keeper.listed_slots();
     const auto own_slots = m_keeper.ledger().capacity_total().slots;
     if (cell_slots > 0)
     {
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -191,14 +191,14 @@
     return workload != nullptr && workload->idempotent;
 }
 
-auto engine::make_room(const std::vector<policy::demand_line>& lines,
-                       time_point now) -> void
+auto engine::make_room(time_point now) -> void
 {
     if (now < m_next_checkpoint)
     {
         return;
     }
     m_next_checkpoint = now + checkpoint_interval;
+    const auto lines = m_board.lines(m_plan->parsed, now);
     const auto chosen =
         m_picker.checkpoint_candidates(m_keeper.ledger(), lines, now);
     for (const auto& item : chosen)
@@ -278,7 +278,7 @@
     {
         hand_out(entry, grants, now);
     }
-    make_room(m_board.lines(m_plan->parsed, now), now);
+    make_room(now);
 }
 
 auto engine::hand_out(const instance_id& entry,
--- a/src/ownership/worker_keeper.cpp
+++ b/src/ownership/worker_keeper.cpp
@@ -23,6 +23,11 @@
         item.listed_leaving = worker.leaving;
         update_grants(item);
     }
+    m_listed_slots = 0;
+    for (const auto& [id, item] : m_records)
+    {
+        m_listed_slots += item.worker.capacity.slots;
+    }
 }
 
 auto worker_keeper::assign(const claim_view& view) -> void
@@ -98,7 +103,6 @@
     {
         item->state = phase::held;
         item->epoch = asked;
-        item->known_holder = m_self;
         item->own_leaving = report.leaving;
         item->inspecting = false;
         item->silent_inspections = 0;
@@ -118,7 +122,6 @@
     }
     const bool news = report.epoch > item->epoch;
     item->epoch = report.epoch;
-    item->known_holder = holder::parse(report.holder);
     // The first refusal only teaches the epoch in force; another one means
     // that somebody else claims it too.
     if (!news || item->setbacks > 0)
@@ -136,7 +139,6 @@
     m_ledger.close(item.worker.id);
     item.state = phase::idle;
     item.epoch = report.epoch;
-    item.known_holder = holder::parse(report.holder);
     back_off(item, now);
 }
 
