--- /dev/null
+++ b/include/pimentoshunt/cell/approval_desk.hpp
@@ -0,0 +1,89 @@
+/// @file
+/// Spreads questions to the approval service over the instances. The service
+/// serves one call at a time for each of them, so a question for short work
+/// must not wait behind one that takes a second.
+#pragma once
+
+#include <pimentoshunt/cell/orders.hpp>
+#include <pimentoshunt/clock.hpp>
+
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <map>      // map
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Limits of the desk.
+struct approval_desk_options
+{
+    /// A call expected to take longer is a slow one.
+    milliseconds slow_from{200};
+    /// Share of the askers that slow calls may hold at once.
+    double slow_share = 0.7;
+    /// Added to the expected time before a call counts as lost.
+    milliseconds patience{1'500};
+    /// An asker that lost a call rests this long.
+    milliseconds rest{1'500};
+};
+
+/// @brief A question and who is to ask it.
+struct assigned_question
+{
+    std::uint64_t number = 0;
+    std::string asker;
+    approval_question question;
+};
+
+/// @brief The questions that wait and those that are being asked. No I/O.
+class approval_desk
+{
+  public:
+    explicit approval_desk(approval_desk_options options = {})
+        : m_options(options)
+    {
+    }
+
+    auto add(approval_question question) -> void;
+
+    /// @brief Hands waiting questions to idle askers.
+    /// @param askers  names of the instances that can ask now
+    [[nodiscard]] auto assign(const std::vector<std::string>& askers,
+                              time_point now) -> std::vector<assigned_question>;
+
+    /// @brief An answer came; nothing if it was given up before.
+    auto answered(std::uint64_t number) -> std::optional<approval_question>;
+
+    /// @brief Questions whose answer is overdue; they count as failed.
+    [[nodiscard]] auto take_lost(time_point now)
+        -> std::vector<approval_question>;
+
+    [[nodiscard]] auto waiting() const noexcept -> std::size_t
+    {
+        return m_waiting.size();
+    }
+
+  private:
+    struct asked
+    {
+        std::string asker;
+        approval_question question;
+        time_point lost_at;
+    };
+
+    [[nodiscard]] auto is_slow(const approval_question& question) const -> bool
+    {
+        return question.expected >= m_options.slow_from;
+    }
+
+    approval_desk_options m_options;
+    std::vector<approval_question> m_waiting;
+    std::map<std::uint64_t, asked> m_asked;
+    std::map<std::string, time_point> m_resting;
+    std::uint64_t m_last_number = 0;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -0,0 +1,368 @@
+/// @file
+/// Answers callers at any instance: submissions and cancellations go to the
+/// store, look-ups to the owner and, where it does not answer, to the store.
+#pragma once
+
+#include <pimentoshunt/cell/intake.hpp>
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/store_health.hpp>
+#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/stored.hpp>
+#include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>     // min
+#include <functional>    // function
+#include <map>           // map
+#include <memory>        // shared_ptr
+#include <optional>      // optional
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief What the desk asks of the instance around it.
+struct caller_desk_context
+{
+    /// A job's state as the owner has it, when the owner is here.
+    std::function<std::optional<job_state>(const job_id&)> owner_state;
+    /// Whether the owner is here and has loaded everything.
+    std::function<bool()> owner_here;
+    /// Sends a look-up to the owner elsewhere; false when it isn't known.
+    std::function<bool(std::uint64_t number, const job_id&)> ask_owner;
+    /// Jobs of a queue that have not begun; nothing when that is not known.
+    std::function<std::optional<std::uint64_t>(const queue_name&)> pending;
+};
+
+/// @brief The callers' requests of one instance. Control thread only.
+template<class Platform>
+class caller_desk
+{
+  public:
+    using reply = net::http_server::reply;
+
+    caller_desk(Platform& outside, boost::asio::io_context& control,
+                store_health& health, caller_desk_context around)
+        : m_outside(outside), m_control(control), m_health(health),
+          m_around(std::move(around)), m_intake(outside, control, health)
+    {
+    }
+
+    /// @param in_force  nullptr before the first configuration
+    auto serve(const net::server_request& request,
+               const configuration* in_force, reply answer) -> void
+    {
+        if (in_force == nullptr)
+        {
+            answer(come_back("no configuration has been read yet"));
+            return;
+        }
+        auto wanted = m_outside.read_caller(request, *in_force);
+        const auto limit =
+            request.deadline.count() > 0
+                ? std::min(request.deadline - answer_margin, longest_wait)
+                : longest_wait;
+        const auto until = boot_clock::now() + limit;
+        switch (wanted.wish)
+        {
+        case caller_wish::submit:
+            submit(*wanted.spec, until, std::move(answer));
+            return;
+        case caller_wish::look_up:
+            look_up(wanted.job, std::move(answer));
+            return;
+        case caller_wish::cancel:
+            cancel(wanted.job, until, std::move(answer));
+            return;
+        case caller_wish::count:
+            count(wanted.route->queue.name, answer);
+            return;
+        case caller_wish::no_queue:
+            answer(m_outside.complaint_answer(not_found,
+                                              "no queue has this address"));
+            return;
+        case caller_wish::bad_id:
+        case caller_wish::bad_job:
+            logging::info("request refused").with("why", wanted.complaint);
+            answer(m_outside.complaint_answer(bad_request, wanted.complaint));
+            return;
+        case caller_wish::bad_method:
+            break;
+        }
+        answer(m_outside.complaint_answer(
+            method_not_allowed, "use POST, GET or DELETE with a job's ID"));
+    }
+
+    /// @brief The owner elsewhere has answered a look-up.
+    auto owner_answered(std::uint64_t number, std::optional<job_state> state)
+        -> void
+    {
+        const auto found = m_lookups.find(number);
+        if (found == m_lookups.end())
+        {
+            return;
+        }
+        auto item = std::move(found->second);
+        m_lookups.erase(found);
+        if (state)
+        {
+            tell(item->job, *state, item->answer);
+            return;
+        }
+        read_state(item->job, std::move(item->answer));
+    }
+
+  private:
+    static constexpr int bad_request = 400;
+    static constexpr int not_found = 404;
+    static constexpr int method_not_allowed = 405;
+    static constexpr int gone = 410;
+    static constexpr int unavailable = 503;
+    static constexpr int no_answer = 504;
+    /// Longest time that a submission's outcome is waited for: a caller that
+    /// is told sooner can go to another instance within its own deadline.
+    static constexpr milliseconds longest_wait{1'500};
+    /// Time for the answer to travel.
+    static constexpr milliseconds answer_margin{200};
+    /// The owner answers within a few milliseconds or not at all.
+    static constexpr milliseconds owner_limit{250};
+    static constexpr milliseconds read_limit{700};
+    static constexpr std::chrono::seconds come_back_after{1};
+    /// Jobs of which this instance remembers that they exist, or their end.
+    static constexpr std::size_t most_remembered = 20'000;
+
+    struct lookup
+    {
+        lookup(boost::asio::io_context& control, job_id which, reply to)
+            : timer(control), job(std::move(which)), answer(std::move(to))
+        {
+        }
+
+        boost::asio::steady_timer timer;
+        job_id job;
+        reply answer;
+    };
+
+    auto come_back(const std::string& why) const -> net::server_answer
+    {
+        auto out = m_outside.complaint_answer(unavailable, why);
+        out.retry_after = come_back_after;
+        return out;
+    }
+
+    auto remember(const job_id& job, job_state state) -> void
+    {
+        if (m_seen.size() >= most_remembered)
+        {
+            m_seen.clear();
+        }
+        m_seen[job] = state;
+    }
+
+    auto submit(const job_spec& job, time_point until, reply answer) -> void
+    {
+        const auto began = boot_clock::now();
+        m_intake.submit(
+            job, until,
+            [this, id = job.id, queue = job.queue.name, began,
+             answer = std::move(answer)](intake_result result)
+            {
+                const auto took = boot_clock::now() - began;
+                if (result == intake_result::stored)
+                {
+                    logging::info("job accepted")
+                        .with("job", id)
+                        .with("queue", queue)
+                        .with("took", took);
+                    m_seen.try_emplace(id, job_state::queued);
+                    answer(m_outside.state_answer(job_state::queued));
+                    return;
+                }
+                if (result == intake_result::refused)
+                {
+                    logging::warn("job refused: the store took no write")
+                        .with("job", id)
+                        .with("took", took);
+                    answer(come_back("the store does not answer; the job was "
+                                     "not accepted"));
+                    return;
+                }
+                logging::warn("job's acceptance is not settled")
+                    .with("job", id)
+                    .with("took", took);
+                answer(m_outside.complaint_answer(
+                    no_answer, "it is not known whether the job was accepted; "
+                               "send it again with the same ID"));
+            });
+    }
+
+    auto cancel(const job_id& job, time_point until, reply answer) -> void
+    {
+        const auto seen = m_seen.find(job);
+        if (seen != m_seen.end())
+        {
+            store_cancel(job, until, std::move(answer));
+            return;
+        }
+        read_all(m_outside, job_range(job), read_limit,
+                 [this, job, until,
+                  answer = std::move(answer)](std::optional<table_rows> found)
+                 {
+                     m_health.record(found.has_value(), boot_clock::now());
+                     if (!found)
+                     {
+                         answer(come_back("the store does not answer; the job "
+                                          "goes on"));
+                         return;
+                     }
+                     if (found->rows.empty())
+                     {
+                         answer(m_outside.complaint_answer(
+                             gone, "there is no such job"));
+                         return;
+                     }
+                     store_cancel(job, until, answer);
+                 });
+    }
+
+    auto store_cancel(const job_id& job, time_point until, reply answer) -> void
+    {
+        m_intake.cancel(
+            job, until,
+            [this, job, answer = std::move(answer)](intake_result result)
+            {
+                logging::info("cancellation")
+                    .with("job", job)
+                    .with("stored", result == intake_result::stored);
+                if (result == intake_result::stored)
+                {
+                    answer(m_outside.state_answer(job_state::cancelled));
+                    return;
+                }
+                answer(come_back("the store does not answer; cancel the job "
+                                 "again"));
+            });
+    }
+
+    auto tell(const job_id& job, job_state state, const reply& answer) -> void
+    {
+        remember(job, state);
+        answer(m_outside.state_answer(state));
+    }
+
+    auto look_up(const job_id& job, reply answer) -> void
+    {
+        const auto seen = m_seen.find(job);
+        if (seen != m_seen.end() && is_final(seen->second))
+        {
+            answer(m_outside.state_answer(seen->second));
+            return;
+        }
+        if (m_around.owner_here())
+        {
+            const auto state = m_around.owner_state(job);
+            if (state)
+            {
+                tell(job, *state, answer);
+                return;
+            }
+            read_state(job, std::move(answer));
+            return;
+        }
+        const auto number = ++m_last_lookup;
+        if (!m_around.ask_owner(number, job))
+        {
+            read_state(job, std::move(answer));
+            return;
+        }
+        auto item = std::make_shared<lookup>(m_control, job, std::move(answer));
+        m_lookups[number] = item;
+        item->timer.expires_after(owner_limit);
+        item->timer.async_wait(
+            [this, number](auto fault)
+            {
+                if (!fault)
+                {
+                    owner_answered(number, std::nullopt);
+                }
+            });
+    }
+
+    /// The state as the store has it.
+    auto read_state(const job_id& job, reply answer) -> void
+    {
+        read_all(m_outside, job_range(job), read_limit,
+                 [this, job,
+                  answer = std::move(answer)](std::optional<table_rows> found)
+                 {
+                     m_health.record(found.has_value(), boot_clock::now());
+                     if (!found)
+                     {
+                         answer(come_back("the store does not answer"));
+                         return;
+                     }
+                     if (found->rows.empty())
+                     {
+                         answer(m_outside.complaint_answer(
+                             gone, "there is no such job"));
+                         return;
+                     }
+                     const bool cancelled = found->rows.size() > 1;
+                     read_stored_progress(job, cancelled, answer);
+                 });
+    }
+
+    auto read_stored_progress(const job_id& job, bool cancelled, reply answer)
+        -> void
+    {
+        const row_range range{progress_table, cell_part, job.str(),
+                              job.str() + "/"};
+        read_all(m_outside, range, read_limit,
+                 [this, job, cancelled,
+                  answer = std::move(answer)](std::optional<table_rows> found)
+                 {
+                     if (!found)
+                     {
+                         answer(come_back("the store does not answer"));
+                         return;
+                     }
+                     auto state =
+                         cancelled ? job_state::cancelled : job_state::queued;
+                     if (!found->rows.empty())
+                     {
+                         const auto stored =
+                             read_progress(found->rows.front().value);
+                         const bool counts =
+                             stored && (!cancelled || is_final(stored->state));
+                         state = counts ? stored->state : state;
+                     }
+                     tell(job, state, answer);
+                 });
+    }
+
+    auto count(const queue_name& queue, const reply& answer) -> void
+    {
+        const auto jobs = m_around.pending(queue);
+        if (!jobs)
+        {
+            answer(come_back("the owner of the cell is not known"));
+            return;
+        }
+        answer(m_outside.count_answer(*jobs));
+    }
+
+    Platform& m_outside;
+    boost::asio::io_context& m_control;
+    store_health& m_health;
+    caller_desk_context m_around;
+    intake<Platform> m_intake;
+    std::uint64_t m_last_lookup = 0;
+    std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
+    std::unordered_map<job_id, job_state> m_seen;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -0,0 +1,170 @@
+/// @file
+/// The scheduler's own records of jobs, runs and workers.
+#pragma once
+
+#include <pimentoshunt/cell/model.hpp>
+#include <pimentoshunt/cell/orders.hpp>
+
+#include <cstdint>       // uint64_t
+#include <map>           // map
+#include <memory>        // shared_ptr
+#include <optional>      // optional
+#include <set>           // set
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace pimentoshunt::cell::detail
+{
+
+struct worker_record;
+
+/// @brief What is known of one run on one worker.
+enum class run_phase
+{
+    /// Ordered; the answer is not there, or was lost.
+    starting,
+    running,
+    /// A stop was ordered; it still takes room.
+    stopping
+};
+
+/// @brief One run that takes room on a worker.
+struct run_record
+{
+    run_ref run;
+    run_phase phase = run_phase::starting;
+    resources taken;
+    bool filler = false;
+    time_point sent_at;
+    /// When the worker was first known to have it.
+    std::optional<time_point> seen_at;
+    /// When the start's answer was given up.
+    std::optional<time_point> start_lost_at;
+    bool stop_in_flight = false;
+    time_point stop_sent_at;
+    std::optional<time_point> stop_answered_at;
+    std::uint32_t percent = 0;
+    time_point percent_since;
+    std::int64_t load = 0;
+    /// Share of its speed that a filler may use, 0 to 100.
+    std::uint32_t pace = 100;
+    /// The tail of a serving task has been over its target since then.
+    std::optional<time_point> slow_since;
+};
+
+/// @brief One worker, over all its lives.
+struct worker_record
+{
+    worker_entry entry;
+    /// Whether its entry is there; without it nothing new is started.
+    bool listed = false;
+    time_point missing_since;
+    /// Whether it has answered under the present epoch.
+    bool adopted = false;
+    /// Last reading of its clock and when it came.
+    std::optional<worker_time> clock;
+    time_point clock_at;
+    /// The latest lease that an order may have set.
+    worker_time lease_end{0};
+    /// Number of the last end that was taken in, and of the last one that is
+    /// durable.
+    std::uint64_t ends_seen = 0;
+    std::uint64_t ends_noted = 0;
+    /// What the worker has been told of the durable ones.
+    std::uint64_t ends_told = 0;
+    bool hold_in_flight = false;
+    time_point hold_sent_at;
+    time_point next_hold_at;
+    time_point answered_at;
+    /// Calls without an answer in a row.
+    std::uint32_t silent_calls = 0;
+    resources used;
+    std::map<run_ref, run_record> runs;
+    /// No starts before; after refusals.
+    time_point closed_until;
+    time_point pace_raised_at;
+
+    [[nodiscard]] auto room() const noexcept -> resources
+    {
+        return entry.capacity - used;
+    }
+};
+
+/// @brief One task of a step.
+struct task_record
+{
+    bool done = false;
+    /// Runs of it that may be alive.
+    std::vector<run_ref> runs;
+    std::uint64_t last_run = 0;
+    std::string checkpoint;
+    std::set<std::uint64_t> failures;
+    /// Where it failed or stood still last.
+    worker_id avoid;
+};
+
+/// @brief What the approval service has said of one step.
+struct approval_record
+{
+    struct ticket
+    {
+        std::string text;
+        time_point valid_until;
+        calendar_time born;
+    };
+
+    /// Workers that may run the step; approval stays, tickets age.
+    std::unordered_map<worker_record*, ticket> approved;
+    std::set<const worker_record*> refused;
+    bool in_flight = false;
+    time_point next_question_at;
+};
+
+/// @brief One step of one round.
+struct step_record
+{
+    const step_spec* spec = nullptr;
+    std::uint32_t number = 0;
+    std::vector<task_record> tasks;
+    /// Indexes of tasks that are neither done nor have a run.
+    std::set<std::uint32_t> waiting;
+    std::uint32_t done_count = 0;
+    bool ready = false;
+    time_point ready_since;
+    approval_record approvals;
+    /// Tasks of this step on each worker.
+    std::unordered_map<const worker_record*, std::uint32_t> placed;
+};
+
+/// @brief One round of a job.
+struct round_record
+{
+    std::uint32_t number = 0;
+    std::vector<step_record> steps;
+    std::optional<calendar_time> due;
+    time_point released_at;
+    bool released = false;
+    bool done = false;
+    std::uint32_t steps_done = 0;
+};
+
+/// @brief One job.
+struct job_record
+{
+    std::shared_ptr<const job_spec> spec;
+    job_state state = job_state::queued;
+    /// The state that callers may be told: final ones only once durable.
+    job_state shown = job_state::queued;
+    time_point accepted_at;
+    time_point ended_at;
+    /// Accepted before this ownership: runs of it may be anywhere.
+    bool inherited = false;
+    bool any_started = false;
+    bool dirty = false;
+    /// The batch that carries its latest change.
+    std::uint64_t batch = 0;
+    std::vector<round_record> rounds;
+};
+
+} // namespace pimentoshunt::cell::detail
--- /dev/null
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -0,0 +1,752 @@
+/// @file
+/// One instance of a cell: serves callers, follows the configuration, and owns
+/// the cell when it is its turn.
+#pragma once
+
+#include <pimentoshunt/cell/caller_desk.hpp>
+#include <pimentoshunt/cell/owner_role.hpp>
+#include <pimentoshunt/cell/ownership.hpp>
+#include <pimentoshunt/cell/peers.hpp>
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/store_health.hpp>
+#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>  // max
+#include <functional> // hash
+#include <map>        // map
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <string>     // string
+#include <utility>    // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief What an instance is told about itself.
+struct instance_options
+{
+    instance_id name;
+    std::string peer_address;
+    std::uint64_t incarnation = 0;
+    ownership_options ownership;
+    scheduler_options scheduler;
+};
+
+/// @brief All parts of one instance. Control thread only.
+template<class Platform>
+class instance
+{
+  public:
+    instance(Platform& outside, boost::asio::io_context& control,
+             instance_options options)
+        : m_outside(outside), m_control(control), m_options(options),
+          m_ownership(options.name.str(), options.peer_address,
+                      options.incarnation, options.ownership,
+                      boot_clock::now()),
+          m_peers(control, options.name, options.peer_address,
+                  [this](const std::string& from, wire::cell_message message)
+                  {
+                      take_message(from, std::move(message));
+                  }),
+          m_desk(outside, control, m_health, desk_context()), m_tick(control),
+          m_calendar_offset(std::chrono::duration_cast<milliseconds>(
+              std::chrono::system_clock::now().time_since_epoch() -
+              boot_clock::now().time_since_epoch()))
+    {
+    }
+
+    instance(const instance&) = delete;
+    auto operator=(const instance&) -> instance& = delete;
+
+    auto start() -> void
+    {
+        follow_configuration();
+        tick();
+    }
+
+    auto serve(const net::server_request& request,
+               net::http_server::reply answer) -> void
+    {
+        m_desk.serve(request, m_configuration ? &*m_configuration : nullptr,
+                     std::move(answer));
+    }
+
+    /// @brief Whether callers should be sent here.
+    [[nodiscard]] auto ready() const -> bool
+    {
+        return m_configuration.has_value() && !m_leaving &&
+               !m_health.away(boot_clock::now());
+    }
+
+    /// @brief Lets the cell go; requests are still answered.
+    auto leave() -> void
+    {
+        m_leaving = true;
+        if (m_ownership.owner())
+        {
+            renew(true);
+        }
+    }
+
+    auto stop() -> void
+    {
+        m_stopped = true;
+        m_tick.cancel();
+        if (m_role)
+        {
+            m_role->end();
+        }
+        if (m_configuration_follower)
+        {
+            m_configuration_follower->stop();
+        }
+    }
+
+    [[nodiscard]] auto role() const -> const owner_role<Platform>*
+    {
+        return m_role.get();
+    }
+
+  private:
+    static constexpr milliseconds tick_interval{100};
+    static constexpr milliseconds beat_interval{300};
+    static constexpr milliseconds hello_interval{400};
+    /// An instance that was silent for longer does not follow.
+    static constexpr milliseconds followed_within{1'300};
+    /// Counts older than that are not told any more: callers may rely on two
+    /// seconds beside the time of their own request.
+    static constexpr milliseconds pending_limit{2'500};
+    static constexpr milliseconds commit_limit{600};
+    static constexpr milliseconds read_limit{600};
+    static constexpr milliseconds configuration_wait{5'000};
+    /// Instances that see the cell released go for it at different times.
+    static constexpr std::size_t stagger_steps = 8;
+
+    auto desk_context() -> caller_desk_context
+    {
+        return {[this](const job_id& job)
+                {
+                    return m_role->state_of(job);
+                },
+                [this]
+                {
+                    return m_role != nullptr && m_role->loaded();
+                },
+                [this](std::uint64_t number, const job_id& job)
+                {
+                    return ask_owner(number, job);
+                },
+                [this](const queue_name& queue)
+                {
+                    return pending_of(queue);
+                }};
+    }
+
+    auto ask_owner(std::uint64_t number, const job_id& job) -> bool
+    {
+        if (m_ownership.owner() || m_ownership.owner_address().empty())
+        {
+            return false;
+        }
+        wire::cell_message message;
+        message.mutable_lookup()->set_number(number);
+        message.mutable_lookup()->set_job(job.str());
+        m_peers.send(m_ownership.owner_address(), std::move(message));
+        return true;
+    }
+
+    auto pending_of(const queue_name& queue) -> std::optional<std::uint64_t>
+    {
+        if (m_role != nullptr && m_role->loaded())
+        {
+            remember_pending();
+        }
+        if (boot_clock::now() - m_pending_at > pending_limit)
+        {
+            return std::nullopt;
+        }
+        const auto found = m_pending.find(queue.str());
+        return found == m_pending.end() ? 0 : found->second;
+    }
+
+    auto remember_pending() -> void
+    {
+        m_pending.clear();
+        for (const auto& item : m_role->pending())
+        {
+            m_pending[item.queue.str()] = item.pending;
+        }
+        m_pending_at = boot_clock::now();
+    }
+
+    auto follow_configuration() -> void
+    {
+        const auto at = m_outside.configuration_row();
+        typename table_follower<Platform>::listener tell;
+        tell.changed = [this, at](const stored_row& row)
+        {
+            if (row.at.key == at.key && !row.removed)
+            {
+                take_configuration(row);
+            }
+        };
+        tell.all = [this, at](const std::vector<stored_row>& rows)
+        {
+            for (const auto& row : rows)
+            {
+                if (row.at.key == at.key)
+                {
+                    take_configuration(row);
+                }
+            }
+        };
+        tell.reached = [this](bool answered)
+        {
+            m_health.record(answered, boot_clock::now());
+        };
+        m_configuration_follower = std::make_shared<table_follower<Platform>>(
+            m_outside, m_control, row_range{at.table, at.part, "", ""},
+            configuration_wait, std::move(tell));
+        m_configuration_follower->begin();
+    }
+
+    auto take_configuration(const stored_row& row) -> void
+    {
+        auto read = m_outside.read_configuration(row);
+        if (!read)
+        {
+            logging::error("configuration can't be read: the one before stays "
+                           "in force")
+                .with("row_version", row.version);
+            return;
+        }
+        if (m_configuration && read->version <= m_configuration->version)
+        {
+            return;
+        }
+        logging::info("configuration in force")
+            .with("version", read->version)
+            .with("routes", read->routes.size());
+        m_configuration = std::move(read);
+        if (m_role)
+        {
+            m_role->configure(*m_configuration);
+        }
+        else if (m_ownership.owner())
+        {
+            begin_role();
+        }
+    }
+
+    auto tick() -> void
+    {
+        m_tick.expires_after(tick_interval);
+        m_tick.async_wait(
+            [this](auto fault)
+            {
+                if (!fault && !m_stopped)
+                {
+                    step(boot_clock::now());
+                    tick();
+                }
+            });
+    }
+
+    auto step(time_point now) -> void
+    {
+        if (m_ownership.owner())
+        {
+            beat(now);
+            if (now >= m_next_renewal && !m_row_busy)
+            {
+                renew(m_leaving);
+            }
+            return;
+        }
+        say_hello(now);
+        if (m_leaving || m_row_busy)
+        {
+            return;
+        }
+        switch (m_ownership.next_step(now))
+        {
+        case ownership_step::read_row:
+            read_row();
+            break;
+        case ownership_step::take_over:
+            take_over();
+            break;
+        case ownership_step::nothing:
+            break;
+        }
+    }
+
+    auto beat(time_point now) -> void
+    {
+        if (now < m_next_beat)
+        {
+            return;
+        }
+        m_next_beat = now + beat_interval;
+        for (const auto& [name, peer] : m_peers.known())
+        {
+            send_beat(peer.address, false);
+        }
+    }
+
+    auto send_beat(const std::string& address, bool released) -> void
+    {
+        wire::cell_message message;
+        auto& out = *message.mutable_beat();
+        out.set_epoch(m_ownership.epoch());
+        out.set_instance(m_options.name.str());
+        out.set_peer_address(m_options.peer_address);
+        out.set_released(released);
+        out.set_confirmed_age_ms(
+            m_ownership.confirmed_age(boot_clock::now()).count());
+        if (m_role != nullptr && m_role->loaded())
+        {
+            for (const auto& item : m_role->pending())
+            {
+                auto& line = *out.add_pending();
+                line.set_queue(item.queue.str());
+                line.set_jobs(item.pending);
+            }
+        }
+        m_peers.send(address, std::move(message));
+    }
+
+    auto say_hello(time_point now) -> void
+    {
+        if (now < m_next_hello || m_ownership.owner_address().empty())
+        {
+            return;
+        }
+        m_next_hello = now + hello_interval;
+        wire::cell_message message;
+        auto& hello = *message.mutable_hello();
+        hello.set_peer_address(m_options.peer_address);
+        hello.set_epoch(m_ownership.epoch());
+        hello.set_serving(!m_leaving);
+        m_peers.send(m_ownership.owner_address(), std::move(message));
+    }
+
+    auto read_row() -> void
+    {
+        m_row_busy = true;
+        const auto at = lease_row();
+        m_outside.read({at.table, at.part, at.key, at.key + '\x01'}, read_limit,
+                       [this](const read_result& found)
+                       {
+                           m_row_busy = false;
+                           m_health.record(found.answered, boot_clock::now());
+                           if (found.answered)
+                           {
+                               m_ownership.row_seen(reading_of(found.rows),
+                                                    boot_clock::now());
+                           }
+                       });
+    }
+
+    static auto reading_of(const std::vector<stored_row>& rows) -> lease_reading
+    {
+        for (const auto& row : rows)
+        {
+            if (row.at.key == lease_row().key && !row.removed &&
+                row.version > 0)
+            {
+                return {row.version, read_lease(row.value)};
+            }
+        }
+        return {};
+    }
+
+    auto take_over() -> void
+    {
+        const auto content = m_ownership.claim();
+        row_transaction transaction;
+        transaction.conditions.push_back({lease_row(), m_ownership.version()});
+        transaction.writes.push_back({lease_row(), to_bytes(content)});
+        transaction.writes.push_back({epoch_row(), to_bytes(content)});
+        m_row_busy = true;
+        const auto sent_at = boot_clock::now();
+        logging::info("takes the cell over").with("epoch", content.epoch);
+        m_outside.commit(transaction, commit_limit,
+                         [this, content, sent_at](const commit_result& result)
+                         {
+                             m_row_busy = false;
+                             taken_over(content, sent_at, result);
+                         });
+    }
+
+    auto taken_over(const lease_content& content, time_point sent_at,
+                    const commit_result& result) -> void
+    {
+        const auto now = boot_clock::now();
+        m_health.record(result.state == commit_state::committed ||
+                            result.state == commit_state::conflict,
+                        now);
+        if (result.state == commit_state::conflict)
+        {
+            m_ownership.row_seen(reading_of(result.current), now);
+        }
+        if (result.state != commit_state::committed || m_stopped)
+        {
+            return;
+        }
+        m_ownership.confirmed(result.version, content, sent_at);
+        m_epoch_version = result.version;
+        m_next_renewal = now + m_options.ownership.renew_every;
+        logging::info("owns the cell").with("epoch", content.epoch);
+        if (m_leaving)
+        {
+            renew(true);
+            return;
+        }
+        if (m_configuration)
+        {
+            begin_role();
+        }
+    }
+
+    auto begin_role() -> void
+    {
+        owner_context around;
+        around.self = m_options.name.str();
+        around.may_act = [this]
+        {
+            const auto now = boot_clock::now();
+            return m_ownership.may_act(followed(now), now);
+        };
+        around.overtaken = [this]
+        {
+            step_down("another instance has taken the cell over");
+        };
+        around.calendar = [this]
+        {
+            return calendar();
+        };
+        m_role = std::make_shared<owner_role<Platform>>(
+            m_outside, m_control, m_peers, m_health, std::move(around),
+            m_ownership.epoch(), m_epoch_version, m_options.scheduler);
+        m_role->begin(*m_configuration);
+    }
+
+    /// Whether most instances that are known follow this owner now.
+    auto followed(time_point now) const -> bool
+    {
+        std::size_t following = 0;
+        for (const auto& [name, peer] : m_peers.known())
+        {
+            const bool follows = now - peer.heard_at < followed_within &&
+                                 peer.epoch <= m_ownership.epoch();
+            following += follows ? 1 : 0;
+        }
+        // This instance counts among them.
+        return 2 * (following + 1) > m_peers.known().size() + 1 &&
+               following > 0;
+    }
+
+    /// The calendar by the clock of this process: later jumps of the machine's
+    /// time of day do not matter.
+    auto calendar() const -> calendar_time
+    {
+        return calendar_time(std::chrono::duration_cast<milliseconds>(
+                                 boot_clock::now().time_since_epoch()) +
+                             m_calendar_offset);
+    }
+
+    auto renew(bool released) -> void
+    {
+        const auto content = m_ownership.renewal(released);
+        row_transaction transaction;
+        transaction.conditions.push_back({lease_row(), m_ownership.version()});
+        transaction.writes.push_back({lease_row(), to_bytes(content)});
+        m_row_busy = true;
+        const auto sent_at = boot_clock::now();
+        if (released && m_role)
+        {
+            // No order may leave once others may have taken over.
+            m_role->end();
+            m_role.reset();
+        }
+        m_outside.commit(transaction, commit_limit,
+                         [this, content, sent_at](const commit_result& result)
+                         {
+                             m_row_busy = false;
+                             renewed(content, sent_at, result);
+                         });
+    }
+
+    auto renewed(const lease_content& content, time_point sent_at,
+                 const commit_result& result) -> void
+    {
+        const auto now = boot_clock::now();
+        m_next_renewal = now + m_options.ownership.renew_every;
+        if (!m_ownership.owner())
+        {
+            return;
+        }
+        if (result.state == commit_state::committed)
+        {
+            m_health.record(true, now);
+            m_ownership.confirmed(result.version, content, sent_at);
+            if (content.released)
+            {
+                release(now);
+            }
+            return;
+        }
+        if (result.state == commit_state::conflict)
+        {
+            const auto row = reading_of(result.current);
+            const bool late_renewal = m_ownership.is_mine(row.content) &&
+                                      row.content.epoch == m_ownership.epoch();
+            if (!late_renewal)
+            {
+                step_down("the row names another owner");
+                m_ownership.row_seen(row, now);
+                return;
+            }
+            // A renewal whose answer was lost.
+            m_ownership.confirmed(row.version, row.content, sent_at);
+            m_next_renewal = now;
+            return;
+        }
+        m_health.record(false, now);
+        constexpr milliseconds retry_after{250};
+        m_next_renewal = now + retry_after;
+    }
+
+    auto release(time_point now) -> void
+    {
+        logging::info("lets the cell go").with("epoch", m_ownership.epoch());
+        for (const auto& [name, peer] : m_peers.known())
+        {
+            send_beat(peer.address, true);
+        }
+        m_ownership.lost(now);
+    }
+
+    auto step_down(const std::string& why) -> void
+    {
+        if (!m_ownership.owner())
+        {
+            return;
+        }
+        logging::warn("gives the cell up")
+            .with("why", why)
+            .with("epoch", m_ownership.epoch());
+        m_ownership.lost(boot_clock::now());
+        if (m_role)
+        {
+            m_role->end();
+            m_role.reset();
+        }
+    }
+
+    auto take_message(const std::string& from, wire::cell_message message)
+        -> void
+    {
+        if (m_stopped)
+        {
+            return;
+        }
+        switch (message.body_case())
+        {
+        case wire::cell_message::kHello:
+            take_hello(from, message.hello());
+            break;
+        case wire::cell_message::kBeat:
+            take_beat(message.beat());
+            break;
+        case wire::cell_message::kLookup:
+            take_lookup(from, message.lookup());
+            break;
+        case wire::cell_message::kLookupAnswer:
+            take_lookup_answer(message.lookup_answer());
+            break;
+        case wire::cell_message::kQuestion:
+            take_question(from, message.question());
+            break;
+        case wire::cell_message::kQuestionAnswer:
+            take_question_answer(message.question_answer());
+            break;
+        case wire::cell_message::BODY_NOT_SET:
+            break;
+        }
+    }
+
+    auto take_hello(const std::string& from, const wire::cell_hello& hello)
+        -> void
+    {
+        const auto now = boot_clock::now();
+        const bool fresh = !m_peers.known().contains(from);
+        m_peers.heard(from, hello, now);
+        if (!m_ownership.owner())
+        {
+            return;
+        }
+        if (hello.epoch() > m_ownership.epoch())
+        {
+            step_down("an instance follows a later owner");
+            return;
+        }
+        if (fresh)
+        {
+            send_beat(hello.peer_address(), false);
+        }
+    }
+
+    auto take_beat(const wire::cell_beat& beat) -> void
+    {
+        const auto now = boot_clock::now();
+        if (m_ownership.owner())
+        {
+            if (beat.epoch() > m_ownership.epoch())
+            {
+                step_down("a later owner was heard");
+            }
+            return;
+        }
+        if (beat.epoch() < m_ownership.epoch())
+        {
+            return;
+        }
+        m_ownership.beat_heard(beat.epoch(), beat.instance(),
+                               beat.peer_address(), beat.released(),
+                               milliseconds(beat.confirmed_age_ms()), now);
+        if (beat.released())
+        {
+            return;
+        }
+        m_pending.clear();
+        for (const auto& line : beat.pending())
+        {
+            m_pending[line.queue()] = line.jobs();
+        }
+        m_pending_at = now;
+    }
+
+    auto take_lookup(const std::string& from, const wire::cell_lookup& lookup)
+        -> void
+    {
+        const auto peer = m_peers.known().find(from);
+        if (peer == m_peers.known().end())
+        {
+            return;
+        }
+        wire::cell_message message;
+        auto& out = *message.mutable_lookup_answer();
+        out.set_number(lookup.number());
+        if (m_role != nullptr && m_role->loaded())
+        {
+            const auto state = m_role->state_of(job_id(lookup.job()));
+            out.set_known(state.has_value());
+            out.set_state(
+                static_cast<std::uint32_t>(state.value_or(job_state::queued)));
+        }
+        m_peers.send(peer->second.address, std::move(message));
+    }
+
+    auto take_lookup_answer(const wire::cell_lookup_answer& answer) -> void
+    {
+        constexpr auto last = static_cast<std::uint32_t>(job_state::cancelled);
+        std::optional<job_state> state;
+        if (answer.known() && answer.state() <= last)
+        {
+            state = static_cast<job_state>(answer.state());
+        }
+        m_desk.owner_answered(answer.number(), state);
+    }
+
+    auto take_question(const std::string& from,
+                       const wire::cell_question& question) -> void
+    {
+        approval_question out;
+        out.step = {job_id(question.job()), question.round(), question.step()};
+        for (const auto& id : question.workers())
+        {
+            out.workers.emplace_back(id);
+        }
+        out.expected = milliseconds(question.expected_ms());
+        const auto number = question.number();
+        m_outside.ask(out,
+                      [this, from, number](const approval_answer& answer)
+                      {
+                          send_question_answer(number, answer);
+                      });
+    }
+
+    auto send_question_answer(std::uint64_t number,
+                              const approval_answer& answer) -> void
+    {
+        if (m_ownership.owner_address().empty())
+        {
+            return;
+        }
+        wire::cell_message message;
+        auto& out = *message.mutable_question_answer();
+        out.set_number(number);
+        out.set_answered(answer.approved.has_value());
+        out.set_ticket_life_ms(answer.ticket_life.count());
+        if (answer.approved)
+        {
+            for (const auto& item : *answer.approved)
+            {
+                auto& line = *out.add_approved();
+                line.set_worker(item.worker.str());
+                line.set_ticket(item.ticket);
+            }
+        }
+        m_peers.send(m_ownership.owner_address(), std::move(message));
+    }
+
+    auto take_question_answer(const wire::cell_question_answer& answer) -> void
+    {
+        if (!m_role)
+        {
+            return;
+        }
+        approval_answer out;
+        if (answer.answered())
+        {
+            out.ticket_life = milliseconds(answer.ticket_life_ms());
+            out.approved.emplace();
+            for (const auto& line : answer.approved())
+            {
+                out.approved->push_back(
+                    {worker_id(line.worker()), line.ticket()});
+            }
+        }
+        m_role->question_answered(answer.number(), std::move(out));
+    }
+
+    Platform& m_outside;
+    boost::asio::io_context& m_control;
+    instance_options m_options;
+    store_health m_health;
+    ownership m_ownership;
+    peers m_peers;
+    caller_desk<Platform> m_desk;
+    boost::asio::steady_timer m_tick;
+    milliseconds m_calendar_offset;
+    std::optional<configuration> m_configuration;
+    std::shared_ptr<table_follower<Platform>> m_configuration_follower;
+    std::shared_ptr<owner_role<Platform>> m_role;
+    std::uint64_t m_epoch_version = 0;
+    std::map<std::string, std::uint64_t> m_pending;
+    time_point m_pending_at;
+    time_point m_next_renewal;
+    time_point m_next_beat;
+    time_point m_next_hello;
+    bool m_row_busy = false;
+    bool m_leaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -0,0 +1,137 @@
+/// @file
+/// What the scheduler wants done, and how the outside answers.
+#pragma once
+
+#include <pimentoshunt/cell/model.hpp>
+
+#include <cstdint>  // uint64_t
+#include <memory>   // shared_ptr
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Where an order goes, and under whose authority.
+struct order_target
+{
+    worker_id worker;
+    std::string address;
+    /// Epoch of the ownership; the worker refuses lower ones.
+    std::uint64_t epoch = 0;
+};
+
+/// @brief Start one run.
+struct start_order
+{
+    order_target target;
+    run_ref run;
+    std::shared_ptr<const job_spec> job;
+    /// Empty: from the beginning.
+    std::string checkpoint;
+    /// Proof of approval; empty where the queue needs none.
+    std::string ticket;
+    /// The lease of all that runs there, by the worker's clock.
+    worker_time lease_end{0};
+};
+
+/// @brief End one run; also keeps a run from starting that has not come yet.
+struct stop_order
+{
+    order_target target;
+    run_ref run;
+};
+
+/// @brief Renew the lease of all runs, take note of ends, and list the rest.
+struct hold_order
+{
+    order_target target;
+    /// Left out when no order may prolong what runs.
+    std::optional<worker_time> lease_end;
+    /// Ends up to this number are stored and may be forgotten.
+    std::uint64_t ends_noted = 0;
+    /// How long the answer may wait for the next end.
+    milliseconds wait{0};
+};
+
+/// @brief Let a filling run work at a share of its speed.
+struct pace_order
+{
+    order_target target;
+    run_ref run;
+    /// 0 to 100.
+    std::uint32_t percent = 100;
+};
+
+/// @brief Ask which workers may run a step.
+struct approval_question
+{
+    step_ref step;
+    std::vector<worker_id> workers;
+    /// Lower comes first.
+    std::uint32_t priority = 0;
+    /// How long the answer should take once the call is being served.
+    milliseconds expected{0};
+};
+
+/// @brief One worker that may run the step.
+struct approval
+{
+    worker_id worker;
+    std::string ticket;
+};
+
+/// @brief The answer; nothing when the call failed.
+struct approval_answer
+{
+    step_ref step;
+    std::vector<worker_id> asked;
+    std::optional<std::vector<approval>> approved;
+    milliseconds ticket_life{0};
+};
+
+/// @brief How a start was answered.
+enum class start_outcome
+{
+    started,
+    /// A higher epoch gives the orders.
+    fenced,
+    /// The worker has seen this run or a later one end.
+    outdated,
+    /// The lease had ended when the order came.
+    late,
+    no_room,
+    bad_ticket,
+    /// The worker is unhealthy and did nothing.
+    unhealthy,
+    /// It can never be started.
+    invalid,
+    /// Certainly not sent.
+    unreachable,
+    /// No answer: it may start at any time until it is stopped.
+    unknown
+};
+
+/// @brief The outcome's name in logs.
+[[nodiscard]] auto to_string(start_outcome outcome) -> std::string;
+
+/// @brief Rows to be written: progress of jobs, and what may be forgotten once
+/// it is durable.
+struct progress_batch
+{
+    std::uint64_t number = 0;
+    std::vector<job_progress> jobs;
+};
+
+/// @brief All that the scheduler wants done since it was last asked.
+struct outbox
+{
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<hold_order> holds;
+    std::vector<pace_order> paces;
+    std::vector<approval_question> questions;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -0,0 +1,666 @@
+/// @file
+/// What the owner of the cell does beyond what every instance does: it loads
+/// jobs and workers, runs the scheduler and carries its orders out.
+#pragma once
+
+#include <pimentoshunt/cell/approval_desk.hpp>
+#include <pimentoshunt/cell/peers.hpp>
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/scheduler.hpp>
+#include <pimentoshunt/cell/store_health.hpp>
+#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/stored.hpp>
+#include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <set>        // set
+#include <string>     // string
+#include <utility>    // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief What an owner needs to know of the instance around it.
+struct owner_context
+{
+    /// Name of this instance among the askers.
+    std::string self;
+    /// Whether leases may be renewed and work be started now.
+    std::function<bool()> may_act;
+    /// Called once when a later owner is there.
+    std::function<void()> overtaken;
+    /// The time of day.
+    std::function<calendar_time()> calendar;
+};
+
+/// @brief One ownership, from the takeover to its end. Control thread only.
+template<class Platform>
+class owner_role : public std::enable_shared_from_this<owner_role<Platform>>
+{
+  public:
+    /// @param epoch_version  version of the row that writes depend on
+    owner_role(Platform& outside, boost::asio::io_context& control,
+               peers& others, store_health& health, owner_context around,
+               std::uint64_t epoch, std::uint64_t epoch_version,
+               scheduler_options options)
+        : m_outside(outside), m_control(control), m_peers(others),
+          m_health(health), m_around(std::move(around)),
+          m_epoch_version(epoch_version),
+          m_scheduler(epoch, options, present()), m_tick(control),
+          m_retry(control)
+    {
+    }
+
+    /// @brief Reads what is stored, then goes to work.
+    auto begin(const configuration& in_force) -> void
+    {
+        m_scheduler.configure(in_force);
+        load();
+        tick();
+    }
+
+    /// @brief Ends the ownership: no order leaves from now on.
+    auto end() -> void
+    {
+        m_ended = true;
+        m_tick.cancel();
+        m_retry.cancel();
+        for (const auto& item : {m_inbox, m_workers})
+        {
+            if (item)
+            {
+                item->stop();
+            }
+        }
+    }
+
+    auto configure(const configuration& latest) -> void
+    {
+        m_scheduler.configure(latest);
+        wake();
+    }
+
+    /// @brief Whether all stored jobs are loaded.
+    [[nodiscard]] auto loaded() const noexcept -> bool
+    {
+        return m_loaded;
+    }
+
+    [[nodiscard]] auto state_of(const job_id& job) const
+        -> std::optional<job_state>
+    {
+        return m_scheduler.state_of(job);
+    }
+
+    [[nodiscard]] auto pending() const -> std::vector<queue_count>
+    {
+        return m_scheduler.pending();
+    }
+
+    [[nodiscard]] auto jobs() const -> const scheduler&
+    {
+        return m_scheduler;
+    }
+
+    /// @brief Another instance has asked a question for this one.
+    auto question_answered(std::uint64_t number, approval_answer answer) -> void
+    {
+        const auto question = m_desk.answered(number);
+        if (!question)
+        {
+            return;
+        }
+        answer.step = question->step;
+        answer.asked = question->workers;
+        m_scheduler.approval_answered(answer, present());
+        wake();
+    }
+
+  private:
+    /// How often leases, stops and lost answers are looked at.
+    static constexpr milliseconds tick_interval{50};
+    static constexpr milliseconds load_limit{1'500};
+    static constexpr milliseconds load_pause{150};
+    static constexpr milliseconds feed_wait{5'000};
+    static constexpr milliseconds commit_limit{700};
+    /// Pause after a write that was not done.
+    static constexpr milliseconds commit_pause{120};
+    /// Rows in one transaction: below the store's bound of 100 entries.
+    static constexpr std::size_t most_rows = 80;
+    /// An asker must have been heard within this time.
+    static constexpr milliseconds asker_heard{1'200};
+    /// How often old jobs are looked for.
+    static constexpr milliseconds expire_interval{5'000};
+    static constexpr std::size_t expire_at_once = 25;
+
+    static auto present() -> time_point
+    {
+        return boot_clock::now();
+    }
+
+    struct stored_cell
+    {
+        std::optional<table_rows> inbox;
+        std::optional<table_rows> progress;
+        std::optional<table_rows> workers;
+        int missing = 3;
+        bool failed = false;
+    };
+
+    auto load() -> void
+    {
+        auto found = std::make_shared<stored_cell>();
+        const auto read = [this, found](row_range range, auto member)
+        {
+            read_all(m_outside, std::move(range), load_limit,
+                     [self = this->shared_from_this(), found,
+                      member](std::optional<table_rows> rows)
+                     {
+                         self->m_health.record(rows.has_value(), present());
+                         found->failed = found->failed || !rows;
+                         (*found).*member = std::move(rows);
+                         if (--found->missing == 0)
+                         {
+                             self->loaded_rows(*found);
+                         }
+                     });
+        };
+        read({inbox_table, cell_part, "", ""}, &stored_cell::inbox);
+        read({progress_table, cell_part, "", ""}, &stored_cell::progress);
+        read({m_outside.worker_table(), "", "", ""}, &stored_cell::workers);
+    }
+
+    auto loaded_rows(const stored_cell& found) -> void
+    {
+        if (m_ended)
+        {
+            return;
+        }
+        if (found.failed)
+        {
+            m_retry.expires_after(load_pause);
+            m_retry.async_wait(
+                [self = this->shared_from_this()](auto fault)
+                {
+                    if (!fault && !self->m_ended)
+                    {
+                        self->load();
+                    }
+                });
+            return;
+        }
+        restore_jobs(found);
+        for (const auto& row : found.workers->rows)
+        {
+            worker_changed(row);
+        }
+        m_loaded = true;
+        logging::info("cell is loaded")
+            .with("epoch", m_scheduler.epoch())
+            .with("jobs", m_scheduler.job_count())
+            .with("workers", m_scheduler.workers().size());
+        follow_inbox(found.inbox->version);
+        follow_workers(found.workers->version);
+        wake();
+    }
+
+    auto restore_jobs(const stored_cell& found) -> void
+    {
+        std::map<std::string, job_progress> progress;
+        for (const auto& row : found.progress->rows)
+        {
+            if (auto read = read_progress(row.value))
+            {
+                progress[row.at.key] = std::move(*read);
+            }
+            else
+            {
+                logging::error("a row of progress can't be read: it is passed "
+                               "over")
+                    .with("key", row.at.key);
+            }
+        }
+        std::vector<job_id> cancelled;
+        for (const auto& row : found.inbox->rows)
+        {
+            const auto cancelled_here = cancelled_job(row.at);
+            if (!cancelled_here.empty())
+            {
+                cancelled.push_back(cancelled_here);
+                continue;
+            }
+            const auto job = read_job(row.value);
+            if (!job)
+            {
+                logging::error("a stored job can't be read: it is passed over")
+                    .with("key", row.at.key);
+                continue;
+            }
+            auto known = progress.find(row.at.key);
+            job_progress none;
+            none.id = job->id;
+            m_scheduler.restore(*job,
+                                known == progress.end() ? none : known->second,
+                                present());
+        }
+        for (const auto& job : cancelled)
+        {
+            m_scheduler.cancel(job, present());
+        }
+    }
+
+    auto follow_inbox(std::uint64_t version) -> void
+    {
+        m_inbox = make_follower(
+            {inbox_table, cell_part, "", ""},
+            [this](const stored_row& row)
+            {
+                inbox_changed(row);
+            },
+            [](const std::vector<stored_row>&) {});
+        m_inbox->follow_from(version);
+    }
+
+    auto follow_workers(std::uint64_t version) -> void
+    {
+        m_workers = make_follower(
+            {m_outside.worker_table(), "", "", ""},
+            [this](const stored_row& row)
+            {
+                worker_changed(row);
+            },
+            [this](const std::vector<stored_row>& rows)
+            {
+                unlist_absent(rows);
+            });
+        m_workers->follow_from(version);
+    }
+
+    template<class Changed, class All>
+    auto make_follower(row_range range, Changed changed, All all)
+        -> std::shared_ptr<table_follower<Platform>>
+    {
+        typename table_follower<Platform>::listener tell;
+        // The follower is stopped before this role ends.
+        tell.changed = [this, changed](const stored_row& row)
+        {
+            changed(row);
+            wake();
+        };
+        tell.all = [this, changed, all](const std::vector<stored_row>& rows)
+        {
+            all(rows);
+            for (const auto& row : rows)
+            {
+                changed(row);
+            }
+            wake();
+        };
+        tell.reached = [this](bool answered)
+        {
+            m_health.record(answered, present());
+        };
+        return std::make_shared<table_follower<Platform>>(
+            m_outside, m_control, std::move(range), feed_wait, std::move(tell));
+    }
+
+    auto inbox_changed(const stored_row& row) -> void
+    {
+        if (row.removed || row.at.part != cell_part)
+        {
+            return;
+        }
+        const auto cancelled = cancelled_job(row.at);
+        if (!cancelled.empty())
+        {
+            m_scheduler.cancel(cancelled, present());
+            return;
+        }
+        if (const auto job = read_job(row.value))
+        {
+            m_scheduler.accept(*job, present());
+        }
+        else
+        {
+            logging::error("a stored job can't be read: it is passed over")
+                .with("key", row.at.key);
+        }
+    }
+
+    auto worker_changed(const stored_row& row) -> void
+    {
+        if (row.removed)
+        {
+            m_scheduler.worker_unlisted(worker_id(row.at.key), present());
+            return;
+        }
+        if (const auto entry = m_outside.read_worker(row))
+        {
+            m_scheduler.worker_listed(*entry, present());
+        }
+        else
+        {
+            logging::warn("a worker's entry makes no sense: it is passed over")
+                .with("key", row.at.key);
+        }
+    }
+
+    auto unlist_absent(const std::vector<stored_row>& rows) -> void
+    {
+        std::set<std::string> there;
+        for (const auto& row : rows)
+        {
+            there.insert(row.at.key);
+        }
+        std::vector<worker_id> gone;
+        for (const auto& [id, worker] : m_scheduler.workers())
+        {
+            if (!there.contains(id.str()))
+            {
+                gone.push_back(id);
+            }
+        }
+        for (const auto& id : gone)
+        {
+            m_scheduler.worker_unlisted(id, present());
+        }
+    }
+
+    auto tick() -> void
+    {
+        m_tick.expires_after(tick_interval);
+        m_tick.async_wait(
+            [self = this->shared_from_this()](auto fault)
+            {
+                if (!fault && !self->m_ended)
+                {
+                    self->decide();
+                    self->tick();
+                }
+            });
+    }
+
+    /// Decides once after all events that are there now.
+    auto wake() -> void
+    {
+        if (m_woken || m_ended)
+        {
+            return;
+        }
+        m_woken = true;
+        boost::asio::post(m_control,
+                          [self = this->shared_from_this()]
+                          {
+                              self->m_woken = false;
+                              if (!self->m_ended)
+                              {
+                                  self->decide();
+                              }
+                          });
+    }
+
+    auto decide() -> void
+    {
+        if (!m_loaded)
+        {
+            return;
+        }
+        const auto now = present();
+        const auto out =
+            m_scheduler.advance(now, m_around.calendar(), m_around.may_act());
+        carry_out(out);
+        ask_questions(now);
+        write_progress();
+        remove_expired(now);
+        if (m_scheduler.overtaken())
+        {
+            m_around.overtaken();
+        }
+    }
+
+    auto carry_out(const outbox& out) -> void
+    {
+        const auto self = this->shared_from_this();
+        for (const auto& order : out.stops)
+        {
+            m_outside.stop(order,
+                           [self, order](bool answered)
+                           {
+                               self->m_scheduler.stop_answered(order, answered,
+                                                               present());
+                               self->wake();
+                           });
+        }
+        for (const auto& order : out.starts)
+        {
+            m_outside.start(order,
+                            [self, order](start_outcome outcome,
+                                          std::optional<worker_time> clock)
+                            {
+                                self->m_scheduler.start_answered(
+                                    order, outcome, clock, present());
+                                self->wake();
+                            });
+        }
+        for (const auto& order : out.holds)
+        {
+            m_outside.hold(
+                order,
+                [self, order](const std::optional<run_report>& report,
+                              bool fenced)
+                {
+                    self->held(order, report, fenced);
+                });
+        }
+        for (const auto& order : out.paces)
+        {
+            m_outside.pace(order);
+        }
+        for (const auto& question : out.questions)
+        {
+            m_desk.add(question);
+        }
+    }
+
+    auto held(const hold_order& order, const std::optional<run_report>& report,
+              bool fenced) -> void
+    {
+        if (m_ended)
+        {
+            return;
+        }
+        if (fenced)
+        {
+            m_around.overtaken();
+            return;
+        }
+        m_scheduler.hold_answered(order, report, present());
+        wake();
+    }
+
+    auto ask_questions(time_point now) -> void
+    {
+        for (const auto& lost : m_desk.take_lost(now))
+        {
+            approval_answer none;
+            none.step = lost.step;
+            none.asked = lost.workers;
+            m_scheduler.approval_answered(none, now);
+        }
+        if (m_desk.waiting() == 0)
+        {
+            return;
+        }
+        std::vector<std::string> askers{m_around.self};
+        for (const auto& [name, entry] : m_peers.alive(now, asker_heard))
+        {
+            if (entry.serving)
+            {
+                askers.push_back(name);
+            }
+        }
+        for (auto& item : m_desk.assign(askers, now))
+        {
+            if (item.asker == m_around.self)
+            {
+                ask_here(item);
+            }
+            else
+            {
+                ask_there(item);
+            }
+        }
+    }
+
+    auto ask_here(const assigned_question& item) -> void
+    {
+        m_outside.ask(item.question,
+                      [self = this->shared_from_this(),
+                       number = item.number](approval_answer answer)
+                      {
+                          if (!self->m_ended)
+                          {
+                              self->question_answered(number,
+                                                      std::move(answer));
+                          }
+                      });
+    }
+
+    auto ask_there(const assigned_question& item) -> void
+    {
+        wire::cell_message message;
+        auto& question = *message.mutable_question();
+        question.set_number(item.number);
+        question.set_job(item.question.step.job.str());
+        question.set_round(item.question.step.round);
+        question.set_step(item.question.step.step);
+        for (const auto& id : item.question.workers)
+        {
+            question.add_workers(id.str());
+        }
+        question.set_expected_ms(item.question.expected.count());
+        m_peers.send(m_peers.known().at(item.asker).address,
+                     std::move(message));
+    }
+
+    auto write_progress() -> void
+    {
+        if (m_writing || present() < m_next_write)
+        {
+            return;
+        }
+        const auto batch = m_scheduler.take_progress(most_rows);
+        if (!batch)
+        {
+            return;
+        }
+        if (batch->jobs.empty())
+        {
+            // Ends that changed nothing need no write.
+            m_scheduler.progress_stored(*batch, present());
+            wake();
+            return;
+        }
+        row_transaction transaction;
+        transaction.conditions.push_back({epoch_row(), m_epoch_version});
+        for (const auto& job : batch->jobs)
+        {
+            transaction.writes.push_back({progress_row(job.id), to_bytes(job)});
+        }
+        m_writing = true;
+        m_outside.commit(transaction, commit_limit,
+                         [self = this->shared_from_this(),
+                          batch](const commit_result& result)
+                         {
+                             self->progress_written(*batch, result);
+                         });
+    }
+
+    auto progress_written(const progress_batch& batch,
+                          const commit_result& result) -> void
+    {
+        m_writing = false;
+        if (m_ended)
+        {
+            return;
+        }
+        m_health.record(result.state == commit_state::committed ||
+                            result.state == commit_state::conflict,
+                        present());
+        switch (result.state)
+        {
+        case commit_state::committed:
+            m_scheduler.progress_stored(batch, present());
+            break;
+        case commit_state::conflict:
+            m_around.overtaken();
+            return;
+        case commit_state::not_done:
+        case commit_state::unknown:
+            // The same rows are written again: doing it twice is no harm.
+            m_scheduler.progress_failed(batch);
+            m_next_write = present() + commit_pause;
+            break;
+        }
+        wake();
+    }
+
+    auto remove_expired(time_point now) -> void
+    {
+        if (now < m_next_expiry)
+        {
+            return;
+        }
+        m_next_expiry = now + expire_interval;
+        const auto jobs = m_scheduler.take_expired(now, expire_at_once);
+        if (jobs.empty())
+        {
+            return;
+        }
+        row_transaction transaction;
+        transaction.conditions.push_back({epoch_row(), m_epoch_version});
+        for (const auto& job : jobs)
+        {
+            transaction.removals.push_back(job_row(job));
+            transaction.removals.push_back(cancel_row(job));
+            transaction.removals.push_back(progress_row(job));
+        }
+        m_outside.commit(transaction, commit_limit,
+                         [count = jobs.size()](const commit_result& result)
+                         {
+                             logging::info("old jobs removed")
+                                 .with("jobs", count)
+                                 .with("done",
+                                       result.state == commit_state::committed);
+                         });
+    }
+
+    Platform& m_outside;
+    boost::asio::io_context& m_control;
+    peers& m_peers;
+    store_health& m_health;
+    owner_context m_around;
+    std::uint64_t m_epoch_version;
+    scheduler m_scheduler;
+    approval_desk m_desk;
+    boost::asio::steady_timer m_tick;
+    boost::asio::steady_timer m_retry;
+    std::shared_ptr<table_follower<Platform>> m_inbox;
+    std::shared_ptr<table_follower<Platform>> m_workers;
+    time_point m_next_write;
+    time_point m_next_expiry;
+    bool m_loaded = false;
+    bool m_woken = false;
+    bool m_writing = false;
+    bool m_ended = false;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -0,0 +1,146 @@
+/// @file
+/// Decides when this instance takes the cell over, keeps it or lets it go. No
+/// I/O: it is told of rows and messages and says what to do.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+
+#include <cstdint>  // uint64_t
+#include <optional> // optional
+#include <string>   // string
+
+namespace pimentoshunt::cell
+{
+
+/// @brief The lease row's content.
+struct lease_content
+{
+    std::uint64_t epoch = 0;
+    std::string instance;
+    std::string peer_address;
+    std::uint64_t incarnation = 0;
+    bool released = false;
+    std::uint64_t renewals = 0;
+};
+
+/// @brief The lease row as it was read; version 0: there is none.
+struct lease_reading
+{
+    std::uint64_t version = 0;
+    lease_content content;
+};
+
+[[nodiscard]] auto to_bytes(const lease_content& content) -> std::string;
+[[nodiscard]] auto read_lease(const std::string& bytes) -> lease_content;
+
+/// @brief Times of the ownership.
+struct ownership_options
+{
+    /// How often the owner renews its row.
+    milliseconds renew_every{700};
+    /// A follower that hears nothing for so long reads the row.
+    milliseconds suspect_after{900};
+    /// A row unchanged for so long, seen twice, has no owner that could renew.
+    /// Two renewals and the slowest ordinary answer of the store fit in.
+    milliseconds take_over_after{1'600};
+    /// An owner whose row was not renewed for so long is watched in the store
+    /// although it is heard.
+    milliseconds watch_after{2'000};
+    /// How often a follower reads the row while it suspects.
+    milliseconds read_every{250};
+    /// Without a confirmation for so long, an owner renews no leases and
+    /// starts nothing, unless most other instances follow it.
+    milliseconds confirm_limit{3'000};
+};
+
+/// @brief The next step of a follower.
+enum class ownership_step
+{
+    nothing,
+    read_row,
+    take_over
+};
+
+/// @brief What one instance knows of the cell's ownership.
+class ownership
+{
+  public:
+    ownership(std::string instance, std::string peer_address,
+              std::uint64_t incarnation, ownership_options options,
+              time_point now);
+
+    /// @brief The row was read, or a transaction has shown it.
+    auto row_seen(const lease_reading& row, time_point now) -> void;
+    /// @brief The owner was heard.
+    /// @param confirmed_age  how long ago the store confirmed it
+    auto beat_heard(std::uint64_t epoch, const std::string& instance,
+                    const std::string& peer_address, bool released,
+                    milliseconds confirmed_age, time_point now) -> void;
+
+    /// @brief What a follower does now.
+    [[nodiscard]] auto next_step(time_point now) -> ownership_step;
+
+    /// @brief What the row should say for a takeover or a renewal.
+    [[nodiscard]] auto claim() const -> lease_content;
+    [[nodiscard]] auto renewal(bool released) const -> lease_content;
+    /// @brief The row's version that either depends on.
+    [[nodiscard]] auto version() const noexcept -> std::uint64_t
+    {
+        return m_row.version;
+    }
+
+    /// @brief The row now says that this instance owns the cell.
+    /// @param sent_at  when the transaction was sent
+    auto confirmed(std::uint64_t version, const lease_content& content,
+                   time_point sent_at) -> void;
+    /// @brief This instance lets go or was overtaken.
+    auto lost(time_point now) -> void;
+
+    [[nodiscard]] auto owner() const noexcept -> bool
+    {
+        return m_owner;
+    }
+    /// @brief Whether the row names this life of this instance.
+    [[nodiscard]] auto is_mine(const lease_content& content) const -> bool;
+    /// @brief Age of the store's last confirmation, for an owner.
+    [[nodiscard]] auto confirmed_age(time_point now) const -> milliseconds;
+    /// @brief Whether an owner may renew leases and start work.
+    /// @param followed  whether most other instances follow it now
+    [[nodiscard]] auto may_act(bool followed, time_point now) const -> bool;
+
+    /// @brief The highest epoch known.
+    [[nodiscard]] auto epoch() const noexcept -> std::uint64_t
+    {
+        return m_epoch;
+    }
+    /// @brief Where the owner is reached; empty when it isn't known.
+    [[nodiscard]] auto owner_address() const noexcept -> const std::string&
+    {
+        return m_owner_address;
+    }
+    [[nodiscard]] auto options() const noexcept -> const ownership_options&
+    {
+        return m_options;
+    }
+
+  private:
+    std::string m_instance;
+    std::string m_peer_address;
+    std::uint64_t m_incarnation;
+    ownership_options m_options;
+    lease_reading m_row;
+    bool m_row_known = false;
+    /// Since when readings have shown the row unchanged.
+    time_point m_row_since;
+    time_point m_last_reading;
+    time_point m_next_read;
+    time_point m_heard_at;
+    bool m_unconfirmed_owner = false;
+    bool m_released = false;
+    bool m_owner = false;
+    std::uint64_t m_epoch = 0;
+    std::string m_owner_address;
+    time_point m_confirmed_at;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -0,0 +1,80 @@
+/// @file
+/// What the instances of a cell tell each other, over ZeroMQ.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/identifier.hpp>
+#include <pimentoshunt/transport/peer_link.hpp>
+
+#include <cell.pb.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <string>     // string
+#include <vector>     // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Another instance, as it was last heard.
+struct peer_entry
+{
+    std::string address;
+    std::uint64_t epoch = 0;
+    bool serving = false;
+    time_point heard_at;
+};
+
+/// @brief Messages to and from other instances; used by the control thread.
+///
+/// A message that can't be delivered is lost: all are repeated, or their
+/// sender has a time limit.
+class peers
+{
+  public:
+    using consumer =
+        std::function<void(const std::string& from, wire::cell_message)>;
+
+    /// @param address  "host:port" to listen on, by which others reach it
+    /// @throw zmq::error_t when the address can't be bound
+    peers(boost::asio::io_context& control, instance_id self,
+          std::string address, consumer take);
+
+    /// @brief Sends one message to an address.
+    auto send(const std::string& address, wire::cell_message message) -> void;
+
+    /// @brief Remembers a peer that has said that it is there.
+    auto heard(const std::string& name, const wire::cell_hello& hello,
+               time_point now) -> void;
+
+    /// @brief Peers heard within @p limit.
+    [[nodiscard]] auto alive(time_point now, milliseconds limit) const
+        -> std::vector<std::pair<std::string, peer_entry>>;
+
+    /// @brief All peers heard within the last minute.
+    [[nodiscard]] auto known() const -> const std::map<std::string, peer_entry>&
+    {
+        return m_known;
+    }
+
+    [[nodiscard]] auto address() const noexcept -> const std::string&
+    {
+        return m_address;
+    }
+
+  private:
+    boost::asio::io_context& m_control;
+    instance_id m_self;
+    std::string m_address;
+    consumer m_take;
+    zmq::context_t m_context{1};
+    transport::peer_sender m_sender{m_context};
+    std::map<std::string, peer_entry> m_known;
+    std::unique_ptr<transport::peer_receiver> m_receiver;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// Which worker a task gets. Answers a full cell of unlike sizes: large tasks
+/// must still find room in one piece, data must be near, and what has just
+/// failed on a worker should not go there again.
+#pragma once
+
+#include <pimentoshunt/cell/detail/records.hpp>
+
+#include <vector> // vector
+
+namespace pimentoshunt::cell::policy
+{
+
+/// @brief What placing a task on a worker costs; the lowest is best.
+[[nodiscard]] auto placement_cost(const detail::worker_record& worker,
+                                  const step_spec& step, const worker_id& avoid)
+    -> double;
+
+/// @brief A place for each member of a gang, on one rack where it needs that.
+/// @return as many workers as the step has tasks, or none
+[[nodiscard]] auto
+place_together(const std::vector<detail::worker_record*>& among,
+               const step_spec& step) -> std::vector<detail::worker_record*>;
+
+} // namespace pimentoshunt::cell::policy
--- /dev/null
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -0,0 +1,261 @@
+/// @file
+/// Decides where and when the tasks of a cell run. No I/O and no clock of its
+/// own: it is told what happened and says what is to be done.
+#pragma once
+
+#include <pimentoshunt/cell/detail/records.hpp>
+#include <pimentoshunt/cell/model.hpp>
+#include <pimentoshunt/cell/orders.hpp>
+#include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/policy/worker_health.hpp>
+
+#include <cstdint>       // uint64_t
+#include <map>           // map
+#include <optional>      // optional
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Limits of a scheduler.
+struct scheduler_options
+{
+    /// Lease of all that runs on a worker. Longer than a takeover takes, short
+    /// enough to run work elsewhere soon after a worker was cut off.
+    milliseconds lease{5'000};
+    /// A worker's clock may run slower than ours by this share.
+    double clock_slowness = 0.02;
+    /// How long an earlier owner may have gone on without knowing better.
+    milliseconds earlier_owner_limit{3'000};
+    /// How long a worker may wait for an end before it answers a hold.
+    milliseconds hold_wait{1'000};
+    /// The same where fillers run beside tasks that have a target.
+    milliseconds paced_hold_wait{400};
+    /// Until a hold is repeated that had to be answered at once.
+    milliseconds hold_retry{100};
+    /// A start without an answer for so long is stopped and tried elsewhere.
+    milliseconds stop_retry{300};
+    /// An entry that went missing is back within this time if it is to be.
+    milliseconds missing_grace{2'500};
+    /// Longest time that a final state is kept for callers.
+    milliseconds keep_final{130'000};
+    /// A task is taken to stand still when its progress has not changed for
+    /// this long and should have.
+    milliseconds stall_limit{2'500};
+    /// A ticket is not used in the last part of its life: the start travels.
+    milliseconds ticket_margin{150};
+    /// Most workers named in one question.
+    std::size_t question_workers = 30;
+    /// Time between questions on one step that led to nothing.
+    milliseconds question_pause{60};
+    /// How long a worker is left alone that turned a start away.
+    milliseconds refusal_pause{400};
+};
+
+/// @brief Numbers of one queue for callers and metrics.
+struct queue_count
+{
+    queue_name queue;
+    /// Accepted jobs of which no task has started.
+    std::uint64_t pending = 0;
+};
+
+/// @brief The owner of all jobs and workers of a cell, for one epoch.
+class scheduler
+{
+  public:
+    /// @param epoch  of this ownership; above all earlier ones
+    scheduler(std::uint64_t epoch, scheduler_options options, time_point now);
+
+    /// @name What happened
+    /// @{
+
+    /// @brief A newer configuration is in force.
+    auto configure(const configuration& latest) -> void;
+    /// @brief A worker's entry is there or has changed.
+    auto worker_listed(const worker_entry& entry, time_point now) -> void;
+    /// @brief A worker's entry has gone.
+    auto worker_unlisted(const worker_id& worker, time_point now) -> void;
+
+    /// @brief Takes in a job that an earlier owner may have worked on.
+    auto restore(const job_spec& job, const job_progress& progress,
+                 time_point now) -> void;
+    /// @brief Takes in a job that was accepted under this ownership.
+    auto accept(const job_spec& job, time_point now) -> void;
+    /// @brief Ends a job without finishing it.
+    auto cancel(const job_id& job, time_point now) -> void;
+
+    /// @param clock  the worker's clock, where the answer had one
+    auto start_answered(const start_order& order, start_outcome outcome,
+                        std::optional<worker_time> clock, time_point now)
+        -> void;
+    /// @param answered  whether the worker will never run it from now on
+    auto stop_answered(const stop_order& order, bool answered, time_point now)
+        -> void;
+    /// @param report  nothing when no answer came
+    auto hold_answered(const hold_order& order,
+                       const std::optional<run_report>& report, time_point now)
+        -> void;
+    auto approval_answered(const approval_answer& answer, time_point now)
+        -> void;
+    /// @brief A batch is durable.
+    auto progress_stored(const progress_batch& batch, time_point now) -> void;
+    /// @}
+
+    /// @brief Decides; to be called after events and at least each 50 ms.
+    /// @param may_extend  whether leases may be renewed and runs started
+    /// @param calendar  the time of day
+    auto advance(time_point now, calendar_time calendar, bool may_extend)
+        -> outbox;
+
+    /// @brief The changes of jobs that are not yet on their way to the store.
+    /// @param most  jobs in one batch
+    /// @return nothing when there are none
+    auto take_progress(std::size_t most) -> std::optional<progress_batch>;
+    /// @brief A batch could not be written: its jobs are due again.
+    auto progress_failed(const progress_batch& batch) -> void;
+    /// @brief Finished jobs whose time is over; they are forgotten here.
+    auto take_expired(time_point now, std::size_t most) -> std::vector<job_id>;
+
+    /// @brief The state to tell a caller; nothing when it isn't known here.
+    [[nodiscard]] auto state_of(const job_id& job) const
+        -> std::optional<job_state>;
+    /// @brief For each queue with jobs, how many have not begun.
+    [[nodiscard]] auto pending() const -> std::vector<queue_count>;
+    [[nodiscard]] auto epoch() const noexcept -> std::uint64_t
+    {
+        return m_epoch;
+    }
+    /// @brief Whether an order was refused since a later owner is there.
+    [[nodiscard]] auto overtaken() const noexcept -> bool
+    {
+        return m_overtaken;
+    }
+    /// @brief Workers that have not answered under this epoch.
+    [[nodiscard]] auto workers_not_adopted() const -> std::size_t;
+    [[nodiscard]] auto job_count() const noexcept -> std::size_t
+    {
+        return m_jobs.size();
+    }
+    [[nodiscard]] auto workers() const noexcept
+        -> const std::map<worker_id, detail::worker_record>&
+    {
+        return m_workers;
+    }
+
+  private:
+    using job_record = detail::job_record;
+    using round_record = detail::round_record;
+    using step_record = detail::step_record;
+    using task_record = detail::task_record;
+    using worker_record = detail::worker_record;
+    using run_record = detail::run_record;
+
+    /// A task found by its name.
+    struct task_place
+    {
+        job_record* job = nullptr;
+        round_record* round = nullptr;
+        step_record* step = nullptr;
+        task_record* task = nullptr;
+    };
+
+    // Jobs.
+    auto add_job(const job_spec& job, time_point now) -> job_record*;
+    auto add_round(job_record& job, std::uint32_t number) -> void;
+    auto release_rounds(time_point now, calendar_time calendar) -> void;
+    auto release_steps(job_record& job, round_record& round, time_point now)
+        -> void;
+    auto find(const task_ref& task) -> task_place;
+    auto mark_dirty(job_record& job) -> void;
+    auto task_done(const task_place& place, time_point now) -> void;
+    auto step_done(const task_place& place, time_point now) -> void;
+    auto finish(job_record& job, job_state state, time_point now) -> void;
+    auto stop_all_runs(job_record& job, time_point now) -> void;
+    auto put_back(const task_place& place, std::uint32_t index) -> void;
+    auto count_failure(const task_place& place, const run_ref& run,
+                       time_point now) -> void;
+    auto progress_of(const job_record& job) const -> job_progress;
+
+    // Workers and their runs.
+    auto target_of(const worker_record& worker) const -> order_target;
+    auto lease_for(const worker_record& worker, time_point now) const
+        -> worker_time;
+    auto lapses_at(const worker_record& worker) const -> time_point;
+    auto new_life(worker_record& worker, calendar_time born) -> void;
+    auto take_report(worker_record& worker, const run_report& report,
+                     time_point sent_at, time_point now) -> void;
+    auto take_end(worker_record& worker, const listed_end& end, time_point now)
+        -> void;
+    auto take_present(worker_record& worker, const listed_run& seen,
+                      time_point now) -> void;
+    auto drop_absent(worker_record& worker, const run_report& report,
+                     time_point sent_at, time_point now) -> void;
+    auto run_over(worker_record& worker, const run_ref& run, run_end how,
+                  const std::string& checkpoint, time_point now) -> void;
+    auto add_run(worker_record& worker, const task_place& place,
+                 const run_ref& run, time_point now) -> run_record&;
+    auto erase_run(worker_record& worker, const run_ref& run) -> void;
+    auto want_stop(worker_record& worker, run_record& run, time_point now)
+        -> void;
+    auto retry_stops(worker_record& worker, time_point now) -> void;
+    auto give_up_lapsed(worker_record& worker, time_point now) -> void;
+    auto plan_hold(worker_record& worker, time_point now, bool may_extend)
+        -> void;
+    auto stop_stalled(worker_record& worker, time_point now) -> void;
+    auto leave_draining(worker_record& worker, time_point now) -> void;
+    auto set_paces(worker_record& worker, time_point now) -> void;
+    auto close_worker(worker_record& worker, time_point until) -> void;
+
+    // Placing.
+    auto dispatch(time_point now) -> void;
+    auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
+    auto usable(const worker_record& worker, const job_record& job,
+                const step_record& step, time_point now) const -> bool;
+    auto fits(const worker_record& worker, const step_record& step) const
+        -> bool;
+    auto place_tasks(const policy::waiting_step& item, time_point now) -> void;
+    auto place_gang(const policy::waiting_step& item, time_point now) -> void;
+    auto candidates(const policy::waiting_step& item, time_point now)
+        -> std::vector<worker_record*>;
+    auto pick_worker(const policy::waiting_step& item,
+                     const std::vector<worker_record*>& among,
+                     const task_record& task) -> worker_record*;
+    auto start(const policy::waiting_step& item, std::uint32_t index,
+               worker_record& worker, std::uint64_t number, time_point now)
+        -> void;
+    auto next_number(const task_record& task) const -> std::uint64_t;
+    auto blocked_by_inheritance(const job_record& job, time_point now) const
+        -> bool;
+
+    // Approvals.
+    auto ask_approval(const policy::waiting_step& item, time_point now) -> void;
+    auto question_list(const policy::waiting_step& item, time_point now)
+        -> std::vector<worker_record*>;
+
+    std::uint64_t m_epoch;
+    scheduler_options m_options;
+    time_point m_since;
+    bool m_overtaken = false;
+    bool m_may_extend = false;
+    configuration m_configuration;
+    std::unordered_map<job_id, job_record> m_jobs;
+    /// Jobs that are not over, by the order of their arrival.
+    std::map<std::uint64_t, job_record*> m_active;
+    std::unordered_map<job_id, std::uint64_t> m_arrival;
+    std::uint64_t m_arrivals = 0;
+    std::map<worker_id, worker_record> m_workers;
+    std::vector<job_id> m_dirty;
+    std::uint64_t m_last_batch = 0;
+    /// For the batch in flight: ends that are durable once it is.
+    std::map<std::uint64_t, std::vector<std::pair<worker_id, std::uint64_t>>>
+        m_ends_of_batch;
+    std::vector<job_id> m_finished;
+    pimentoshunt::policy::worker_health m_health;
+    std::map<worker_id, bool> m_probe;
+    outbox m_out;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/store_health.hpp
@@ -0,0 +1,55 @@
+/// @file
+/// Whether the store answers this instance.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+#include <pimentoshunt/logging.hpp>
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Remembers the outcome of the last calls.
+class store_health
+{
+  public:
+    auto record(bool answered, time_point now) -> void
+    {
+        if (answered)
+        {
+            if (m_failing)
+            {
+                logging::info("store answers again")
+                    .with("away", now - m_failing_since);
+            }
+            m_failing = false;
+            return;
+        }
+        if (!m_failing)
+        {
+            m_failing = true;
+            m_failing_since = now;
+            logging::warn("store does not answer");
+        }
+    }
+
+    /// @brief Whether calls have failed for @ref away_after without a success.
+    [[nodiscard]] auto away(time_point now) const -> bool
+    {
+        return m_failing && now - m_failing_since >= away_after;
+    }
+
+    /// @brief Whether the last call failed.
+    [[nodiscard]] auto failing() const noexcept -> bool
+    {
+        return m_failing;
+    }
+
+  private:
+    /// A single lost answer says little.
+    static constexpr milliseconds away_after{400};
+
+    bool m_failing = false;
+    time_point m_failing_since;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -0,0 +1,228 @@
+/// @file
+/// Reads whole tables page by page, and follows their changes.
+#pragma once
+
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional> // function
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <string>     // string
+#include <utility>    // move
+#include <vector>     // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief What a table held, and the version from which to follow it.
+struct table_rows
+{
+    std::vector<stored_row> rows;
+    std::uint64_t version = 0;
+};
+
+/// @brief Reads all rows of a range.
+/// @param done  called with nothing when the store did not answer
+template<class Platform>
+auto read_all(Platform& outside, row_range range, milliseconds limit,
+              std::function<void(std::optional<table_rows>)> done) -> void
+{
+    struct reading
+    {
+        table_rows found;
+        bool first = true;
+        std::function<void()> next;
+    };
+    auto state = std::make_shared<reading>();
+    auto place = std::make_shared<row_range>(std::move(range));
+    state->next = [&outside, state, place, limit, done = std::move(done)]
+    {
+        outside.read(*place, limit,
+                     [state, place, done](read_result page)
+                     {
+                         if (!page.answered)
+                         {
+                             state->next = nullptr;
+                             done(std::nullopt);
+                             return;
+                         }
+                         if (state->first)
+                         {
+                             // Changes made while reading come again.
+                             state->found.version = page.version;
+                             state->first = false;
+                         }
+                         for (auto& row : page.rows)
+                         {
+                             state->found.rows.push_back(std::move(row));
+                         }
+                         if (page.more && !state->found.rows.empty())
+                         {
+                             // The next key in the order of bytes.
+                             place->from =
+                                 state->found.rows.back().at.key + '\x01';
+                             state->next();
+                             return;
+                         }
+                         state->next = nullptr;
+                         done(std::move(state->found));
+                     });
+    };
+    state->next();
+}
+
+/// @brief Tells of each change of one table, and of all rows anew when the
+/// store has lost the history.
+template<class Platform>
+class table_follower
+    : public std::enable_shared_from_this<table_follower<Platform>>
+{
+  public:
+    /// What is told.
+    struct listener
+    {
+        /// All rows, read anew.
+        std::function<void(const std::vector<stored_row>&)> all;
+        std::function<void(const stored_row&)> changed;
+        /// Whether the last call was answered.
+        std::function<void(bool)> reached;
+    };
+
+    /// @param range  table and part to read; changes of other parts are told
+    ///               too
+    table_follower(Platform& outside, boost::asio::io_context& control,
+                   row_range range, milliseconds wait, listener tell)
+        : m_outside(outside), m_timer(control), m_range(std::move(range)),
+          m_wait(wait), m_tell(std::move(tell))
+    {
+    }
+
+    /// @brief Reads everything, then follows.
+    auto begin() -> void
+    {
+        read_all(
+            m_outside, m_range, read_limit,
+            [self = this->shared_from_this()](std::optional<table_rows> found)
+            {
+                self->read_done(std::move(found));
+            });
+    }
+
+    /// @brief Follows from @p version on.
+    auto follow_from(std::uint64_t version) -> void
+    {
+        m_version = version;
+        follow();
+    }
+
+    auto stop() -> void
+    {
+        m_stopped = true;
+        m_timer.cancel();
+        m_tell = {};
+    }
+
+  private:
+    /// A page comes within milliseconds unless the store is in trouble.
+    static constexpr milliseconds read_limit{1'000};
+    /// Pause after a call that the store did not answer.
+    static constexpr milliseconds retry_pause{200};
+
+    auto read_done(std::optional<table_rows> found) -> void
+    {
+        if (m_stopped)
+        {
+            return;
+        }
+        m_tell.reached(found.has_value());
+        if (!found)
+        {
+            later(
+                [](auto& self)
+                {
+                    self.begin();
+                });
+            return;
+        }
+        m_version = found->version;
+        m_tell.all(found->rows);
+        follow();
+    }
+
+    auto follow() -> void
+    {
+        if (m_stopped)
+        {
+            return;
+        }
+        m_outside.follow(m_range.table, m_version, m_wait,
+                         [self = this->shared_from_this()](feed_result found)
+                         {
+                             self->follow_done(std::move(found));
+                         });
+    }
+
+    auto follow_done(feed_result found) -> void
+    {
+        if (m_stopped)
+        {
+            return;
+        }
+        m_tell.reached(found.state != feed_state::failed);
+        if (found.state == feed_state::failed)
+        {
+            later(
+                [](auto& self)
+                {
+                    self.follow();
+                });
+            return;
+        }
+        if (found.state == feed_state::history_gone)
+        {
+            logging::info("history of a table is gone: it is read anew")
+                .with("table", m_range.table)
+                .with("version", m_version);
+            begin();
+            return;
+        }
+        for (const auto& row : found.rows)
+        {
+            m_tell.changed(row);
+            if (m_stopped)
+            {
+                return;
+            }
+        }
+        m_version = std::max(m_version, found.version);
+        follow();
+    }
+
+    template<class Step>
+    auto later(Step step) -> void
+    {
+        m_timer.expires_after(retry_pause);
+        m_timer.async_wait(
+            [self = this->shared_from_this(), step](auto fault)
+            {
+                if (!fault && !self->m_stopped)
+                {
+                    step(*self);
+                }
+            });
+    }
+
+    Platform& m_outside;
+    boost::asio::steady_timer m_timer;
+    row_range m_range;
+    milliseconds m_wait;
+    listener m_tell;
+    std::uint64_t m_version = 0;
+    bool m_stopped = false;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/stored.hpp
@@ -0,0 +1,27 @@
+/// @file
+/// Jobs and their progress as bytes in the platform's store.
+#pragma once
+
+#include <pimentoshunt/cell/model.hpp>
+
+#include <optional> // optional
+#include <string>   // string
+
+namespace pimentoshunt::cell
+{
+
+/// @brief The bytes that are kept for an accepted job.
+[[nodiscard]] auto to_bytes(const job_spec& job) -> std::string;
+
+/// @brief The bytes that are kept for a job's progress.
+[[nodiscard]] auto to_bytes(const job_progress& progress) -> std::string;
+
+/// @return nothing when the bytes are none that @ref to_bytes has made
+[[nodiscard]] auto read_job(const std::string& bytes)
+    -> std::optional<job_spec>;
+
+/// @return nothing when the bytes are none that @ref to_bytes has made
+[[nodiscard]] auto read_progress(const std::string& bytes)
+    -> std::optional<job_progress>;
+
+} // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cli/command.hpp
+++ b/include/pimentoshunt/cli/command.hpp
@@ -80,6 +80,7 @@
 
 // The subcommands' functions.
 auto run_serve(const invocation& call) -> result<exit_code>;
+auto run_cell(const invocation& call) -> result<exit_code>;
 auto run_check(const invocation& call) -> result<exit_code>;
 auto run_apply(const invocation& call) -> result<exit_code>;
 auto run_get(const invocation& call) -> result<exit_code>;
--- a/include/pimentoshunt/logging.hpp
+++ b/include/pimentoshunt/logging.hpp
@@ -30,10 +30,21 @@
 /// @brief The level of that name as settings have it; info if there is none.
 [[nodiscard]] auto level_named(std::string_view name) -> level;
 
+/// @brief Where lines are written.
+enum class stream
+{
+    standard_output,
+    standard_error
+};
+
 /// @brief Opens the log with the level and the instance's name.
 /// @note Events before it are dropped. Call it before threads start.
 auto setup(const settings& chosen) -> void;
 
+/// @brief The same for a role with settings of its own.
+auto setup(const instance_id& instance, const std::string& level_name,
+           stream target) -> void;
+
 /// @brief Changes the level while the program runs.
 auto set_level(level least) -> void;
 
--- a/include/pimentoshunt/platform/json_fields.hpp
+++ b/include/pimentoshunt/platform/json_fields.hpp
@@ -31,6 +31,11 @@
                              std::string_view name, std::int64_t otherwise = 0)
     -> std::int64_t;
 
+/// @brief A member that may have a fraction, or @p otherwise.
+[[nodiscard]] auto real_of(const boost::json::object& from,
+                           std::string_view name, double otherwise = 0)
+    -> double;
+
 /// @brief A boolean member, or false.
 [[nodiscard]] auto flag_of(const boost::json::object& from,
                            std::string_view name) -> bool;
--- /dev/null
+++ b/src/cell/approval_desk.cpp
@@ -0,0 +1,94 @@
+#include <pimentoshunt/cell/approval_desk.hpp>
+
+#include <algorithm> // stable_sort, max
+#include <set>       // set
+#include <utility>   // move
+
+namespace pimentoshunt::cell
+{
+
+auto approval_desk::add(approval_question question) -> void
+{
+    m_waiting.push_back(std::move(question));
+    std::stable_sort(m_waiting.begin(), m_waiting.end(),
+                     [](const auto& left, const auto& right)
+                     {
+                         return left.priority < right.priority;
+                     });
+}
+
+auto approval_desk::assign(const std::vector<std::string>& askers,
+                           time_point now) -> std::vector<assigned_question>
+{
+    std::set<std::string> busy;
+    std::size_t slow_calls = 0;
+    for (const auto& [number, call] : m_asked)
+    {
+        busy.insert(call.asker);
+        slow_calls += is_slow(call.question) ? 1 : 0;
+    }
+    std::vector<std::string> idle;
+    for (const auto& name : askers)
+    {
+        const auto rests = m_resting.find(name);
+        const bool resting = rests != m_resting.end() && now < rests->second;
+        if (!busy.contains(name) && !resting)
+        {
+            idle.push_back(name);
+        }
+    }
+    const auto slow_limit = std::max<std::size_t>(
+        1, static_cast<std::size_t>(m_options.slow_share *
+                                    static_cast<double>(askers.size())));
+    std::vector<assigned_question> out;
+    for (auto item = m_waiting.begin();
+         item != m_waiting.end() && !idle.empty();)
+    {
+        const bool slow = is_slow(*item);
+        if (slow && slow_calls >= slow_limit)
+        {
+            ++item;
+            continue;
+        }
+        slow_calls += slow ? 1 : 0;
+        const auto number = ++m_last_number;
+        m_asked[number] = {idle.back(), *item,
+                           now + item->expected + m_options.patience};
+        out.push_back({number, idle.back(), std::move(*item)});
+        idle.pop_back();
+        item = m_waiting.erase(item);
+    }
+    return out;
+}
+
+auto approval_desk::answered(std::uint64_t number)
+    -> std::optional<approval_question>
+{
+    const auto found = m_asked.find(number);
+    if (found == m_asked.end())
+    {
+        return std::nullopt;
+    }
+    auto out = std::move(found->second.question);
+    m_asked.erase(found);
+    return out;
+}
+
+auto approval_desk::take_lost(time_point now) -> std::vector<approval_question>
+{
+    std::vector<approval_question> out;
+    for (auto item = m_asked.begin(); item != m_asked.end();)
+    {
+        if (now < item->second.lost_at)
+        {
+            ++item;
+            continue;
+        }
+        m_resting[item->second.asker] = now + m_options.rest;
+        out.push_back(std::move(item->second.question));
+        item = m_asked.erase(item);
+    }
+    return out;
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/dispatch_order.cpp
@@ -0,0 +1,79 @@
+#include <pimentoshunt/cell/policy/dispatch_order.hpp>
+
+#include <algorithm> // find, max, sort
+#include <tuple>     // tuple
+
+namespace pimentoshunt::cell::policy
+{
+namespace
+{
+
+/// A job earns less after its objective and nothing after so many of it.
+constexpr int worthless_after_objectives = 3;
+
+auto depends_on(const step_spec& later, std::uint32_t earlier) -> bool
+{
+    return std::find(later.after.begin(), later.after.end(), earlier) !=
+           later.after.end();
+}
+
+} // namespace
+
+auto chain_from(const job_spec& job, std::uint32_t step) -> milliseconds
+{
+    // Steps name only earlier ones, so one pass from the end sees all.
+    std::vector<milliseconds> rest(job.steps.size(), milliseconds{0});
+    for (auto i = job.steps.size(); i-- > step;)
+    {
+        milliseconds longest{0};
+        for (auto next = i + 1; next < job.steps.size(); ++next)
+        {
+            if (depends_on(job.steps[next], static_cast<std::uint32_t>(i)))
+            {
+                longest = std::max(longest, rest[next]);
+            }
+        }
+        rest[i] = longest + job.steps[i].estimate;
+    }
+    return rest[step];
+}
+
+auto objective(const job_spec& job) -> milliseconds
+{
+    milliseconds chain{0};
+    for (std::uint32_t i = 0; i < job.steps.size(); ++i)
+    {
+        chain = std::max(chain, chain_from(job, i));
+    }
+    const auto stretched =
+        job.queue.stretch * static_cast<double>(chain.count());
+    return milliseconds(static_cast<std::int64_t>(stretched)) +
+           job.queue.allowance;
+}
+
+auto weigh(waiting_step& item, time_point now) -> void
+{
+    const auto& job = *item.job->spec;
+    const auto wanted = objective(job);
+    const auto begun = item.round->released_at;
+    item.due = begun + wanted;
+    item.latest_start = item.due - chain_from(job, item.step->number);
+    item.hopeless = now > begun + worthless_after_objectives * wanted &&
+                    !item.step->spec->lasting;
+}
+
+auto sort(std::vector<waiting_step>& items) -> void
+{
+    const auto key = [](const waiting_step& item)
+    {
+        return std::tuple(item.job->spec->queue.priority, item.hopeless,
+                          item.latest_start);
+    };
+    std::sort(items.begin(), items.end(),
+              [&](const waiting_step& left, const waiting_step& right)
+              {
+                  return key(left) < key(right);
+              });
+}
+
+} // namespace pimentoshunt::cell::policy
--- /dev/null
+++ b/src/cell/model.cpp
@@ -0,0 +1,92 @@
+#include <pimentoshunt/cell/model.hpp>
+
+#include <algorithm> // find_if
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+/// The host of a Host header, without its port.
+auto without_port(const std::string& host) -> std::string
+{
+    return host.substr(0, host.find(':'));
+}
+
+} // namespace
+
+auto configuration::route_of(const std::string& host,
+                             const std::string& path) const
+    -> const queue_route*
+{
+    const auto name = without_port(host);
+    const queue_route* best = nullptr;
+    for (const auto& item : routes)
+    {
+        const bool matches =
+            without_port(item.host) == name &&
+            path.compare(0, item.path_prefix.size(), item.path_prefix) == 0;
+        if (matches && (best == nullptr ||
+                        best->path_prefix.size() < item.path_prefix.size()))
+        {
+            best = &item;
+        }
+    }
+    return best;
+}
+
+auto configuration::queue_of(const queue_name& name) const -> const queue_terms*
+{
+    const auto found = std::find_if(routes.begin(), routes.end(),
+                                    [&](const queue_route& item)
+                                    {
+                                        return item.queue.name == name;
+                                    });
+    return found == routes.end() ? nullptr : &found->queue;
+}
+
+auto to_string(job_state state) -> std::string
+{
+    switch (state)
+    {
+    case job_state::queued:
+        return "queued";
+    case job_state::running:
+        return "running";
+    case job_state::succeeded:
+        return "succeeded";
+    case job_state::failed:
+        return "failed";
+    case job_state::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+auto to_string(run_end how) -> std::string
+{
+    switch (how)
+    {
+    case run_end::done:
+        return "done";
+    case run_end::failed:
+        return "failed";
+    case run_end::stopped:
+        return "stopped";
+    case run_end::lapsed:
+        return "lapsed";
+    case run_end::broken:
+        return "broken";
+    case run_end::alone:
+        break;
+    }
+    return "alone";
+}
+
+auto to_string(const task_ref& task) -> std::string
+{
+    return task.step.job.str() + "." + std::to_string(task.step.round) + "." +
+           std::to_string(task.step.step) + "." + std::to_string(task.index);
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/ownership.cpp
@@ -0,0 +1,163 @@
+#include <pimentoshunt/cell/ownership.hpp>
+
+#include <cell.pb.h>
+
+#include <utility> // move
+
+namespace pimentoshunt::cell
+{
+
+auto to_bytes(const lease_content& content) -> std::string
+{
+    wire::stored_owner out;
+    out.set_epoch(content.epoch);
+    out.set_instance(content.instance);
+    out.set_peer_address(content.peer_address);
+    out.set_incarnation(content.incarnation);
+    out.set_released(content.released);
+    out.set_renewals(content.renewals);
+    return out.SerializeAsString();
+}
+
+auto read_lease(const std::string& bytes) -> lease_content
+{
+    wire::stored_owner from;
+    lease_content out;
+    if (!from.ParseFromString(bytes))
+    {
+        return out;
+    }
+    out.epoch = from.epoch();
+    out.instance = from.instance();
+    out.peer_address = from.peer_address();
+    out.incarnation = from.incarnation();
+    out.released = from.released();
+    out.renewals = from.renewals();
+    return out;
+}
+
+ownership::ownership(std::string instance, std::string peer_address,
+                     std::uint64_t incarnation, ownership_options options,
+                     time_point now)
+    : m_instance(std::move(instance)), m_peer_address(std::move(peer_address)),
+      m_incarnation(incarnation), m_options(options), m_next_read(now)
+{
+}
+
+auto ownership::row_seen(const lease_reading& row, time_point now) -> void
+{
+    // A reading long after the last one says nothing of the time between.
+    const bool continuous =
+        m_row_known && now - m_last_reading < m_options.take_over_after;
+    if (!continuous || row.version != m_row.version)
+    {
+        m_row_since = now;
+    }
+    m_row = row;
+    m_row_known = true;
+    m_last_reading = now;
+    if (row.content.epoch >= m_epoch)
+    {
+        m_epoch = row.content.epoch;
+        m_released = row.content.released;
+        m_owner_address = row.content.peer_address;
+    }
+}
+
+auto ownership::beat_heard(std::uint64_t epoch, const std::string& instance,
+                           const std::string& peer_address, bool released,
+                           milliseconds confirmed_age, time_point now) -> void
+{
+    if (epoch < m_epoch || instance == m_instance)
+    {
+        return;
+    }
+    m_epoch = epoch;
+    m_owner_address = peer_address;
+    m_heard_at = now;
+    m_released = released;
+    m_unconfirmed_owner = confirmed_age >= m_options.watch_after;
+}
+
+auto ownership::next_step(time_point now) -> ownership_step
+{
+    if (m_owner)
+    {
+        return ownership_step::nothing;
+    }
+    const bool heard = now - m_heard_at < m_options.suspect_after;
+    if (heard && !m_unconfirmed_owner && !m_released)
+    {
+        return ownership_step::nothing;
+    }
+    const bool fresh =
+        m_row_known && now - m_last_reading < 2 * m_options.read_every;
+    // An earlier life of this instance is over for certain.
+    if (fresh && (m_row.version == 0 || m_row.content.released ||
+                  m_row.content.instance == m_instance))
+    {
+        m_row_known = false;
+        return ownership_step::take_over;
+    }
+    if (fresh && now - m_row_since >= m_options.take_over_after)
+    {
+        m_row_known = false;
+        return ownership_step::take_over;
+    }
+    if (now >= m_next_read)
+    {
+        m_next_read = now + m_options.read_every;
+        return ownership_step::read_row;
+    }
+    return ownership_step::nothing;
+}
+
+auto ownership::claim() const -> lease_content
+{
+    return {m_row.content.epoch + 1, m_instance, m_peer_address,
+            m_incarnation,           false,      0};
+}
+
+auto ownership::renewal(bool released) const -> lease_content
+{
+    return {m_epoch,       m_instance, m_peer_address,
+            m_incarnation, released,   m_row.content.renewals + 1};
+}
+
+auto ownership::confirmed(std::uint64_t version, const lease_content& content,
+                          time_point sent_at) -> void
+{
+    m_row = {version, content};
+    m_epoch = content.epoch;
+    m_owner = true;
+    m_released = false;
+    m_owner_address = m_peer_address;
+    m_confirmed_at = sent_at;
+}
+
+auto ownership::lost(time_point now) -> void
+{
+    m_owner = false;
+    m_row_known = false;
+    m_owner_address.clear();
+    m_next_read = now;
+}
+
+auto ownership::is_mine(const lease_content& content) const -> bool
+{
+    return content.instance == m_instance &&
+           content.incarnation == m_incarnation;
+}
+
+auto ownership::confirmed_age(time_point now) const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(now - m_confirmed_at);
+}
+
+auto ownership::may_act(bool followed, time_point now) const -> bool
+{
+    return m_owner &&
+           (followed || now - m_confirmed_at < m_options.confirm_limit);
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/peers.cpp
@@ -0,0 +1,77 @@
+#include <pimentoshunt/cell/peers.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <utility> // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+/// An instance that was silent for so long has gone for good.
+constexpr milliseconds forget_after{60'000};
+
+} // namespace
+
+peers::peers(boost::asio::io_context& control, instance_id self,
+             std::string address, consumer take)
+    : m_control(control), m_self(std::move(self)),
+      m_address(std::move(address)), m_take(std::move(take))
+{
+    m_receiver = std::make_unique<transport::peer_receiver>(
+        m_context, m_address,
+        [this](wire::envelope message)
+        {
+            if (message.body_case() != wire::envelope::kCell)
+            {
+                return;
+            }
+            boost::asio::post(m_control,
+                              [this, message = std::move(message)]() mutable
+                              {
+                                  m_take(message.from(),
+                                         std::move(*message.mutable_cell()));
+                              });
+        });
+}
+
+auto peers::send(const std::string& address, wire::cell_message message) -> void
+{
+    control::outbound out;
+    out.address = address;
+    out.envelope.set_from(m_self.str());
+    *out.envelope.mutable_cell() = std::move(message);
+    m_sender.send(out, boot_clock::now());
+}
+
+auto peers::heard(const std::string& name, const wire::cell_hello& hello,
+                  time_point now) -> void
+{
+    auto& entry = m_known[name];
+    entry.address = hello.peer_address();
+    entry.epoch = hello.epoch();
+    entry.serving = hello.serving();
+    entry.heard_at = now;
+    std::erase_if(m_known,
+                  [&](const auto& item)
+                  {
+                      return now - item.second.heard_at > forget_after;
+                  });
+}
+
+auto peers::alive(time_point now, milliseconds limit) const
+    -> std::vector<std::pair<std::string, peer_entry>>
+{
+    std::vector<std::pair<std::string, peer_entry>> out;
+    for (const auto& [name, entry] : m_known)
+    {
+        if (now - entry.heard_at <= limit)
+        {
+            out.emplace_back(name, entry);
+        }
+    }
+    return out;
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/scheduler_dispatch.cpp
@@ -0,0 +1,393 @@
+// Placing: which waiting task starts on which worker.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/cell/policy/worker_choice.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // find, max, sort
+#include <utility>   // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+using detail::run_phase;
+
+} // namespace
+
+auto to_string(start_outcome outcome) -> std::string
+{
+    switch (outcome)
+    {
+    case start_outcome::started:
+        return "started";
+    case start_outcome::fenced:
+        return "fenced";
+    case start_outcome::outdated:
+        return "outdated";
+    case start_outcome::late:
+        return "late";
+    case start_outcome::no_room:
+        return "no room";
+    case start_outcome::bad_ticket:
+        return "bad ticket";
+    case start_outcome::unhealthy:
+        return "unhealthy";
+    case start_outcome::invalid:
+        return "invalid";
+    case start_outcome::unreachable:
+        return "unreachable";
+    case start_outcome::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+auto scheduler::advance(time_point now, calendar_time calendar, bool may_extend)
+    -> outbox
+{
+    m_may_extend = may_extend;
+    release_rounds(now, calendar);
+    for (auto& [id, worker] : m_workers)
+    {
+        retry_stops(worker, now);
+        give_up_lapsed(worker, now);
+        leave_draining(worker, now);
+    }
+    for (const auto& id : m_health.take_due_probes(now))
+    {
+        m_probe[id] = true;
+    }
+    if (may_extend && !m_overtaken)
+    {
+        dispatch(now);
+    }
+    for (auto& [id, worker] : m_workers)
+    {
+        plan_hold(worker, now, may_extend && !m_overtaken);
+    }
+    return std::exchange(m_out, {});
+}
+
+auto scheduler::blocked_by_inheritance(const job_record& job,
+                                       time_point now) const -> bool
+{
+    if (!job.inherited)
+    {
+        return false;
+    }
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (!worker.adopted && worker.silent_calls > 0 &&
+            now < lapses_at(worker))
+        {
+            return true;
+        }
+        if (!worker.adopted && worker.listed && worker.silent_calls == 0 &&
+            now < lapses_at(worker))
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto scheduler::ready_steps(time_point now) -> std::vector<policy::waiting_step>
+{
+    std::vector<policy::waiting_step> out;
+    for (auto& [arrival, job] : m_active)
+    {
+        if (blocked_by_inheritance(*job, now))
+        {
+            continue;
+        }
+        for (auto& round : job->rounds)
+        {
+            if (!round.released || round.done)
+            {
+                continue;
+            }
+            for (auto& step : round.steps)
+            {
+                if (!step.ready || step.waiting.empty())
+                {
+                    continue;
+                }
+                policy::waiting_step item;
+                item.job = job;
+                item.round = &round;
+                item.step = &step;
+                policy::weigh(item, now);
+                out.push_back(item);
+            }
+        }
+    }
+    policy::sort(out);
+    return out;
+}
+
+auto scheduler::usable(const worker_record& worker, const job_record& job,
+                       const step_record& step, time_point now) const -> bool
+{
+    if (!worker.listed || worker.entry.draining || !worker.adopted ||
+        worker.silent_calls > 0 || now < worker.closed_until ||
+        worker.entry.service != job.spec->queue.service)
+    {
+        return false;
+    }
+    if (m_health.ejected(worker.entry.id) && !m_probe.contains(worker.entry.id))
+    {
+        return false;
+    }
+    const auto& label = step.spec->required_label;
+    const auto& labels = worker.entry.labels;
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+auto scheduler::fits(const worker_record& worker, const step_record& step) const
+    -> bool
+{
+    auto need = step.spec->need;
+    if (step.spec->filler)
+    {
+        need.millicpus = 0;
+    }
+    const auto most = step.spec->most_per_worker;
+    const auto placed = step.placed.find(&worker);
+    const auto here = placed == step.placed.end() ? 0 : placed->second;
+    return need.fits_in(worker.room()) && (most == 0 || here < most);
+}
+
+auto scheduler::candidates(const policy::waiting_step& item, time_point now)
+    -> std::vector<worker_record*>
+{
+    std::vector<worker_record*> out;
+    const auto& step = *item.step;
+    if (!item.job->spec->queue.approval.required)
+    {
+        for (auto& [id, worker] : m_workers)
+        {
+            if (usable(worker, *item.job, step, now) && fits(worker, step))
+            {
+                out.push_back(&worker);
+            }
+        }
+        return out;
+    }
+    for (const auto& [worker, ticket] : step.approvals.approved)
+    {
+        const bool valid = ticket.valid_until > now + m_options.ticket_margin &&
+                           ticket.born == worker->entry.born;
+        if (valid && usable(*worker, *item.job, step, now) &&
+            fits(*worker, step))
+        {
+            out.push_back(worker);
+        }
+    }
+    // The order of a hash table must not decide.
+    std::sort(out.begin(), out.end(),
+              [](const worker_record* left, const worker_record* right)
+              {
+                  return left->entry.id < right->entry.id;
+              });
+    return out;
+}
+
+auto scheduler::dispatch(time_point now) -> void
+{
+    auto waiting = ready_steps(now);
+    for (const auto& item : waiting)
+    {
+        if (item.step->spec->gang)
+        {
+            place_gang(item, now);
+        }
+        else
+        {
+            place_tasks(item, now);
+        }
+        if (!item.step->waiting.empty() &&
+            item.job->spec->queue.approval.required)
+        {
+            ask_approval(item, now);
+        }
+    }
+}
+
+auto scheduler::pick_worker(const policy::waiting_step& item,
+                            const std::vector<worker_record*>& among,
+                            const task_record& task) -> worker_record*
+{
+    worker_record* best = nullptr;
+    double best_cost = 0;
+    for (auto* const worker : among)
+    {
+        if (!fits(*worker, *item.step))
+        {
+            continue;
+        }
+        const auto cost =
+            policy::placement_cost(*worker, *item.step->spec, task.avoid);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = worker;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
+    -> void
+{
+    const auto among = candidates(item, now);
+    if (among.empty())
+    {
+        return;
+    }
+    const std::vector<std::uint32_t> indexes(item.step->waiting.begin(),
+                                             item.step->waiting.end());
+    for (const auto index : indexes)
+    {
+        auto& task = item.step->tasks[index];
+        auto* const worker = pick_worker(item, among, task);
+        if (worker == nullptr)
+        {
+            return;
+        }
+        start(item, index, *worker, next_number(task), now);
+    }
+}
+
+auto scheduler::place_gang(const policy::waiting_step& item, time_point now)
+    -> void
+{
+    auto& step = *item.step;
+    // All members start together: none may still be on its way out.
+    if (step.waiting.size() < step.spec->count)
+    {
+        return;
+    }
+    const auto among = candidates(item, now);
+    const auto places = policy::place_together(among, *step.spec);
+    if (places.size() < step.spec->count)
+    {
+        return;
+    }
+    std::uint64_t number = 0;
+    std::string checkpoint;
+    for (const auto& task : step.tasks)
+    {
+        number = std::max(number, next_number(task));
+        if (!task.checkpoint.empty())
+        {
+            checkpoint = task.checkpoint;
+        }
+    }
+    for (std::uint32_t i = 0; i < step.spec->count; ++i)
+    {
+        step.tasks[i].checkpoint = checkpoint;
+        start(item, i, *places[i], number, now);
+    }
+}
+
+auto scheduler::start(const policy::waiting_step& item, std::uint32_t index,
+                      worker_record& worker, std::uint64_t number,
+                      time_point now) -> void
+{
+    auto& step = *item.step;
+    const run_ref ref{
+        {{item.job->spec->id, item.round->number, step.number}, index}, number};
+    const auto place = find(ref.task);
+    add_run(worker, place, ref, now);
+    start_order order;
+    order.target = target_of(worker);
+    order.run = ref;
+    order.job = item.job->spec;
+    if (step.spec->keeps_checkpoints)
+    {
+        order.checkpoint = place.task->checkpoint;
+    }
+    order.lease_end = lease_for(worker, now);
+    worker.lease_end = std::max(worker.lease_end, order.lease_end);
+    const auto ticket = step.approvals.approved.find(&worker);
+    if (ticket != step.approvals.approved.end())
+    {
+        order.ticket = ticket->second.text;
+    }
+    m_probe.erase(worker.entry.id);
+    m_out.starts.push_back(std::move(order));
+}
+
+auto scheduler::start_answered(const start_order& order, start_outcome outcome,
+                               std::optional<worker_time> clock, time_point now)
+    -> void
+{
+    const auto found = m_workers.find(order.target.worker);
+    if (found == m_workers.end())
+    {
+        return;
+    }
+    auto& worker = found->second;
+    if (clock)
+    {
+        worker.clock = clock;
+        worker.clock_at = now;
+    }
+    const auto run = worker.runs.find(order.run);
+    if (run == worker.runs.end())
+    {
+        return;
+    }
+    const auto place = find(order.run.task);
+    if (outcome == start_outcome::started)
+    {
+        if (place.job != nullptr)
+        {
+            place.job->any_started = true;
+        }
+        if (run->second.phase == run_phase::starting)
+        {
+            run->second.phase = run_phase::running;
+            run->second.percent_since = now;
+        }
+        run->second.seen_at = now;
+        worker.next_hold_at = std::min(worker.next_hold_at, now);
+        return;
+    }
+    logging::info("start was not taken")
+        .with("run", to_string(order.run.task))
+        .with("number", order.run.number)
+        .with("worker", worker.entry.id)
+        .with("outcome", to_string(outcome))
+        .with("waited", now - run->second.sent_at);
+    if (outcome == start_outcome::unknown)
+    {
+        run->second.start_lost_at = now;
+        want_stop(worker, run->second, now);
+        return;
+    }
+    if (outcome == start_outcome::bad_ticket && place.step != nullptr)
+    {
+        place.step->approvals.approved[&worker].valid_until = {};
+    }
+    if (outcome == start_outcome::fenced)
+    {
+        m_overtaken = true;
+    }
+    if (outcome == start_outcome::no_room ||
+        outcome == start_outcome::unhealthy ||
+        outcome == start_outcome::unreachable)
+    {
+        close_worker(worker, now + m_options.refusal_pause);
+    }
+    erase_run(worker, order.run);
+    if (place.task != nullptr)
+    {
+        put_back(place, order.run.task.index);
+    }
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/scheduler_jobs.cpp
@@ -0,0 +1,578 @@
+// Jobs: how they come in, go on from step to step, and end.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // find, remove
+#include <utility>   // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+/// How much earlier than its due time a round may be begun: less than the
+/// clocks of instances differ.
+constexpr milliseconds early_release{0};
+/// Epochs leave room for so many runs of one task; see next_number().
+constexpr std::uint64_t numbers_per_epoch = 10'000;
+
+} // namespace
+
+scheduler::scheduler(std::uint64_t epoch, scheduler_options options,
+                     time_point now)
+    : m_epoch(epoch), m_options(options), m_since(now),
+      m_health({.consecutive_failures = 2,
+                .enough_outcomes = 10,
+                .first_probe_after = milliseconds(1'500),
+                .longest_probe_after = milliseconds(6'000)})
+{
+}
+
+auto scheduler::configure(const configuration& latest) -> void
+{
+    m_configuration = latest;
+    for (auto& [arrival, job] : m_active)
+    {
+        const auto* const terms = latest.queue_of(job->spec->queue.name);
+        if (terms == nullptr)
+        {
+            continue;
+        }
+        auto changed = std::make_shared<job_spec>(*job->spec);
+        changed->queue = *terms;
+        for (auto& round : job->rounds)
+        {
+            for (auto& step : round.steps)
+            {
+                step.spec = &changed->steps[step.number];
+            }
+        }
+        job->spec = std::move(changed);
+    }
+}
+
+auto scheduler::add_job(const job_spec& job, time_point now) -> job_record*
+{
+    if (m_jobs.contains(job.id))
+    {
+        return nullptr;
+    }
+    auto& record = m_jobs[job.id];
+    record.spec = std::make_shared<const job_spec>(job);
+    record.accepted_at = now;
+    const auto arrival = ++m_arrivals;
+    m_arrival[job.id] = arrival;
+    m_active[arrival] = &record;
+    for (std::uint32_t number = 0; number < job.rounds(); ++number)
+    {
+        add_round(record, number);
+    }
+    return &record;
+}
+
+auto scheduler::add_round(job_record& job, std::uint32_t number) -> void
+{
+    round_record round;
+    round.number = number;
+    if (job.spec->occurrences > 0)
+    {
+        round.due = job.spec->first_due + number * job.spec->interval;
+    }
+    for (const auto& spec : job.spec->steps)
+    {
+        step_record step;
+        step.spec = &spec;
+        step.number = static_cast<std::uint32_t>(round.steps.size());
+        step.tasks.resize(spec.count);
+        for (std::uint32_t i = 0; i < spec.count; ++i)
+        {
+            step.waiting.insert(i);
+        }
+        round.steps.push_back(std::move(step));
+    }
+    job.rounds.push_back(std::move(round));
+}
+
+auto scheduler::accept(const job_spec& job, time_point now) -> void
+{
+    if (add_job(job, now) == nullptr)
+    {
+        return;
+    }
+    logging::info("job taken in")
+        .with("job", job.id)
+        .with("queue", job.queue.name)
+        .with("steps", job.steps.size());
+}
+
+auto scheduler::restore(const job_spec& job, const job_progress& progress,
+                        time_point now) -> void
+{
+    auto* const record = add_job(job, now);
+    if (record == nullptr)
+    {
+        return;
+    }
+    record->inherited = true;
+    record->state = progress.state;
+    record->shown = progress.state;
+    record->any_started = progress.state != job_state::queued;
+    for (const auto& stored : progress.rounds)
+    {
+        if (stored.round >= record->rounds.size())
+        {
+            continue;
+        }
+        auto& round = record->rounds[stored.round];
+        for (const auto& [number, indexes] : stored.done)
+        {
+            for (const auto index : indexes)
+            {
+                const auto place =
+                    find({{job.id, stored.round, number}, index});
+                if (place.task == nullptr || place.task->done)
+                {
+                    continue;
+                }
+                place.task->done = true;
+                place.step->waiting.erase(index);
+                ++place.step->done_count;
+            }
+        }
+        for (const auto& run : stored.failures)
+        {
+            const auto place = find(run.task);
+            if (place.task != nullptr)
+            {
+                place.task->failures.insert(run.number);
+            }
+        }
+        for (const auto& [task, checkpoint] : stored.checkpoints)
+        {
+            const auto place = find(task);
+            if (place.task != nullptr)
+            {
+                place.task->checkpoint = checkpoint;
+            }
+        }
+        for (const auto& step : round.steps)
+        {
+            round.steps_done += step.done_count == step.spec->count ? 1 : 0;
+        }
+        round.done = round.steps_done == round.steps.size();
+    }
+    if (is_final(progress.state))
+    {
+        record->ended_at = now;
+        m_active.erase(m_arrival[job.id]);
+        m_finished.push_back(job.id);
+    }
+}
+
+auto scheduler::cancel(const job_id& job, time_point now) -> void
+{
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end() || is_final(found->second.state))
+    {
+        return;
+    }
+    logging::info("job cancelled").with("job", job);
+    finish(found->second, job_state::cancelled, now);
+}
+
+auto scheduler::finish(job_record& job, job_state state, time_point now) -> void
+{
+    job.state = state;
+    // A cancellation is durable before it comes here.
+    if (state == job_state::cancelled)
+    {
+        job.shown = state;
+    }
+    job.ended_at = now;
+    mark_dirty(job);
+    stop_all_runs(job, now);
+    m_active.erase(m_arrival[job.spec->id]);
+    m_finished.push_back(job.spec->id);
+}
+
+auto scheduler::stop_all_runs(job_record& job, time_point now) -> void
+{
+    for (auto& [id, worker] : m_workers)
+    {
+        for (auto& [ref, run] : worker.runs)
+        {
+            if (ref.task.step.job == job.spec->id)
+            {
+                want_stop(worker, run, now);
+            }
+        }
+    }
+}
+
+auto scheduler::release_rounds(time_point now, calendar_time calendar) -> void
+{
+    for (auto& [arrival, job] : m_active)
+    {
+        for (auto& round : job->rounds)
+        {
+            if (round.released)
+            {
+                continue;
+            }
+            if (round.due && calendar + early_release < *round.due)
+            {
+                continue;
+            }
+            round.released = true;
+            // A due time that has passed counts from when it passed.
+            round.released_at =
+                round.due ? now - (calendar - *round.due) : job->accepted_at;
+            release_steps(*job, round, now);
+        }
+    }
+}
+
+auto scheduler::release_steps(job_record& job, round_record& round,
+                              time_point now) -> void
+{
+    for (auto& step : round.steps)
+    {
+        if (step.ready)
+        {
+            continue;
+        }
+        bool ready = true;
+        for (const auto earlier : step.spec->after)
+        {
+            const auto& before = round.steps[earlier];
+            ready = ready && before.done_count == before.spec->count;
+        }
+        if (ready)
+        {
+            step.ready = true;
+            step.ready_since = now;
+        }
+    }
+    // An empty job, or one whose tasks had all ended before a takeover.
+    if (round.steps_done == round.steps.size() && !round.done)
+    {
+        round.done = true;
+    }
+    bool all = true;
+    for (const auto& item : job.rounds)
+    {
+        all = all && item.done;
+    }
+    if (all && !is_final(job.state))
+    {
+        job.state = job_state::succeeded;
+        mark_dirty(job);
+    }
+}
+
+auto scheduler::find(const task_ref& task) -> task_place
+{
+    task_place place;
+    const auto found = m_jobs.find(task.step.job);
+    if (found == m_jobs.end())
+    {
+        return place;
+    }
+    place.job = &found->second;
+    if (task.step.round >= place.job->rounds.size())
+    {
+        return place;
+    }
+    place.round = &place.job->rounds[task.step.round];
+    if (task.step.step >= place.round->steps.size())
+    {
+        return place;
+    }
+    place.step = &place.round->steps[task.step.step];
+    if (task.index < place.step->tasks.size())
+    {
+        place.task = &place.step->tasks[task.index];
+    }
+    return place;
+}
+
+auto scheduler::mark_dirty(job_record& job) -> void
+{
+    if (!job.dirty)
+    {
+        job.dirty = true;
+        m_dirty.push_back(job.spec->id);
+    }
+}
+
+auto scheduler::next_number(const task_record& task) const -> std::uint64_t
+{
+    // Above all numbers of earlier epochs, of which nothing was stored.
+    const auto first = (m_epoch - 1) * numbers_per_epoch + 1;
+    return std::max(first, task.last_run + 1);
+}
+
+auto scheduler::task_done(const task_place& place, time_point now) -> void
+{
+    if (place.task->done || place.step->spec->lasting)
+    {
+        return;
+    }
+    place.task->done = true;
+    place.task->checkpoint.clear();
+    ++place.step->done_count;
+    mark_dirty(*place.job);
+    const auto index =
+        static_cast<std::uint32_t>(place.task - place.step->tasks.data());
+    place.step->waiting.erase(index);
+    if (place.step->done_count == place.step->spec->count)
+    {
+        step_done(place, now);
+    }
+}
+
+auto scheduler::step_done(const task_place& place, time_point now) -> void
+{
+    ++place.round->steps_done;
+    if (place.round->steps_done < place.round->steps.size())
+    {
+        release_steps(*place.job, *place.round, now);
+        return;
+    }
+    place.round->done = true;
+    for (const auto& round : place.job->rounds)
+    {
+        if (!round.done)
+        {
+            return;
+        }
+    }
+    if (!is_final(place.job->state))
+    {
+        logging::info("job succeeded")
+            .with("job", place.job->spec->id)
+            .with("took", now - place.job->accepted_at);
+        finish(*place.job, job_state::succeeded, now);
+    }
+}
+
+auto scheduler::put_back(const task_place& place, std::uint32_t index) -> void
+{
+    if (!place.task->done && place.task->runs.empty() &&
+        !is_final(place.job->state))
+    {
+        place.step->waiting.insert(index);
+    }
+}
+
+auto scheduler::count_failure(const task_place& place, const run_ref& run,
+                              time_point now) -> void
+{
+    if (!place.task->failures.insert(run.number).second)
+    {
+        return;
+    }
+    mark_dirty(*place.job);
+    const auto& spec = *place.step->spec;
+    if (spec.lasting || is_final(place.job->state))
+    {
+        return;
+    }
+    auto failures = place.task->failures;
+    if (spec.gang)
+    {
+        for (const auto& member : place.step->tasks)
+        {
+            failures.insert(member.failures.begin(), member.failures.end());
+        }
+    }
+    if (failures.size() < place.job->spec->queue.most_failures)
+    {
+        return;
+    }
+    logging::warn("job failed: a task has failed as often as it may")
+        .with("job", place.job->spec->id)
+        .with("task", to_string(run.task))
+        .with("failures", failures.size());
+    finish(*place.job, job_state::failed, now);
+}
+
+auto scheduler::progress_of(const job_record& job) const -> job_progress
+{
+    job_progress out;
+    out.id = job.spec->id;
+    out.state = job.state;
+    if (out.state == job_state::queued && job.any_started)
+    {
+        out.state = job_state::running;
+    }
+    for (const auto& round : job.rounds)
+    {
+        round_progress stored;
+        stored.round = round.number;
+        for (const auto& step : round.steps)
+        {
+            std::vector<std::uint32_t> done;
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+            {
+                const auto& task = step.tasks[i];
+                const task_ref ref{{out.id, round.number, step.number}, i};
+                if (task.done)
+                {
+                    done.push_back(i);
+                    continue;
+                }
+                for (const auto number : task.failures)
+                {
+                    stored.failures.push_back({ref, number});
+                }
+                if (!task.checkpoint.empty() && task.runs.empty())
+                {
+                    stored.checkpoints[ref] = task.checkpoint;
+                }
+            }
+            if (!done.empty())
+            {
+                stored.done[step.number] = std::move(done);
+            }
+        }
+        out.rounds.push_back(std::move(stored));
+    }
+    return out;
+}
+
+auto scheduler::take_progress(std::size_t most) -> std::optional<progress_batch>
+{
+    bool ends_waiting = false;
+    for (const auto& [id, worker] : m_workers)
+    {
+        ends_waiting = ends_waiting || worker.ends_seen > worker.ends_noted;
+    }
+    if (m_dirty.empty() && !ends_waiting)
+    {
+        return std::nullopt;
+    }
+    progress_batch batch;
+    batch.number = ++m_last_batch;
+    const auto count = std::min(most, m_dirty.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto found = m_jobs.find(m_dirty[i]);
+        if (found == m_jobs.end())
+        {
+            continue;
+        }
+        found->second.dirty = false;
+        found->second.batch = batch.number;
+        batch.jobs.push_back(progress_of(found->second));
+    }
+    m_dirty.erase(m_dirty.begin(),
+                  m_dirty.begin() + static_cast<std::ptrdiff_t>(count));
+    // Only once all that the ends have changed is in this batch.
+    if (m_dirty.empty())
+    {
+        auto& ends = m_ends_of_batch[batch.number];
+        for (const auto& [id, worker] : m_workers)
+        {
+            if (worker.ends_seen > worker.ends_noted)
+            {
+                ends.emplace_back(id, worker.ends_seen);
+            }
+        }
+    }
+    return batch;
+}
+
+auto scheduler::progress_stored(const progress_batch& batch, time_point now)
+    -> void
+{
+    for (const auto& stored : batch.jobs)
+    {
+        const auto found = m_jobs.find(stored.id);
+        if (found != m_jobs.end() && !is_final(found->second.shown))
+        {
+            found->second.shown = stored.state;
+        }
+    }
+    for (const auto& [id, number] : m_ends_of_batch[batch.number])
+    {
+        const auto worker = m_workers.find(id);
+        if (worker != m_workers.end() && worker->second.ends_seen >= number)
+        {
+            auto& noted = worker->second.ends_noted;
+            noted = std::max(noted, number);
+            worker->second.next_hold_at = now;
+        }
+    }
+    m_ends_of_batch.erase(batch.number);
+}
+
+auto scheduler::progress_failed(const progress_batch& batch) -> void
+{
+    m_ends_of_batch.erase(batch.number);
+    for (const auto& stored : batch.jobs)
+    {
+        const auto found = m_jobs.find(stored.id);
+        if (found != m_jobs.end())
+        {
+            mark_dirty(found->second);
+        }
+    }
+}
+
+auto scheduler::take_expired(time_point now, std::size_t most)
+    -> std::vector<job_id>
+{
+    std::vector<job_id> out;
+    while (!m_finished.empty() && out.size() < most)
+    {
+        const auto found = m_jobs.find(m_finished.front());
+        if (found != m_jobs.end())
+        {
+            const auto& job = found->second;
+            if (now - job.ended_at < m_options.keep_final || job.dirty ||
+                job.shown != job.state)
+            {
+                break;
+            }
+            m_jobs.erase(found);
+        }
+        out.push_back(m_finished.front());
+        m_arrival.erase(m_finished.front());
+        m_finished.erase(m_finished.begin());
+    }
+    return out;
+}
+
+auto scheduler::state_of(const job_id& job) const -> std::optional<job_state>
+{
+    const auto found = m_jobs.find(job);
+    if (found == m_jobs.end())
+    {
+        return std::nullopt;
+    }
+    const auto& record = found->second;
+    if (is_final(record.shown))
+    {
+        return record.shown;
+    }
+    return record.any_started ? job_state::running : job_state::queued;
+}
+
+auto scheduler::pending() const -> std::vector<queue_count>
+{
+    std::map<queue_name, std::uint64_t> counts;
+    for (const auto& [arrival, job] : m_active)
+    {
+        counts[job->spec->queue.name] += job->any_started ? 0 : 1;
+    }
+    std::vector<queue_count> out;
+    for (const auto& [queue, count] : counts)
+    {
+        out.push_back({queue, count});
+    }
+    return out;
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/serve.cpp
@@ -0,0 +1,262 @@
+#include <pimentoshunt/cell/serve.hpp>
+
+#include "platform/gateway.hpp"
+
+#include <pimentoshunt/cell/instance.hpp>
+#include <pimentoshunt/logging.hpp>
+#include <pimentoshunt/net/http_client.hpp>
+#include <pimentoshunt/net/http_server.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal> // SIGTERM
+#include <cstdio>  // fprintf
+#include <fstream> // ifstream
+#include <sstream> // ostringstream
+#include <thread>  // thread
+#include <utility> // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+namespace asio = boost::asio;
+
+static_assert(cell_platform<adapter::gateway>);
+
+/// The platform's balancer stops sending connections after two failed checks,
+/// one a second; until then they still come.
+constexpr milliseconds balancer_notice{2'600};
+constexpr milliseconds drain_poll{50};
+/// Kept back from the grace, to end before the process is killed.
+constexpr milliseconds grace_margin{1'200};
+/// A lease is shorter than the longest that workers grant.
+constexpr milliseconds usual_lease{5'000};
+
+auto new_incarnation() -> std::uint64_t
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(since).count());
+}
+
+auto addresses_of(const settings& config) -> adapter::addresses
+{
+    return {config.store_address, config.approval_address,
+            config.machine_address};
+}
+
+auto options_of(const settings& config) -> instance_options
+{
+    instance_options out;
+    out.name = config.instance;
+    out.peer_address = config.peer_address;
+    out.incarnation = new_incarnation();
+    out.scheduler.lease = std::min(usual_lease, config.longest_lease);
+    return out;
+}
+
+/// The process: its threads, listeners and signals.
+class process
+{
+  public:
+    process(settings config, std::string settings_file)
+        : m_config(std::move(config)), m_file(std::move(settings_file)),
+          m_client(m_traffic, m_control.get_executor(), {}),
+          m_outside(m_client, addresses_of(m_config)),
+          m_instance(m_outside, m_control, options_of(m_config)),
+          m_callers(m_traffic, m_control.get_executor(), {},
+                    [this](const net::server_request& request,
+                           net::http_server::reply answer)
+                    {
+                        m_instance.serve(request, std::move(answer));
+                    }),
+          m_status(m_traffic, m_control.get_executor(), {},
+                   [this](const net::server_request& request,
+                          const net::http_server::reply& answer)
+                   {
+                       serve_status(request, answer);
+                   }),
+          m_signals(m_control, SIGTERM, SIGINT, SIGHUP), m_drain(m_control)
+    {
+    }
+
+    auto start() -> result<void>
+    {
+        BOOST_LEAF_CHECK(m_callers.listen(m_config.caller_address));
+        BOOST_LEAF_CHECK(m_status.listen(m_config.status_address));
+        return {};
+    }
+
+    auto run() -> void
+    {
+        logging::info("instance starts")
+            .with("callers", m_config.caller_address)
+            .with("store", m_config.store_address);
+        wait_for_signal();
+        m_instance.start();
+        std::thread traffic(
+            [this]
+            {
+                m_traffic.run();
+            });
+        m_control.run();
+        m_traffic.stop();
+        traffic.join();
+        logging::info("instance has stopped");
+    }
+
+  private:
+    auto serve_status(const net::server_request& request,
+                      const net::http_server::reply& answer) -> void
+    {
+        constexpr int unavailable = 503;
+        constexpr int not_found = 404;
+        if (m_outside.asks_readiness(request))
+        {
+            const bool ready = m_instance.ready();
+            answer({ready ? 200 : unavailable,
+                    ready ? "{}" : R"({"ready":false})"});
+            return;
+        }
+        answer({not_found, R"({"error":"nothing is here"})"});
+    }
+
+    auto wait_for_signal() -> void
+    {
+        m_signals.async_wait(
+            [this](auto fault, int number)
+            {
+                if (fault)
+                {
+                    return;
+                }
+                if (number == SIGHUP)
+                {
+                    reload();
+                    wait_for_signal();
+                    return;
+                }
+                drain();
+            });
+    }
+
+    auto reload() -> void
+    {
+        std::ifstream file(m_file);
+        std::ostringstream text;
+        text << file.rdbuf();
+        handle(
+            [&]() -> result<bool>
+            {
+                BOOST_LEAF_AUTO(read, parse_settings(text.str()));
+                m_config = std::move(read);
+                m_outside.move_to(addresses_of(m_config));
+                logging::set_level(logging::level_named(m_config.log_level));
+                logging::info("settings read again");
+                return true;
+            },
+            [](const error& fault)
+            {
+                logging::error("settings can't be read: those before stay")
+                    .with("fault", fault.message());
+                return false;
+            });
+    }
+
+    auto drain() -> void
+    {
+        logging::info("instance is asked to stop");
+        m_instance.leave();
+        m_callers.close_after_answers();
+        m_drain_begun = boot_clock::now();
+        drain_step();
+    }
+
+    auto drain_step() -> void
+    {
+        const auto passed = boot_clock::now() - m_drain_begun;
+        const auto limit = m_config.stop_grace - grace_margin;
+        const bool noticed = passed >= std::min(balancer_notice, limit);
+        if (noticed && !m_closed)
+        {
+            m_closed = true;
+            m_callers.close();
+        }
+        const bool idle = m_callers.in_flight() == 0;
+        if ((m_closed && idle) || passed >= limit)
+        {
+            m_instance.stop();
+            m_status.close();
+            m_control.stop();
+            return;
+        }
+        m_drain.expires_after(drain_poll);
+        m_drain.async_wait(
+            [this](auto fault)
+            {
+                if (!fault)
+                {
+                    drain_step();
+                }
+            });
+    }
+
+    settings m_config;
+    std::string m_file;
+    asio::io_context m_control{1};
+    asio::io_context m_traffic{1};
+    asio::executor_work_guard<asio::io_context::executor_type> m_traffic_work{
+        m_traffic.get_executor()};
+    net::http_client m_client;
+    adapter::gateway m_outside;
+    instance<adapter::gateway> m_instance;
+    net::http_server m_callers;
+    net::http_server m_status;
+    asio::signal_set m_signals;
+    asio::steady_timer m_drain;
+    time_point m_drain_begun;
+    bool m_closed = false;
+};
+
+} // namespace
+
+auto serve(const settings& config, const std::string& settings_file) -> int
+{
+    logging::setup(config.instance, config.log_level,
+                   logging::stream::standard_output);
+    try
+    {
+        process running(config, settings_file);
+        const bool started = handle(
+            [&]() -> result<bool>
+            {
+                BOOST_LEAF_CHECK(running.start());
+                return true;
+            },
+            [](const error& fault)
+            {
+                std::fprintf(stderr, "%s\n", fault.message().c_str());
+                return false;
+            });
+        if (!started)
+        {
+            return 1;
+        }
+        running.run();
+    }
+    catch (const zmq::error_t& fault)
+    {
+        logging::error("the peer address can't be listened on: choose a free "
+                       "one")
+            .with("address", config.peer_address)
+            .with("fault", fault.what());
+        return 1;
+    }
+    return 0;
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/settings.cpp
@@ -0,0 +1,144 @@
+#include <pimentoshunt/cell/settings.hpp>
+
+#include <pimentoshunt/json/document_reader.hpp>
+#include <pimentoshunt/json/object_reader.hpp>
+
+#include <algorithm> // find
+#include <array>     // array
+#include <charconv>  // from_chars
+#include <utility>   // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+using json::fault_kind;
+using json::object_reader;
+
+/// Longest text of settings, in bytes.
+constexpr std::size_t most_bytes = 1u << 20;
+constexpr int highest_port = 65'535;
+constexpr milliseconds shortest_lease{500};
+constexpr milliseconds longest_time = std::chrono::minutes(10);
+constexpr std::array<const char*, 6> log_levels = {"trace", "debug", "info",
+                                                   "warn",  "error", "off"};
+
+auto is_address(const std::string& text) -> bool
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+    {
+        return false;
+    }
+    int port = 0;
+    const auto* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
+    return parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
+           port <= highest_port;
+}
+
+auto read_address(object_reader& reader, const std::string& key, bool required)
+    -> std::string
+{
+    auto text = reader.text(key, "", required);
+    const bool missing = text.empty() && !required;
+    if (!missing && reader.member(key) != nullptr && !is_address(text))
+    {
+        reader.note(fault_kind::out_of_range, key,
+                    "\"" + text + "\" is not host:port",
+                    "write it as 10.0.0.7:8080");
+    }
+    return text;
+}
+
+/// A time in seconds that may have a fraction.
+auto read_seconds(object_reader& reader, const std::string& key,
+                  milliseconds fallback) -> milliseconds
+{
+    const auto* const found = reader.member(key);
+    if (found == nullptr)
+    {
+        return fallback;
+    }
+    boost::json::error_code fault;
+    const auto seconds =
+        found->is_number() ? found->to_number<double>(fault) : 0.0;
+    constexpr double longest_s =
+        std::chrono::duration<double>(longest_time).count();
+    if (seconds <= 0 || seconds > longest_s)
+    {
+        reader.note(fault_kind::out_of_range, key,
+                    "is no number of seconds above 0",
+                    "write it as 6 or 2.5; at most 600");
+        return fallback;
+    }
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double>(seconds));
+}
+
+auto read_level(object_reader& reader, settings& out) -> void
+{
+    out.log_level = reader.text("log_level", out.log_level);
+    if (std::find(log_levels.begin(), log_levels.end(), out.log_level) ==
+        log_levels.end())
+    {
+        reader.note(fault_kind::out_of_range, "log_level",
+                    "\"" + out.log_level + "\" is no level",
+                    "use trace, debug, info, warn, error or off");
+    }
+}
+
+struct reading
+{
+    settings read;
+    std::vector<json::fault> faults;
+};
+
+auto read_settings(const std::string& text) -> reading
+{
+    auto source = json::read_text(text, most_bytes);
+    reading out;
+    out.faults = std::move(source.faults);
+    if (source.readable)
+    {
+        object_reader reader(source.root, "", out.faults);
+        auto& read = out.read;
+        read.instance = instance_id(reader.text("instance", "", true));
+        read.data_centre =
+            data_centre_name(reader.text("data_centre", "", true));
+        read.caller_address = read_address(reader, "caller_address", true);
+        read.status_address = read_address(reader, "status_address", true);
+        read.peer_address = read_address(reader, "peer_address", true);
+        read.store_address = read_address(reader, "store_address", true);
+        read.approval_address = read_address(reader, "approval_address", false);
+        read.machine_address = read_address(reader, "machine_address", false);
+        read.longest_lease = reader.duration("longest_lease", shortest_lease,
+                                             longest_time, read.longest_lease);
+        read.stop_grace = read_seconds(reader, "stop_grace_s", read.stop_grace);
+        read_level(reader, read);
+        reader.reject_unknown();
+    }
+    json::locate(out.faults, source.places);
+    return out;
+}
+
+} // namespace
+
+auto check_settings(const std::string& text) -> std::vector<json::fault>
+{
+    return read_settings(text).faults;
+}
+
+auto parse_settings(const std::string& text) -> result<settings>
+{
+    auto outcome = read_settings(text);
+    if (!outcome.faults.empty())
+    {
+        return leaf::new_error(
+            json::to_error(error_kind::settings, outcome.faults));
+    }
+    return std::move(outcome.read);
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/stored.cpp
@@ -0,0 +1,212 @@
+#include <pimentoshunt/cell/stored.hpp>
+
+#include <cell.pb.h>
+
+#include <utility> // move
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+constexpr auto last_state = static_cast<std::uint32_t>(job_state::cancelled);
+
+auto write_queue(const queue_terms& queue, wire::stored_queue& out) -> void
+{
+    out.set_name(queue.name.str());
+    out.set_service(queue.service.str());
+    out.set_priority(queue.priority);
+    out.set_most_failures(queue.most_failures);
+    out.set_stretch(queue.stretch);
+    out.set_allowance_ms(queue.allowance.count());
+    out.set_approval_required(queue.approval.required);
+    out.set_approval_call_ms(queue.approval.each_call.count());
+    out.set_approval_worker_ms(queue.approval.each_worker.count());
+    out.set_ticket_life_ms(queue.approval.ticket_life.count());
+}
+
+auto read_queue(const wire::stored_queue& from) -> queue_terms
+{
+    queue_terms out;
+    out.name = queue_name(from.name());
+    out.service = service_name(from.service());
+    out.priority = from.priority();
+    out.most_failures = from.most_failures();
+    out.stretch = from.stretch();
+    out.allowance = milliseconds(from.allowance_ms());
+    using real_ms = std::chrono::duration<double, std::milli>;
+    out.approval.required = from.approval_required();
+    out.approval.each_call = real_ms(from.approval_call_ms());
+    out.approval.each_worker = real_ms(from.approval_worker_ms());
+    out.approval.ticket_life = milliseconds(from.ticket_life_ms());
+    return out;
+}
+
+auto write_step(const step_spec& step, wire::stored_step& out) -> void
+{
+    out.set_count(step.count);
+    out.mutable_need()->set_millicpus(step.need.millicpus);
+    out.mutable_need()->set_memory_mb(step.need.memory_mb);
+    out.mutable_need()->set_accelerators(step.need.accelerators);
+    out.set_estimate_ms(step.estimate.count());
+    for (const auto earlier : step.after)
+    {
+        out.add_after(earlier);
+    }
+    out.set_keeps_checkpoints(step.keeps_checkpoints);
+    out.set_gang(step.gang);
+    out.set_one_rack(step.one_rack);
+    out.set_copies_allowed(step.copies_allowed);
+    out.set_lasting(step.lasting);
+    out.set_filler(step.filler);
+    out.set_required_label(step.required_label);
+    out.set_data_rack(step.data_rack);
+    out.set_most_per_worker(step.most_per_worker);
+    out.set_image(step.image);
+    out.set_tail_target_ms(step.tail_target.count());
+    out.set_may_be_away(step.may_be_away);
+    out.set_limits_absence(step.limits_absence);
+}
+
+auto read_step(const wire::stored_step& from) -> step_spec
+{
+    step_spec out;
+    out.count = from.count();
+    out.need.millicpus = from.need().millicpus();
+    out.need.memory_mb = from.need().memory_mb();
+    out.need.accelerators = from.need().accelerators();
+    out.estimate = milliseconds(from.estimate_ms());
+    out.after.assign(from.after().begin(), from.after().end());
+    out.keeps_checkpoints = from.keeps_checkpoints();
+    out.gang = from.gang();
+    out.one_rack = from.one_rack();
+    out.copies_allowed = from.copies_allowed();
+    out.lasting = from.lasting();
+    out.filler = from.filler();
+    out.required_label = from.required_label();
+    out.data_rack = from.data_rack();
+    out.most_per_worker = from.most_per_worker();
+    out.image = from.image();
+    out.tail_target = milliseconds(from.tail_target_ms());
+    out.may_be_away = from.may_be_away();
+    out.limits_absence = from.limits_absence();
+    return out;
+}
+
+auto write_round(const round_progress& round, wire::stored_round& out) -> void
+{
+    out.set_round(round.round);
+    for (const auto& [step, tasks] : round.done)
+    {
+        auto& item = *out.add_done();
+        item.set_step(step);
+        item.mutable_tasks()->Assign(tasks.begin(), tasks.end());
+    }
+    for (const auto& failure : round.failures)
+    {
+        auto& item = *out.add_failures();
+        item.set_step(failure.task.step.step);
+        item.set_task(failure.task.index);
+        item.set_number(failure.number);
+    }
+    for (const auto& [task, text] : round.checkpoints)
+    {
+        auto& item = *out.add_checkpoints();
+        item.set_step(task.step.step);
+        item.set_task(task.index);
+        item.set_text(text);
+    }
+}
+
+auto read_round(const job_id& job, const wire::stored_round& from)
+    -> round_progress
+{
+    round_progress out;
+    out.round = from.round();
+    for (const auto& item : from.done())
+    {
+        out.done[item.step()].assign(item.tasks().begin(), item.tasks().end());
+    }
+    for (const auto& item : from.failures())
+    {
+        out.failures.push_back(
+            {{{job, from.round(), item.step()}, item.task()}, item.number()});
+    }
+    for (const auto& item : from.checkpoints())
+    {
+        out.checkpoints[{{job, from.round(), item.step()}, item.task()}] =
+            item.text();
+    }
+    return out;
+}
+
+} // namespace
+
+auto to_bytes(const job_spec& job) -> std::string
+{
+    wire::stored_job out;
+    out.set_id(job.id.str());
+    write_queue(job.queue, *out.mutable_queue());
+    out.set_payload(job.payload);
+    for (const auto& step : job.steps)
+    {
+        write_step(step, *out.add_steps());
+    }
+    out.set_occurrences(job.occurrences);
+    out.set_first_due_ms(job.first_due.time_since_epoch().count());
+    out.set_interval_ms(job.interval.count());
+    return out.SerializeAsString();
+}
+
+auto read_job(const std::string& bytes) -> std::optional<job_spec>
+{
+    wire::stored_job from;
+    if (!from.ParseFromString(bytes) || from.id().empty())
+    {
+        return std::nullopt;
+    }
+    job_spec out;
+    out.id = job_id(from.id());
+    out.queue = read_queue(from.queue());
+    out.payload = from.payload();
+    for (const auto& step : from.steps())
+    {
+        out.steps.push_back(read_step(step));
+    }
+    out.occurrences = from.occurrences();
+    out.first_due = calendar_time(milliseconds(from.first_due_ms()));
+    out.interval = milliseconds(from.interval_ms());
+    return out;
+}
+
+auto to_bytes(const job_progress& progress) -> std::string
+{
+    wire::stored_progress out;
+    out.set_id(progress.id.str());
+    out.set_state(static_cast<std::uint32_t>(progress.state));
+    for (const auto& round : progress.rounds)
+    {
+        write_round(round, *out.add_rounds());
+    }
+    return out.SerializeAsString();
+}
+
+auto read_progress(const std::string& bytes) -> std::optional<job_progress>
+{
+    wire::stored_progress from;
+    if (!from.ParseFromString(bytes) || from.id().empty() ||
+        from.state() > last_state)
+    {
+        return std::nullopt;
+    }
+    job_progress out;
+    out.id = job_id(from.id());
+    out.state = static_cast<job_state>(from.state());
+    for (const auto& round : from.rounds())
+    {
+        out.rounds.push_back(read_round(out.id, round));
+    }
+    return out;
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/worker_choice.cpp
@@ -0,0 +1,99 @@
+#include <pimentoshunt/cell/policy/worker_choice.hpp>
+
+#include <algorithm> // max, sort
+#include <map>       // map
+#include <string>    // string
+
+namespace pimentoshunt::cell::policy
+{
+namespace
+{
+
+/// Costs are in shares of a worker's processors; these outweigh any of them.
+constexpr double far_from_data = 10.0;
+constexpr double failed_here = 100.0;
+
+using detail::worker_record;
+
+auto places_on(const worker_record& worker, const step_spec& step)
+    -> std::uint32_t
+{
+    auto need = step.need;
+    if (step.filler)
+    {
+        need.millicpus = 0;
+    }
+    auto room = worker.room();
+    std::uint32_t count = 0;
+    while (count < step.count && need.fits_in(room) &&
+           (step.most_per_worker == 0 || count < step.most_per_worker))
+    {
+        room -= need;
+        ++count;
+    }
+    return count;
+}
+
+auto fill(const std::vector<worker_record*>& among, const step_spec& step)
+    -> std::vector<worker_record*>
+{
+    std::vector<worker_record*> out;
+    for (auto* const worker : among)
+    {
+        const auto count = places_on(*worker, step);
+        for (std::uint32_t i = 0; i < count && out.size() < step.count; ++i)
+        {
+            out.push_back(worker);
+        }
+    }
+    if (out.size() < step.count)
+    {
+        out.clear();
+    }
+    return out;
+}
+
+} // namespace
+
+auto placement_cost(const worker_record& worker, const step_spec& step,
+                    const worker_id& avoid) -> double
+{
+    const auto whole =
+        std::max<std::int64_t>(worker.entry.capacity.millicpus, 1);
+    // Best fit: what stays free after it should be of little use to others.
+    const auto left = worker.room().millicpus - step.need.millicpus;
+    double cost = static_cast<double>(left) / static_cast<double>(whole);
+    if (!step.data_rack.empty() && step.data_rack != worker.entry.rack)
+    {
+        cost += far_from_data;
+    }
+    if (!avoid.empty() && avoid == worker.entry.id)
+    {
+        cost += failed_here;
+    }
+    return cost;
+}
+
+auto place_together(const std::vector<worker_record*>& among,
+                    const step_spec& step) -> std::vector<worker_record*>
+{
+    if (step.one_rack)
+    {
+        std::map<std::string, std::vector<worker_record*>> racks;
+        for (auto* const worker : among)
+        {
+            racks[worker->entry.rack].push_back(worker);
+        }
+        for (const auto& [rack, members] : racks)
+        {
+            auto places = fill(members, step);
+            if (!places.empty())
+            {
+                return places;
+            }
+        }
+    }
+    return fill(among, step);
+}
+
+} // namespace pimentoshunt::cell::policy
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -13,8 +13,16 @@
          "SIGTERM begins a graceful stop: work in flight is finished.",
          {"settings"},
          detail::run_serve},
+        {"cell",
+         "",
+         "run one instance of a cell on the users' platform until SIGTERM",
+         "Reads the settings, takes jobs in, and owns the cell when it is its\n"
+         "turn. SIGHUP reads the settings again. SIGTERM begins a graceful\n"
+         "stop: the cell is handed on and answers under way are finished.",
+         {"settings"},
+         detail::run_cell},
         {"check",
-         "plan|settings FILE",
+         "plan|settings|cell FILE",
          "find every fault of a plan or of settings, without a server",
          "FILE may be - for the standard input. Exit code 1 if faults are "
          "found.",
--- a/src/cli/serve_check.cpp
+++ b/src/cli/serve_check.cpp
@@ -1,5 +1,6 @@
 #include <pimentoshunt/cli/command.hpp>
 
+#include <pimentoshunt/cell/serve.hpp>
 #include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 
@@ -28,10 +29,14 @@
     {
         return check_settings(text);
     }
+    if (subject == "cell")
+    {
+        return cell::check_settings(text);
+    }
     return leaf::new_error(error{error_kind::usage, unknown_subject, subject,
-                                 "neither plan nor settings",
-                                 "write check plan FILE or check settings "
-                                 "FILE"});
+                                 "neither plan, settings nor cell",
+                                 "write check plan FILE, check settings FILE "
+                                 "or check cell FILE"});
 }
 
 auto print_faults_text(std::ostream& out, const std::string& file,
@@ -64,16 +69,35 @@
 
 } // namespace
 
-auto run_serve(const invocation& call) -> result<exit_code>
+namespace
+{
+
+auto read_settings_file(const invocation& call, const std::string& command)
+    -> result<std::string>
 {
     BOOST_LEAF_CHECK(expect_operands(call, 0, 0));
     if (call.flags.settings_file.empty())
     {
         return leaf::new_error(error{error_kind::usage, no_settings_file, "",
-                                     "serve needs its settings",
+                                     command + " needs its settings",
                                      "add --settings=FILE"});
     }
-    BOOST_LEAF_AUTO(text, read_input(call.flags.settings_file));
+    return read_input(call.flags.settings_file);
+}
+
+} // namespace
+
+auto run_cell(const invocation& call) -> result<exit_code>
+{
+    BOOST_LEAF_AUTO(text, read_settings_file(call, "cell"));
+    BOOST_LEAF_AUTO(config, cell::parse_settings(text));
+    return static_cast<exit_code>(
+        cell::serve(config, call.flags.settings_file));
+}
+
+auto run_serve(const invocation& call) -> result<exit_code>
+{
+    BOOST_LEAF_AUTO(text, read_settings_file(call, "serve"));
     BOOST_LEAF_AUTO(config, parse_settings(text));
     logging::setup(config);
     return static_cast<exit_code>(call.serve(config));
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -76,6 +76,9 @@
     case wire::envelope::kReleased:
         on_releases(message.released(), now);
         break;
+    case wire::envelope::kCell:
+        // Meant for another role of the program.
+        break;
     case wire::envelope::kJob:
         m_effects.announced.push_back(
             {job_id(message.job().job()), message.job().cancelled()});
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -106,16 +106,25 @@
 
 auto setup(const settings& chosen) -> void
 {
-    auto& target = the_sink();
-    target.instance = chosen.instance.str();
-    target.logger = log4cxx::Logger::getLogger("pimentoshunt");
-    target.logger->removeAllAppenders();
-    target.logger->setAdditivity(false);
+    setup(chosen.instance, chosen.log_level, stream::standard_error);
+}
+
+auto setup(const instance_id& instance, const std::string& level_name,
+           stream target) -> void
+{
+    auto& lines = the_sink();
+    lines.instance = instance.str();
+    lines.logger = log4cxx::Logger::getLogger("pimentoshunt");
+    lines.logger->removeAllAppenders();
+    lines.logger->setAdditivity(false);
     const auto layout = std::make_shared<log4cxx::PatternLayout>("%m%n");
-    target.logger->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr()));
-    target.logger->setLevel(log4cxx::Level::getTrace());
-    set_level(level_named(chosen.log_level));
+    const auto& where = target == stream::standard_output
+                            ? log4cxx::ConsoleAppender::getSystemOut()
+                            : log4cxx::ConsoleAppender::getSystemErr();
+    lines.logger->addAppender(
+        std::make_shared<log4cxx::ConsoleAppender>(layout, where));
+    lines.logger->setLevel(log4cxx::Level::getTrace());
+    set_level(level_named(level_name));
 }
 
 auto set_level(level least) -> void
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,328 @@
+#include <pimentoshunt/net/http_server.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>   // atomic
+#include <charconv> // from_chars
+#include <optional> // optional
+#include <set>      // set
+#include <utility>  // move
+
+namespace pimentoshunt::net
+{
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr int address_in_use = 110;
+/// An answer is given up when its reader stalls for so long.
+constexpr milliseconds write_timeout{5'000};
+
+auto read_deadline(boost::string_view text) -> milliseconds
+{
+    long value = 0;
+    const auto* const end = text.data() + text.size();
+    const auto read = std::from_chars(text.data(), end, value);
+    return read.ec == std::errc() ? milliseconds(value) : milliseconds(0);
+}
+
+} // namespace
+
+/// Members but the counter are used by the traffic thread only.
+class http_server::state : public std::enable_shared_from_this<state>
+{
+  public:
+    state(asio::io_context& traffic, asio::any_io_executor control,
+          server_limits limits, handler serve)
+        : m_traffic(traffic), m_control(std::move(control)), m_limits(limits),
+          m_serve(std::move(serve)), m_acceptor(traffic)
+    {
+    }
+
+    auto listen(const std::string& address) -> result<void>;
+    auto accept() -> void;
+
+    auto close_after_answers() -> void
+    {
+        m_closing = true;
+    }
+
+    auto close() -> void;
+
+    [[nodiscard]] auto context() -> asio::io_context&
+    {
+        return m_traffic;
+    }
+
+    [[nodiscard]] auto in_flight() const -> std::size_t
+    {
+        return m_in_flight;
+    }
+
+  private:
+    class session;
+    friend class session;
+
+    asio::io_context& m_traffic;
+    asio::any_io_executor m_control;
+    server_limits m_limits;
+    handler m_serve;
+    tcp::acceptor m_acceptor;
+    std::atomic<bool> m_closing{false};
+    std::atomic<std::size_t> m_in_flight{0};
+    std::set<session*> m_idle;
+    std::size_t m_open = 0;
+};
+
+/// One connection; keeps itself alive by its pending operation.
+class http_server::state::session : public std::enable_shared_from_this<session>
+{
+  public:
+    session(std::shared_ptr<state> owner, tcp::socket socket)
+        : m_owner(std::move(owner)), m_stream(std::move(socket))
+    {
+        ++m_owner->m_open;
+    }
+
+    ~session()
+    {
+        m_owner->m_idle.erase(this);
+        --m_owner->m_open;
+    }
+
+    session(const session&) = delete;
+    auto operator=(const session&) -> session& = delete;
+
+    auto receive() -> void
+    {
+        m_parser.emplace();
+        m_parser->body_limit(m_owner->m_limits.body_bytes);
+        m_parser->header_limit(
+            static_cast<std::uint32_t>(m_owner->m_limits.header_bytes));
+        m_stream.expires_after(m_first ? m_owner->m_limits.header_timeout
+                                       : m_owner->m_limits.idle_timeout);
+        m_owner->m_idle.insert(this);
+        http::async_read(
+            m_stream, m_buffer, *m_parser,
+            [self = shared_from_this()](beast::error_code fault, std::size_t)
+            {
+                self->m_owner->m_idle.erase(self.get());
+                self->received(fault);
+            });
+    }
+
+    auto cancel() -> void
+    {
+        m_stream.cancel();
+    }
+
+  private:
+    auto received(beast::error_code fault) -> void
+    {
+        if (fault == http::error::body_limit)
+        {
+            answer({413, R"({"error":"the body is too large"})"}, false);
+            return;
+        }
+        if (fault == http::error::header_limit)
+        {
+            answer({431, R"({"error":"the header is too large"})"}, false);
+            return;
+        }
+        if (fault)
+        {
+            // The caller left, was silent, or sent what is no request.
+            shut();
+            return;
+        }
+        m_first = false;
+        auto message = m_parser->release();
+        const bool keep = message.keep_alive();
+        server_request request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        request.host = std::string(message[http::field::host]);
+        request.deadline = read_deadline(message["Deadline-Ms"]);
+        request.body = std::move(message.body());
+        m_stream.expires_never();
+        ++m_owner->m_in_flight;
+        asio::post(m_owner->m_control,
+                   [self = shared_from_this(), keep,
+                    request = std::move(request)]() mutable
+                   {
+                       self->hand_over(std::move(request), keep);
+                   });
+    }
+
+    /// Runs on the control executor.
+    auto hand_over(server_request request, bool keep) -> void
+    {
+        m_owner->m_serve(std::move(request),
+                         [self = shared_from_this(), keep](server_answer out)
+                         {
+                             asio::post(
+                                 self->m_owner->m_traffic,
+                                 [self, keep, out = std::move(out)]() mutable
+                                 {
+                                     --self->m_owner->m_in_flight;
+                                     self->answer(std::move(out), keep);
+                                 });
+                         });
+    }
+
+    auto answer(server_answer out, bool keep) -> void
+    {
+        m_answer = {};
+        m_answer.version(11);
+        m_answer.result(static_cast<unsigned>(out.status));
+        m_answer.set(http::field::content_type, out.content_type);
+        if (out.retry_after.count() > 0)
+        {
+            m_answer.set(http::field::retry_after,
+                         std::to_string(out.retry_after.count()));
+        }
+        m_answer.body() = std::move(out.body);
+        m_answer.keep_alive(keep && !m_owner->m_closing);
+        m_answer.prepare_payload();
+        m_stream.expires_after(write_timeout);
+        http::async_write(
+            m_stream, m_answer,
+            [self = shared_from_this()](beast::error_code fault, std::size_t)
+            {
+                if (fault || !self->m_answer.keep_alive())
+                {
+                    self->shut();
+                    return;
+                }
+                self->receive();
+            });
+    }
+
+    auto shut() -> void
+    {
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    std::shared_ptr<state> m_owner;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_answer;
+    bool m_first = true;
+};
+
+auto http_server::state::listen(const std::string& address) -> result<void>
+{
+    const auto colon = address.rfind(':');
+    const auto fail = [&](const std::string& why) -> result<void>
+    {
+        return leaf::new_error(
+            error{error_kind::settings, address_in_use, address,
+                  "the address can't be listened on: " + why,
+                  "choose a free address of this machine, written as "
+                  "10.0.0.7:8080"});
+    };
+    if (colon == std::string::npos)
+    {
+        return fail("no port");
+    }
+    unsigned short port = 0;
+    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
+                    port);
+    boost::system::error_code fault;
+    const auto host = asio::ip::make_address(address.substr(0, colon), fault);
+    if (fault)
+    {
+        return fail(fault.message());
+    }
+    const tcp::endpoint endpoint(host, port);
+    m_acceptor.open(endpoint.protocol(), fault);
+    m_acceptor.set_option(tcp::acceptor::reuse_address(true), fault);
+    m_acceptor.bind(endpoint, fault);
+    if (fault)
+    {
+        return fail(fault.message());
+    }
+    m_acceptor.listen(asio::socket_base::max_listen_connections, fault);
+    if (fault)
+    {
+        return fail(fault.message());
+    }
+    accept();
+    return {};
+}
+
+auto http_server::state::accept() -> void
+{
+    m_acceptor.async_accept(
+        [self = shared_from_this()](beast::error_code fault, tcp::socket socket)
+        {
+            if (fault == asio::error::operation_aborted)
+            {
+                return;
+            }
+            if (!fault && self->m_open < self->m_limits.connections)
+            {
+                boost::system::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                std::make_shared<session>(self, std::move(socket))->receive();
+            }
+            self->accept();
+        });
+}
+
+auto http_server::state::close() -> void
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    const auto idle = m_idle;
+    for (auto* const item : idle)
+    {
+        item->cancel();
+    }
+}
+
+http_server::http_server(asio::io_context& traffic,
+                         asio::any_io_executor control, server_limits limits,
+                         handler serve)
+    : m_state(std::make_shared<state>(traffic, std::move(control), limits,
+                                      std::move(serve)))
+{
+}
+
+http_server::~http_server() = default;
+
+auto http_server::listen(const std::string& address) -> result<void>
+{
+    return m_state->listen(address);
+}
+
+auto http_server::close_after_answers() -> void
+{
+    m_state->close_after_answers();
+}
+
+auto http_server::close() -> void
+{
+    asio::post(m_state->context(),
+               [held = m_state]
+               {
+                   held->close();
+               });
+}
+
+auto http_server::in_flight() const -> std::size_t
+{
+    return m_state->in_flight();
+}
+
+} // namespace pimentoshunt::net
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -39,6 +39,19 @@
     return fault ? otherwise : number;
 }
 
+auto real_of(const boost::json::object& from, std::string_view name,
+             double otherwise) -> double
+{
+    const auto* member = from.if_contains({name.data(), name.size()});
+    if (member == nullptr || !member->is_number())
+    {
+        return otherwise;
+    }
+    boost::json::error_code fault;
+    const auto number = member->to_number<double>(fault);
+    return fault ? otherwise : number;
+}
+
 auto flag_of(const boost::json::object& from, std::string_view name) -> bool
 {
     const auto* member = from.if_contains({name.data(), name.size()});
