Feeds wait a second at most and not at all after a failed call

Ruled out: the order of versions; the row was read as soon as the call ended. Change: waits of 1 s, calls that don't wait until the store has answered again. Conclusion: a silent connection is noticed within 1.5 s, below the 2 s that a configuration has.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -122,7 +122,9 @@
     static constexpr milliseconds pending_limit{2'500};
     static constexpr milliseconds commit_limit{600};
     static constexpr milliseconds read_limit{600};
-    static constexpr milliseconds configuration_wait{5'000};
+    /// A connection that has gone silent is noticed after that; changes have
+    /// to be in force within two seconds.
+    static constexpr milliseconds configuration_wait{1'000};
     /// Instances that see the cell released go for it at different times.
     static constexpr std::size_t stagger_steps = 8;
 
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -129,7 +129,8 @@
     static constexpr milliseconds tick_interval{50};
     static constexpr milliseconds load_limit{1'500};
     static constexpr milliseconds load_pause{150};
-    static constexpr milliseconds feed_wait{5'000};
+    /// A connection that has gone silent is noticed after that.
+    static constexpr milliseconds feed_wait{1'000};
     static constexpr milliseconds commit_limit{700};
     /// Pause after a write that was not done.
     static constexpr milliseconds commit_pause{120};
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -130,7 +130,7 @@
     /// A page comes within milliseconds unless the store is in trouble.
     static constexpr milliseconds read_limit{1'000};
     /// Pause after a call that the store did not answer.
-    static constexpr milliseconds retry_pause{200};
+    static constexpr milliseconds retry_pause{100};
 
     auto read_done(std::optional<table_rows> found) -> void
     {
@@ -159,7 +159,10 @@
         {
             return;
         }
-        m_outside.follow(m_range.table, m_version, m_wait,
+        // A call that waits can't be told from one that is lost: none waits
+        // until the store has answered again.
+        const auto wait = m_reached ? m_wait : milliseconds(0);
+        m_outside.follow(m_range.table, m_version, wait,
                          [self = this->shared_from_this()](feed_result found)
                          {
                              self->follow_done(std::move(found));
@@ -172,7 +175,8 @@
         {
             return;
         }
-        m_tell.reached(found.state != feed_state::failed);
+        m_reached = found.state != feed_state::failed;
+        m_tell.reached(m_reached);
         if (found.state == feed_state::failed)
         {
             later(
@@ -222,6 +226,7 @@
     milliseconds m_wait;
     listener m_tell;
     std::uint64_t m_version = 0;
+    bool m_reached = true;
     bool m_stopped = false;
 };
 
