Shorter leases, look again after a lost start, copies of silent work (trial)

Cause: work on dark workers waited 5 s; starts went on to a worker that had lost one. Change: lease 3.2 s, holds of 0.8 s, no start to a worker until it answers, copies where allowed, an owner the store has not confirmed for 0.9 s is watched.

--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -58,7 +58,10 @@
     milliseconds take_over_after{1'200};
     /// An owner whose row was not renewed for so long is watched in the store
     /// although it is heard.
-    milliseconds watch_after{2'000};
+    milliseconds watch_after{900};
+    /// How long the row of such an owner is watched: it would have renewed it
+    /// by then if it reached the store.
+    milliseconds watch_for{500};
     /// How often a follower reads the row while it suspects.
     milliseconds read_every{150};
     /// Without a confirmation for so long, an owner renews no leases and
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -24,15 +24,15 @@
 {
     /// Lease of all that runs on a worker. Longer than a takeover takes, short
     /// enough to run work elsewhere soon after a worker was cut off.
-    milliseconds lease{5'000};
+    milliseconds lease{3'200};
     /// The same on a worker that may leave at any time.
-    milliseconds leaving_lease{2'000};
+    milliseconds leaving_lease{1'800};
     /// A worker's clock may run slower than ours by this share.
     double clock_slowness = 0.02;
     /// How long an earlier owner may have gone on without knowing better.
     milliseconds earlier_owner_limit{3'000};
     /// How long a worker may wait for an end before it answers a hold.
-    milliseconds hold_wait{1'000};
+    milliseconds hold_wait{800};
     /// The same on a worker that may leave at any time.
     milliseconds leaving_hold_wait{500};
     /// The same where fillers run beside tasks that have a target.
@@ -209,6 +209,8 @@
     auto give_up_lapsed(worker_record& worker, time_point now) -> void;
     auto plan_hold(worker_record& worker, time_point now, bool may_extend)
         -> void;
+    auto look_again(worker_record& worker, time_point now) -> void;
+    auto copy_silent(worker_record& worker) -> void;
     auto stop_stalled(worker_record& worker, time_point now) -> void;
     auto leave_draining(worker_record& worker, time_point now) -> void;
     auto set_paces(worker_record& worker, time_point now) -> void;
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -54,6 +54,11 @@
         // The owner itself has said how the row stood when it was last heard.
         const bool as_heard = row.version == m_heard_version;
         m_row_since = as_heard ? m_heard_at : now;
+        if (as_heard && m_unconfirmed_owner)
+        {
+            m_row_since =
+                now - (m_options.take_over_after - m_options.watch_for);
+        }
     }
     m_row = row;
     m_row_known = true;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -367,6 +367,7 @@
     {
         run->second.start_lost_at = now;
         want_stop(worker, run->second, now);
+        look_again(worker, now);
         return;
     }
     if (outcome == start_outcome::bad_ticket && place.step != nullptr)
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -335,6 +335,7 @@
     {
         ++worker.silent_calls;
         worker.next_hold_at = now + silent_pause;
+        copy_silent(worker);
         if (worker.silent_calls == 1)
         {
             logging::warn("worker does not answer")
@@ -362,6 +363,34 @@
     take_report(worker, *report, sent_at, now);
 }
 
+/// After an order without an answer: nothing new until the worker answers.
+auto scheduler::look_again(worker_record& worker, time_point now) -> void
+{
+    worker.silent_calls = std::max<std::uint32_t>(worker.silent_calls, 1);
+    // A hold that waits for an end would tell too late.
+    worker.hold_in_flight = false;
+    ++worker.hold_number;
+    worker.next_hold_at = now;
+}
+
+/// Tasks that may run twice need not wait for the end of the lease.
+auto scheduler::copy_silent(worker_record& worker) -> void
+{
+    for (const auto& [ref, run] : worker.runs)
+    {
+        const auto place = find(ref.task);
+        const bool copied =
+            place.task != nullptr && place.step->spec->copies_allowed &&
+            !place.step->spec->gang && !place.task->done &&
+            !is_final(place.job->state) && place.task->runs.size() == 1;
+        if (copied)
+        {
+            place.task->avoid = worker.entry.id;
+            place.step->waiting.insert(ref.task.index);
+        }
+    }
+}
+
 auto scheduler::take_report(worker_record& worker, const run_report& report,
                             time_point sent_at, time_point now) -> void
 {
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -92,3 +92,36 @@
     cr_assert_eq(world.running(), 1u);
     cr_assert_eq(world.starts.size(), 2u);
 }
+
+// A dark worker got start after start, each lost for the time of a call.
+Test(cell_leases, a_worker_that_lost_a_start_gets_no_more_until_it_answers)
+{
+    cell_world world;
+    auto& worker = world.add_worker("w1", 4'000);
+    world.turn();
+    worker.answers = false;
+    world.jobs().accept(simple_job("j1", 1, 1'000), world.now);
+    world.pass(milliseconds(100));
+    world.jobs().accept(simple_job("j2", 1, 1'000), world.now);
+    world.pass(milliseconds(2'000));
+    cr_assert_eq(world.starts.size(), 1u);
+    worker.answers = true;
+    world.pass(milliseconds(1'500));
+    cr_assert_eq(world.running(), 2u);
+}
+
+Test(cell_leases, a_copy_runs_at_once_where_copies_are_allowed)
+{
+    cell_world world;
+    world.add_worker("w1", 4'000);
+    world.turn();
+    auto job = simple_job("j1", 1, 1'000);
+    job.steps[0].copies_allowed = true;
+    world.jobs().accept(job, world.now);
+    world.pass(milliseconds(200));
+    world.workers.at(worker_id("w1")).receives = false;
+    world.add_worker("w2", 4'000);
+    // One hold that waits, and the time after which its answer is lost.
+    world.pass(milliseconds(2'000));
+    cr_assert_eq(world.workers.at(worker_id("w2")).runs.size(), 1u);
+}
