A durable roster of workers that may have been given work

Ruled out: ends noted too early (the store had not answered since 31.0 s, and no hold had carried their numbers). Change: table roster, written before a worker gets its first start; a new owner asks the workers of the roster as well and starts nothing of earlier jobs until each has answered or its lease is over for certain. Tests unit-cell-takeover; the first failed before.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -60,6 +60,8 @@
     /// Whether its entry is there; without it nothing new is started.
     bool listed = false;
     time_point missing_since;
+    /// Whether the durable roster has it: a later owner will ask it.
+    bool enrolled = false;
     /// Whether it has answered under the present epoch.
     bool adopted = false;
     /// Last reading of its clock and when it came.
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -126,6 +126,13 @@
     std::vector<job_progress> jobs;
 };
 
+/// @brief Changes of the durable roster of workers that may get work.
+struct roster_change
+{
+    std::vector<worker_entry> added;
+    std::vector<worker_id> removed;
+};
+
 /// @brief All that the scheduler wants done since it was last asked.
 struct outbox
 {
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -152,7 +152,8 @@
         std::optional<table_rows> inbox;
         std::optional<table_rows> progress;
         std::optional<table_rows> workers;
-        int missing = 3;
+        std::optional<table_rows> roster;
+        int missing = 4;
         bool failed = false;
     };
 
@@ -175,6 +176,7 @@
                      });
         };
         read({inbox_table, cell_part, "", ""}, &stored_cell::inbox);
+        read({roster_table, cell_part, "", ""}, &stored_cell::roster);
         read({progress_table, cell_part, "", ""}, &stored_cell::progress);
         read({m_outside.worker_table(), "", "", ""}, &stored_cell::workers);
     }
@@ -203,6 +205,19 @@
         {
             worker_changed(row);
         }
+        for (const auto& row : found.roster->rows)
+        {
+            if (const auto entry = read_worker(row.value))
+            {
+                m_scheduler.worker_enrolled(*entry, present());
+            }
+            else
+            {
+                logging::error("a row of the roster can't be read: it is "
+                               "passed over")
+                    .with("key", row.at.key);
+            }
+        }
         m_loaded = true;
         logging::info("cell is loaded")
             .with("epoch", m_scheduler.epoch())
@@ -420,6 +435,7 @@
         carry_out(out);
         ask_questions(now);
         write_progress();
+        write_roster(now);
         remove_expired(now);
         if (m_scheduler.overtaken())
         {
@@ -614,6 +630,59 @@
         wake();
     }
 
+    auto write_roster(time_point now) -> void
+    {
+        if (m_writing_roster || now < m_next_roster)
+        {
+            return;
+        }
+        const auto change = m_scheduler.roster_due(now, most_rows);
+        if (change.added.empty() && change.removed.empty())
+        {
+            return;
+        }
+        row_transaction transaction;
+        transaction.conditions.push_back({epoch_row(), m_epoch_version});
+        for (const auto& entry : change.added)
+        {
+            transaction.writes.push_back(
+                {roster_row(entry.id), to_bytes(entry)});
+        }
+        for (const auto& id : change.removed)
+        {
+            transaction.removals.push_back(roster_row(id));
+        }
+        m_writing_roster = true;
+        m_outside.commit(transaction, commit_limit,
+                         [self = this->shared_from_this(),
+                          change](const commit_result& result)
+                         {
+                             self->roster_written(change, result);
+                         });
+    }
+
+    auto roster_written(const roster_change& change,
+                        const commit_result& result) -> void
+    {
+        m_writing_roster = false;
+        if (m_ended)
+        {
+            return;
+        }
+        if (result.state == commit_state::committed)
+        {
+            m_scheduler.roster_stored(change);
+            wake();
+            return;
+        }
+        if (result.state == commit_state::conflict)
+        {
+            m_around.overtaken();
+            return;
+        }
+        m_next_roster = present() + commit_pause;
+    }
+
     auto remove_expired(time_point now) -> void
     {
         if (now < m_next_expiry)
@@ -661,6 +730,8 @@
     bool m_loaded = false;
     bool m_woken = false;
     bool m_writing = false;
+    bool m_writing_roster = false;
+    time_point m_next_roster;
     bool m_ended = false;
 };
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -41,8 +41,9 @@
     milliseconds hold_retry{100};
     /// A start without an answer for so long is stopped and tried elsewhere.
     milliseconds stop_retry{300};
-    /// An entry that went missing is back within this time if it is to be.
-    milliseconds missing_grace{2'500};
+    /// A worker without an entry and without runs leaves the roster after so
+    /// long; entries that lapsed by mistake are back long before.
+    milliseconds forget_missing{10'000};
     /// Longest time that a final state is kept for callers.
     milliseconds keep_final{130'000};
     /// A task is taken to stand still when its progress has not changed for
@@ -83,6 +84,11 @@
     /// @brief A worker's entry has gone.
     auto worker_unlisted(const worker_id& worker, time_point now) -> void;
 
+    /// @brief A worker that an earlier owner may have given work.
+    auto worker_enrolled(const worker_entry& entry, time_point now) -> void;
+    /// @brief A change of the roster is durable.
+    auto roster_stored(const roster_change& change) -> void;
+
     /// @brief Takes in a job that an earlier owner may have worked on.
     auto restore(const job_spec& job, const job_progress& progress,
                  time_point now) -> void;
@@ -118,6 +124,9 @@
     /// @param most  jobs in one batch
     /// @return nothing when there are none
     auto take_progress(std::size_t most) -> std::optional<progress_batch>;
+    /// @brief What the durable roster lacks, or has to lose.
+    [[nodiscard]] auto roster_due(time_point now, std::size_t most) const
+        -> roster_change;
     /// @brief A batch could not be written: its jobs are due again.
     auto progress_failed(const progress_batch& batch) -> void;
     /// @brief Finished jobs whose time is over; they are forgotten here.
@@ -234,8 +243,7 @@
                worker_record& worker, std::uint64_t number, time_point now)
         -> void;
     auto next_number(const task_record& task) const -> std::uint64_t;
-    auto blocked_by_inheritance(const job_record& job, time_point now) const
-        -> bool;
+    auto earlier_runs_possible(time_point now) const -> bool;
 
     // Approvals.
     auto ask_approval(const policy::waiting_step& item, time_point now) -> void;
--- a/include/pimentoshunt/cell/stored.hpp
+++ b/include/pimentoshunt/cell/stored.hpp
@@ -16,6 +16,13 @@
 /// @brief The bytes that are kept for a job's progress.
 [[nodiscard]] auto to_bytes(const job_progress& progress) -> std::string;
 
+/// @brief The bytes that are kept for a worker that may get work.
+[[nodiscard]] auto to_bytes(const worker_entry& worker) -> std::string;
+
+/// @return nothing when the bytes are none that @ref to_bytes has made
+[[nodiscard]] auto read_worker(const std::string& bytes)
+    -> std::optional<worker_entry>;
+
 /// @return nothing when the bytes are none that @ref to_bytes has made
 [[nodiscard]] auto read_job(const std::string& bytes)
     -> std::optional<job_spec>;
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -17,6 +17,14 @@
 inline const std::string progress_table = "progress";
 inline const std::string owner_table = "owner";
 
+/// Workers that may have been given work.
+inline const std::string roster_table = "roster";
+
+[[nodiscard]] inline auto roster_row(const worker_id& worker) -> row_key
+{
+    return {roster_table, cell_part, worker.str()};
+}
+
 /// @brief Who owns the cell; written at each renewal.
 [[nodiscard]] inline auto lease_row() -> row_key
 {
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -70,22 +70,12 @@
     return std::exchange(m_out, {});
 }
 
-auto scheduler::blocked_by_inheritance(const job_record& job,
-                                       time_point now) const -> bool
+/// Whether a worker may still run what an earlier owner gave it, unseen.
+auto scheduler::earlier_runs_possible(time_point now) const -> bool
 {
-    if (!job.inherited)
-    {
-        return false;
-    }
     for (const auto& [id, worker] : m_workers)
     {
-        if (!worker.adopted && worker.silent_calls > 0 &&
-            now < lapses_at(worker))
-        {
-            return true;
-        }
-        if (!worker.adopted && worker.listed && worker.silent_calls == 0 &&
-            now < lapses_at(worker))
+        if (!worker.adopted && now < lapses_at(worker))
         {
             return true;
         }
@@ -96,9 +86,10 @@
 auto scheduler::ready_steps(time_point now) -> std::vector<policy::waiting_step>
 {
     std::vector<policy::waiting_step> out;
+    const bool blocked = earlier_runs_possible(now);
     for (auto& [arrival, job] : m_active)
     {
-        if (blocked_by_inheritance(*job, now))
+        if (job->inherited && blocked)
         {
             continue;
         }
@@ -130,8 +121,9 @@
 auto scheduler::usable(const worker_record& worker, const job_record& job,
                        const step_record& step, time_point now) const -> bool
 {
-    if (!worker.listed || worker.entry.draining || !worker.adopted ||
-        worker.silent_calls > 0 || now < worker.closed_until ||
+    if (!worker.listed || !worker.enrolled || worker.entry.draining ||
+        !worker.adopted || worker.silent_calls > 0 ||
+        now < worker.closed_until ||
         worker.entry.service != job.spec->queue.service)
     {
         return false;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -77,6 +77,55 @@
     }
 }
 
+auto scheduler::worker_enrolled(const worker_entry& entry, time_point now)
+    -> void
+{
+    const auto [place, added] = m_workers.try_emplace(entry.id, blank(entry));
+    place->second.enrolled = true;
+    if (added)
+    {
+        m_health.add(entry.id);
+        place->second.next_hold_at = now;
+        place->second.missing_since = now;
+    }
+}
+
+auto scheduler::roster_due(time_point now, std::size_t most) const
+    -> roster_change
+{
+    roster_change out;
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (out.added.size() + out.removed.size() >= most)
+        {
+            break;
+        }
+        if (worker.listed && !worker.enrolled)
+        {
+            out.added.push_back(worker.entry);
+        }
+        const bool gone = !worker.listed && worker.runs.empty() &&
+                          now - worker.missing_since > m_options.forget_missing;
+        if (gone && worker.enrolled)
+        {
+            out.removed.push_back(id);
+        }
+    }
+    return out;
+}
+
+auto scheduler::roster_stored(const roster_change& change) -> void
+{
+    for (const auto& entry : change.added)
+    {
+        m_workers.at(entry.id).enrolled = true;
+    }
+    for (const auto& id : change.removed)
+    {
+        m_workers.at(id).enrolled = false;
+    }
+}
+
 auto scheduler::worker_unlisted(const worker_id& worker, time_point now) -> void
 {
     const auto found = m_workers.find(worker);
@@ -631,7 +680,8 @@
 auto scheduler::plan_hold(worker_record& worker, time_point now,
                           bool may_extend) -> void
 {
-    const bool to_adopt = !worker.adopted && worker.listed;
+    const bool to_adopt =
+        !worker.adopted && (worker.listed || now < lapses_at(worker));
     const bool to_note = worker.ends_seen > worker.ends_noted;
     const bool to_tell = worker.ends_noted > worker.ends_told;
     const bool needed = to_adopt || to_note || to_tell || !worker.runs.empty();
@@ -639,10 +689,6 @@
     {
         return;
     }
-    if (!worker.listed && worker.runs.empty())
-    {
-        return;
-    }
     hold_order order;
     order.target = target_of(worker);
     order.ends_noted = worker.ends_noted;
--- a/src/cell/stored.cpp
+++ b/src/cell/stored.cpp
@@ -42,12 +42,26 @@
     return out;
 }
 
+auto write_need(const resources& need, wire::stored_need& out) -> void
+{
+    out.set_millicpus(need.millicpus);
+    out.set_memory_mb(need.memory_mb);
+    out.set_accelerators(need.accelerators);
+}
+
+auto read_need(const wire::stored_need& from) -> resources
+{
+    resources out;
+    out.millicpus = from.millicpus();
+    out.memory_mb = from.memory_mb();
+    out.accelerators = from.accelerators();
+    return out;
+}
+
 auto write_step(const step_spec& step, wire::stored_step& out) -> void
 {
     out.set_count(step.count);
-    out.mutable_need()->set_millicpus(step.need.millicpus);
-    out.mutable_need()->set_memory_mb(step.need.memory_mb);
-    out.mutable_need()->set_accelerators(step.need.accelerators);
+    write_need(step.need, *out.mutable_need());
     out.set_estimate_ms(step.estimate.count());
     for (const auto earlier : step.after)
     {
@@ -72,9 +86,7 @@
 {
     step_spec out;
     out.count = from.count();
-    out.need.millicpus = from.need().millicpus();
-    out.need.memory_mb = from.need().memory_mb();
-    out.need.accelerators = from.need().accelerators();
+    out.need = read_need(from.need());
     out.estimate = milliseconds(from.estimate_ms());
     out.after.assign(from.after().begin(), from.after().end());
     out.keeps_checkpoints = from.keeps_checkpoints();
@@ -209,4 +221,42 @@
     return out;
 }
 
+auto to_bytes(const worker_entry& worker) -> std::string
+{
+    wire::stored_worker out;
+    out.set_id(worker.id.str());
+    out.set_born_ms(worker.born.time_since_epoch().count());
+    out.set_service(worker.service.str());
+    out.set_machine(worker.machine.str());
+    out.set_address(worker.address);
+    out.set_data_centre(worker.data_centre.str());
+    for (const auto& label : worker.labels)
+    {
+        out.add_labels(label);
+    }
+    out.set_rack(worker.rack);
+    write_need(worker.capacity, *out.mutable_capacity());
+    return out.SerializeAsString();
+}
+
+auto read_worker(const std::string& bytes) -> std::optional<worker_entry>
+{
+    wire::stored_worker from;
+    if (!from.ParseFromString(bytes) || from.id().empty())
+    {
+        return std::nullopt;
+    }
+    worker_entry out;
+    out.id = worker_id(from.id());
+    out.born = calendar_time(milliseconds(from.born_ms()));
+    out.service = service_name(from.service());
+    out.machine = machine_id(from.machine());
+    out.address = from.address();
+    out.data_centre = data_centre_name(from.data_centre());
+    out.labels.assign(from.labels().begin(), from.labels().end());
+    out.rack = from.rack();
+    out.capacity = read_need(from.capacity());
+    return out;
+}
+
 } // namespace pimentoshunt::cell
--- a/tests/fakes/cell_world.hpp
+++ b/tests/fakes/cell_world.hpp
@@ -96,10 +96,17 @@
         made.entry.capacity.memory_mb = 100'000;
         made.started = now - std::chrono::minutes(1);
         auto& placed = workers[made.entry.id] = made;
-        m_scheduler.worker_listed(placed.entry, now);
+        list(placed);
         return placed;
     }
 
+    /// @brief The worker's entry is there, as the roster has it.
+    auto list(const fake_cell_worker& worker) -> void
+    {
+        m_scheduler.worker_listed(worker.entry, now);
+        write();
+    }
+
     /// @brief The worker crashes and starts again under its ID.
     auto rebirth(const std::string& name) -> void
     {
@@ -385,6 +392,7 @@
             return;
         }
         constexpr std::size_t most = 80;
+        m_scheduler.roster_stored(m_scheduler.roster_due(now, most));
         if (const auto batch = m_scheduler.take_progress(most))
         {
             m_scheduler.progress_stored(*batch, now);
--- /dev/null
+++ b/tests/unit-cell-takeover.cpp
@@ -0,0 +1,104 @@
+/// @file
+/// What a new owner may start before it has seen what runs.
+#include "fakes/cell_world.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pimentoshunt;
+using fakes::cell_world;
+using fakes::simple_job;
+
+namespace
+{
+
+/// A worker whose entry has lapsed: the roster alone knows it.
+auto hidden_worker(cell_world& world, const std::string& name)
+    -> fakes::fake_cell_worker&
+{
+    fakes::fake_cell_worker made;
+    made.entry.id = worker_id(name);
+    made.entry.born = cell::calendar_time(milliseconds(500));
+    made.entry.service = cell::service_name("pool");
+    made.entry.address = "10.0.0.9:1";
+    made.entry.capacity.millicpus = 4'000;
+    made.entry.capacity.memory_mb = 100'000;
+    made.started = world.now - std::chrono::minutes(1);
+    auto& placed = world.workers[made.entry.id] = made;
+    world.jobs().worker_enrolled(placed.entry, world.now);
+    return placed;
+}
+
+auto no_progress(const std::string& id) -> cell::job_progress
+{
+    cell::job_progress out;
+    out.id = job_id(id);
+    return out;
+}
+
+constexpr std::uint64_t second_epoch = 2;
+
+} // namespace
+
+// wischwerk-zh scale-1: entries had lapsed while the store was away; the next
+// owner ran tasks again whose ends a worker without an entry still listed.
+Test(cell_takeover, ends_at_a_worker_without_an_entry_are_found)
+{
+    cell_world world(second_epoch);
+    auto& hidden = hidden_worker(world, "w1");
+    hidden.ended.push_back({++hidden.last_end,
+                            {{{job_id("j1"), 0, 0}, 0}, 1},
+                            cell::run_end::done,
+                            ""});
+    world.add_worker("w2", 4'000);
+    world.jobs().restore(simple_job("j1", 1, 1'000), no_progress("j1"),
+                         world.now);
+    world.pass(milliseconds(1'000));
+    cr_assert(world.starts.empty());
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
+
+Test(cell_takeover, an_unreachable_worker_blocks_only_earlier_jobs)
+{
+    cell_world world(second_epoch);
+    hidden_worker(world, "w1").receives = false;
+    world.add_worker("w2", 4'000);
+    world.jobs().restore(simple_job("j1", 1, 1'000), no_progress("j1"),
+                         world.now);
+    world.jobs().accept(simple_job("j2", 1, 1'000), world.now);
+    world.pass(milliseconds(1'000));
+    cr_assert_eq(world.starts.size(), 1u);
+    cr_assert_eq(world.starts[0].run.task.step.job, job_id("j2"));
+    // The earlier owner's limit and the longest lease have passed.
+    world.pass(milliseconds(7'000));
+    cr_assert_eq(world.starts.size(), 2u);
+}
+
+Test(cell_takeover, a_run_that_is_there_is_adopted)
+{
+    cell_world world(second_epoch);
+    auto& worker = world.add_worker("w1", 4'000);
+    const cell::run_ref run{{{job_id("j1"), 0, 0}, 0}, 7};
+    worker.runs[run].listed.run = run;
+    worker.lease_end = worker.clock(world.now) + milliseconds(2'000);
+    world.jobs().restore(simple_job("j1", 1, 1'000), no_progress("j1"),
+                         world.now);
+    world.pass(milliseconds(6'000));
+    cr_assert(world.starts.empty());
+    cr_assert_eq(world.running(), 1u);
+    world.end_run("w1", run, cell::run_end::done);
+    world.pass(milliseconds(1'500));
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
+
+Test(cell_takeover, numbers_of_runs_are_above_those_of_earlier_owners)
+{
+    cell_world world(second_epoch);
+    world.add_worker("w1", 4'000);
+    world.jobs().restore(simple_job("j1", 1, 1'000), no_progress("j1"),
+                         world.now);
+    world.pass(milliseconds(500));
+    cr_assert_eq(world.starts.size(), 1u);
+    cr_assert_gt(world.starts[0].run.number, 9'999u);
+}
