The inbox lies in eight parts

Ruled out: the rate limit of the store (below a third of it in use). Change: jobs and cancellations in a part by the last character of their ID, one group commit a part; the owner's rows stay in one.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -211,7 +211,8 @@
             m_health.record(answered, boot_clock::now());
         };
         m_configuration_follower = std::make_shared<table_follower<Platform>>(
-            m_outside, m_control, row_range{at.table, at.part, "", ""},
+            m_outside, m_control,
+            std::vector<row_range>{row_range{at.table, at.part, "", ""}},
             configuration_times, std::move(tell));
         m_configuration_follower->begin();
     }
--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -15,6 +15,8 @@
 #include <algorithm>  // any_of, min
 #include <deque>      // deque
 #include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
 #include <string>     // string
 #include <utility>    // move
 #include <vector>     // vector
@@ -33,35 +35,41 @@
     unsettled
 };
 
-/// @brief Group commit for the inbox; one transaction under way at a time.
+/// @brief A row that a caller waits for.
+struct intake_entry
+{
+    row_key at;
+    std::string value;
+    /// Only if the row is not there yet.
+    bool fresh = true;
+    /// When the caller has to be answered.
+    time_point until;
+    std::function<void(intake_result)> done;
+    /// An earlier transaction with it had no answer.
+    bool unsettled = false;
+};
+
+/// @brief Group commit for one part of the inbox; one transaction under way at
+/// a time.
 template<class Platform>
-class intake
+class intake_lane
 {
   public:
-    using handler = std::function<void(intake_result)>;
-
-    intake(Platform& outside, boost::asio::io_context& control,
-           store_health& health)
+    intake_lane(Platform& outside, boost::asio::io_context& control,
+                store_health& health)
         : m_outside(outside), m_timer(control), m_health(health)
     {
     }
 
-    /// @brief Stores a job; a job of that ID that is there already is the same.
-    /// @param until  when the caller has to be answered
-    auto submit(const job_spec& job, time_point until, handler done) -> void
-    {
-        add({job_row(job.id), to_bytes(job), true, until, std::move(done)});
-    }
-
-    /// @brief Stores that a job is to end.
-    auto cancel(const job_id& job, time_point until, handler done) -> void
-    {
-        add({cancel_row(job), "1", false, until, std::move(done)});
-    }
-
-    [[nodiscard]] auto waiting() const noexcept -> std::size_t
+    auto add(intake_entry item) -> void
     {
-        return m_queue.size() + m_under_way.size();
+        if (m_health.away(boot_clock::now()))
+        {
+            item.done(intake_result::refused);
+            return;
+        }
+        m_queue.push_back(std::move(item));
+        pump();
     }
 
   private:
@@ -73,29 +81,6 @@
     /// Pause before what may have been done is tried again.
     static constexpr milliseconds retry_pause{80};
 
-    struct entry
-    {
-        row_key at;
-        std::string value;
-        /// Only if the row is not there yet.
-        bool fresh = true;
-        time_point until;
-        handler done;
-        /// An earlier transaction with it had no answer.
-        bool unsettled = false;
-    };
-
-    auto add(entry item) -> void
-    {
-        if (m_health.away(boot_clock::now()))
-        {
-            item.done(intake_result::refused);
-            return;
-        }
-        m_queue.push_back(std::move(item));
-        pump();
-    }
-
     auto pump() -> void
     {
         if (!m_under_way.empty() || m_queue.empty() || m_pausing)
@@ -110,7 +95,7 @@
             auto& item = m_queue.front();
             const bool twice =
                 std::any_of(m_under_way.begin(), m_under_way.end(),
-                            [&](const entry& other)
+                            [&](const intake_entry& other)
                             {
                                 return other.at == item.at;
                             });
@@ -166,10 +151,10 @@
 
     /// Rows that were there already are stored; the others go again.
     /// @return false when none was there
-    auto settle_conflict(std::vector<entry>& items, const commit_result& result)
-        -> bool
+    auto settle_conflict(std::vector<intake_entry>& items,
+                         const commit_result& result) -> bool
     {
-        const auto is_there = [&](const entry& item)
+        const auto is_there = [&](const intake_entry& item)
         {
             return std::any_of(result.current.begin(), result.current.end(),
                                [&](const stored_row& row)
@@ -196,8 +181,8 @@
         return true;
     }
 
-    auto settle_failure(std::vector<entry>& items, bool unknown, time_point now)
-        -> void
+    auto settle_failure(std::vector<intake_entry>& items, bool unknown,
+                        time_point now) -> void
     {
         for (auto item = items.rbegin(); item != items.rend(); ++item)
         {
@@ -235,9 +220,49 @@
     Platform& m_outside;
     boost::asio::steady_timer m_timer;
     store_health& m_health;
-    std::deque<entry> m_queue;
-    std::vector<entry> m_under_way;
+    std::deque<intake_entry> m_queue;
+    std::vector<intake_entry> m_under_way;
     bool m_pausing = false;
 };
 
+/// @brief Makes submissions and cancellations durable, each part by itself.
+template<class Platform>
+class intake
+{
+  public:
+    using handler = std::function<void(intake_result)>;
+
+    intake(Platform& outside, boost::asio::io_context& control,
+           store_health& health)
+    {
+        for (std::size_t i = 0; i < inbox_parts; ++i)
+        {
+            m_lanes.emplace(inbox_part(i),
+                            std::make_unique<intake_lane<Platform>>(
+                                outside, control, health));
+        }
+    }
+
+    /// @brief Stores a job; a job of that ID that is there already is the same.
+    /// @param until  when the caller has to be answered
+    auto submit(const job_spec& job, time_point until, handler done) -> void
+    {
+        add({job_row(job.id), to_bytes(job), true, until, std::move(done)});
+    }
+
+    /// @brief Stores that a job is to end.
+    auto cancel(const job_id& job, time_point until, handler done) -> void
+    {
+        add({cancel_row(job), "1", false, until, std::move(done)});
+    }
+
+  private:
+    auto add(intake_entry item) -> void
+    {
+        m_lanes.at(item.at.part)->add(std::move(item));
+    }
+
+    std::map<std::string, std::unique_ptr<intake_lane<Platform>>> m_lanes;
+};
+
 } // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>  // min
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
@@ -167,25 +168,31 @@
     auto load() -> void
     {
         auto found = std::make_shared<stored_cell>();
-        const auto read = [this, found](row_range range, auto member)
-        {
-            read_all(m_outside, std::move(range), load_limit,
-                     [self = this->shared_from_this(), found,
-                      member](std::optional<table_rows> rows)
-                     {
-                         self->m_health.record(rows.has_value(), present());
-                         found->failed = found->failed || !rows;
-                         (*found).*member = std::move(rows);
-                         if (--found->missing == 0)
-                         {
-                             self->loaded_rows(*found);
-                         }
-                     });
+        const auto read =
+            [this, found](const std::vector<row_range>& ranges, auto member)
+        {
+            read_ranges(m_outside, ranges, load_limit,
+                        [self = this->shared_from_this(), found,
+                         member](std::optional<table_rows> rows)
+                        {
+                            self->m_health.record(rows.has_value(), present());
+                            found->failed = found->failed || !rows;
+                            (*found).*member = std::move(rows);
+                            if (--found->missing == 0)
+                            {
+                                self->loaded_rows(*found);
+                            }
+                        });
         };
-        read({inbox_table, cell_part, "", ""}, &stored_cell::inbox);
-        read({roster_table, cell_part, "", ""}, &stored_cell::roster);
-        read({progress_table, cell_part, "", ""}, &stored_cell::progress);
-        read({m_outside.worker_table(), "", "", ""}, &stored_cell::workers);
+        read(inbox_ranges(), &stored_cell::inbox);
+        read({{roster_table, cell_part, "", ""}}, &stored_cell::roster);
+        read({{progress_table, cell_part, "", ""}}, &stored_cell::progress);
+        read({worker_range()}, &stored_cell::workers);
+    }
+
+    [[nodiscard]] auto worker_range() const -> row_range
+    {
+        return {m_outside.worker_table(), "", "", ""};
     }
 
     auto loaded_rows(const stored_cell& found) -> void
@@ -283,7 +290,7 @@
     auto follow_inbox(std::uint64_t version) -> void
     {
         m_inbox = make_follower(
-            {inbox_table, cell_part, "", ""}, inbox_times,
+            inbox_ranges(), inbox_times,
             [this](const stored_row& row)
             {
                 inbox_changed(row);
@@ -295,7 +302,7 @@
     auto follow_workers(std::uint64_t version) -> void
     {
         m_workers = make_follower(
-            {m_outside.worker_table(), "", "", ""}, worker_times,
+            std::vector<row_range>{worker_range()}, worker_times,
             [this](const stored_row& row)
             {
                 worker_changed(row);
@@ -308,8 +315,9 @@
     }
 
     template<class Changed, class All>
-    auto make_follower(row_range range, feed_times times, Changed changed,
-                       All all) -> std::shared_ptr<table_follower<Platform>>
+    auto make_follower(std::vector<row_range> ranges, feed_times times,
+                       Changed changed, All all)
+        -> std::shared_ptr<table_follower<Platform>>
     {
         typename table_follower<Platform>::listener tell;
         // The follower is stopped before this role ends.
@@ -332,12 +340,12 @@
             m_health.record(answered, present());
         };
         return std::make_shared<table_follower<Platform>>(
-            m_outside, m_control, std::move(range), times, std::move(tell));
+            m_outside, m_control, std::move(ranges), times, std::move(tell));
     }
 
     auto inbox_changed(const stored_row& row) -> void
     {
-        if (row.removed || row.at.part != cell_part)
+        if (row.removed)
         {
             return;
         }
@@ -756,19 +764,39 @@
         {
             return;
         }
-        row_transaction transaction;
-        transaction.conditions.push_back({epoch_row(), m_epoch_version});
         for (const auto& job : jobs)
         {
-            transaction.removals.push_back(job_row(job));
-            transaction.removals.push_back(cancel_row(job));
-            transaction.removals.push_back(progress_row(job));
+            remove_job(job);
         }
-        m_outside.commit(transaction, commit_limit,
-                         [count = jobs.size()](const commit_result& result)
+    }
+
+    /// The inbox first: a job without progress would run again.
+    auto remove_job(const job_id& job) -> void
+    {
+        row_transaction inbox;
+        inbox.removals.push_back(job_row(job));
+        inbox.removals.push_back(cancel_row(job));
+        m_outside.commit(
+            inbox, commit_limit,
+            [self = this->shared_from_this(), job](const commit_result& result)
+            {
+                if (result.state == commit_state::committed && !self->m_ended)
+                {
+                    self->remove_progress(job);
+                }
+            });
+    }
+
+    auto remove_progress(const job_id& job) -> void
+    {
+        row_transaction progress;
+        progress.conditions.push_back({epoch_row(), m_epoch_version});
+        progress.removals.push_back(progress_row(job));
+        m_outside.commit(progress, commit_limit,
+                         [job](const commit_result& result)
                          {
-                             logging::info("old jobs removed")
-                                 .with("jobs", count)
+                             logging::debug("old job removed")
+                                 .with("job", job)
                                  .with("done",
                                        result.state == commit_state::committed);
                          });
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>  // min, max
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <optional>   // optional
@@ -75,6 +76,49 @@
     state->next();
 }
 
+/// @brief Reads all rows of several ranges, at the same time.
+/// @param done  called with nothing when the store did not answer one of them;
+///              the version is the lowest, so that changes since come again
+template<class Platform>
+auto read_ranges(Platform& outside, const std::vector<row_range>& ranges,
+                 milliseconds limit,
+                 std::function<void(std::optional<table_rows>)> done) -> void
+{
+    struct gathering
+    {
+        table_rows found;
+        std::size_t missing = 0;
+        bool first = true;
+        bool failed = false;
+    };
+    auto state = std::make_shared<gathering>();
+    state->missing = ranges.size();
+    const auto take =
+        [state, done = std::move(done)](std::optional<table_rows> part)
+    {
+        state->failed = state->failed || !part;
+        if (part)
+        {
+            auto& found = state->found;
+            found.version = state->first
+                                ? part->version
+                                : std::min(found.version, part->version);
+            state->first = false;
+            found.rows.insert(found.rows.end(), part->rows.begin(),
+                              part->rows.end());
+        }
+        if (--state->missing == 0)
+        {
+            done(state->failed ? std::nullopt
+                               : std::optional(std::move(state->found)));
+        }
+    };
+    for (const auto& range : ranges)
+    {
+        read_all(outside, range, limit, take);
+    }
+}
+
 /// @brief How a table is followed.
 struct feed_times
 {
@@ -102,11 +146,12 @@
         std::function<void(bool)> reached;
     };
 
-    /// @param range  table and part to read; changes of other parts are told
-    ///               too
+    /// @param ranges  of one table, to be read; changes of all its parts are
+    ///                told
     table_follower(Platform& outside, boost::asio::io_context& control,
-                   row_range range, feed_times times, listener tell)
-        : m_outside(outside), m_timer(control), m_range(std::move(range)),
+                   std::vector<row_range> ranges, feed_times times,
+                   listener tell)
+        : m_outside(outside), m_timer(control), m_ranges(std::move(ranges)),
           m_times(times), m_tell(std::move(tell))
     {
     }
@@ -114,8 +159,8 @@
     /// @brief Reads everything, then follows.
     auto begin() -> void
     {
-        read_all(
-            m_outside, m_range, read_limit,
+        read_ranges(
+            m_outside, m_ranges, read_limit,
             [self = this->shared_from_this()](std::optional<table_rows> found)
             {
                 self->read_done(std::move(found));
@@ -172,7 +217,7 @@
         // A call that waits can't be told from one that is lost: none waits
         // until the store has answered again.
         const auto wait = m_reached ? m_times.wait : milliseconds(0);
-        m_outside.follow(m_range.table, m_version, wait,
+        m_outside.follow(m_ranges.front().table, m_version, wait,
                          [self = this->shared_from_this()](feed_result found)
                          {
                              self->follow_done(std::move(found));
@@ -199,7 +244,7 @@
         if (found.state == feed_state::history_gone)
         {
             logging::info("history of a table is gone: it is read anew")
-                .with("table", m_range.table)
+                .with("table", m_ranges.front().table)
                 .with("version", m_version);
             begin();
             return;
@@ -241,7 +286,7 @@
 
     Platform& m_outside;
     boost::asio::steady_timer m_timer;
-    row_range m_range;
+    std::vector<row_range> m_ranges;
     feed_times m_times;
     listener m_tell;
     std::uint64_t m_version = 0;
