A store that is down in part: jobs and progress go to another part

Ruled out: waiting for the part; its callers give up after 3 s. Change: three parts a job may lie in, tried in turn; progress in any of eight parts. What rows of progress say is true whoever wrote it, so they need no condition and are put together at a takeover. A takeover still needs all parts.

--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -14,7 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>     // min
+#include <algorithm>     // any_of, min
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -208,25 +208,26 @@
             store_cancel(job, until, std::move(answer));
             return;
         }
-        read_all(m_outside, job_range(job), read_limit,
-                 [this, job, until,
-                  answer = std::move(answer)](std::optional<table_rows> found)
-                 {
-                     m_health.record(found.has_value(), boot_clock::now());
-                     if (!found)
-                     {
-                         answer(come_back("the store does not answer; the job "
-                                          "goes on"));
-                         return;
-                     }
-                     if (found->rows.empty())
-                     {
-                         answer(m_outside.complaint_answer(
-                             gone, "there is no such job"));
-                         return;
-                     }
-                     store_cancel(job, until, answer);
-                 });
+        read_ranges(
+            m_outside, job_ranges(job), read_limit,
+            [this, job, until,
+             answer = std::move(answer)](std::optional<table_rows> found)
+            {
+                m_health.record(found.has_value(), boot_clock::now());
+                if (!found)
+                {
+                    answer(come_back("the store does not answer; the job "
+                                     "goes on"));
+                    return;
+                }
+                if (found->rows.empty())
+                {
+                    answer(m_outside.complaint_answer(gone,
+                                                      "there is no such job"));
+                    return;
+                }
+                store_cancel(job, until, answer);
+            });
     }
 
     auto store_cancel(const job_id& job, time_point until, reply answer) -> void
@@ -295,53 +296,66 @@
     /// The state as the store has it.
     auto read_state(const job_id& job, reply answer) -> void
     {
-        read_all(m_outside, job_range(job), read_limit,
-                 [this, job,
-                  answer = std::move(answer)](std::optional<table_rows> found)
-                 {
-                     m_health.record(found.has_value(), boot_clock::now());
-                     if (!found)
-                     {
-                         answer(come_back("the store does not answer"));
-                         return;
-                     }
-                     if (found->rows.empty())
-                     {
-                         answer(m_outside.complaint_answer(
-                             gone, "there is no such job"));
-                         return;
-                     }
-                     const bool cancelled = found->rows.size() > 1;
-                     read_stored_progress(job, cancelled, answer);
-                 });
+        read_ranges(m_outside, job_ranges(job), read_limit,
+                    [this, job, answer = std::move(answer)](
+                        std::optional<table_rows> found)
+                    {
+                        m_health.record(found.has_value(), boot_clock::now());
+                        if (!found)
+                        {
+                            answer(come_back("the store does not answer"));
+                            return;
+                        }
+                        if (found->rows.empty())
+                        {
+                            answer(m_outside.complaint_answer(
+                                gone, "there is no such job"));
+                            return;
+                        }
+                        const bool cancelled = std::any_of(
+                            found->rows.begin(), found->rows.end(),
+                            [](const stored_row& row)
+                            {
+                                return !cancelled_job(row.at).empty();
+                            });
+                        read_stored_progress(job, cancelled, answer);
+                    });
     }
 
     auto read_stored_progress(const job_id& job, bool cancelled, reply answer)
         -> void
     {
-        const row_range range{progress_table, cell_part, job.str(),
-                              job.str() + "/"};
-        read_all(m_outside, range, read_limit,
-                 [this, job, cancelled,
-                  answer = std::move(answer)](std::optional<table_rows> found)
-                 {
-                     if (!found)
-                     {
-                         answer(come_back("the store does not answer"));
-                         return;
-                     }
-                     auto state =
-                         cancelled ? job_state::cancelled : job_state::queued;
-                     if (!found->rows.empty())
-                     {
-                         const auto stored =
-                             read_progress(found->rows.front().value);
-                         const bool counts =
-                             stored && (!cancelled || is_final(stored->state));
-                         state = counts ? stored->state : state;
-                     }
-                     tell(job, state, answer);
-                 });
+        read_ranges(m_outside, progress_ranges(job), read_limit,
+                    [this, job, cancelled, answer = std::move(answer)](
+                        std::optional<table_rows> found)
+                    {
+                        if (!found)
+                        {
+                            answer(come_back("the store does not answer"));
+                            return;
+                        }
+                        tell(job, state_in(found->rows, cancelled), answer);
+                    });
+    }
+
+    static auto state_in(const std::vector<stored_row>& rows, bool cancelled)
+        -> job_state
+    {
+        auto state = cancelled ? job_state::cancelled : job_state::queued;
+        for (const auto& row : rows)
+        {
+            const auto stored = read_progress(row.value);
+            if (stored && is_final(stored->state) &&
+                stored->state != job_state::cancelled)
+            {
+                return stored->state;
+            }
+            if (stored && !cancelled && stored->state != job_state::queued)
+            {
+                state = stored->state;
+            }
+        }
+        return state;
     }
 
     auto count(const queue_name& queue, const reply& answer) -> void
--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -38,6 +38,10 @@
 /// @brief A row that a caller waits for.
 struct intake_entry
 {
+    job_id job;
+    /// Which of the job's parts is tried, and how many have failed.
+    std::size_t choice = 0;
+    std::size_t failed = 0;
     row_key at;
     std::string value;
     /// Only if the row is not there yet.
@@ -55,35 +59,38 @@
 class intake_lane
 {
   public:
-    intake_lane(Platform& outside, boost::asio::io_context& control,
-                store_health& health)
-        : m_outside(outside), m_timer(control), m_health(health)
+    /// What takes entries that this part did not take.
+    using failure_handler = std::function<void(intake_entry)>;
+
+    intake_lane(Platform& outside, store_health& health, failure_handler failed)
+        : m_outside(outside), m_health(health), m_failed(std::move(failed))
     {
     }
 
     auto add(intake_entry item) -> void
     {
-        if (m_health.away(boot_clock::now()))
-        {
-            item.done(intake_result::refused);
-            return;
-        }
         m_queue.push_back(std::move(item));
         pump();
     }
 
+    /// @brief Whether the part failed a moment ago.
+    [[nodiscard]] auto failing(time_point now) const -> bool
+    {
+        return now < m_failing_until;
+    }
+
   private:
     /// Bounds of one transaction: below those of the platform's store.
     static constexpr std::size_t most_rows = 60;
     static constexpr std::size_t most_bytes = 400'000;
     /// A transaction takes milliseconds unless the store is in trouble.
     static constexpr milliseconds commit_limit{700};
-    /// Pause before what may have been done is tried again.
-    static constexpr milliseconds retry_pause{80};
+    /// A part that failed is not the first choice for so long.
+    static constexpr milliseconds avoid_for{500};
 
     auto pump() -> void
     {
-        if (!m_under_way.empty() || m_queue.empty() || m_pausing)
+        if (!m_under_way.empty() || m_queue.empty())
         {
             return;
         }
@@ -138,12 +145,12 @@
             if (!settle_conflict(items, result))
             {
                 logging::error("the store names no row that is in the way");
-                settle_failure(items, false, now);
+                fail(items, false, now);
             }
             break;
         case commit_state::not_done:
         case commit_state::unknown:
-            settle_failure(items, result.state == commit_state::unknown, now);
+            fail(items, result.state == commit_state::unknown, now);
             break;
         }
         pump();
@@ -181,51 +188,28 @@
         return true;
     }
 
-    auto settle_failure(std::vector<intake_entry>& items, bool unknown,
-                        time_point now) -> void
+    auto fail(std::vector<intake_entry>& items, bool unknown, time_point now)
+        -> void
     {
-        for (auto item = items.rbegin(); item != items.rend(); ++item)
+        m_failing_until = now + avoid_for;
+        for (auto& item : items)
         {
-            item->unsettled = item->unsettled || unknown;
-            if (!item->unsettled)
-            {
-                item->done(intake_result::refused);
-            }
-            else if (now + retry_pause >= item->until)
-            {
-                item->done(intake_result::unsettled);
-            }
-            else
-            {
-                m_queue.push_front(std::move(*item));
-            }
-        }
-        if (m_queue.empty())
-        {
-            return;
+            item.unsettled = item.unsettled || unknown;
+            ++item.failed;
+            m_failed(std::move(item));
         }
-        m_pausing = true;
-        m_timer.expires_after(retry_pause);
-        m_timer.async_wait(
-            [this](auto fault)
-            {
-                m_pausing = false;
-                if (!fault)
-                {
-                    pump();
-                }
-            });
     }
 
     Platform& m_outside;
-    boost::asio::steady_timer m_timer;
     store_health& m_health;
+    failure_handler m_failed;
     std::deque<intake_entry> m_queue;
     std::vector<intake_entry> m_under_way;
-    bool m_pausing = false;
+    time_point m_failing_until;
 };
 
-/// @brief Makes submissions and cancellations durable, each part by itself.
+/// @brief Makes submissions and cancellations durable. A part of the store that
+/// does not take a row is passed over for the job's next one.
 template<class Platform>
 class intake
 {
@@ -234,12 +218,17 @@
 
     intake(Platform& outside, boost::asio::io_context& control,
            store_health& health)
+        : m_control(control), m_health(health)
     {
         for (std::size_t i = 0; i < inbox_parts; ++i)
         {
             m_lanes.emplace(inbox_part(i),
                             std::make_unique<intake_lane<Platform>>(
-                                outside, control, health));
+                                outside, health,
+                                [this](intake_entry item)
+                                {
+                                    retry(std::move(item));
+                                }));
         }
     }
 
@@ -247,21 +236,97 @@
     /// @param until  when the caller has to be answered
     auto submit(const job_spec& job, time_point until, handler done) -> void
     {
-        add({job_row(job.id), to_bytes(job), true, until, std::move(done)});
+        intake_entry item;
+        item.job = job.id;
+        item.value = to_bytes(job);
+        item.until = until;
+        item.done = std::move(done);
+        add(std::move(item));
     }
 
     /// @brief Stores that a job is to end.
     auto cancel(const job_id& job, time_point until, handler done) -> void
     {
-        add({cancel_row(job), "1", false, until, std::move(done)});
+        intake_entry item;
+        item.job = job;
+        item.value = "1";
+        item.fresh = false;
+        item.until = until;
+        item.done = std::move(done);
+        add(std::move(item));
     }
 
   private:
+    /// Pause before what may have been done is tried again.
+    static constexpr milliseconds retry_pause{80};
+
     auto add(intake_entry item) -> void
     {
-        m_lanes.at(item.at.part)->add(std::move(item));
+        const auto now = boot_clock::now();
+        if (m_health.away(now))
+        {
+            item.done(intake_result::refused);
+            return;
+        }
+        // Parts that have just failed are passed over if another has not.
+        for (std::size_t i = 0; i < parts_of_job; ++i)
+        {
+            if (!lane_of(item.job, i).failing(now))
+            {
+                item.choice = i;
+                break;
+            }
+        }
+        send(std::move(item));
+    }
+
+    auto lane_of(const job_id& job, std::size_t choice)
+        -> intake_lane<Platform>&
+    {
+        return *m_lanes.at(inbox_part_of(job, choice));
+    }
+
+    auto send(intake_entry item) -> void
+    {
+        item.at = item.fresh ? job_row(item.job, item.choice)
+                             : cancel_row(item.job, item.choice);
+        auto& lane = lane_of(item.job, item.choice);
+        lane.add(std::move(item));
     }
 
+    auto retry(intake_entry item) -> void
+    {
+        const auto now = boot_clock::now();
+        if (item.failed % parts_of_job != 0)
+        {
+            item.choice = (item.choice + 1) % parts_of_job;
+            send(std::move(item));
+            return;
+        }
+        if (!item.unsettled)
+        {
+            item.done(intake_result::refused);
+            return;
+        }
+        if (now + retry_pause >= item.until)
+        {
+            item.done(intake_result::unsettled);
+            return;
+        }
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
+        timer->expires_after(retry_pause);
+        timer->async_wait(
+            [this, timer, item = std::move(item)](auto fault) mutable
+            {
+                if (!fault)
+                {
+                    send(std::move(item));
+                }
+            });
+    }
+
+    boost::asio::io_context& m_control;
+    store_health& m_health;
     std::map<std::string, std::unique_ptr<intake_lane<Platform>>> m_lanes;
 };
 
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -17,14 +17,16 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // min
-#include <functional> // function
-#include <map>        // map
-#include <memory>     // shared_ptr
-#include <optional>   // optional
-#include <set>        // set
-#include <string>     // string
-#include <utility>    // move
+#include <algorithm>     // find
+#include <functional>    // function
+#include <map>           // map
+#include <memory>        // shared_ptr
+#include <optional>      // optional
+#include <set>           // set
+#include <string>        // string
+#include <unordered_map> // unordered_map
+#include <utility>       // move
+#include <vector>        // vector
 
 namespace pimentoshunt::cell
 {
@@ -186,7 +188,7 @@
         };
         read(inbox_ranges(), &stored_cell::inbox);
         read({{roster_table, cell_part, "", ""}}, &stored_cell::roster);
-        read({{progress_table, cell_part, "", ""}}, &stored_cell::progress);
+        read(progress_ranges(), &stored_cell::progress);
         read({worker_range()}, &stored_cell::workers);
     }
 
@@ -247,9 +249,14 @@
         std::map<std::string, job_progress> progress;
         for (const auto& row : found.progress->rows)
         {
-            if (auto read = read_progress(row.value))
+            if (const auto read = read_progress(row.value))
             {
-                progress[row.at.key] = std::move(*read);
+                remember_row(read->id, row.at);
+                const auto known = progress.try_emplace(read->id.str(), *read);
+                if (!known.second)
+                {
+                    merge(known.first->second, *read);
+                }
             }
             else
             {
@@ -607,10 +614,12 @@
             return;
         }
         row_transaction transaction;
-        transaction.conditions.push_back({epoch_row(), m_epoch_version});
         for (const auto& job : batch->jobs)
         {
-            transaction.writes.push_back({progress_row(job.id), to_bytes(job)});
+            const auto at =
+                progress_row(job.id, m_scheduler.epoch(), m_progress_part);
+            remember_row(job.id, at);
+            transaction.writes.push_back({at, to_bytes(job)});
         }
         m_writing = true;
         m_outside.commit(transaction, commit_limit,
@@ -661,16 +670,19 @@
         switch (result.state)
         {
         case commit_state::committed:
+            m_failed_writes = 0;
             m_scheduler.progress_stored(batch, present());
             break;
         case commit_state::conflict:
-            m_around.overtaken();
-            return;
         case commit_state::not_done:
         case commit_state::unknown:
-            // The same rows are written again: doing it twice is no harm.
+            // Written again, to another part: doing it twice is no harm.
             m_scheduler.progress_failed(batch);
-            m_next_write = present() + commit_pause;
+            m_progress_part = (m_progress_part + 1) % progress_parts;
+            if (++m_failed_writes % progress_parts == 0)
+            {
+                m_next_write = present() + commit_pause;
+            }
             break;
         }
         wake();
@@ -773,33 +785,52 @@
     /// The inbox first: a job without progress would run again.
     auto remove_job(const job_id& job) -> void
     {
-        row_transaction inbox;
-        inbox.removals.push_back(job_row(job));
-        inbox.removals.push_back(cancel_row(job));
-        m_outside.commit(
-            inbox, commit_limit,
-            [self = this->shared_from_this(), job](const commit_result& result)
-            {
-                if (result.state == commit_state::committed && !self->m_ended)
-                {
-                    self->remove_progress(job);
-                }
-            });
+        auto missing = std::make_shared<std::size_t>(parts_of_job);
+        for (std::size_t i = 0; i < parts_of_job; ++i)
+        {
+            row_transaction inbox;
+            inbox.removals.push_back(job_row(job, i));
+            inbox.removals.push_back(cancel_row(job, i));
+            m_outside.commit(inbox, commit_limit,
+                             [self = this->shared_from_this(), job,
+                              missing](const commit_result& result)
+                             {
+                                 const bool done =
+                                     result.state == commit_state::committed;
+                                 if (done && --*missing == 0 && !self->m_ended)
+                                 {
+                                     self->remove_progress(job);
+                                 }
+                             });
+        }
     }
 
     auto remove_progress(const job_id& job) -> void
     {
-        row_transaction progress;
-        progress.conditions.push_back({epoch_row(), m_epoch_version});
-        progress.removals.push_back(progress_row(job));
-        m_outside.commit(progress, commit_limit,
-                         [job](const commit_result& result)
-                         {
-                             logging::debug("old job removed")
-                                 .with("job", job)
-                                 .with("done",
-                                       result.state == commit_state::committed);
-                         });
+        const auto rows = m_progress_rows[job];
+        m_progress_rows.erase(job);
+        for (const auto& at : rows)
+        {
+            row_transaction progress;
+            progress.removals.push_back(at);
+            m_outside.commit(progress, commit_limit,
+                             [job](const commit_result& result)
+                             {
+                                 logging::debug("old job removed")
+                                     .with("job", job)
+                                     .with("done", result.state ==
+                                                       commit_state::committed);
+                             });
+        }
+    }
+
+    auto remember_row(const job_id& job, const row_key& at) -> void
+    {
+        auto& rows = m_progress_rows[job];
+        if (std::find(rows.begin(), rows.end(), at) == rows.end())
+        {
+            rows.push_back(at);
+        }
     }
 
     Platform& m_outside;
@@ -819,6 +850,10 @@
     std::shared_ptr<table_follower<Platform>> m_workers;
     time_point m_next_write;
     time_point m_next_expiry;
+    /// Where the rows of jobs lie, to remove them in the end.
+    std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
+    std::size_t m_progress_part = 0;
+    std::size_t m_failed_writes = 0;
     bool m_loaded = false;
     bool m_woken = false;
     bool m_writing = false;
--- a/include/pimentoshunt/cell/stored.hpp
+++ b/include/pimentoshunt/cell/stored.hpp
@@ -31,4 +31,7 @@
 [[nodiscard]] auto read_progress(const std::string& bytes)
     -> std::optional<job_progress>;
 
+/// @brief Puts what two owners have stored of one job together.
+auto merge(job_progress& into, const job_progress& from) -> void;
+
 } // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -5,6 +5,7 @@
 #include <pimentoshunt/cell/ports.hpp>
 
 #include <cstddef> // size_t
+#include <cstdint> // uint64_t
 #include <string>  // string
 #include <vector>  // vector
 
@@ -23,13 +24,21 @@
     return "inbox-" + std::to_string(number);
 }
 
-/// @brief The part of the inbox that holds a job; the same at all instances.
-[[nodiscard]] inline auto inbox_part_of(const job_id& job) -> std::string
+/// How many parts of the inbox a job may lie in: while the store is down in
+/// part, the next one takes it. A job that lies in two is still one.
+inline constexpr std::size_t parts_of_job = 3;
+/// Distance between them; has no factor in common with their number.
+inline constexpr std::size_t part_distance = 3;
+
+/// @brief The part in which a job lies, or lies if the earlier choices failed;
+/// the same at all instances.
+[[nodiscard]] inline auto inbox_part_of(const job_id& job,
+                                        std::size_t choice = 0) -> std::string
 {
     const auto& text = job.str();
-    const auto last =
-        text.empty() ? 0u : static_cast<unsigned char>(text.back());
-    return inbox_part(last % inbox_parts);
+    const std::size_t last =
+        text.empty() ? 0 : static_cast<unsigned char>(text.back());
+    return inbox_part((last + choice * part_distance) % inbox_parts);
 }
 
 /// Jobs as they were accepted, and their cancellations.
@@ -58,22 +67,36 @@
     return {owner_table, cell_part, "epoch"};
 }
 
-[[nodiscard]] inline auto job_row(const job_id& job) -> row_key
+[[nodiscard]] inline auto job_row(const job_id& job, std::size_t choice = 0)
+    -> row_key
 {
-    return {inbox_table, inbox_part_of(job), job.str()};
+    return {inbox_table, inbox_part_of(job, choice), job.str()};
 }
 
 /// Follows the job's row in the order of keys.
 inline const std::string cancel_suffix = ".cancel";
 
-[[nodiscard]] inline auto cancel_row(const job_id& job) -> row_key
+[[nodiscard]] inline auto cancel_row(const job_id& job, std::size_t choice = 0)
+    -> row_key
+{
+    return {inbox_table, inbox_part_of(job, choice), job.str() + cancel_suffix};
+}
+
+/// Parts of the table of progress: as for the inbox.
+inline constexpr std::size_t progress_parts = 8;
+
+[[nodiscard]] inline auto progress_part(std::size_t number) -> std::string
 {
-    return {inbox_table, inbox_part_of(job), job.str() + cancel_suffix};
+    return "progress-" + std::to_string(number);
 }
 
-[[nodiscard]] inline auto progress_row(const job_id& job) -> row_key
+/// @brief A row of progress. What it says is true whoever wrote it, so rows of
+/// several owners and parts are put together, and none needs a condition.
+[[nodiscard]] inline auto progress_row(const job_id& job, std::uint64_t epoch,
+                                       std::size_t part) -> row_key
 {
-    return {progress_table, cell_part, job.str()};
+    return {progress_table, progress_part(part),
+            job.str() + "@" + std::to_string(epoch)};
 }
 
 /// @brief Whether the row marks a cancellation, and of which job.
@@ -95,10 +118,36 @@
     return out;
 }
 
-/// @brief The range that holds a job's rows in the inbox.
-[[nodiscard]] inline auto job_range(const job_id& job) -> row_range
+/// @brief The ranges that hold a job's rows in the inbox.
+[[nodiscard]] inline auto job_ranges(const job_id& job)
+    -> std::vector<row_range>
+{
+    std::vector<row_range> out;
+    for (std::size_t i = 0; i < parts_of_job; ++i)
+    {
+        out.push_back(
+            {inbox_table, inbox_part_of(job, i), job.str(), job.str() + "/"});
+    }
+    return out;
+}
+
+/// @brief All progress, or that of one job.
+[[nodiscard]] inline auto progress_ranges(const std::string& from = "",
+                                          const std::string& until = "")
+    -> std::vector<row_range>
+{
+    std::vector<row_range> out;
+    for (std::size_t i = 0; i < progress_parts; ++i)
+    {
+        out.push_back({progress_table, progress_part(i), from, until});
+    }
+    return out;
+}
+
+[[nodiscard]] inline auto progress_ranges(const job_id& job)
+    -> std::vector<row_range>
 {
-    return {inbox_table, inbox_part_of(job), job.str(), job.str() + "/"};
+    return progress_ranges(job.str(), job.str() + "A");
 }
 
 } // namespace pimentoshunt::cell
--- a/src/cell/stored.cpp
+++ b/src/cell/stored.cpp
@@ -2,7 +2,8 @@
 
 #include <cell.pb.h>
 
-#include <utility> // move
+#include <algorithm> // find_if, max
+#include <utility>   // move
 
 namespace pimentoshunt::cell
 {
@@ -278,4 +279,34 @@
     return out;
 }
 
+auto merge(job_progress& into, const job_progress& from) -> void
+{
+    // Ends that were reached stand, whoever saw them.
+    into.state = std::max(into.state, from.state);
+    for (const auto& round : from.rounds)
+    {
+        const auto place = std::find_if(into.rounds.begin(), into.rounds.end(),
+                                        [&](const round_progress& item)
+                                        {
+                                            return item.round == round.round;
+                                        });
+        if (place == into.rounds.end())
+        {
+            into.rounds.push_back(round);
+            continue;
+        }
+        for (const auto& [step, tasks] : round.done)
+        {
+            auto& done = place->done[step];
+            done.insert(done.end(), tasks.begin(), tasks.end());
+        }
+        place->failures.insert(place->failures.end(), round.failures.begin(),
+                               round.failures.end());
+        for (const auto& [task, text] : round.checkpoints)
+        {
+            place->checkpoints[task] = text;
+        }
+    }
+}
+
 } // namespace pimentoshunt::cell
