Load each part of the store by itself until it answers

Cause: one unanswered read sent the new owner back to reading all parts; a part that fails some calls would keep it from loading. An instance that stops keeps the cell while the store fails some calls.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -86,10 +86,8 @@
     auto leave() -> void
     {
         m_leaving = true;
-        if (m_ownership.owner())
-        {
-            renew(true);
-        }
+        m_leave_by = boot_clock::now() + longest_keep;
+        m_next_renewal = boot_clock::now();
     }
 
     auto stop() -> void
@@ -120,6 +118,9 @@
     /// Counts older than that are not told any more: callers may rely on two
     /// seconds beside the time of their own request.
     static constexpr milliseconds pending_limit{2'500};
+    /// An instance that stops keeps the cell for so long while the store fails
+    /// some calls; it still has to hand it on before it ends.
+    static constexpr milliseconds longest_keep{1'900};
     static constexpr milliseconds commit_limit{600};
     static constexpr milliseconds read_limit{600};
     /// A connection that has gone silent is noticed after that; changes have
@@ -266,7 +267,9 @@
             beat(now);
             if (now >= m_next_renewal && !m_row_busy)
             {
-                renew(m_leaving);
+                // A new owner has to read all parts of the store.
+                const bool may_go = m_health.steady(now) || now >= m_leave_by;
+                renew(m_leaving && may_go);
             }
             return;
         }
@@ -408,11 +411,6 @@
         m_epoch_version = result.version;
         m_next_renewal = now + m_options.ownership.renew_every;
         logging::info("owns the cell").with("epoch", content.epoch);
-        if (m_leaving)
-        {
-            renew(true);
-            return;
-        }
         if (m_configuration)
         {
             begin_role();
@@ -754,6 +752,7 @@
     time_point m_next_hello;
     bool m_row_busy = false;
     bool m_leaving = false;
+    time_point m_leave_by;
     bool m_stopped = false;
 };
 
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -58,7 +58,7 @@
           m_health(health), m_around(std::move(around)),
           m_epoch_version(epoch_version),
           m_scheduler(epoch, options, present()), m_tick(control),
-          m_retry(control), m_gather(control)
+          m_gather(control)
     {
     }
 
@@ -75,7 +75,6 @@
     {
         m_ended = true;
         m_tick.cancel();
-        m_retry.cancel();
         m_gather.cancel();
         for (const auto& item : {m_inbox, m_workers})
         {
@@ -131,8 +130,8 @@
   private:
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
-    static constexpr milliseconds load_limit{1'500};
-    static constexpr milliseconds load_pause{150};
+    static constexpr milliseconds load_limit{1'000};
+    static constexpr milliseconds load_pause{40};
     static constexpr feed_times inbox_times{};
     /// Workers renew their entries all the time; one that leaves may still be
     /// given work for two seconds.
@@ -157,39 +156,91 @@
         return boot_clock::now();
     }
 
+    /// All that a new owner reads.
     struct stored_cell
     {
-        std::optional<table_rows> inbox;
-        std::optional<table_rows> progress;
-        std::optional<table_rows> workers;
-        std::optional<table_rows> roster;
-        int missing = 4;
-        bool failed = false;
+        std::vector<stored_row> inbox;
+        std::vector<stored_row> progress;
+        std::vector<stored_row> workers;
+        std::vector<stored_row> roster;
+        std::uint64_t version = 0;
+        std::size_t missing = 0;
     };
+    using stored_rows = std::vector<stored_row> stored_cell::*;
 
     auto load() -> void
     {
         auto found = std::make_shared<stored_cell>();
-        const auto read =
-            [this, found](const std::vector<row_range>& ranges, auto member)
-        {
-            read_ranges(m_outside, ranges, load_limit,
-                        [self = this->shared_from_this(), found,
-                         member](std::optional<table_rows> rows)
-                        {
-                            self->m_health.record(rows.has_value(), present());
-                            found->failed = found->failed || !rows;
-                            (*found).*member = std::move(rows);
-                            if (--found->missing == 0)
-                            {
-                                self->loaded_rows(*found);
-                            }
-                        });
-        };
-        read(inbox_ranges(), &stored_cell::inbox);
-        read({{roster_table, cell_part, "", ""}}, &stored_cell::roster);
-        read(progress_ranges(), &stored_cell::progress);
-        read({worker_range()}, &stored_cell::workers);
+        load_ranges(found, inbox_ranges(), &stored_cell::inbox);
+        load_ranges(found, progress_ranges(), &stored_cell::progress);
+        load_ranges(found, {{roster_table, cell_part, "", ""}},
+                    &stored_cell::roster);
+        load_ranges(found, {worker_range()}, &stored_cell::workers);
+    }
+
+    auto load_ranges(const std::shared_ptr<stored_cell>& found,
+                     const std::vector<row_range>& ranges, stored_rows into)
+        -> void
+    {
+        found->missing += ranges.size();
+        for (const auto& range : ranges)
+        {
+            load_range(found, range, into);
+        }
+    }
+
+    /// Reads one range until the store has answered: while it is down in part,
+    /// all ranges at once would hardly ever be read.
+    auto load_range(const std::shared_ptr<stored_cell>& found,
+                    const row_range& range, stored_rows into) -> void
+    {
+        read_all(m_outside, range, load_limit,
+                 [self = this->shared_from_this(), found, range,
+                  into](std::optional<table_rows> part)
+                 {
+                     if (self->m_ended)
+                     {
+                         return;
+                     }
+                     self->m_health.record(part.has_value(), present());
+                     if (!part)
+                     {
+                         self->load_later(found, range, into);
+                         return;
+                     }
+                     self->range_loaded(*found, *part, into);
+                 });
+    }
+
+    auto load_later(const std::shared_ptr<stored_cell>& found,
+                    const row_range& range, stored_rows into) -> void
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
+        timer->expires_after(load_pause);
+        timer->async_wait(
+            [self = this->shared_from_this(), timer, found, range,
+             into](auto fault)
+            {
+                if (!fault && !self->m_ended)
+                {
+                    self->load_range(found, range, into);
+                }
+            });
+    }
+
+    auto range_loaded(stored_cell& found, const table_rows& part,
+                      stored_rows into) -> void
+    {
+        // Changes since the earliest reading come again by the feeds.
+        found.version = found.version == 0
+                            ? part.version
+                            : std::min(found.version, part.version);
+        auto& rows = found.*into;
+        rows.insert(rows.end(), part.rows.begin(), part.rows.end());
+        if (--found.missing == 0)
+        {
+            loaded_rows(found);
+        }
     }
 
     [[nodiscard]] auto worker_range() const -> row_range
@@ -203,25 +254,12 @@
         {
             return;
         }
-        if (found.failed)
-        {
-            m_retry.expires_after(load_pause);
-            m_retry.async_wait(
-                [self = this->shared_from_this()](auto fault)
-                {
-                    if (!fault && !self->m_ended)
-                    {
-                        self->load();
-                    }
-                });
-            return;
-        }
         restore_jobs(found);
-        for (const auto& row : found.workers->rows)
+        for (const auto& row : found.workers)
         {
             worker_changed(row);
         }
-        for (const auto& row : found.roster->rows)
+        for (const auto& row : found.roster)
         {
             if (const auto worker = read_worker(row.value))
             {
@@ -239,15 +277,15 @@
             .with("epoch", m_scheduler.epoch())
             .with("jobs", m_scheduler.job_count())
             .with("workers", m_scheduler.workers().size());
-        follow_inbox(found.inbox->version);
-        follow_workers(found.workers->version);
+        follow_inbox(found.version);
+        follow_workers(found.version);
         wake();
     }
 
     auto restore_jobs(const stored_cell& found) -> void
     {
         std::map<std::string, job_progress> progress;
-        for (const auto& row : found.progress->rows)
+        for (const auto& row : found.progress)
         {
             if (const auto read = read_progress(row.value))
             {
@@ -266,7 +304,7 @@
             }
         }
         std::vector<job_id> cancelled;
-        for (const auto& row : found.inbox->rows)
+        for (const auto& row : found.inbox)
         {
             const auto cancelled_here = cancelled_job(row.at);
             if (!cancelled_here.empty())
@@ -842,7 +880,6 @@
     scheduler m_scheduler;
     approval_desk m_desk;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_retry;
     boost::asio::steady_timer m_gather;
     bool m_gathering = false;
     bool m_gathered = false;
--- a/include/pimentoshunt/cell/store_health.hpp
+++ b/include/pimentoshunt/cell/store_health.hpp
@@ -24,6 +24,7 @@
             m_failing = false;
             return;
         }
+        m_failed_at = now;
         if (!m_failing)
         {
             m_failing = true;
@@ -38,6 +39,12 @@
         return m_failing && now - m_failing_since >= away_after;
     }
 
+    /// @brief Whether no call has failed for a while.
+    [[nodiscard]] auto steady(time_point now) const -> bool
+    {
+        return now - m_failed_at >= steady_after;
+    }
+
     /// @brief Whether the last call failed.
     [[nodiscard]] auto failing() const noexcept -> bool
     {
@@ -48,8 +55,12 @@
     /// A single lost answer says little.
     static constexpr milliseconds away_after{400};
 
+    /// A store that is down in part fails some calls a second.
+    static constexpr milliseconds steady_after{700};
+
     bool m_failing = false;
     time_point m_failing_since;
+    time_point m_failed_at;
 };
 
 } // namespace pimentoshunt::cell
