--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -110,8 +110,8 @@
     }
 
   private:
-    static constexpr milliseconds tick_interval{100};
-    static constexpr milliseconds beat_interval{250};
+    static constexpr milliseconds tick_interval{50};
+    static constexpr milliseconds beat_interval{150};
     static constexpr milliseconds hello_interval{300};
     /// An instance that was silent for longer does not follow.
     static constexpr milliseconds followed_within{1'300};
--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -50,12 +50,12 @@
 struct ownership_options
 {
     /// How often the owner renews its row.
-    milliseconds renew_every{500};
+    milliseconds renew_every{400};
     /// A follower that hears nothing for so long reads the row.
-    milliseconds suspect_after{800};
+    milliseconds suspect_after{700};
     /// A row unchanged for so long has no owner that could renew: two renewals
     /// fit in.
-    milliseconds take_over_after{1'200};
+    milliseconds take_over_after{1'100};
     /// An owner whose row was not renewed for so long is watched in the store
     /// although it is heard.
     milliseconds watch_after{900};
@@ -63,7 +63,7 @@
     /// by then if it reached the store.
     milliseconds watch_for{500};
     /// How often a follower reads the row while it suspects.
-    milliseconds read_every{150};
+    milliseconds read_every{100};
     /// Without a confirmation for so long, an owner renews no leases and
     /// starts nothing, unless most other instances follow it.
     milliseconds confirm_limit{3'000};
