--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -90,6 +90,8 @@
     std::uint32_t silent_calls = 0;
     resources used;
     std::map<run_ref, run_record> runs;
+    /// A start has been without an answer for long: it may be dark.
+    bool slow_to_answer = false;
     /// No starts before; after refusals.
     time_point closed_until;
     time_point pace_raised_at;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -41,6 +41,9 @@
     milliseconds paced_hold_wait{400};
     /// Until a hold is repeated that had to be answered at once.
     milliseconds hold_retry{100};
+    /// Workers answer a start within milliseconds: one that has not for so
+    /// long gets no other until it has.
+    milliseconds slow_answer{120};
     /// A start without an answer for so long is stopped and tried elsewhere.
     milliseconds stop_retry{300};
     /// Longest time that a final state is kept for callers.
@@ -225,6 +228,7 @@
     auto want_stop(worker_record& worker, run_record& run, time_point now)
         -> void;
     auto retry_stops(worker_record& worker, time_point now) -> void;
+    auto watch_starts(worker_record& worker, time_point now) -> void;
     auto give_up_lapsed(worker_record& worker, time_point now) -> void;
     auto plan_hold(worker_record& worker, time_point now, bool may_extend)
         -> void;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -52,6 +52,7 @@
     for (auto& [id, worker] : m_workers)
     {
         retry_stops(worker, now);
+        watch_starts(worker, now);
         give_up_lapsed(worker, now);
         leave_draining(worker, now);
     }
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -654,6 +654,17 @@
     }
 }
 
+auto scheduler::watch_starts(worker_record& worker, time_point now) -> void
+{
+    worker.slow_to_answer = false;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        const bool waits = run.phase == run_phase::starting && !run.seen_at &&
+                           now - run.sent_at >= m_options.slow_answer;
+        worker.slow_to_answer = worker.slow_to_answer || waits;
+    }
+}
+
 auto scheduler::give_up_lapsed(worker_record& worker, time_point now) -> void
 {
     const bool silent = worker.silent_calls > 0 || !worker.adopted;
