Askers of approvals are shared out by load; steps are asked for early

Ruled out: room (half of the cell was free) and the takeover (0.1 s). Change: askers kept back for quick calls by their load, workers named by the share that is approved, questions for steps that come soon, lost questions given up after 0.5 s. Tests unit-cell-approvals.

--- a/include/pimentoshunt/cell/approval_desk.hpp
+++ b/include/pimentoshunt/cell/approval_desk.hpp
@@ -1,7 +1,8 @@
 /// @file
 /// Spreads questions to the approval service over the instances. The service
 /// serves one call at a time for each of them, so a question for short work
-/// must not wait behind one that takes a second.
+/// must not wait behind one that takes a second. Answers the crest of short work
+/// while some instances are away.
 #pragma once
 
 #include <pimentoshunt/cell/orders.hpp>
@@ -22,10 +23,16 @@
 {
     /// A call expected to take longer is a slow one.
     milliseconds slow_from{200};
-    /// Share of the askers that slow calls may hold at once.
-    double slow_share = 0.7;
-    /// Added to the expected time before a call counts as lost.
-    milliseconds patience{1'500};
+    /// Largest share of the askers that slow calls may hold at once.
+    double slow_share = 0.75;
+    /// Askers kept for quick calls, as a multiple of those that quick calls
+    /// have kept busy of late.
+    double quick_reserve = 1.6;
+    /// Time over which the load of quick calls is averaged.
+    milliseconds load_window{1'000};
+    /// Added to the expected time before a call counts as lost: the way there
+    /// and back, and a slow asker.
+    milliseconds patience{500};
     /// An asker that lost a call rests this long.
     milliseconds rest{1'500};
 };
@@ -47,7 +54,7 @@
     {
     }
 
-    auto add(approval_question question) -> void;
+    auto add(approval_question question, time_point now) -> void;
 
     /// @brief Hands waiting questions to idle askers.
     /// @param askers  names of the instances that can ask now
@@ -79,7 +86,14 @@
         return question.expected >= m_options.slow_from;
     }
 
+    /// How many slow calls may be under way.
+    [[nodiscard]] auto slow_limit(std::size_t askers) const -> std::size_t;
+    auto decay(time_point now) -> void;
+
     approval_desk_options m_options;
+    /// Askers that quick calls keep busy, averaged.
+    double m_quick_load = 0;
+    time_point m_decayed_at;
     std::vector<approval_question> m_waiting;
     std::map<std::uint64_t, asked> m_asked;
     std::map<std::string, time_point> m_resting;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -146,7 +146,7 @@
     /// Rows in one transaction: below the store's bound of 100 entries.
     static constexpr std::size_t most_rows = 80;
     /// An asker must have been heard within this time.
-    static constexpr milliseconds asker_heard{1'200};
+    static constexpr milliseconds asker_heard{700};
     /// How often old jobs are looked for.
     static constexpr milliseconds expire_interval{5'000};
     static constexpr std::size_t expire_at_once = 25;
@@ -543,7 +543,7 @@
         }
         for (const auto& question : out.questions)
         {
-            m_desk.add(question);
+            m_desk.add(question, present());
         }
     }
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -55,6 +55,11 @@
     milliseconds ticket_margin{150};
     /// Most workers named in one question.
     std::size_t question_workers = 30;
+    /// Workers named for each that is needed, if all were approved.
+    double question_spare = 1.3;
+    /// Steps whose predecessors take no longer are asked for as soon as these
+    /// have started: well within a ticket's life.
+    milliseconds early_question{1'200};
     /// Time between questions on one step that led to nothing.
     milliseconds question_pause{60};
     /// How long a worker is left alone that turned a start away.
@@ -260,7 +265,12 @@
     auto earlier_runs_possible(time_point now) const -> bool;
 
     // Approvals.
-    auto ask_approval(const policy::waiting_step& item, time_point now) -> void;
+    auto ask_approval(const policy::waiting_step& item, bool early,
+                      time_point now) -> void;
+    auto ask_early(time_point now) -> void;
+    [[nodiscard]] auto comes_soon(const round_record& round,
+                                  const step_record& step) const -> bool;
+    [[nodiscard]] auto approval_rate(const queue_name& queue) const -> double;
     auto question_list(const policy::waiting_step& item, time_point now)
         -> std::vector<worker_record*>;
 
@@ -285,6 +295,8 @@
     std::vector<job_id> m_finished;
     pimentoshunt::policy::worker_health m_health;
     std::map<worker_id, bool> m_probe;
+    /// Share of the workers asked for that a queue's policy approves.
+    std::map<queue_name, double> m_approval_rates;
     outbox m_out;
 };
 
--- a/src/cell/approval_desk.cpp
+++ b/src/cell/approval_desk.cpp
@@ -1,14 +1,38 @@
 #include <pimentoshunt/cell/approval_desk.hpp>
 
-#include <algorithm> // stable_sort, max
+#include <algorithm> // max, min, stable_sort
+#include <cmath>     // ceil, exp
 #include <set>       // set
 #include <utility>   // move
 
 namespace pimentoshunt::cell
 {
 
-auto approval_desk::add(approval_question question) -> void
+auto approval_desk::decay(time_point now) -> void
 {
+    using real_ms = std::chrono::duration<double, std::milli>;
+    const real_ms passed = now - m_decayed_at;
+    m_quick_load *= std::exp(-passed / real_ms(m_options.load_window));
+    m_decayed_at = now;
+}
+
+auto approval_desk::slow_limit(std::size_t askers) const -> std::size_t
+{
+    const auto count = static_cast<double>(askers);
+    const auto reserve = std::ceil(m_options.quick_reserve * m_quick_load);
+    const auto limit = std::min(m_options.slow_share * count, count - reserve);
+    return static_cast<std::size_t>(std::max(limit, 1.0));
+}
+
+auto approval_desk::add(approval_question question, time_point now) -> void
+{
+    decay(now);
+    if (!is_slow(question))
+    {
+        using real_ms = std::chrono::duration<double, std::milli>;
+        m_quick_load +=
+            real_ms(question.expected) / real_ms(m_options.load_window);
+    }
     m_waiting.push_back(std::move(question));
     std::stable_sort(m_waiting.begin(), m_waiting.end(),
                      [](const auto& left, const auto& right)
@@ -37,15 +61,14 @@
             idle.push_back(name);
         }
     }
-    const auto slow_limit = std::max<std::size_t>(
-        1, static_cast<std::size_t>(m_options.slow_share *
-                                    static_cast<double>(askers.size())));
+    decay(now);
+    const auto limit = slow_limit(askers.size());
     std::vector<assigned_question> out;
     for (auto item = m_waiting.begin();
          item != m_waiting.end() && !idle.empty();)
     {
         const bool slow = is_slow(*item);
-        if (slow && slow_calls >= slow_limit)
+        if (slow && slow_calls >= limit)
         {
             ++item;
             continue;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -3,10 +3,80 @@
 
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // sort
+#include <algorithm> // max, min, stable_sort
+#include <cmath>     // ceil
 
 namespace pimentoshunt::cell
 {
+namespace
+{
+
+/// Named beside those that are needed: some fill up before the answer comes.
+constexpr std::size_t spare_workers = 2;
+/// What a queue approves until answers have shown it.
+constexpr double first_rate = 0.5;
+constexpr double least_rate = 0.1;
+/// Weight of one answer in the average.
+constexpr double rate_weight = 0.1;
+
+} // namespace
+
+auto scheduler::approval_rate(const queue_name& queue) const -> double
+{
+    const auto found = m_approval_rates.find(queue);
+    return found == m_approval_rates.end()
+               ? first_rate
+               : std::max(found->second, least_rate);
+}
+
+/// Whether the step will be ready within the life of a ticket.
+auto scheduler::comes_soon(const round_record& round,
+                           const step_record& step) const -> bool
+{
+    if (step.ready || step.waiting.empty() || step.spec->after.empty())
+    {
+        return false;
+    }
+    for (const auto number : step.spec->after)
+    {
+        const auto& before = round.steps[number];
+        const bool started = before.ready && before.waiting.empty();
+        // Tasks of a step take about as long: one end announces the others.
+        const bool soon = before.spec->estimate <= m_options.early_question ||
+                          before.done_count > 0;
+        if (!started || !soon)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+auto scheduler::ask_early(time_point now) -> void
+{
+    for (auto& [arrival, job] : m_active)
+    {
+        if (!job->spec->queue.approval.required)
+        {
+            continue;
+        }
+        for (auto& round : job->rounds)
+        {
+            for (auto& step : round.steps)
+            {
+                if (round.released && step.approvals.approved.empty() &&
+                    comes_soon(round, step))
+                {
+                    policy::waiting_step item;
+                    item.job = job;
+                    item.round = &round;
+                    item.step = &step;
+                    ask_approval(item, true, now);
+                }
+            }
+        }
+    }
+}
 
 auto scheduler::question_list(const policy::waiting_step& item, time_point now)
     -> std::vector<worker_record*>
@@ -51,15 +121,21 @@
     {
         out.insert(out.end(), unasked.begin(), unasked.end());
     }
-    if (out.size() > m_options.question_workers)
+    const auto needed = static_cast<double>(step.waiting.size()) *
+                        m_options.question_spare /
+                        approval_rate(item.job->spec->queue.name);
+    const auto most =
+        std::min(m_options.question_workers,
+                 static_cast<std::size_t>(std::ceil(needed)) + spare_workers);
+    if (out.size() > most)
     {
-        out.resize(m_options.question_workers);
+        out.resize(most);
     }
     return out;
 }
 
-auto scheduler::ask_approval(const policy::waiting_step& item, time_point now)
-    -> void
+auto scheduler::ask_approval(const policy::waiting_step& item, bool early,
+                             time_point now) -> void
 {
     auto& state = item.step->approvals;
     if (state.in_flight || now < state.next_question_at)
@@ -74,7 +150,8 @@
     const auto& terms = item.job->spec->queue.approval;
     approval_question question;
     question.step = {item.job->spec->id, item.round->number, item.step->number};
-    question.priority = item.job->spec->queue.priority;
+    // Questions for steps that wait come before those for later ones.
+    question.priority = 2 * item.job->spec->queue.priority + (early ? 1 : 0);
     for (const auto* worker : list)
     {
         question.workers.push_back(worker->entry.id);
@@ -121,6 +198,14 @@
         state.approved[&worker->second] = {
             item.ticket, now + answer.ticket_life, worker->second.entry.born};
     }
+    if (!answer.asked.empty())
+    {
+        const auto& queue = place.job->spec->queue.name;
+        const auto share = static_cast<double>(answer.approved->size()) /
+                           static_cast<double>(answer.asked.size());
+        const auto rate = approval_rate(queue);
+        m_approval_rates[queue] = rate + rate_weight * (share - rate);
+    }
     logging::debug("approval")
         .with("job", answer.step.job)
         .with("asked", answer.asked.size())
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -204,9 +204,10 @@
         if (!item.step->waiting.empty() &&
             item.job->spec->queue.approval.required)
         {
-            ask_approval(item, now);
+            ask_approval(item, false, now);
         }
     }
+    ask_early(now);
 }
 
 auto scheduler::pick_worker(const policy::waiting_step& item,
--- /dev/null
+++ b/tests/unit-cell-approvals.cpp
@@ -0,0 +1,167 @@
+/// @file
+/// Questions to the approval service: who asks, what is asked, and when.
+#include "fakes/cell_world.hpp"
+
+#include <pimentoshunt/cell/approval_desk.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace pimentoshunt;
+using cell::approval_desk;
+using cell::approval_question;
+using fakes::cell_world;
+using fakes::simple_job;
+
+namespace
+{
+
+constexpr milliseconds slow_call{600};
+constexpr milliseconds quick_call{30};
+
+auto question(const std::string& job, std::uint32_t priority,
+              milliseconds expected) -> approval_question
+{
+    approval_question out;
+    out.step.job = job_id(job);
+    out.priority = priority;
+    out.expected = expected;
+    return out;
+}
+
+auto names(int count) -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    for (int i = 0; i < count; ++i)
+    {
+        out.push_back("i" + std::to_string(i));
+    }
+    return out;
+}
+
+auto approved_job(const std::string& id, std::uint32_t tasks) -> cell::job_spec
+{
+    auto job = simple_job(id, tasks, 1'000);
+    job.queue.approval.required = true;
+    job.queue.approval.each_call = std::chrono::milliseconds(22);
+    job.queue.approval.ticket_life = milliseconds(2'500);
+    return job;
+}
+
+} // namespace
+
+Test(cell_approvals, quick_questions_come_before_slow_ones)
+{
+    approval_desk desk;
+    const time_point now{};
+    desk.add(question("slow", 4, slow_call), now);
+    desk.add(question("quick", 0, quick_call), now);
+    const auto first = desk.assign(names(1), now);
+    cr_assert_eq(first.size(), 1u);
+    cr_assert_eq(first[0].question.step.job, job_id("quick"));
+}
+
+// wischwerk-zh scale-2: with three of eight instances cut off, slow calls held
+// three of the five askers through a crest of short work.
+Test(cell_approvals, slow_calls_leave_askers_for_a_crest_of_quick_ones)
+{
+    approval_desk desk;
+    time_point now{};
+    // Quick calls for 70 steps a second keep two askers busy.
+    for (int i = 0; i < 140; ++i)
+    {
+        now += milliseconds(14);
+        desk.add(question("quick", 0, quick_call), now);
+        for (const auto& item : desk.assign(names(5), now))
+        {
+            (void)desk.answered(item.number);
+        }
+    }
+    for (int i = 0; i < 5; ++i)
+    {
+        desk.add(question("slow", 4, slow_call), now);
+    }
+    const auto assigned = desk.assign(names(5), now);
+    cr_assert_leq(assigned.size(), 2u);
+    cr_assert_geq(assigned.size(), 1u);
+}
+
+Test(cell_approvals, without_quick_ones_slow_calls_use_most_askers)
+{
+    approval_desk desk;
+    const time_point now{};
+    for (int i = 0; i < 8; ++i)
+    {
+        desk.add(question("slow", 4, slow_call), now);
+    }
+    cr_assert_eq(desk.assign(names(8), now).size(), 6u);
+}
+
+Test(cell_approvals, a_lost_question_is_given_up_and_its_asker_rests)
+{
+    approval_desk desk;
+    time_point now{};
+    desk.add(question("quick", 0, quick_call), now);
+    cr_assert_eq(desk.assign(names(1), now).size(), 1u);
+    now += milliseconds(600);
+    cr_assert_eq(desk.take_lost(now).size(), 1u);
+    desk.add(question("quick", 0, quick_call), now);
+    cr_assert(desk.assign(names(1), now).empty());
+    cr_assert_eq(desk.assign(names(2), now).size(), 1u);
+}
+
+Test(cell_approvals, a_start_carries_its_ticket_and_none_goes_unapproved)
+{
+    cell_world world;
+    world.add_worker("w1", 4'000);
+    world.add_worker("w2", 4'000);
+    world.approves = [](const cell::step_ref&, const worker_id& worker)
+    {
+        return worker == worker_id("w2");
+    };
+    world.turn();
+    world.jobs().accept(approved_job("j1", 3), world.now);
+    world.pass(milliseconds(300));
+    cr_assert_eq(world.starts.size(), 3u);
+    for (const auto& start : world.starts)
+    {
+        cr_assert_eq(start.target.worker, worker_id("w2"));
+        cr_assert_eq(start.ticket, "ticket");
+    }
+}
+
+Test(cell_approvals, the_next_step_is_asked_for_before_it_is_ready)
+{
+    cell_world world;
+    world.add_worker("w1", 8'000);
+    world.turn();
+    auto job = approved_job("j1", 2);
+    job.steps[0].estimate = milliseconds(700);
+    auto second = job.steps[0];
+    second.after = {0};
+    job.steps.push_back(second);
+    world.work = [](const cell::run_ref&) -> std::optional<milliseconds>
+    {
+        return milliseconds(700);
+    };
+    world.jobs().accept(job, world.now);
+    world.pass(milliseconds(400));
+    cr_assert_eq(world.starts.size(), 2u);
+    cr_assert_eq(world.questions.size(), 2u);
+}
+
+Test(cell_approvals, aged_tickets_are_asked_for_again)
+{
+    cell_world world;
+    world.add_worker("w1", 1'000);
+    world.turn();
+    world.work = [](const cell::run_ref&) -> std::optional<milliseconds>
+    {
+        return milliseconds(4'000);
+    };
+    world.jobs().accept(approved_job("j1", 2), world.now);
+    world.pass(milliseconds(9'500));
+    cr_assert_eq(world.starts.size(), 2u);
+    cr_assert_geq(world.questions.size(), 2u);
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
