Each part of progress names the owner that may write there

The condition on the owner's row had been dropped with the move to several parts. Ruled out: a late write of an earlier life (both owners ran); ends noted before they were durable. Change: a new owner writes a row into each part before it reads it; all writes there depend on that row and change it, so that neither an earlier owner nor an unanswered write can come after.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -18,6 +18,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>     // find
+#include <array>         // array
+#include <charconv>      // from_chars
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -172,12 +174,92 @@
     {
         auto found = std::make_shared<stored_cell>();
         load_ranges(found, inbox_ranges(), &stored_cell::inbox);
-        load_ranges(found, progress_ranges(), &stored_cell::progress);
+        found->missing += progress_parts;
+        for (std::size_t part = 0; part < progress_parts; ++part)
+        {
+            take_part(found, part, 0);
+        }
         load_ranges(found, {{roster_table, cell_part, "", ""}},
                     &stored_cell::roster);
         load_ranges(found, {worker_range()}, &stored_cell::workers);
     }
 
+    /// Takes a part of progress over, then reads it.
+    /// @param version  of the row that names the earlier owner; 0: none
+    auto take_part(const std::shared_ptr<stored_cell>& found, std::size_t part,
+                   std::uint64_t version) -> void
+    {
+        row_transaction transaction;
+        transaction.conditions.push_back({part_epoch_row(part), version});
+        transaction.writes.push_back(
+            {part_epoch_row(part), std::to_string(m_scheduler.epoch())});
+        m_outside.commit(transaction, load_limit,
+                         [self = this->shared_from_this(), found, part,
+                          version](const commit_result& result)
+                         {
+                             if (!self->m_ended)
+                             {
+                                 self->part_taken(found, part, version, result);
+                             }
+                         });
+    }
+
+    auto part_taken(const std::shared_ptr<stored_cell>& found, std::size_t part,
+                    std::uint64_t version, const commit_result& result) -> void
+    {
+        m_health.record(result.state == commit_state::committed ||
+                            result.state == commit_state::conflict,
+                        present());
+        if (result.state == commit_state::committed)
+        {
+            m_part_versions[part] = result.version;
+            load_range(found, {progress_table, progress_part(part), "", ""},
+                       &stored_cell::progress);
+            return;
+        }
+        if (result.state == commit_state::conflict && !result.current.empty())
+        {
+            const auto& row = result.current.front();
+            if (later_owner(row))
+            {
+                m_around.overtaken();
+                return;
+            }
+            take_part(found, part, row.removed ? 0 : row.version);
+            return;
+        }
+        after(load_pause,
+              [found, part, version](owner_role& self)
+              {
+                  self.take_part(found, part, version);
+              });
+    }
+
+    /// Whether a part's row names an owner after this one.
+    [[nodiscard]] auto later_owner(const stored_row& row) const -> bool
+    {
+        std::uint64_t epoch = 0;
+        const auto& text = row.value;
+        std::from_chars(text.data(), text.data() + text.size(), epoch);
+        return epoch > m_scheduler.epoch();
+    }
+
+    /// Does something later, unless the ownership has ended.
+    template<class Step>
+    auto after(milliseconds pause, Step step) -> void
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
+        timer->expires_after(pause);
+        timer->async_wait(
+            [self = this->shared_from_this(), timer, step](auto fault)
+            {
+                if (!fault && !self->m_ended)
+                {
+                    step(*self);
+                }
+            });
+    }
+
     auto load_ranges(const std::shared_ptr<stored_cell>& found,
                      const std::vector<row_range>& ranges, stored_rows into)
         -> void
@@ -215,17 +297,11 @@
     auto load_later(const std::shared_ptr<stored_cell>& found,
                     const row_range& range, stored_rows into) -> void
     {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
-        timer->expires_after(load_pause);
-        timer->async_wait(
-            [self = this->shared_from_this(), timer, found, range,
-             into](auto fault)
-            {
-                if (!fault && !self->m_ended)
-                {
-                    self->load_range(found, range, into);
-                }
-            });
+        after(load_pause,
+              [found, range, into](owner_role& self)
+              {
+                  self.load_range(found, range, into);
+              });
     }
 
     auto range_loaded(stored_cell& found, const table_rows& part,
@@ -287,6 +363,10 @@
         std::map<std::string, job_progress> progress;
         for (const auto& row : found.progress)
         {
+            if (row.at.key.front() == '@')
+            {
+                continue;
+            }
             if (const auto read = read_progress(row.value))
             {
                 remember_row(read->id, row.at);
@@ -652,6 +732,13 @@
             return;
         }
         row_transaction transaction;
+        // Each write changes the part's row: one whose answer was lost can't be
+        // done after a later one.
+        const auto epoch_at = part_epoch_row(m_progress_part);
+        transaction.conditions.push_back(
+            {epoch_at, m_part_versions[m_progress_part]});
+        transaction.writes.push_back(
+            {epoch_at, std::to_string(m_scheduler.epoch())});
         for (const auto& job : batch->jobs)
         {
             const auto at =
@@ -709,9 +796,19 @@
         {
         case commit_state::committed:
             m_failed_writes = 0;
+            m_part_versions[m_progress_part] = result.version;
             m_scheduler.progress_stored(batch, present());
             break;
         case commit_state::conflict:
+            if (result.current.empty() || later_owner(result.current.front()))
+            {
+                m_around.overtaken();
+                return;
+            }
+            // An earlier write whose answer was lost has been done.
+            m_part_versions[m_progress_part] = result.current.front().version;
+            m_scheduler.progress_failed(batch);
+            break;
         case commit_state::not_done:
         case commit_state::unknown:
             // Written again, to another part: doing it twice is no harm.
@@ -890,6 +987,7 @@
     /// Where the rows of jobs lie, to remove them in the end.
     std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
     std::size_t m_progress_part = 0;
+    std::array<std::uint64_t, progress_parts> m_part_versions{};
     std::size_t m_failed_writes = 0;
     bool m_loaded = false;
     bool m_woken = false;
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -90,8 +90,16 @@
     return "progress-" + std::to_string(number);
 }
 
-/// @brief A row of progress. What it says is true whoever wrote it, so rows of
-/// several owners and parts are put together, and none needs a condition.
+/// @brief Each part of progress names the owner that may write there. A new
+/// owner writes it before it reads the part: what is read is then complete,
+/// and no earlier owner takes note of an end that is not in it.
+[[nodiscard]] inline auto part_epoch_row(std::size_t part) -> row_key
+{
+    return {progress_table, progress_part(part), "@epoch"};
+}
+
+/// @brief A row of progress; those of several owners and parts are put
+/// together.
 [[nodiscard]] inline auto progress_row(const job_id& job, std::uint64_t epoch,
                                        std::size_t part) -> row_key
 {
