--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/approval_desk.hpp>
+#include <pimentoshunt/cell/cell_loader.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/scheduler.hpp>
@@ -68,7 +69,16 @@
     auto begin(const configuration& in_force) -> void
     {
         m_scheduler.configure(in_force);
-        load();
+        typename cell_loader<Platform>::listener tell;
+        tell.loaded = [this](const stored_cell& found)
+        {
+            loaded_rows(found);
+        };
+        tell.overtaken = m_around.overtaken;
+        m_loader = std::make_shared<cell_loader<Platform>>(
+            m_outside, m_control, m_health, m_scheduler.epoch(),
+            std::move(tell));
+        m_loader->begin();
         tick();
     }
 
@@ -78,6 +88,10 @@
         m_ended = true;
         m_tick.cancel();
         m_gather.cancel();
+        if (m_loader)
+        {
+            m_loader->stop();
+        }
         for (const auto& item : {m_inbox, m_workers})
         {
             if (item)
@@ -132,8 +146,6 @@
   private:
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
-    static constexpr milliseconds load_limit{1'000};
-    static constexpr milliseconds load_pause{40};
     static constexpr feed_times inbox_times{};
     /// Workers renew their entries all the time; one that leaves may still be
     /// given work for two seconds.
@@ -158,178 +170,13 @@
         return boot_clock::now();
     }
 
-    /// All that a new owner reads.
-    struct stored_cell
-    {
-        std::vector<stored_row> inbox;
-        std::vector<stored_row> progress;
-        std::vector<stored_row> workers;
-        std::vector<stored_row> roster;
-        std::uint64_t version = 0;
-        std::size_t missing = 0;
-    };
-    using stored_rows = std::vector<stored_row> stored_cell::*;
-
-    auto load() -> void
-    {
-        auto found = std::make_shared<stored_cell>();
-        load_ranges(found, inbox_ranges(), &stored_cell::inbox);
-        found->missing += progress_parts;
-        for (std::size_t part = 0; part < progress_parts; ++part)
-        {
-            take_part(found, part, 0);
-        }
-        load_ranges(found, {{roster_table, cell_part, "", ""}},
-                    &stored_cell::roster);
-        load_ranges(found, {worker_range()}, &stored_cell::workers);
-    }
-
-    /// Takes a part of progress over, then reads it.
-    /// @param version  of the row that names the earlier owner; 0: none
-    auto take_part(const std::shared_ptr<stored_cell>& found, std::size_t part,
-                   std::uint64_t version) -> void
-    {
-        row_transaction transaction;
-        transaction.conditions.push_back({part_epoch_row(part), version});
-        transaction.writes.push_back(
-            {part_epoch_row(part), std::to_string(m_scheduler.epoch())});
-        m_outside.commit(transaction, load_limit,
-                         [self = this->shared_from_this(), found, part,
-                          version](const commit_result& result)
-                         {
-                             if (!self->m_ended)
-                             {
-                                 self->part_taken(found, part, version, result);
-                             }
-                         });
-    }
-
-    auto part_taken(const std::shared_ptr<stored_cell>& found, std::size_t part,
-                    std::uint64_t version, const commit_result& result) -> void
-    {
-        m_health.record(result.state == commit_state::committed ||
-                            result.state == commit_state::conflict,
-                        present());
-        if (result.state == commit_state::committed)
-        {
-            m_part_versions[part] = result.version;
-            load_range(found, {progress_table, progress_part(part), "", ""},
-                       &stored_cell::progress);
-            return;
-        }
-        if (result.state == commit_state::conflict && !result.current.empty())
-        {
-            const auto& row = result.current.front();
-            if (later_owner(row))
-            {
-                m_around.overtaken();
-                return;
-            }
-            take_part(found, part, row.removed ? 0 : row.version);
-            return;
-        }
-        after(load_pause,
-              [found, part, version](owner_role& self)
-              {
-                  self.take_part(found, part, version);
-              });
-    }
-
-    /// Whether a part's row names an owner after this one.
-    [[nodiscard]] auto later_owner(const stored_row& row) const -> bool
-    {
-        std::uint64_t epoch = 0;
-        const auto& text = row.value;
-        std::from_chars(text.data(), text.data() + text.size(), epoch);
-        return epoch > m_scheduler.epoch();
-    }
-
-    /// Does something later, unless the ownership has ended.
-    template<class Step>
-    auto after(milliseconds pause, Step step) -> void
-    {
-        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
-        timer->expires_after(pause);
-        timer->async_wait(
-            [self = this->shared_from_this(), timer, step](auto fault)
-            {
-                if (!fault && !self->m_ended)
-                {
-                    step(*self);
-                }
-            });
-    }
-
-    auto load_ranges(const std::shared_ptr<stored_cell>& found,
-                     const std::vector<row_range>& ranges, stored_rows into)
-        -> void
-    {
-        found->missing += ranges.size();
-        for (const auto& range : ranges)
-        {
-            load_range(found, range, into);
-        }
-    }
-
-    /// Reads one range until the store has answered: while it is down in part,
-    /// all ranges at once would hardly ever be read.
-    auto load_range(const std::shared_ptr<stored_cell>& found,
-                    const row_range& range, stored_rows into) -> void
-    {
-        read_all(m_outside, range, load_limit,
-                 [self = this->shared_from_this(), found, range,
-                  into](std::optional<table_rows> part)
-                 {
-                     if (self->m_ended)
-                     {
-                         return;
-                     }
-                     self->m_health.record(part.has_value(), present());
-                     if (!part)
-                     {
-                         self->load_later(found, range, into);
-                         return;
-                     }
-                     self->range_loaded(*found, *part, into);
-                 });
-    }
-
-    auto load_later(const std::shared_ptr<stored_cell>& found,
-                    const row_range& range, stored_rows into) -> void
-    {
-        after(load_pause,
-              [found, range, into](owner_role& self)
-              {
-                  self.load_range(found, range, into);
-              });
-    }
-
-    auto range_loaded(stored_cell& found, const table_rows& part,
-                      stored_rows into) -> void
-    {
-        // Changes since the earliest reading come again by the feeds.
-        found.version = found.version == 0
-                            ? part.version
-                            : std::min(found.version, part.version);
-        auto& rows = found.*into;
-        rows.insert(rows.end(), part.rows.begin(), part.rows.end());
-        if (--found.missing == 0)
-        {
-            loaded_rows(found);
-        }
-    }
-
-    [[nodiscard]] auto worker_range() const -> row_range
-    {
-        return {m_outside.worker_table(), "", "", ""};
-    }
-
     auto loaded_rows(const stored_cell& found) -> void
     {
         if (m_ended)
         {
             return;
         }
+        m_part_versions = found.part_versions;
         restore_jobs(found);
         for (const auto& row : found.workers)
         {
@@ -427,7 +274,9 @@
     auto follow_workers(std::uint64_t version) -> void
     {
         m_workers = make_follower(
-            std::vector<row_range>{worker_range()}, worker_times,
+            std::vector<row_range>{
+                row_range{m_outside.worker_table(), "", "", ""}},
+            worker_times,
             [this](const stored_row& row)
             {
                 worker_changed(row);
@@ -800,7 +649,8 @@
             m_scheduler.progress_stored(batch, present());
             break;
         case commit_state::conflict:
-            if (result.current.empty() || later_owner(result.current.front()))
+            if (result.current.empty() ||
+                names_later_owner(result.current.front(), m_scheduler.epoch()))
             {
                 m_around.overtaken();
                 return;
@@ -976,6 +826,7 @@
     std::uint64_t m_epoch_version;
     scheduler m_scheduler;
     approval_desk m_desk;
+    std::shared_ptr<cell_loader<Platform>> m_loader;
     boost::asio::steady_timer m_tick;
     boost::asio::steady_timer m_gather;
     bool m_gathering = false;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -211,6 +211,8 @@
     auto progress_of(const job_record& job) const -> job_progress;
 
     // Workers and their runs.
+    /// The record of a worker, made if it is not known.
+    auto enter(const worker_entry& entry, time_point now) -> worker_record&;
     auto target_of(const worker_record& worker) const -> order_target;
     auto lease_for(const worker_record& worker, time_point now) const
         -> worker_time;
--- /dev/null
+++ b/src/cell/scheduler_progress.cpp
@@ -0,0 +1,160 @@
+// Progress: what has to be durable, and what follows once it is.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // max, min
+#include <utility>   // move
+
+namespace pimentoshunt::cell
+{
+auto scheduler::mark_dirty(job_record& job) -> void
+{
+    if (!job.dirty)
+    {
+        job.dirty = true;
+        m_dirty.push_back(job.spec->id);
+    }
+}
+
+auto scheduler::progress_of(const job_record& job) const -> job_progress
+{
+    job_progress out;
+    out.id = job.spec->id;
+    out.state = job.state;
+    if (out.state == job_state::queued && job.any_started)
+    {
+        out.state = job_state::running;
+    }
+    for (const auto& round : job.rounds)
+    {
+        round_progress stored;
+        stored.round = round.number;
+        for (const auto& step : round.steps)
+        {
+            std::vector<std::uint32_t> done;
+            for (std::uint32_t i = 0; i < step.tasks.size(); ++i)
+            {
+                const auto& task = step.tasks[i];
+                const task_ref ref{{out.id, round.number, step.number}, i};
+                if (task.done)
+                {
+                    done.push_back(i);
+                    continue;
+                }
+                for (const auto number : task.failures)
+                {
+                    stored.failures.push_back({ref, number});
+                }
+                if (!task.checkpoint.empty() && task.runs.empty())
+                {
+                    stored.checkpoints[ref] = task.checkpoint;
+                }
+            }
+            if (!done.empty())
+            {
+                stored.done[step.number] = std::move(done);
+            }
+        }
+        out.rounds.push_back(std::move(stored));
+    }
+    return out;
+}
+
+auto scheduler::take_progress(std::size_t most) -> std::optional<progress_batch>
+{
+    if (!progress_waits())
+    {
+        return std::nullopt;
+    }
+    progress_batch batch;
+    batch.number = ++m_last_batch;
+    m_end_waits = false;
+    const auto count = std::min(most, m_dirty.size());
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        const auto found = m_jobs.find(m_dirty[i]);
+        if (found == m_jobs.end())
+        {
+            continue;
+        }
+        found->second.dirty = false;
+        found->second.batch = batch.number;
+        batch.jobs.push_back(progress_of(found->second));
+    }
+    m_dirty.erase(m_dirty.begin(),
+                  m_dirty.begin() + static_cast<std::ptrdiff_t>(count));
+    // Only once all that the ends have changed is in this batch.
+    if (m_dirty.empty())
+    {
+        auto& ends = m_ends_of_batch[batch.number];
+        for (const auto& [id, worker] : m_workers)
+        {
+            if (worker.ends_seen > worker.ends_noted)
+            {
+                ends.emplace_back(id, worker.ends_seen);
+            }
+        }
+    }
+    return batch;
+}
+
+auto scheduler::progress_waits() const -> bool
+{
+    if (!m_dirty.empty())
+    {
+        return true;
+    }
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (worker.ends_seen > worker.ends_noted)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+auto scheduler::end_waits() const -> bool
+{
+    return m_end_waits;
+}
+
+auto scheduler::progress_stored(const progress_batch& batch, time_point now)
+    -> void
+{
+    for (const auto& stored : batch.jobs)
+    {
+        const auto found = m_jobs.find(stored.id);
+        if (found != m_jobs.end() && !is_final(found->second.shown))
+        {
+            found->second.shown = stored.state;
+        }
+    }
+    for (const auto& [id, number] : m_ends_of_batch[batch.number])
+    {
+        const auto worker = m_workers.find(id);
+        if (worker != m_workers.end() && worker->second.ends_seen >= number)
+        {
+            auto& noted = worker->second.ends_noted;
+            noted = std::max(noted, number);
+            worker->second.next_hold_at = now;
+        }
+    }
+    m_ends_of_batch.erase(batch.number);
+}
+
+auto scheduler::progress_failed(const progress_batch& batch) -> void
+{
+    m_ends_of_batch.erase(batch.number);
+    for (const auto& stored : batch.jobs)
+    {
+        const auto found = m_jobs.find(stored.id);
+        if (found != m_jobs.end())
+        {
+            mark_dirty(found->second);
+        }
+    }
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/scheduler_roster.cpp
@@ -0,0 +1,115 @@
+// The roster: which workers a later owner has to ask.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+namespace pimentoshunt::cell
+{
+auto scheduler::worker_enrolled(const enrolled_worker& enrolled,
+                                std::uint64_t version, time_point now) -> void
+{
+    auto& worker = enter(enrolled.entry, now);
+    worker.roster_version = version;
+    worker.enrolled = !enrolled.closed;
+    if (!enrolled.closed || worker.entry.born != enrolled.entry.born)
+    {
+        return;
+    }
+    worker.closed = true;
+    for (const auto& ref : enrolled.runs)
+    {
+        auto& run = add_run(worker, find(ref.task), ref, now);
+        want_stop(worker, run, now);
+    }
+}
+
+auto scheduler::take_roster(std::size_t most) -> roster_change
+{
+    roster_change out;
+    for (auto& [id, worker] : m_workers)
+    {
+        if (out.writes.size() + out.removals.size() >= most)
+        {
+            break;
+        }
+        if (worker.roster_in_flight)
+        {
+            continue;
+        }
+        const bool answers = worker.adopted && worker.silent_calls == 0;
+        const bool away = !worker.listed || worker.silent_calls > 0;
+        if (worker.listed && !worker.enrolled && answers)
+        {
+            out.writes.push_back(
+                {{worker.entry, false, {}}, worker.roster_version});
+            worker.roster_in_flight = true;
+        }
+        else if (!worker.listed && worker.runs.empty() &&
+                 worker.roster_version > 0 && (worker.adopted || worker.closed))
+        {
+            out.removals.push_back({id, worker.roster_version});
+            worker.enrolled = false;
+            worker.roster_in_flight = true;
+        }
+        else if (away && worker.enrolled && worker.adopted &&
+                 !worker.runs.empty())
+        {
+            out.writes.push_back(
+                {{worker.entry, true, {}}, worker.roster_version});
+            for (const auto& [ref, run] : worker.runs)
+            {
+                out.writes.back().worker.runs.push_back(ref);
+            }
+            // Nothing may start there that the row does not name.
+            worker.enrolled = false;
+            worker.roster_in_flight = true;
+        }
+    }
+    return out;
+}
+
+auto scheduler::roster_stored(const roster_change& change,
+                              std::uint64_t version) -> void
+{
+    for (const auto& item : change.writes)
+    {
+        auto& worker = m_workers.at(item.worker.entry.id);
+        worker.roster_in_flight = false;
+        worker.roster_version = version;
+        worker.enrolled = !item.worker.closed;
+        worker.closed = item.worker.closed;
+    }
+    for (const auto& item : change.removals)
+    {
+        auto& worker = m_workers.at(item.worker);
+        worker.roster_in_flight = false;
+        worker.roster_version = 0;
+        worker.enrolled = false;
+    }
+}
+
+auto scheduler::roster_failed(const roster_change& change) -> void
+{
+    for (const auto& item : change.writes)
+    {
+        auto& worker = m_workers.at(item.worker.entry.id);
+        worker.roster_in_flight = false;
+        // A row that may yet be closed must be written again.
+        worker.enrolled = false;
+        worker.closed = false;
+    }
+    for (const auto& item : change.removals)
+    {
+        m_workers.at(item.worker).roster_in_flight = false;
+    }
+}
+
+auto scheduler::roster_row_is(const worker_id& worker, std::uint64_t version)
+    -> void
+{
+    const auto found = m_workers.find(worker);
+    if (found != m_workers.end())
+    {
+        found->second.roster_version = version;
+    }
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/scheduler_runs.cpp
@@ -0,0 +1,262 @@
+// Runs: how they are placed in the books, stopped, and end.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // max
+#include <set>       // set
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+using detail::run_phase;
+
+} // namespace
+
+auto scheduler::add_run(worker_record& worker, const task_place& place,
+                        const run_ref& run, time_point now) -> run_record&
+{
+    auto& record = worker.runs[run];
+    record.run = run;
+    record.sent_at = now;
+    record.percent_since = now;
+    if (place.task == nullptr)
+    {
+        return record;
+    }
+    record.taken = place.step->spec->need;
+    record.filler = place.step->spec->filler;
+    if (record.filler)
+    {
+        record.taken.millicpus = 0;
+    }
+    worker.used += record.taken;
+    place.task->runs.push_back(run);
+    place.task->last_run = std::max(place.task->last_run, run.number);
+    place.step->waiting.erase(run.task.index);
+    ++place.step->placed[&worker];
+    return record;
+}
+
+auto scheduler::erase_run(worker_record& worker, const run_ref& run) -> void
+{
+    const auto found = worker.runs.find(run);
+    if (found == worker.runs.end())
+    {
+        return;
+    }
+    worker.used -= found->second.taken;
+    worker.runs.erase(found);
+    const auto place = find(run.task);
+    if (place.task == nullptr)
+    {
+        return;
+    }
+    std::erase(place.task->runs, run);
+    const auto placed = place.step->placed.find(&worker);
+    if (placed != place.step->placed.end() && placed->second > 0)
+    {
+        --placed->second;
+    }
+}
+
+auto scheduler::run_over(worker_record& worker, const run_ref& run, run_end how,
+                         const std::string& checkpoint, time_point now) -> void
+{
+    erase_run(worker, run);
+    const auto place = find(run.task);
+    if (place.task == nullptr)
+    {
+        return;
+    }
+    place.task->last_run = std::max(place.task->last_run, run.number);
+    if (!checkpoint.empty() && place.step->spec->keeps_checkpoints)
+    {
+        place.task->checkpoint = checkpoint;
+    }
+    const workload_name blame(run.task.step.job.str());
+    if (how == run_end::done)
+    {
+        m_health.record(worker.entry.id, blame,
+                        pimentoshunt::policy::attempt_outcome::success, now);
+        if (place.step->spec->gang)
+        {
+            for (std::uint32_t i = 0; i < place.step->tasks.size(); ++i)
+            {
+                task_done(find({run.task.step, i}), now);
+            }
+        }
+        task_done(place, now);
+        // A copy of it is of no use any more.
+        for (const auto& other : place.task->runs)
+        {
+            for (auto& [id, holder] : m_workers)
+            {
+                const auto copy = holder.runs.find(other);
+                if (copy != holder.runs.end())
+                {
+                    want_stop(holder, copy->second, now);
+                }
+            }
+        }
+    }
+    if (how == run_end::failed)
+    {
+        place.task->avoid = worker.entry.id;
+        m_health.record(worker.entry.id, blame,
+                        pimentoshunt::policy::attempt_outcome::failure, now);
+        count_failure(place, run, now);
+    }
+    put_back(place, run.task.index);
+    if (how != run_end::done)
+    {
+        logging::info("run ended early")
+            .with("run", to_string(run.task))
+            .with("number", run.number)
+            .with("worker", worker.entry.id)
+            .with("how", to_string(how));
+    }
+}
+
+auto scheduler::want_stop(worker_record& worker, run_record& run,
+                          time_point now) -> void
+{
+    if (run.phase == run_phase::stopping && run.stop_in_flight)
+    {
+        return;
+    }
+    run.phase = run_phase::stopping;
+    run.stop_in_flight = true;
+    run.stop_sent_at = now;
+    m_out.stops.push_back({target_of(worker), run.run});
+}
+
+auto scheduler::retry_stops(worker_record& worker, time_point now) -> void
+{
+    for (auto& [ref, run] : worker.runs)
+    {
+        const bool due = run.phase == run_phase::stopping &&
+                         !run.stop_in_flight && !run.stop_answered_at &&
+                         now - run.stop_sent_at >= m_options.stop_retry;
+        if (due)
+        {
+            want_stop(worker, run, now);
+        }
+    }
+}
+
+auto scheduler::stop_answered(const stop_order& order, bool answered,
+                              time_point now) -> void
+{
+    const auto worker = m_workers.find(order.target.worker);
+    if (worker == m_workers.end())
+    {
+        return;
+    }
+    const auto run = worker->second.runs.find(order.run);
+    if (run == worker->second.runs.end())
+    {
+        return;
+    }
+    run->second.stop_in_flight = false;
+    if (answered)
+    {
+        run->second.stop_answered_at = now;
+        worker->second.next_hold_at = now;
+    }
+}
+
+auto scheduler::take_end(worker_record& worker, const listed_end& end,
+                         time_point now) -> void
+{
+    if (end.number <= worker.ends_seen)
+    {
+        return;
+    }
+    worker.ends_seen = end.number;
+    run_over(worker, end.run, end.how, end.checkpoint, now);
+}
+
+auto scheduler::take_present(worker_record& worker, const listed_run& seen,
+                             time_point now) -> void
+{
+    const auto place = find(seen.run.task);
+    auto known = worker.runs.find(seen.run);
+    if (known == worker.runs.end())
+    {
+        auto& run = add_run(worker, place, seen.run, now);
+        run.phase = run_phase::running;
+        run.seen_at = now;
+        known = worker.runs.find(seen.run);
+        const bool wanted =
+            place.task != nullptr && !place.task->done &&
+            !is_final(place.job->state) &&
+            (place.task->runs.size() == 1 || place.step->spec->copies_allowed);
+        if (place.job != nullptr)
+        {
+            place.job->any_started = true;
+        }
+        if (!wanted)
+        {
+            logging::warn("a run is not wanted here")
+                .with("run", to_string(seen.run.task))
+                .with("number", seen.run.number)
+                .with("worker", worker.entry.id);
+            want_stop(worker, run, now);
+        }
+    }
+    auto& run = known->second;
+    if (!run.seen_at)
+    {
+        run.seen_at = now;
+    }
+    if (run.phase == run_phase::starting)
+    {
+        run.phase = run_phase::running;
+    }
+    if (run.percent != seen.percent)
+    {
+        run.percent = seen.percent;
+        run.percent_since = now;
+    }
+    run.load = seen.load;
+    if (place.task != nullptr && !seen.checkpoint.empty() &&
+        place.step->spec->keeps_checkpoints)
+    {
+        place.task->checkpoint = seen.checkpoint;
+    }
+}
+
+auto scheduler::drop_absent(worker_record& worker, const run_report& report,
+                            time_point sent_at, time_point now) -> void
+{
+    std::set<run_ref> present;
+    for (const auto& seen : report.present)
+    {
+        present.insert(seen.run);
+    }
+    std::vector<run_ref> absent;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        if (present.contains(ref))
+        {
+            continue;
+        }
+        // The list may have been made before the run came.
+        const bool was_there = run.seen_at && *run.seen_at < sent_at;
+        const bool refused_for_good =
+            run.stop_answered_at && *run.stop_answered_at < sent_at;
+        if (was_there || refused_for_good)
+        {
+            absent.push_back(ref);
+        }
+    }
+    for (const auto& ref : absent)
+    {
+        run_over(worker, ref, run_end::stopped, "", now);
+    }
+}
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/src/cell/scheduler_tending.cpp
@@ -0,0 +1,137 @@
+// Tending of runs: those that stand still, leave, or disturb others.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // max, min
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+using detail::run_phase;
+
+/// A task that still has to run this much longer than its worker stays is
+/// moved elsewhere.
+constexpr milliseconds leave_margin{1'200};
+/// A filler is slowed when a task beside it exceeds this share of its target,
+/// and let go on below the other.
+constexpr double slow_above = 0.85;
+constexpr double speed_below = 0.6;
+constexpr std::uint32_t full_pace = 100;
+/// Step by which fillers may speed up, and how often.
+constexpr std::uint32_t pace_step = 20;
+constexpr milliseconds pace_interval{1'200};
+/// Progress points that may stay away before a task counts as standing still.
+constexpr int missing_points = 4;
+
+} // namespace
+
+auto scheduler::stop_stalled(worker_record& worker, time_point now) -> void
+{
+    for (auto& [ref, run] : worker.runs)
+    {
+        const auto place = find(ref.task);
+        if (run.phase != run_phase::running || place.task == nullptr ||
+            place.step->spec->gang || place.step->spec->filler ||
+            (place.step->spec->lasting && run.percent >= full_pace))
+        {
+            continue;
+        }
+        const auto still = now - run.percent_since;
+        const auto worked = run.percent_since - run.sent_at;
+        // At its pace so far, several points should have come.
+        const auto expected =
+            run.percent > 0
+                ? missing_points * worked / run.percent
+                : boot_clock::duration(2 * place.step->spec->estimate);
+        if (still <
+            std::max<boot_clock::duration>(m_options.stall_limit, expected))
+        {
+            continue;
+        }
+        logging::warn("a run stands still: it is stopped and moved")
+            .with("run", to_string(ref.task))
+            .with("worker", worker.entry.id)
+            .with("percent", run.percent)
+            .with("unchanged_for", still);
+        place.task->avoid = worker.entry.id;
+        m_health.record(worker.entry.id, workload_name(ref.task.step.job.str()),
+                        pimentoshunt::policy::attempt_outcome::failure, now);
+        want_stop(worker, run, now);
+    }
+}
+
+auto scheduler::leave_draining(worker_record& worker, time_point now) -> void
+{
+    if (!worker.entry.draining || !worker.adopted)
+    {
+        return;
+    }
+    for (auto& [ref, run] : worker.runs)
+    {
+        const auto place = find(ref.task);
+        if (run.phase != run_phase::running || place.task == nullptr ||
+            place.step->spec->gang)
+        {
+            continue;
+        }
+        const auto& spec = *place.step->spec;
+        const auto worked = now - run.sent_at;
+        const auto whole = run.percent > 0 ? worked * full_pace / run.percent
+                                           : worked + spec.estimate;
+        const bool outlasts =
+            whole - worked > worker.entry.leaves_in + leave_margin;
+        if (spec.lasting || (spec.keeps_checkpoints && outlasts))
+        {
+            want_stop(worker, run, now);
+        }
+    }
+}
+
+auto scheduler::set_paces(worker_record& worker, time_point now) -> void
+{
+    double worst = 0;
+    bool any_filler = false;
+    for (auto& [ref, run] : worker.runs)
+    {
+        any_filler = any_filler || run.filler;
+        const auto place = find(ref.task);
+        if (place.task == nullptr || place.step->spec->tail_target.count() == 0)
+        {
+            continue;
+        }
+        worst = std::max(worst, static_cast<double>(run.load) /
+                                    static_cast<double>(
+                                        place.step->spec->tail_target.count()));
+    }
+    if (!any_filler)
+    {
+        return;
+    }
+    const bool slower = worst > slow_above;
+    const bool faster =
+        worst < speed_below && now - worker.pace_raised_at >= pace_interval;
+    if (!slower && !faster)
+    {
+        return;
+    }
+    worker.pace_raised_at = now;
+    for (auto& [ref, run] : worker.runs)
+    {
+        if (!run.filler || run.phase != run_phase::running)
+        {
+            continue;
+        }
+        const auto wanted = slower ? (worst > 1.0 ? 0 : run.pace / 2)
+                                   : std::min(full_pace, run.pace + pace_step);
+        if (wanted != run.pace)
+        {
+            run.pace = wanted;
+            m_out.paces.push_back({target_of(worker), ref, wanted});
+        }
+    }
+}
+
+} // namespace pimentoshunt::cell
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -3,8 +3,7 @@
 
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // find, max
-#include <set>       // set
+#include <algorithm> // max, min
 
 namespace pimentoshunt::cell
 {
@@ -17,27 +16,6 @@
 constexpr milliseconds lapse_slack{200};
 /// A hold is repeated no sooner after one without an answer.
 constexpr milliseconds silent_pause{250};
-/// A task that still has to run this much longer than its worker stays is
-/// moved elsewhere.
-constexpr milliseconds leave_margin{1'200};
-/// A filler is slowed when a task beside it exceeds this share of its target,
-/// and let go on below the other.
-constexpr double slow_above = 0.85;
-constexpr double speed_below = 0.6;
-constexpr std::uint32_t full_pace = 100;
-/// Step by which fillers may speed up, and how often.
-constexpr std::uint32_t pace_step = 20;
-constexpr milliseconds pace_interval{1'200};
-
-auto blank(const worker_entry& entry) -> detail::worker_record
-{
-    detail::worker_record made;
-    made.entry = entry;
-    return made;
-}
-
-/// Progress points that may stay away before a task counts as standing still.
-constexpr int missing_points = 4;
 
 } // namespace
 
@@ -46,17 +24,27 @@
     return {worker.entry.id, worker.entry.address, m_epoch};
 }
 
-auto scheduler::worker_listed(const worker_entry& entry, time_point now) -> void
+auto scheduler::enter(const worker_entry& entry, time_point now)
+    -> worker_record&
 {
-    const auto [place, added] = m_workers.try_emplace(entry.id, blank(entry));
+    const auto [place, added] = m_workers.try_emplace(entry.id);
     auto& worker = place->second;
-    const bool draining_now = entry.draining && !worker.entry.draining;
     if (added)
     {
-        m_health.add(entry.id);
+        worker.entry = entry;
         worker.next_hold_at = now;
+        worker.missing_since = now;
+        m_health.add(entry.id);
     }
-    else if (entry.born != worker.entry.born)
+    return worker;
+}
+
+auto scheduler::worker_listed(const worker_entry& entry, time_point now) -> void
+{
+    const bool added = !m_workers.contains(entry.id);
+    auto& worker = enter(entry, now);
+    const bool draining_now = entry.draining && !worker.entry.draining;
+    if (entry.born != worker.entry.born)
     {
         if (entry.born < worker.entry.born)
         {
@@ -77,124 +65,6 @@
     }
 }
 
-auto scheduler::worker_enrolled(const enrolled_worker& enrolled,
-                                std::uint64_t version, time_point now) -> void
-{
-    const auto& id = enrolled.entry.id;
-    const auto [place, added] =
-        m_workers.try_emplace(id, blank(enrolled.entry));
-    auto& worker = place->second;
-    worker.roster_version = version;
-    worker.enrolled = !enrolled.closed;
-    if (added)
-    {
-        m_health.add(id);
-        worker.next_hold_at = now;
-        worker.missing_since = now;
-    }
-    if (!enrolled.closed || worker.entry.born != enrolled.entry.born)
-    {
-        return;
-    }
-    worker.closed = true;
-    for (const auto& ref : enrolled.runs)
-    {
-        auto& run = add_run(worker, find(ref.task), ref, now);
-        want_stop(worker, run, now);
-    }
-}
-
-auto scheduler::take_roster(std::size_t most) -> roster_change
-{
-    roster_change out;
-    for (auto& [id, worker] : m_workers)
-    {
-        if (out.writes.size() + out.removals.size() >= most)
-        {
-            break;
-        }
-        if (worker.roster_in_flight)
-        {
-            continue;
-        }
-        const bool answers = worker.adopted && worker.silent_calls == 0;
-        const bool away = !worker.listed || worker.silent_calls > 0;
-        if (worker.listed && !worker.enrolled && answers)
-        {
-            out.writes.push_back(
-                {{worker.entry, false, {}}, worker.roster_version});
-            worker.roster_in_flight = true;
-        }
-        else if (!worker.listed && worker.runs.empty() &&
-                 worker.roster_version > 0 && (worker.adopted || worker.closed))
-        {
-            out.removals.push_back({id, worker.roster_version});
-            worker.enrolled = false;
-            worker.roster_in_flight = true;
-        }
-        else if (away && worker.enrolled && worker.adopted &&
-                 !worker.runs.empty())
-        {
-            out.writes.push_back(
-                {{worker.entry, true, {}}, worker.roster_version});
-            for (const auto& [ref, run] : worker.runs)
-            {
-                out.writes.back().worker.runs.push_back(ref);
-            }
-            // Nothing may start there that the row does not name.
-            worker.enrolled = false;
-            worker.roster_in_flight = true;
-        }
-    }
-    return out;
-}
-
-auto scheduler::roster_stored(const roster_change& change,
-                              std::uint64_t version) -> void
-{
-    for (const auto& item : change.writes)
-    {
-        auto& worker = m_workers.at(item.worker.entry.id);
-        worker.roster_in_flight = false;
-        worker.roster_version = version;
-        worker.enrolled = !item.worker.closed;
-        worker.closed = item.worker.closed;
-    }
-    for (const auto& item : change.removals)
-    {
-        auto& worker = m_workers.at(item.worker);
-        worker.roster_in_flight = false;
-        worker.roster_version = 0;
-        worker.enrolled = false;
-    }
-}
-
-auto scheduler::roster_failed(const roster_change& change) -> void
-{
-    for (const auto& item : change.writes)
-    {
-        auto& worker = m_workers.at(item.worker.entry.id);
-        worker.roster_in_flight = false;
-        // A row that may yet be closed must be written again.
-        worker.enrolled = false;
-        worker.closed = false;
-    }
-    for (const auto& item : change.removals)
-    {
-        m_workers.at(item.worker).roster_in_flight = false;
-    }
-}
-
-auto scheduler::roster_row_is(const worker_id& worker, std::uint64_t version)
-    -> void
-{
-    const auto found = m_workers.find(worker);
-    if (found != m_workers.end())
-    {
-        found->second.roster_version = version;
-    }
-}
-
 auto scheduler::worker_unlisted(const worker_id& worker, time_point now) -> void
 {
     const auto found = m_workers.find(worker);
@@ -283,159 +153,6 @@
            std::chrono::duration_cast<milliseconds>(stretched) + lapse_slack;
 }
 
-auto scheduler::add_run(worker_record& worker, const task_place& place,
-                        const run_ref& run, time_point now) -> run_record&
-{
-    auto& record = worker.runs[run];
-    record.run = run;
-    record.sent_at = now;
-    record.percent_since = now;
-    if (place.task == nullptr)
-    {
-        return record;
-    }
-    record.taken = place.step->spec->need;
-    record.filler = place.step->spec->filler;
-    if (record.filler)
-    {
-        record.taken.millicpus = 0;
-    }
-    worker.used += record.taken;
-    place.task->runs.push_back(run);
-    place.task->last_run = std::max(place.task->last_run, run.number);
-    place.step->waiting.erase(run.task.index);
-    ++place.step->placed[&worker];
-    return record;
-}
-
-auto scheduler::erase_run(worker_record& worker, const run_ref& run) -> void
-{
-    const auto found = worker.runs.find(run);
-    if (found == worker.runs.end())
-    {
-        return;
-    }
-    worker.used -= found->second.taken;
-    worker.runs.erase(found);
-    const auto place = find(run.task);
-    if (place.task == nullptr)
-    {
-        return;
-    }
-    std::erase(place.task->runs, run);
-    const auto placed = place.step->placed.find(&worker);
-    if (placed != place.step->placed.end() && placed->second > 0)
-    {
-        --placed->second;
-    }
-}
-
-auto scheduler::run_over(worker_record& worker, const run_ref& run, run_end how,
-                         const std::string& checkpoint, time_point now) -> void
-{
-    erase_run(worker, run);
-    const auto place = find(run.task);
-    if (place.task == nullptr)
-    {
-        return;
-    }
-    place.task->last_run = std::max(place.task->last_run, run.number);
-    if (!checkpoint.empty() && place.step->spec->keeps_checkpoints)
-    {
-        place.task->checkpoint = checkpoint;
-    }
-    const workload_name blame(run.task.step.job.str());
-    if (how == run_end::done)
-    {
-        m_health.record(worker.entry.id, blame,
-                        pimentoshunt::policy::attempt_outcome::success, now);
-        if (place.step->spec->gang)
-        {
-            for (std::uint32_t i = 0; i < place.step->tasks.size(); ++i)
-            {
-                task_done(find({run.task.step, i}), now);
-            }
-        }
-        task_done(place, now);
-        // A copy of it is of no use any more.
-        for (const auto& other : place.task->runs)
-        {
-            for (auto& [id, holder] : m_workers)
-            {
-                const auto copy = holder.runs.find(other);
-                if (copy != holder.runs.end())
-                {
-                    want_stop(holder, copy->second, now);
-                }
-            }
-        }
-    }
-    if (how == run_end::failed)
-    {
-        place.task->avoid = worker.entry.id;
-        m_health.record(worker.entry.id, blame,
-                        pimentoshunt::policy::attempt_outcome::failure, now);
-        count_failure(place, run, now);
-    }
-    put_back(place, run.task.index);
-    if (how != run_end::done)
-    {
-        logging::info("run ended early")
-            .with("run", to_string(run.task))
-            .with("number", run.number)
-            .with("worker", worker.entry.id)
-            .with("how", to_string(how));
-    }
-}
-
-auto scheduler::want_stop(worker_record& worker, run_record& run,
-                          time_point now) -> void
-{
-    if (run.phase == run_phase::stopping && run.stop_in_flight)
-    {
-        return;
-    }
-    run.phase = run_phase::stopping;
-    run.stop_in_flight = true;
-    run.stop_sent_at = now;
-    m_out.stops.push_back({target_of(worker), run.run});
-}
-
-auto scheduler::retry_stops(worker_record& worker, time_point now) -> void
-{
-    for (auto& [ref, run] : worker.runs)
-    {
-        const bool due = run.phase == run_phase::stopping &&
-                         !run.stop_in_flight && !run.stop_answered_at &&
-                         now - run.stop_sent_at >= m_options.stop_retry;
-        if (due)
-        {
-            want_stop(worker, run, now);
-        }
-    }
-}
-
-auto scheduler::stop_answered(const stop_order& order, bool answered,
-                              time_point now) -> void
-{
-    const auto worker = m_workers.find(order.target.worker);
-    if (worker == m_workers.end())
-    {
-        return;
-    }
-    const auto run = worker->second.runs.find(order.run);
-    if (run == worker->second.runs.end())
-    {
-        return;
-    }
-    run->second.stop_in_flight = false;
-    if (answered)
-    {
-        run->second.stop_answered_at = now;
-        worker->second.next_hold_at = now;
-    }
-}
-
 auto scheduler::hold_answered(const hold_order& order,
                               const std::optional<run_report>& report,
                               time_point now) -> void
@@ -528,132 +245,6 @@
     set_paces(worker, now);
 }
 
-auto scheduler::take_end(worker_record& worker, const listed_end& end,
-                         time_point now) -> void
-{
-    if (end.number <= worker.ends_seen)
-    {
-        return;
-    }
-    worker.ends_seen = end.number;
-    run_over(worker, end.run, end.how, end.checkpoint, now);
-}
-
-auto scheduler::take_present(worker_record& worker, const listed_run& seen,
-                             time_point now) -> void
-{
-    const auto place = find(seen.run.task);
-    auto known = worker.runs.find(seen.run);
-    if (known == worker.runs.end())
-    {
-        auto& run = add_run(worker, place, seen.run, now);
-        run.phase = run_phase::running;
-        run.seen_at = now;
-        known = worker.runs.find(seen.run);
-        const bool wanted =
-            place.task != nullptr && !place.task->done &&
-            !is_final(place.job->state) &&
-            (place.task->runs.size() == 1 || place.step->spec->copies_allowed);
-        if (place.job != nullptr)
-        {
-            place.job->any_started = true;
-        }
-        if (!wanted)
-        {
-            logging::warn("a run is not wanted here")
-                .with("run", to_string(seen.run.task))
-                .with("number", seen.run.number)
-                .with("worker", worker.entry.id);
-            want_stop(worker, run, now);
-        }
-    }
-    auto& run = known->second;
-    if (!run.seen_at)
-    {
-        run.seen_at = now;
-    }
-    if (run.phase == run_phase::starting)
-    {
-        run.phase = run_phase::running;
-    }
-    if (run.percent != seen.percent)
-    {
-        run.percent = seen.percent;
-        run.percent_since = now;
-    }
-    run.load = seen.load;
-    if (place.task != nullptr && !seen.checkpoint.empty() &&
-        place.step->spec->keeps_checkpoints)
-    {
-        place.task->checkpoint = seen.checkpoint;
-    }
-}
-
-auto scheduler::drop_absent(worker_record& worker, const run_report& report,
-                            time_point sent_at, time_point now) -> void
-{
-    std::set<run_ref> present;
-    for (const auto& seen : report.present)
-    {
-        present.insert(seen.run);
-    }
-    std::vector<run_ref> absent;
-    for (const auto& [ref, run] : worker.runs)
-    {
-        if (present.contains(ref))
-        {
-            continue;
-        }
-        // The list may have been made before the run came.
-        const bool was_there = run.seen_at && *run.seen_at < sent_at;
-        const bool refused_for_good =
-            run.stop_answered_at && *run.stop_answered_at < sent_at;
-        if (was_there || refused_for_good)
-        {
-            absent.push_back(ref);
-        }
-    }
-    for (const auto& ref : absent)
-    {
-        run_over(worker, ref, run_end::stopped, "", now);
-    }
-}
-
-auto scheduler::stop_stalled(worker_record& worker, time_point now) -> void
-{
-    for (auto& [ref, run] : worker.runs)
-    {
-        const auto place = find(ref.task);
-        if (run.phase != run_phase::running || place.task == nullptr ||
-            place.step->spec->gang || place.step->spec->filler ||
-            (place.step->spec->lasting && run.percent >= full_pace))
-        {
-            continue;
-        }
-        const auto still = now - run.percent_since;
-        const auto worked = run.percent_since - run.sent_at;
-        // At its pace so far, several points should have come.
-        const auto expected =
-            run.percent > 0
-                ? missing_points * worked / run.percent
-                : boot_clock::duration(2 * place.step->spec->estimate);
-        if (still <
-            std::max<boot_clock::duration>(m_options.stall_limit, expected))
-        {
-            continue;
-        }
-        logging::warn("a run stands still: it is stopped and moved")
-            .with("run", to_string(ref.task))
-            .with("worker", worker.entry.id)
-            .with("percent", run.percent)
-            .with("unchanged_for", still);
-        place.task->avoid = worker.entry.id;
-        m_health.record(worker.entry.id, workload_name(ref.task.step.job.str()),
-                        pimentoshunt::policy::attempt_outcome::failure, now);
-        want_stop(worker, run, now);
-    }
-}
-
 auto scheduler::watch_starts(worker_record& worker, time_point now) -> void
 {
     worker.slow_to_answer = false;
@@ -689,77 +280,6 @@
     }
 }
 
-auto scheduler::leave_draining(worker_record& worker, time_point now) -> void
-{
-    if (!worker.entry.draining || !worker.adopted)
-    {
-        return;
-    }
-    for (auto& [ref, run] : worker.runs)
-    {
-        const auto place = find(ref.task);
-        if (run.phase != run_phase::running || place.task == nullptr ||
-            place.step->spec->gang)
-        {
-            continue;
-        }
-        const auto& spec = *place.step->spec;
-        const auto worked = now - run.sent_at;
-        const auto whole = run.percent > 0 ? worked * full_pace / run.percent
-                                           : worked + spec.estimate;
-        const bool outlasts =
-            whole - worked > worker.entry.leaves_in + leave_margin;
-        if (spec.lasting || (spec.keeps_checkpoints && outlasts))
-        {
-            want_stop(worker, run, now);
-        }
-    }
-}
-
-auto scheduler::set_paces(worker_record& worker, time_point now) -> void
-{
-    double worst = 0;
-    bool any_filler = false;
-    for (auto& [ref, run] : worker.runs)
-    {
-        any_filler = any_filler || run.filler;
-        const auto place = find(ref.task);
-        if (place.task == nullptr || place.step->spec->tail_target.count() == 0)
-        {
-            continue;
-        }
-        worst = std::max(worst, static_cast<double>(run.load) /
-                                    static_cast<double>(
-                                        place.step->spec->tail_target.count()));
-    }
-    if (!any_filler)
-    {
-        return;
-    }
-    const bool slower = worst > slow_above;
-    const bool faster =
-        worst < speed_below && now - worker.pace_raised_at >= pace_interval;
-    if (!slower && !faster)
-    {
-        return;
-    }
-    worker.pace_raised_at = now;
-    for (auto& [ref, run] : worker.runs)
-    {
-        if (!run.filler || run.phase != run_phase::running)
-        {
-            continue;
-        }
-        const auto wanted = slower ? (worst > 1.0 ? 0 : run.pace / 2)
-                                   : std::min(full_pace, run.pace + pace_step);
-        if (wanted != run.pace)
-        {
-            run.pace = wanted;
-            m_out.paces.push_back({target_of(worker), ref, wanted});
-        }
-    }
-}
-
 auto scheduler::plan_hold(worker_record& worker, time_point now,
                           bool may_extend) -> void
 {
