One constant for the lease; a bound on log lines; a line for each start of tasks

Change: the lease stands in scheduler_options alone, 5 s; at most 500 log lines a second below warn, what is dropped is counted; a line when tasks of a step start, with what decided it.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -24,7 +24,7 @@
 {
     /// Lease of all that runs on a worker. Longer than a takeover takes, short
     /// enough to run work elsewhere soon after a worker was cut off.
-    milliseconds lease{3'200};
+    milliseconds lease{5'000};
     /// The same on a worker that may leave at any time.
     milliseconds leaving_lease{1'800};
     /// A worker's clock may run slower than ours by this share.
@@ -248,6 +248,8 @@
 
     // Placing.
     auto dispatch(time_point now) -> void;
+    static auto log_starts(const policy::waiting_step& item, std::size_t count,
+                           time_point now) -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
     auto usable(const worker_record& worker, const job_record& job,
                 const step_record& step, time_point now) const -> bool;
--- a/include/pimentoshunt/logging.hpp
+++ b/include/pimentoshunt/logging.hpp
@@ -45,6 +45,11 @@
 auto setup(const instance_id& instance, const std::string& level_name,
            stream target) -> void;
 
+/// @brief Bounds the lines below level warn; what is dropped is counted, and
+/// told when the second is over.
+/// @param lines_per_second  0: no bound
+auto set_rate_limit(std::uint64_t lines_per_second) -> void;
+
 /// @brief Changes the level while the program runs.
 auto set_level(level least) -> void;
 
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -206,8 +206,9 @@
         const auto rate = approval_rate(queue);
         m_approval_rates[queue] = rate + rate_weight * (share - rate);
     }
-    logging::debug("approval")
+    logging::info("workers are approved")
         .with("job", answer.step.job)
+        .with("step", answer.step.step)
         .with("asked", answer.asked.size())
         .with("approved", answer.approved->size());
 }
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -188,11 +188,25 @@
     return out;
 }
 
+auto scheduler::log_starts(const policy::waiting_step& item, std::size_t count,
+                           time_point now) -> void
+{
+    logging::info("tasks are started")
+        .with("job", item.job->spec->id)
+        .with("step", item.step->number)
+        .with("tasks", count)
+        .with("still_waiting", item.step->waiting.size())
+        .with("ready_for", now - item.step->ready_since)
+        .with("approved_workers", item.step->approvals.approved.size())
+        .with("time_left", item.due - now);
+}
+
 auto scheduler::dispatch(time_point now) -> void
 {
     auto waiting = ready_steps(now);
     for (const auto& item : waiting)
     {
+        const auto before = item.step->waiting.size();
         if (item.step->spec->gang)
         {
             place_gang(item, now);
@@ -201,6 +215,10 @@
         {
             place_tasks(item, now);
         }
+        if (item.step->waiting.size() < before)
+        {
+            log_starts(item, before - item.step->waiting.size(), now);
+        }
         if (!item.step->waiting.empty() &&
             item.job->spec->queue.approval.required)
         {
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -33,8 +33,9 @@
 constexpr milliseconds drain_poll{50};
 /// Kept back from the grace, to end before the process is killed.
 constexpr milliseconds grace_margin{1'200};
-/// A lease is shorter than the longest that workers grant.
-constexpr milliseconds usual_lease{5'000};
+/// Several times what a full cell of 48 workers writes; at some 20 us a line
+/// one percent of a core.
+constexpr std::uint64_t log_lines_per_second = 500;
 
 auto new_incarnation() -> std::uint64_t
 {
@@ -55,7 +56,7 @@
     out.name = config.instance;
     out.peer_address = config.peer_address;
     out.incarnation = new_incarnation();
-    out.scheduler.lease = std::min(usual_lease, config.longest_lease);
+    out.scheduler.lease = std::min(out.scheduler.lease, config.longest_lease);
     return out;
 }
 
@@ -234,6 +235,7 @@
 {
     logging::setup(config.instance, config.log_level,
                    logging::stream::standard_output);
+    logging::set_rate_limit(log_lines_per_second);
     try
     {
         process running(config, settings_file);
--- a/src/logging.cpp
+++ b/src/logging.cpp
@@ -6,9 +6,12 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
-#include <array>  // array
-#include <ctime>  // gmtime_r
-#include <memory> // make_shared
+#include <array>   // array
+#include <chrono>  // steady_clock
+#include <ctime>   // gmtime_r
+#include <memory>  // make_shared
+#include <mutex>   // mutex
+#include <utility> // exchange
 
 namespace pimentoshunt::logging
 {
@@ -43,6 +46,53 @@
     return only;
 }
 
+/// @brief Counts lines by the second.
+class limiter
+{
+  public:
+    auto set(std::uint64_t lines_per_second) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_limit = lines_per_second;
+    }
+
+    /// @brief Whether a line may be written now.
+    /// @param told  how many were dropped in the second before; else 0
+    auto admit(std::uint64_t& told) -> bool
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto second = std::chrono::duration_cast<std::chrono::seconds>(
+            std::chrono::steady_clock::now().time_since_epoch());
+        if (second != m_second)
+        {
+            m_second = second;
+            m_written = 0;
+            told = std::exchange(m_dropped, 0);
+        }
+        if (m_limit == 0 || m_written < m_limit)
+        {
+            ++m_written;
+            return true;
+        }
+        ++m_dropped;
+        return false;
+    }
+
+  private:
+    std::mutex m_mutex;
+    std::uint64_t m_limit = 0;
+    std::uint64_t m_written = 0;
+    std::uint64_t m_dropped = 0;
+    std::chrono::seconds m_second{0};
+};
+
+auto the_limiter() -> limiter&
+{
+    // Never destroyed, as the sink.
+    static auto& only = *new limiter;
+    return only;
+}
+
 auto quoted(std::string_view text) -> std::string
 {
     return boost::json::serialize(
@@ -127,6 +177,11 @@
     set_level(level_named(level_name));
 }
 
+auto set_rate_limit(std::uint64_t lines_per_second) -> void
+{
+    the_limiter().set(lines_per_second);
+}
+
 auto set_level(level least) -> void
 {
     detail::threshold.store(the_sink().logger ? least : level::off,
@@ -136,6 +191,15 @@
 event::event(level at, std::string_view message)
     : m_level(at), m_enabled(enabled(at))
 {
+    if (m_enabled && at < level::warn)
+    {
+        std::uint64_t dropped = 0;
+        m_enabled = the_limiter().admit(dropped);
+        if (dropped > 0)
+        {
+            warn("lines of the log were dropped").with("lines", dropped);
+        }
+    }
     if (!m_enabled)
     {
         return;
--- /dev/null
+++ b/tests/unit-platform-wire.cpp
@@ -0,0 +1,171 @@
+/// @file
+/// The adapter's texts: what is read, what is written, what is refused.
+#include "platform/wire.hpp"
+
+#include "fakes/cell_world.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace pimentoshunt;
+using namespace pimentoshunt::adapter;
+
+namespace
+{
+
+const std::string job_text =
+    R"({"spec":"text","phases":[{"count":4,"cpu":500,"memMb":256,)"
+    R"("estimatedMs":900,"affinity":"r1-3"},{"count":20,"cpu":2000,)"
+    R"("memMb":1024,"after":[0],"checkpointing":true,"mayMiss":0,)"
+    R"("maxPerServer":2,"longRunning":true,"fills":true}]})";
+
+auto decode(const std::string& text) -> decoded_job
+{
+    return decode_job(job_id("5c0e7a21d94b36f8"), cell::queue_terms(), text);
+}
+
+} // namespace
+
+Test(platform_wire, a_job_is_read_into_its_steps)
+{
+    const auto read = decode(job_text);
+    cr_assert(read.job.has_value());
+    const auto& steps = read.job->steps;
+    cr_assert_eq(steps.size(), 2u);
+    cr_assert_eq(steps[0].count, 4u);
+    cr_assert_eq(steps[0].need.millicpus, 500);
+    cr_assert_eq(steps[0].need.memory_mb, 256);
+    cr_assert_eq(steps[0].estimate, milliseconds(900));
+    cr_assert_eq(steps[0].data_rack, "r1-3");
+    cr_assert_eq(steps[1].after.size(), 1u);
+    cr_assert(steps[1].keeps_checkpoints);
+    cr_assert(steps[1].lasting);
+    cr_assert(steps[1].filler);
+    cr_assert(steps[1].limits_absence);
+    cr_assert_eq(steps[1].most_per_worker, 2u);
+}
+
+Test(platform_wire, what_is_no_job_is_refused_with_a_reason)
+{
+    const std::vector<std::string> bad = {
+        "",
+        "[]",
+        "{}",
+        R"({"phases":[]})",
+        R"({"phases":[{"count":0}]})",
+        R"({"phases":[{"count":1,"after":[0]}]})",
+        R"({"phases":[{"count":1,"cpu":-5}]})",
+        R"({"phases":[7]})",
+        R"({"phases":[{"count":1}],"repeatCount":-1})",
+        R"({"phases":[{"count":1}],"spec":")" + std::string(4'001, 'x') +
+            "\"}"};
+    for (const auto& text : bad)
+    {
+        const auto read = decode(text);
+        cr_assert(!read.job.has_value(), "%s", text.c_str());
+        cr_assert(!read.complaint.empty());
+    }
+}
+
+Test(platform_wire, ids_have_sixteen_hexadecimal_digits)
+{
+    cr_assert(is_job_id("5c0e7a21d94b36f8"));
+    cr_assert(!is_job_id("5c0e7a21d94b36f"));
+    cr_assert(!is_job_id("5c0e7a21d94b36f88"));
+    cr_assert(!is_job_id("5c0e7a21d94b36fg"));
+}
+
+Test(platform_wire, an_entry_that_makes_no_sense_names_no_worker)
+{
+    const std::string good =
+        R"({"service":"s","address":"10.1.0.9:80","zone":"a","slots":8,)"
+        R"("state":"ready","capacity":{"cpu":16000,"memMb":32768},)"
+        R"("labels":["a","r1-3"],"born":1234,"machine":"m-1"})";
+    const auto read = decode_worker("i-1", good);
+    cr_assert(read.has_value());
+    cr_assert_eq(read->rack, "r1-3");
+    cr_assert_eq(read->capacity.millicpus, 16'000);
+    cr_assert_eq(read->born.time_since_epoch().count(), 1'234);
+    const std::vector<std::string> bad = {
+        "",
+        "\xff\x01",
+        "{}",
+        R"({"service":7,"address":"10.1.0.9:80","state":"ready",)"
+        R"("capacity":{},"labels":[]})",
+        R"({"service":"s","address":"10.1.0.9:80","state":"odd",)"
+        R"("capacity":{},"labels":[]})",
+        R"({"service":"s","address":"nowhere","state":"ready",)"
+        R"("capacity":{},"labels":[]})",
+        R"({"service":"s","address":"10.1.0.9:80","state":"ready"})"};
+    for (const auto& text : bad)
+    {
+        cr_assert(!decode_worker("i-1", text).has_value(), "%s", text.c_str());
+    }
+}
+
+Test(platform_wire, a_report_lists_runs_and_ends)
+{
+    const auto read = decode_report(
+        R"({"clockMs":482113,"born":99,"running":)"
+        R"([["5c0e7a21d94b36f8.0.1.17",2,"0bb8",41,12]],"endedRuns":)"
+        R"([[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+        R"([59,"no task",1,"done",""],)"
+        R"([60,"5c0e7a21d94b36f8.3.1.9",1,"lapsed","x"]]})");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->present.size(), 1u);
+    cr_assert_eq(read->present[0].run.task.index, 17u);
+    cr_assert_eq(read->present[0].run.number, 2u);
+    cr_assert_eq(read->present[0].percent, 41u);
+    cr_assert_eq(read->present[0].load, 12);
+    cr_assert_eq(read->ended.size(), 2u);
+    cr_assert(read->ended[1].how == cell::run_end::lapsed);
+    cr_assert_eq(read->ended[1].run.task.step.round, 3u);
+    cr_assert(!decode_report("{}").has_value());
+}
+
+Test(platform_wire, values_of_rows_come_back_byte_for_byte)
+{
+    for (std::size_t size = 0; size < 70; ++size)
+    {
+        std::string value;
+        for (std::size_t i = 0; i < size; ++i)
+        {
+            value += static_cast<char>(i * 37 + size);
+        }
+        cell::row_transaction transaction;
+        transaction.writes.push_back({{"t", "p", "k"}, value});
+        const auto text = encode_transaction(transaction);
+        const auto begin = text.find("\"value\":\"") + 9;
+        const auto encoded = text.substr(begin, text.find('"', begin) - begin);
+        const auto rows = decode_rows(R"({"rows":[{"table":"t","part":"p",)"
+                                      R"("key":"k","value":")" +
+                                      encoded + R"(","ver":7}],"ver":8})");
+        cr_assert(rows.has_value());
+        cr_assert_eq(rows->rows[0].value, value);
+        cr_assert_eq(rows->version, 8u);
+    }
+}
+
+Test(platform_wire, a_configuration_routes_by_host_and_longest_prefix)
+{
+    const auto read = decode_configuration(
+        R"({"version":7,"routes":[)"
+        R"({"name":"short","host":"a.example","pathPrefix":"/q/","service":"s",)"
+        R"("priority":0,"maxAttempts":3,"stretch":1.5,"targetDurationMs":250},)"
+        R"({"name":"long","host":"a.example","pathPrefix":"/q/x/",)"
+        R"("service":"s","advice":{"decisionMs":22.0,"perItemMs":0.32,)"
+        R"("validMs":2500}}],"services":[{"name":"s","standby":true}],)"
+        R"("limits":{"maxBodyBytes":10}})");
+    cr_assert(read.has_value());
+    cr_assert_eq(read->version, 7u);
+    cr_assert_eq(read->most_body_bytes, 10u);
+    cr_assert(read->services[0].standby);
+    const auto* const plain = read->route_of("a.example:80", "/q/5c");
+    cr_assert_not_null(plain);
+    cr_assert_eq(plain->queue.name.str(), "short");
+    cr_assert(!plain->queue.approval.required);
+    const auto* const longer = read->route_of("a.example", "/q/x/5c");
+    cr_assert_eq(longer->queue.name.str(), "long");
+    cr_assert(longer->queue.approval.required);
+    cr_assert_null(read->route_of("b.example", "/q/5c"));
+    cr_assert(!decode_configuration("{}").has_value());
+}
