--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -47,11 +47,12 @@
           m_ownership(options.name.str(), options.peer_address,
                       options.incarnation, options.ownership,
                       boot_clock::now()),
-          m_peers(control, options.name, options.peer_address,
-                  [this](const std::string& from, wire::cell_message message)
-                  {
-                      take_message(from, std::move(message));
-                  }),
+          m_peers(
+              control, options.name, options.peer_address,
+              [this](const std::string& from, const wire::cell_message& message)
+              {
+                  take_message(from, message);
+              }),
           m_desk(outside, control, m_health, desk_context()), m_tick(control),
           m_calendar_offset(std::chrono::duration_cast<milliseconds>(
               std::chrono::system_clock::now().time_since_epoch() -
@@ -553,8 +554,8 @@
         }
     }
 
-    auto take_message(const std::string& from, wire::cell_message message)
-        -> void
+    auto take_message(const std::string& from,
+                      const wire::cell_message& message) -> void
     {
         if (m_stopped)
         {
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -217,14 +217,15 @@
         // A call that waits can't be told from one that is lost: none waits
         // until the store has answered again.
         const auto wait = m_reached ? m_times.wait : milliseconds(0);
-        m_outside.follow(m_ranges.front().table, m_version, wait,
-                         [self = this->shared_from_this()](feed_result found)
-                         {
-                             self->follow_done(std::move(found));
-                         });
+        m_outside.follow(
+            m_ranges.front().table, m_version, wait,
+            [self = this->shared_from_this()](const feed_result& found)
+            {
+                self->follow_done(found);
+            });
     }
 
-    auto follow_done(feed_result found) -> void
+    auto follow_done(const feed_result& found) -> void
     {
         if (m_stopped)
         {
--- a/tests/unit-cell-ownership.cpp
+++ b/tests/unit-cell-ownership.cpp
@@ -5,8 +5,6 @@
 #include <criterion/criterion.h>
 
 using namespace pimentoshunt;
-using cell::lease_content;
-using cell::owner_beat;
 using cell::ownership;
 using cell::ownership_step;
 
