The configuration's limits reach the listener; settings share their fields

Cause: limits of bodies, headers and idle time were read and not applied; the check of addresses and log levels stood twice; two members were never read.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -39,8 +39,6 @@
     time_point sent_at;
     /// When the worker was first known to have it.
     std::optional<time_point> seen_at;
-    /// When the start's answer was given up.
-    std::optional<time_point> start_lost_at;
     bool stop_in_flight = false;
     time_point stop_sent_at;
     std::optional<time_point> stop_answered_at;
@@ -49,8 +47,6 @@
     std::int64_t load = 0;
     /// Share of its speed that a filler may use, 0 to 100.
     std::uint32_t pace = 100;
-    /// The tail of a serving task has been over its target since then.
-    std::optional<time_point> slow_since;
 };
 
 /// @brief One worker, over all its lives.
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -34,6 +34,8 @@
     std::uint64_t incarnation = 0;
     ownership_options ownership;
     scheduler_options scheduler;
+    /// Told of each configuration that comes in force.
+    std::function<void(const configuration&)> configured;
 };
 
 /// @brief All parts of one instance. Control thread only.
@@ -237,6 +239,7 @@
             .with("version", read->version)
             .with("routes", read->routes.size());
         m_configuration = std::move(read);
+        m_options.configured(*m_configuration);
         if (m_role)
         {
             m_role->configure(*m_configuration);
--- a/include/pimentoshunt/net/http_server.hpp
+++ b/include/pimentoshunt/net/http_server.hpp
@@ -68,6 +68,9 @@
     /// @throw (leaf) settings 110 when the address can't be bound
     auto listen(const std::string& address) -> result<void>;
 
+    /// @brief Holds for requests that begin from now on.
+    auto set_limits(const server_limits& limits) -> void;
+
     /// @brief From now on each answer closes its connection.
     auto close_after_answers() -> void;
 
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -377,7 +377,6 @@
         .with("waited", now - run->second.sent_at);
     if (outcome == start_outcome::unknown)
     {
-        run->second.start_lost_at = now;
         want_stop(worker, run->second, now);
         look_again(worker, now);
         return;
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -11,9 +11,6 @@
 namespace
 {
 
-/// How much earlier than its due time a round may be begun: less than the
-/// clocks of instances differ.
-constexpr milliseconds early_release{0};
 /// Epochs leave room for so many runs of one task; see next_number().
 constexpr std::uint64_t numbers_per_epoch = 10'000;
 
@@ -221,7 +218,7 @@
             {
                 continue;
             }
-            if (round.due && calendar + early_release < *round.due)
+            if (round.due && calendar < *round.due)
             {
                 continue;
             }
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -68,7 +68,7 @@
         : m_config(std::move(config)), m_file(std::move(settings_file)),
           m_client(m_traffic, m_control.get_executor(), {}),
           m_outside(m_client, m_meters, addresses_of(m_config)),
-          m_instance(m_outside, m_control, options_of(m_config)),
+          m_instance(m_outside, m_control, options_here()),
           m_callers(m_traffic, m_control.get_executor(), {},
                     [this](const net::server_request& request,
                            net::http_server::reply answer)
@@ -111,6 +111,21 @@
     }
 
   private:
+    auto options_here() -> instance_options
+    {
+        auto out = options_of(m_config);
+        out.configured = [this](const configuration& in_force)
+        {
+            net::server_limits limits;
+            limits.header_bytes = in_force.most_header_bytes;
+            limits.body_bytes = in_force.most_body_bytes;
+            limits.header_timeout = in_force.header_timeout;
+            limits.idle_timeout = in_force.idle_timeout;
+            m_callers.set_limits(limits);
+        };
+        return out;
+    }
+
     auto serve_status(const net::server_request& request,
                       const net::http_server::reply& answer) -> void
     {
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -2,11 +2,9 @@
 
 #include <pimentoshunt/json/document_reader.hpp>
 #include <pimentoshunt/json/object_reader.hpp>
+#include <pimentoshunt/settings_fields.hpp>
 
-#include <algorithm> // find
-#include <array>     // array
-#include <charconv>  // from_chars
-#include <utility>   // move
+#include <utility> // move
 
 namespace pimentoshunt::cell
 {
@@ -18,32 +16,16 @@
 
 /// Longest text of settings, in bytes.
 constexpr std::size_t most_bytes = 1u << 20;
-constexpr int highest_port = 65'535;
 constexpr milliseconds shortest_lease{500};
 constexpr milliseconds longest_time = std::chrono::minutes(10);
-constexpr std::array<const char*, 6> log_levels = {"trace", "debug", "info",
-                                                   "warn",  "error", "off"};
-
-auto is_address(const std::string& text) -> bool
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-    {
-        return false;
-    }
-    int port = 0;
-    const auto* const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    return parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
-           port <= highest_port;
-}
 
 auto read_address(object_reader& reader, const std::string& key, bool required)
     -> std::string
 {
     auto text = reader.text(key, "", required);
     const bool missing = text.empty() && !required;
-    if (!missing && reader.member(key) != nullptr && !is_address(text))
+    if (!missing && reader.member(key) != nullptr &&
+        !pimentoshunt::detail::is_address(text))
     {
         reader.note(fault_kind::out_of_range, key,
                     "\"" + text + "\" is not host:port",
@@ -77,18 +59,6 @@
         std::chrono::duration<double>(seconds));
 }
 
-auto read_level(object_reader& reader, settings& out) -> void
-{
-    out.log_level = reader.text("log_level", out.log_level);
-    if (std::find(log_levels.begin(), log_levels.end(), out.log_level) ==
-        log_levels.end())
-    {
-        reader.note(fault_kind::out_of_range, "log_level",
-                    "\"" + out.log_level + "\" is no level",
-                    "use trace, debug, info, warn, error or off");
-    }
-}
-
 struct reading
 {
     settings read;
@@ -116,7 +86,8 @@
         read.longest_lease = reader.duration("longest_lease", shortest_lease,
                                              longest_time, read.longest_lease);
         read.stop_grace = read_seconds(reader, "stop_grace_s", read.stop_grace);
-        read_level(reader, read);
+        read.log_level =
+            pimentoshunt::detail::read_log_level(reader, read.log_level);
         reader.reject_unknown();
     }
     json::locate(out.faults, source.places);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -50,6 +50,11 @@
     auto listen(const std::string& address) -> result<void>;
     auto accept() -> void;
 
+    auto set_limits(const server_limits& limits) -> void
+    {
+        m_limits = limits;
+    }
+
     auto close_after_answers() -> void
     {
         m_closing = true;
@@ -306,6 +311,15 @@
     return m_state->listen(address);
 }
 
+auto http_server::set_limits(const server_limits& limits) -> void
+{
+    asio::post(m_state->context(),
+               [held = m_state, limits]
+               {
+                   held->set_limits(limits);
+               });
+}
+
 auto http_server::close_after_answers() -> void
 {
     m_state->close_after_answers();
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -2,13 +2,11 @@
 
 #include <pimentoshunt/json/document_reader.hpp>
 #include <pimentoshunt/json/object_reader.hpp>
+#include <pimentoshunt/settings_fields.hpp>
 
-#include <algorithm> // find
-#include <array>     // array
-#include <charconv>  // from_chars
-#include <chrono>    // minutes
-#include <cstdint>   // int64_t
-#include <utility>   // move
+#include <chrono>  // minutes
+#include <cstdint> // int64_t
+#include <utility> // move
 
 namespace pimentoshunt
 {
@@ -24,23 +22,6 @@
 constexpr std::int64_t max_body = std::int64_t{16} << 30;
 constexpr milliseconds shortest_time{10};
 constexpr milliseconds longest_time = std::chrono::minutes(60);
-constexpr std::array<const char*, 6> log_levels = {"trace", "debug", "info",
-                                                   "warn",  "error", "off"};
-
-/// @brief Whether @p text is "host:port" with a port from 1 to 65535.
-auto is_address(const std::string& text) -> bool
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos || colon == 0)
-    {
-        return false;
-    }
-    int port = 0;
-    const auto* const end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data() + colon + 1, end, port);
-    return parsed.ec == std::errc() && parsed.ptr == end && port > 0 &&
-           port <= max_port;
-}
 
 auto read_port(object_reader& reader, const std::string& key, int fallback)
     -> int
@@ -78,7 +59,7 @@
 auto check_address(object_reader& reader, const std::string& key,
                    const std::string& text) -> void
 {
-    if (!text.empty() && !is_address(text))
+    if (!text.empty() && !detail::is_address(text))
     {
         reader.note(fault_kind::out_of_range, key,
                     "\"" + text + "\" is not host:port",
@@ -99,7 +80,7 @@
     out.seeds = reader.texts("seeds");
     for (std::size_t i = 0; i < out.seeds.size(); ++i)
     {
-        if (!is_address(out.seeds[i]))
+        if (!detail::is_address(out.seeds[i]))
         {
             reader.note(fault_kind::out_of_range, "seeds",
                         "\"" + out.seeds[i] + "\" is not host:port",
@@ -156,18 +137,6 @@
     }
 }
 
-auto read_log_level(object_reader& reader, settings& out) -> void
-{
-    out.log_level = reader.text("log_level", out.log_level);
-    if (std::find(log_levels.begin(), log_levels.end(), out.log_level) ==
-        log_levels.end())
-    {
-        reader.note(fault_kind::out_of_range, "log_level",
-                    "\"" + out.log_level + "\" is no level",
-                    "use trace, debug, info, warn, error or off");
-    }
-}
-
 auto check_ports_differ(object_reader& reader, const settings& out) -> void
 {
     if (out.operator_port == out.caller_port)
@@ -206,7 +175,7 @@
         read_platform(reader, out.read);
         read_sizes(reader, out.read);
         read_times(reader, out.read);
-        read_log_level(reader, out.read);
+        out.read.log_level = detail::read_log_level(reader, out.read.log_level);
         check_ports_differ(reader, out.read);
         reader.reject_unknown();
     }
