--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -16,7 +16,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>  // max
-#include <functional> // hash
+#include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
 #include <optional>   // optional
@@ -129,8 +129,6 @@
     /// A connection that has gone silent is noticed after that; changes have
     /// to be in force within two seconds.
     static constexpr feed_times configuration_times{};
-    /// Instances that see the cell released go for it at different times.
-    static constexpr std::size_t stagger_steps = 8;
 
     auto desk_context() -> caller_desk_context
     {
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -145,15 +145,6 @@
     std::string complaint;
 };
 
-/// @brief A machine of the pools, for moves and upkeep.
-struct machine_entry
-{
-    machine_id machine;
-    service_name pool;
-    std::string state;
-    worker_id worker;
-};
-
 using commit_handler = std::function<void(commit_result)>;
 using read_handler = std::function<void(read_result)>;
 using feed_handler = std::function<void(feed_result)>;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -44,7 +44,7 @@
     /// Workers answer a start within milliseconds: one that has not for so
     /// long gets no other until it has.
     milliseconds slow_answer{120};
-    /// A start without an answer for so long is stopped and tried elsewhere.
+    /// A stop without an answer is repeated after so long.
     milliseconds stop_retry{300};
     /// Longest time that a final state is kept for callers.
     milliseconds keep_final{130'000};
@@ -164,8 +164,6 @@
     {
         return m_overtaken;
     }
-    /// @brief Workers that have not answered under this epoch.
-    [[nodiscard]] auto workers_not_adopted() const -> std::size_t;
     [[nodiscard]] auto job_count() const noexcept -> std::size_t
     {
         return m_jobs.size();
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -346,14 +346,4 @@
     worker.closed_until = std::max(worker.closed_until, until);
 }
 
-auto scheduler::workers_not_adopted() const -> std::size_t
-{
-    std::size_t count = 0;
-    for (const auto& [id, worker] : m_workers)
-    {
-        count += worker.adopted ? 0 : 1;
-    }
-    return count;
-}
-
 } // namespace pimentoshunt::cell
