A probe that tells nothing is followed by another

Cause of the entry in KNOWN-RED (workers::one_that_fails_everything_is_ejected_and_probed_back): an ejected worker gets one probe, and the next one only after the probe's outcome or its timeout of 10 s. An attempt that was never sent, was refused or is unknown has no outcome for the policy, so the worker stayed out for those 10 s. Logs of a failing run beside load: ejected at 39.67, probes at 40.68, 42.70 and 52.71 s; the fault was mended at 45 s, the bound of 12 s was missed. Ruled out: the growing delay of probes (1, 2, 4 s; the gap was the timeout's 10 s); counting of starts by the test (no start in the gap). Change: worker_health::tells_nothing; the next probe is due after the first delay. Used by both schedulers. A line in the log for each probe, which the test prints when it fails. New test worker_health::a_probe_that_tells_nothing_is_followed_by_another.

--- a/include/pimentoshunt/policy/worker_health.hpp
+++ b/include/pimentoshunt/policy/worker_health.hpp
@@ -91,6 +91,13 @@
     [[nodiscard]] auto take_due_probes(time_point now)
         -> std::vector<worker_id>;
 
+    /// @brief An attempt ended without telling anything of the worker: it was
+    /// never sent, refused, or its outcome is not known.
+    ///
+    /// If it was the worker's probe, another one is due after the first delay
+    /// instead of after the probe's timeout.
+    auto tells_nothing(const worker_id& worker, time_point now) -> void;
+
     /// @brief Whether the worker is ejected.
     [[nodiscard]] auto ejected(const worker_id& worker) const -> bool;
 
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -375,6 +375,7 @@
         .with("worker", worker.entry.id)
         .with("outcome", to_string(outcome))
         .with("waited", now - run->second.sent_at);
+    m_health.tells_nothing(worker.entry.id, now);
     if (outcome == start_outcome::unknown)
     {
         want_stop(worker, run->second, now);
--- a/src/control/engine.cpp
+++ b/src/control/engine.cpp
@@ -1,5 +1,6 @@
 #include <pimentoshunt/control/engine.hpp>
 
+#include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/plan/parse.hpp>
 #include <pimentoshunt/transport/wire_codec.hpp>
 
@@ -337,6 +338,7 @@
     for (const auto& worker : m_health.take_due_probes(now))
     {
         m_keeper.ledger().set_intake(worker, ledger::intake::probe);
+        logging::info("ejected worker gets a probe").with("worker", worker);
         m_capacity_changed = true;
     }
     const auto cell_slots = m_keeper.listed_slots();
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -97,6 +97,7 @@
                      outcome == attempt_outcome::unreachable;
     if (!good && !bad)
     {
+        m_health.tells_nothing(item.worker, now);
         return;
     }
     const auto* const workload = m_plan->parsed.find(item.workload);
--- a/src/policy/worker_health.cpp
+++ b/src/policy/worker_health.cpp
@@ -124,6 +124,18 @@
     return due;
 }
 
+auto worker_health::tells_nothing(const worker_id& worker, time_point now)
+    -> void
+{
+    const auto found = m_workers.find(worker);
+    if (found == m_workers.end() || !found->second.probing)
+    {
+        return;
+    }
+    found->second.probing = false;
+    found->second.next_probe = now + m_options.first_probe_after;
+}
+
 auto worker_health::ejected(const worker_id& worker) const -> bool
 {
     const auto found = m_workers.find(worker);
--- a/tests/integration/integration-workers.cpp
+++ b/tests/integration/integration-workers.cpp
@@ -4,6 +4,9 @@
 
 #include <criterion/criterion.h>
 
+#include <sstream> // istringstream
+#include <string>  // string
+
 using namespace pimentoshunt::testing;
 using pimentoshunt::boot_clock;
 using pimentoshunt::milliseconds;
@@ -35,6 +38,23 @@
     return starts;
 }
 
+/// What the instances have logged of workers' health.
+auto health_log(cell& whole) -> std::string
+{
+    std::string out;
+    for (const auto& instance : whole.instances())
+    {
+        std::istringstream lines(instance.program.output());
+        for (std::string line; std::getline(lines, line);)
+        {
+            const bool tells = line.find("ejected") != std::string::npos ||
+                               line.find("readmitted") != std::string::npos;
+            out += tells ? instance.name + " " + line + "\n" : "";
+        }
+    }
+    return out;
+}
+
 /// Lets the load go on for a time.
 auto go_on_for(milliseconds how_long) -> void
 {
@@ -80,12 +100,13 @@
     cr_assert(whole.set_worker_faults(0, {{"worker", 1}, {"fail", false}}));
     const auto mended_at = now_us();
     constexpr std::size_t more_than_probes = 20;
-    cr_assert(wait_until(
+    const bool back = wait_until(
         [&]
         {
             return starts_since(whole, "w1", mended_at) > more_than_probes;
         },
-        back_bound, milliseconds{100}));
+        back_bound, milliseconds{100});
+    cr_assert(back, "%s", health_log(whole).c_str());
     cr_assert(load.served() > served);
     const auto calls = load.stop();
     const auto violations = check(whole.evidence_with(calls));
--- a/tests/unit-policy-health.cpp
+++ b/tests/unit-policy-health.cpp
@@ -75,6 +75,25 @@
     cr_assert(health.ejected_count() == 1);
 }
 
+// workers::one_that_fails_everything_is_ejected_and_probed_back: a probe that
+// was never sent kept the worker out until the probe's timeout.
+Test(worker_health, a_probe_that_tells_nothing_is_followed_by_another)
+{
+    auto health = with_workers(6);
+    for (int i = 0; i < 5; ++i)
+    {
+        round(health, 6, 1, proofs, i);
+    }
+    cr_assert(health.ejected(worker(0)));
+    cr_assert_eq(health.take_due_probes(at(1'100)).size(), 1u);
+    health.tells_nothing(worker(0), at(1'200));
+    cr_assert(health.take_due_probes(at(1'300)).empty());
+    cr_assert_eq(health.take_due_probes(at(2'300)).size(), 1u);
+    const auto change =
+        health.record(worker(0), proofs, attempt_outcome::success, at(2'400));
+    cr_assert(change == health_change::readmitted);
+}
+
 Test(worker_health, an_outage_of_everything_ejects_at_most_half)
 {
     auto health = with_workers(6);
