Callers are answered in time while the store is silent

Ruled out: shorter limits of one transaction alone (a queue behind a hung transaction holds callers all the same). Change: intake_caller holds a caller's timer and answers once: 504 if any transaction with the row may be done, else 503, and the row of a caller that was answered is never sent.

--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -16,9 +16,9 @@
 #include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
-#include <memory>     // unique_ptr
+#include <memory>     // shared_ptr, unique_ptr
 #include <string>     // string
-#include <utility>    // move
+#include <utility>    // exchange, move
 #include <vector>     // vector
 
 namespace pimentoshunt::cell
@@ -35,6 +35,74 @@
     unsettled
 };
 
+/// @brief A caller that waits for its row: answered once, and in time.
+class intake_caller : public std::enable_shared_from_this<intake_caller>
+{
+  public:
+    using handler = std::function<void(intake_result)>;
+
+    intake_caller(boost::asio::io_context& control, handler done)
+        : m_timer(control), m_done(std::move(done))
+    {
+    }
+
+    /// @brief Answers at @p until with what is known by then.
+    auto answer_by(time_point until) -> void
+    {
+        m_timer.expires_after(until - boot_clock::now());
+        m_timer.async_wait(
+            [self = shared_from_this()](auto fault)
+            {
+                if (!fault)
+                {
+                    self->answer(self->known());
+                }
+            });
+    }
+
+    auto answer(intake_result result) -> void
+    {
+        if (const auto done = std::exchange(m_done, nullptr))
+        {
+            m_timer.cancel();
+            done(result);
+        }
+    }
+
+    /// @brief Whether it has not been answered. The row of a caller that was
+    /// answered must not be sent any more: it may have been told of a refusal.
+    [[nodiscard]] auto waits() const -> bool
+    {
+        return m_done != nullptr;
+    }
+
+    auto sent() -> void
+    {
+        m_under_way = true;
+    }
+
+    /// @param maybe_done  whether the transaction had no answer
+    auto came_back(bool maybe_done) -> void
+    {
+        m_under_way = false;
+        m_maybe_done = m_maybe_done || maybe_done;
+    }
+
+    /// @brief What is to be said if nothing more is tried.
+    [[nodiscard]] auto known() const -> intake_result
+    {
+        return m_under_way || m_maybe_done ? intake_result::unsettled
+                                           : intake_result::refused;
+    }
+
+  private:
+    boost::asio::steady_timer m_timer;
+    handler m_done;
+    bool m_under_way = false;
+    /// An earlier transaction with the row had no answer.
+    bool m_maybe_done = false;
+};
+
 /// @brief A row that a caller waits for.
 struct intake_entry
 {
@@ -46,11 +114,7 @@
     std::string value;
     /// Only if the row is not there yet.
     bool fresh = true;
-    /// When the caller has to be answered.
-    time_point until;
-    std::function<void(intake_result)> done;
-    /// An earlier transaction with it had no answer.
-    bool unsettled = false;
+    std::shared_ptr<intake_caller> caller;
 };
 
 /// @brief Group commit for one part of the inbox; one transaction under way at
@@ -100,6 +164,11 @@
                bytes < most_bytes)
         {
             auto& item = m_queue.front();
+            if (!item.caller->waits())
+            {
+                m_queue.pop_front();
+                continue;
+            }
             const bool twice =
                 std::any_of(m_under_way.begin(), m_under_way.end(),
                             [&](const intake_entry& other)
@@ -116,9 +185,14 @@
             }
             bytes += item.value.size();
             transaction.writes.push_back({item.at, item.value});
+            item.caller->sent();
             m_under_way.push_back(std::move(item));
             m_queue.pop_front();
         }
+        if (m_under_way.empty())
+        {
+            return;
+        }
         m_outside.commit(transaction, commit_limit,
                          [this](const commit_result& result)
                          {
@@ -138,7 +212,7 @@
         case commit_state::committed:
             for (auto& item : items)
             {
-                item.done(intake_result::stored);
+                item.caller->answer(intake_result::stored);
             }
             break;
         case commit_state::conflict:
@@ -178,10 +252,11 @@
         {
             if (is_there(*item))
             {
-                item->done(intake_result::stored);
+                item->caller->answer(intake_result::stored);
             }
             else
             {
+                item->caller->came_back(false);
                 m_queue.push_front(std::move(*item));
             }
         }
@@ -194,7 +269,7 @@
         m_failing_until = now + avoid_for;
         for (auto& item : items)
         {
-            item.unsettled = item.unsettled || unknown;
+            item.caller->came_back(unknown);
             ++item.failed;
             m_failed(std::move(item));
         }
@@ -214,7 +289,7 @@
 class intake
 {
   public:
-    using handler = std::function<void(intake_result)>;
+    using handler = intake_caller::handler;
 
     intake(Platform& outside, boost::asio::io_context& control,
            store_health& health)
@@ -239,9 +314,7 @@
         intake_entry item;
         item.job = job.id;
         item.value = to_bytes(job);
-        item.until = until;
-        item.done = std::move(done);
-        add(std::move(item));
+        add(std::move(item), until, std::move(done));
     }
 
     /// @brief Stores that a job is to end.
@@ -251,23 +324,24 @@
         item.job = job;
         item.value = "1";
         item.fresh = false;
-        item.until = until;
-        item.done = std::move(done);
-        add(std::move(item));
+        add(std::move(item), until, std::move(done));
     }
 
   private:
     /// Pause before what may have been done is tried again.
     static constexpr milliseconds retry_pause{80};
 
-    auto add(intake_entry item) -> void
+    auto add(intake_entry item, time_point until, handler done) -> void
     {
         const auto now = boot_clock::now();
         if (m_health.away(now))
         {
-            item.done(intake_result::refused);
+            done(intake_result::refused);
             return;
         }
+        item.caller =
+            std::make_shared<intake_caller>(m_control, std::move(done));
+        item.caller->answer_by(until);
         // Parts that have just failed are passed over if another has not.
         for (std::size_t i = 0; i < parts_of_job; ++i)
         {
@@ -296,21 +370,19 @@
 
     auto retry(intake_entry item) -> void
     {
-        const auto now = boot_clock::now();
-        if (item.failed % parts_of_job != 0)
+        if (!item.caller->waits())
         {
-            item.choice = (item.choice + 1) % parts_of_job;
-            send(std::move(item));
             return;
         }
-        if (!item.unsettled)
+        if (item.failed % parts_of_job != 0)
         {
-            item.done(intake_result::refused);
+            item.choice = (item.choice + 1) % parts_of_job;
+            send(std::move(item));
             return;
         }
-        if (now + retry_pause >= item.until)
+        if (item.caller->known() == intake_result::refused)
         {
-            item.done(intake_result::unsettled);
+            item.caller->answer(intake_result::refused);
             return;
         }
         auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
@@ -318,7 +390,7 @@
         timer->async_wait(
             [this, timer, item = std::move(item)](auto fault) mutable
             {
-                if (!fault)
+                if (!fault && item.caller->waits())
                 {
                     send(std::move(item));
                 }
--- a/tests/fakes/fake_cell_store.hpp
+++ b/tests/fakes/fake_cell_store.hpp
@@ -7,10 +7,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>  // any_of
 #include <functional> // function
 #include <map>        // map
+#include <memory>     // make_shared
 #include <set>        // set
 #include <string>     // string
 #include <tuple>      // tuple
@@ -33,16 +35,24 @@
     std::set<std::string> down;
     /// Whether nothing answers at all.
     bool away = false;
+    /// Whether transactions get no answer and are not done: the call fails
+    /// when its time is over.
+    bool silent = false;
     /// Transactions that are done and not answered.
     int lost_answers = 0;
     /// Waits of the feed calls, in their order.
     std::vector<milliseconds> waits;
     std::size_t commits = 0;
 
-    auto commit(const cell::row_transaction& transaction, milliseconds,
+    auto commit(const cell::row_transaction& transaction, milliseconds limit,
                 cell::commit_handler done) -> void
     {
         ++commits;
+        if (silent)
+        {
+            answer_after(limit, std::move(done), cell::commit_result{});
+            return;
+        }
         cell::commit_result out;
         if (away || is_down(part_of(transaction)))
         {
@@ -178,6 +188,21 @@
                           });
     }
 
+    template<class Handler, class Result>
+    auto answer_after(milliseconds pause, Handler done, Result out) -> void
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_control);
+        timer->expires_after(pause);
+        timer->async_wait(
+            [timer, done = std::move(done), out = std::move(out)](auto fault)
+            {
+                if (!fault)
+                {
+                    done(out);
+                }
+            });
+    }
+
     boost::asio::io_context& m_control;
     std::map<full_key, cell::stored_row> m_rows;
     std::uint64_t m_version = 0;
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -104,6 +104,62 @@
     cr_assert(bed.submit("0a") == cell::intake_result::stored);
 }
 
+// wischwerk-zh trouble-3: three parts were tried for 0.7 s each before the
+// caller's limit was looked at; job 1f9f743a1c1d8fd5 was held for 3.1 s.
+Test(cell_store, a_caller_is_answered_in_time_by_a_silent_store)
+{
+    intake_bed bed;
+    bed.store.silent = true;
+    std::optional<cell::intake_result> out;
+    const auto sent_at = boot_clock::now();
+    bed.desk.submit(simple_job("0a", 1, 1), sent_at + milliseconds(300),
+                    [&](cell::intake_result result)
+                    {
+                        out = result;
+                    });
+    run_until(bed.control,
+              [&]
+              {
+                  return out.has_value();
+              });
+    const auto took = boot_clock::now() - sent_at;
+    cr_assert(out == cell::intake_result::unsettled);
+    // Less than the limit of one transaction, which the store lets pass.
+    cr_assert(took < milliseconds(600));
+}
+
+Test(cell_store, a_row_that_waited_too_long_is_refused_and_never_sent)
+{
+    intake_bed bed;
+    bed.store.silent = true;
+    // Both lie in one part: the second waits for the first one's transaction.
+    std::optional<cell::intake_result> second;
+    const auto now = boot_clock::now();
+    bed.desk.submit(simple_job("0a", 1, 1), now + std::chrono::seconds(2),
+                    [](cell::intake_result) {});
+    bed.desk.submit(simple_job("1a", 1, 1), now + milliseconds(100),
+                    [&](cell::intake_result result)
+                    {
+                        second = result;
+                    });
+    run_until(bed.control,
+              [&]
+              {
+                  return second.has_value();
+              });
+    cr_assert(second == cell::intake_result::refused);
+    bed.store.silent = false;
+    run_until(bed.control,
+              [&]
+              {
+                  return boot_clock::now() > now + milliseconds(1'500);
+              });
+    for (std::size_t i = 0; i < cell::parts_of_job; ++i)
+    {
+        cr_assert_eq(bed.store.row(cell::job_row(job_id("1a"), i)).version, 0u);
+    }
+}
+
 // wischwerk-zh trouble-3: a feed call that hung in an outage kept an instance
 // from a configuration for 2.4 s.
 Test(cell_store, a_feed_does_not_wait_until_the_store_has_answered)
