An owner starts new jobs only while nobody else can own the cell

Answers of the store were lost, so the new owner needed 1.1 s from its takeover until all parts were read. It had read the inbox at the start of that second. The earlier owner, which knew nothing of it yet, took in a job of that second by its feed, ran it, wrote its progress into a part that was not yet taken over and noted the ends. The new owner then got the job by its own feed as a new one and dropped the progress it had read: it ran again. Ruled out: a late write of the earlier owner after the part was read (each write depends on the part's row); expiry (130 s). What was stored before counts as inherited, by the row's version, however it is read.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -423,10 +423,11 @@
     {
         owner_context around;
         around.self = m_options.name.str();
-        around.may_act = [this]
+        around.authority = [this]
         {
             const auto now = boot_clock::now();
-            return m_ownership.may_act(followed(now), now);
+            return owner_authority{m_ownership.may_act(followed(now), now),
+                                   m_ownership.new_jobs_until()};
         };
         around.overtaken = [this]
         {
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -39,8 +39,8 @@
 {
     /// Name of this instance among the askers.
     std::string self;
-    /// Whether leases may be renewed and work be started now.
-    std::function<bool()> may_act;
+    /// What the owner may do now.
+    std::function<owner_authority()> authority;
     /// Called once when a later owner is there.
     std::function<void()> overtaken;
     /// The time of day.
@@ -246,12 +246,15 @@
                     .with("key", row.at.key);
                 continue;
             }
-            auto known = progress.find(row.at.key);
-            job_progress none;
-            none.id = job->id;
-            m_scheduler.restore(*job,
-                                known == progress.end() ? none : known->second,
-                                present());
+            const auto known = progress.find(row.at.key);
+            if (known != progress.end())
+            {
+                m_scheduler.restore(*job, known->second, present());
+            }
+            else
+            {
+                take_job(*job, row.version);
+            }
         }
         for (const auto& job : cancelled)
         {
@@ -331,7 +334,7 @@
         }
         if (const auto job = read_job(row.value))
         {
-            m_scheduler.accept(*job, present());
+            take_job(*job, row.version);
         }
         else
         {
@@ -340,6 +343,19 @@
         }
     }
 
+    /// An earlier owner may have started what was stored before the takeover.
+    auto take_job(const job_spec& job, std::uint64_t version) -> void
+    {
+        if (version > m_epoch_version)
+        {
+            m_scheduler.accept(job, present());
+            return;
+        }
+        job_progress none;
+        none.id = job.id;
+        m_scheduler.restore(job, none, present());
+    }
+
     auto worker_changed(const stored_row& row) -> void
     {
         if (row.removed)
@@ -420,7 +436,7 @@
         }
         const auto now = present();
         const auto out =
-            m_scheduler.advance(now, m_around.calendar(), m_around.may_act());
+            m_scheduler.advance(now, m_around.calendar(), m_around.authority());
         carry_out(out);
         ask_questions(now);
         write_progress();
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -66,6 +66,15 @@
     milliseconds refusal_pause{400};
 };
 
+/// @brief What an owner may do at a moment.
+struct owner_authority
+{
+    /// Whether leases may be renewed and runs started.
+    bool may_act = true;
+    /// Jobs that came in later may already belong to a later owner.
+    time_point new_jobs_until = time_point::max();
+};
+
 /// @brief Numbers of one queue for callers and metrics.
 struct queue_count
 {
@@ -129,10 +138,9 @@
     /// @}
 
     /// @brief Decides; to be called after events and at least each 50 ms.
-    /// @param may_extend  whether leases may be renewed and runs started
     /// @param calendar  the time of day
-    auto advance(time_point now, calendar_time calendar, bool may_extend)
-        -> outbox;
+    auto advance(time_point now, calendar_time calendar,
+                 const owner_authority& authority) -> outbox;
 
     /// @brief Whether there is anything to be written.
     [[nodiscard]] auto progress_waits() const -> bool;
@@ -280,7 +288,7 @@
     scheduler_options m_options;
     time_point m_since;
     bool m_overtaken = false;
-    bool m_may_extend = false;
+    owner_authority m_authority;
     configuration m_configuration;
     std::unordered_map<job_id, job_record> m_jobs;
     /// Jobs that are not over, by the order of their arrival.
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -44,10 +44,10 @@
     return "unknown";
 }
 
-auto scheduler::advance(time_point now, calendar_time calendar, bool may_extend)
-    -> outbox
+auto scheduler::advance(time_point now, calendar_time calendar,
+                        const owner_authority& authority) -> outbox
 {
-    m_may_extend = may_extend;
+    m_authority = authority;
     release_rounds(now, calendar);
     for (auto& [id, worker] : m_workers)
     {
@@ -60,13 +60,14 @@
     {
         m_probe[id] = true;
     }
-    if (may_extend && !m_overtaken)
+    const bool may_act = authority.may_act && !m_overtaken;
+    if (may_act)
     {
         dispatch(now);
     }
     for (auto& [id, worker] : m_workers)
     {
-        plan_hold(worker, now, may_extend && !m_overtaken);
+        plan_hold(worker, now, may_act);
     }
     return std::exchange(m_out, {});
 }
@@ -90,7 +91,9 @@
     const bool blocked = earlier_runs_possible(now);
     for (auto& [arrival, job] : m_active)
     {
-        if (job->inherited && blocked)
+        const bool too_new =
+            !job->inherited && job->accepted_at > m_authority.new_jobs_until;
+        if ((job->inherited && blocked) || too_new)
         {
             continue;
         }
--- a/tests/fakes/cell_world.hpp
+++ b/tests/fakes/cell_world.hpp
@@ -135,7 +135,7 @@
     auto turn() -> void
     {
         answer_waiting_holds();
-        auto out = m_scheduler.advance(now, calendar(), may_act);
+        auto out = m_scheduler.advance(now, calendar(), authority);
         for (const auto& order : out.stops)
         {
             stops.push_back(order);
@@ -197,7 +197,7 @@
         return count;
     }
 
-    bool may_act = true;
+    cell::owner_authority authority;
 
     [[nodiscard]] auto calendar() const -> cell::calendar_time
     {
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -146,3 +146,36 @@
     cr_assert_eq(change.removals.size(), 1u);
     cr_assert(change.writes.empty());
 }
+
+// wischwerk-zh pair-cancel-in-takeover, seed 1: while a new owner was still
+// loading, the earlier one started a job that came in after the takeover, and
+// the new one ran it again.
+Test(cell_takeover, a_job_that_came_in_too_late_waits_for_a_confirmation)
+{
+    cell_world world;
+    world.add_worker("w1", 4'000);
+    world.pass(milliseconds(200));
+    world.authority.new_jobs_until = world.now;
+    world.jobs().accept(simple_job("early", 1, 1), world.now);
+    world.pass(milliseconds(100));
+    world.jobs().accept(simple_job("late", 1, 1), world.now);
+    world.pass(milliseconds(200));
+    cr_assert_eq(world.starts.size(), 1u);
+    cr_assert(world.starts[0].run.task.step.job == job_id("early"));
+    world.authority.new_jobs_until = world.now;
+    world.pass(milliseconds(100));
+    cr_assert_eq(world.starts.size(), 2u);
+}
+
+// What an earlier owner took in stays its own to finish: only new jobs wait.
+Test(cell_takeover, inherited_jobs_need_no_fresh_confirmation)
+{
+    cell_world world(second_epoch);
+    world.add_worker("w1", 4'000);
+    world.authority.new_jobs_until = world.now;
+    world.pass(milliseconds(100));
+    world.jobs().restore(simple_job("old", 1, 1), no_progress("old"),
+                         world.now);
+    world.pass(milliseconds(200));
+    cr_assert_eq(world.starts.size(), 1u);
+}
