A gang is given up as soon as one member did not start

Ruled out: room (the others had no run at all); leases. Change: when a start of a gang's member is not taken or has no answer, the other members' runs are stopped at once, and all start together again. Stopping copies and stopping members share one function.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -240,6 +240,8 @@
     auto erase_run(worker_record& worker, const run_ref& run) -> void;
     auto want_stop(worker_record& worker, run_record& run, time_point now)
         -> void;
+    auto stop_runs_of(const task_record& task, time_point now) -> void;
+    auto give_up_gang(const task_place& place, time_point now) -> void;
     auto retry_stops(worker_record& worker, time_point now) -> void;
     auto watch_starts(worker_record& worker, time_point now) -> void;
     auto give_up_lapsed(worker_record& worker, time_point now) -> void;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -379,6 +379,7 @@
         .with("outcome", to_string(outcome))
         .with("waited", now - run->second.sent_at);
     m_health.tells_nothing(worker.entry.id, now);
+    give_up_gang(place, now);
     if (outcome == start_outcome::unknown)
     {
         want_stop(worker, run->second, now);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -90,17 +90,7 @@
         }
         task_done(place, now);
         // A copy of it is of no use any more.
-        for (const auto& other : place.task->runs)
-        {
-            for (auto& [id, holder] : m_workers)
-            {
-                const auto copy = holder.runs.find(other);
-                if (copy != holder.runs.end())
-                {
-                    want_stop(holder, copy->second, now);
-                }
-            }
-        }
+        stop_runs_of(*place.task, now);
     }
     if (how == run_end::failed)
     {
@@ -133,6 +123,34 @@
     m_out.stops.push_back({target_of(worker), run.run});
 }
 
+auto scheduler::stop_runs_of(const task_record& task, time_point now) -> void
+{
+    for (const auto& ref : task.runs)
+    {
+        for (auto& [id, worker] : m_workers)
+        {
+            const auto run = worker.runs.find(ref);
+            if (run != worker.runs.end())
+            {
+                want_stop(worker, run->second, now);
+            }
+        }
+    }
+}
+
+/// The other members would wait for one that may never come.
+auto scheduler::give_up_gang(const task_place& place, time_point now) -> void
+{
+    if (place.step == nullptr || !place.step->spec->gang)
+    {
+        return;
+    }
+    for (const auto& member : place.step->tasks)
+    {
+        stop_runs_of(member, now);
+    }
+}
+
 auto scheduler::retry_stops(worker_record& worker, time_point now) -> void
 {
     for (auto& [ref, run] : worker.runs)
