Calls are given up by what the peer's answers usually take

Ruled out: sending each call twice (price, and orders are not repeatable). Change: net::response_time, the retransmission timer of RFC 6298 per peer, used by net::http_client where a call allows it; the fixed limits stay as upper bounds.

--- /dev/null
+++ b/include/pimentoshunt/net/response_time.hpp
@@ -0,0 +1,41 @@
+/// @file
+/// How long to wait for a peer, learned from its answers.
+#pragma once
+
+#include <pimentoshunt/clock.hpp>
+
+#include <cstdint>  // uint32_t
+#include <optional> // optional
+
+namespace pimentoshunt::net
+{
+
+/// @brief The retransmission timer of TCP (RFC 6298), for calls.
+///
+/// A lost answer is noticed within a few times what answers usually take, and
+/// a peer that has become slow is not given up again and again: the limit
+/// doubles with each call in a row that had no answer.
+class response_time
+{
+  public:
+    /// @brief An answer came.
+    auto answered(milliseconds took) -> void;
+
+    /// @brief A call had no answer; its time says nothing.
+    auto unanswered() -> void;
+
+    /// @brief When to give a call up.
+    /// @param least  never before
+    /// @param most   never after; also the limit until an answer has come
+    [[nodiscard]] auto limit(milliseconds least, milliseconds most) const
+        -> milliseconds;
+
+  private:
+    using real_milliseconds = std::chrono::duration<double, std::milli>;
+
+    std::optional<real_milliseconds> m_mean;
+    real_milliseconds m_deviation{0};
+    std::uint32_t m_unanswered = 0;
+};
+
+} // namespace pimentoshunt::net
--- a/include/pimentoshunt/platform/http_pool.hpp
+++ b/include/pimentoshunt/platform/http_pool.hpp
@@ -71,6 +71,11 @@
     std::vector<http_header> headers;
     /// From the call until the whole answer, waiting for a connection too.
     milliseconds timeout{1'000};
+    /// If set, the call is given up before its timeout when the peer's latest
+    /// answers took far less, but not before this. Heeded by net::http_client.
+    milliseconds least_timeout{0};
+    /// How long the peer was asked to wait before it answers.
+    milliseconds asked_wait{0};
     /// Whether sending it twice does no harm; then a call that broke on a
     /// connection used before is tried once on a fresh one.
     bool repeatable = false;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,4 +1,5 @@
 #include <pimentoshunt/net/http_client.hpp>
+#include <pimentoshunt/net/response_time.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -127,6 +128,7 @@
         std::string address;
         http_call call;
         handler done;
+        time_point began;
         time_point until;
         connection_ptr over;
         http::request<http::string_body> request;
@@ -140,6 +142,7 @@
         std::vector<connection_ptr> idle;
         std::size_t busy = 0;
         std::deque<exchange_ptr> waiting;
+        response_time times;
     };
 
     auto begin(const std::string& address, http_call request, handler done)
@@ -147,7 +150,8 @@
     {
         auto item = std::make_shared<exchange>();
         item->address = address;
-        item->until = boot_clock::now() + request.timeout;
+        item->began = boot_clock::now();
+        item->until = item->began + limit_of(m_peers[address], request);
         item->call = std::move(request);
         item->done = std::move(done);
         item->request = build(item->call, address);
@@ -161,6 +165,16 @@
         run(item);
     }
 
+    static auto limit_of(const peer& to, const http_call& call) -> milliseconds
+    {
+        if (call.least_timeout.count() == 0)
+        {
+            return call.timeout;
+        }
+        return call.asked_wait + to.times.limit(call.least_timeout,
+                                                call.timeout - call.asked_wait);
+    }
+
     auto run(const exchange_ptr& item) -> void
     {
         auto& to = m_peers[item->address];
@@ -261,6 +275,14 @@
         auto message = item->answer->release();
         auto out = convert(message);
         auto over = std::move(item->over);
+        const bool tells = item->call.least_timeout.count() > 0 &&
+                           item->call.asked_wait.count() == 0;
+        if (tells)
+        {
+            m_peers[item->address].times.answered(
+                std::chrono::duration_cast<milliseconds>(boot_clock::now() -
+                                                         item->began));
+        }
         if (keep)
         {
             over->used_at = boot_clock::now();
@@ -286,6 +308,7 @@
         {
             // The peer may have gone silent: the others may be as dead.
             m_peers[item->address].idle.clear();
+            m_peers[item->address].times.unanswered();
         }
         fail(item, exchange_state::unknown, fault.message());
     }
