The owner hears of a job from the instance that stored it

The feed also cost a call for nearly each job. Change: a stored row of the inbox is announced to the owner with its version; the feed remains for announcements that are lost, and pauses 150 ms between calls. New test of the announcement.

--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -36,6 +36,8 @@
     std::function<bool(std::uint64_t number, const job_id&)> ask_owner;
     /// Jobs of a queue that have not begun; nothing when that is not known.
     std::function<std::optional<std::uint64_t>(const queue_name&)> pending;
+    /// Tells the owner of a row of the inbox that is stored.
+    std::function<void(const stored_row&)> announce;
 };
 
 /// @brief The callers' requests of one instance. Control thread only.
@@ -48,7 +50,8 @@
     caller_desk(Platform& outside, boost::asio::io_context& control,
                 store_health& health, caller_desk_context around)
         : m_outside(outside), m_control(control), m_health(health),
-          m_around(std::move(around)), m_intake(outside, control, health)
+          m_around(std::move(around)),
+          m_intake(outside, control, health, m_around.announce)
     {
     }
 
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -147,9 +147,34 @@
                 [this](const queue_name& queue)
                 {
                     return pending_of(queue);
+                },
+                [this](const stored_row& row)
+                {
+                    announce(row);
                 }};
     }
 
+    /// Tells the owner of a row of the inbox; its feed tells it too, later.
+    auto announce(const stored_row& row) -> void
+    {
+        if (m_role != nullptr)
+        {
+            m_role->row_arrived(row);
+            return;
+        }
+        if (m_ownership.owner_address().empty())
+        {
+            return;
+        }
+        wire::cell_message message;
+        auto& arrival = *message.mutable_arrival();
+        arrival.set_part(row.at.part);
+        arrival.set_key(row.at.key);
+        arrival.set_value(row.value);
+        arrival.set_version(row.version);
+        m_peers.send(m_ownership.owner_address(), std::move(message));
+    }
+
     auto ask_owner(std::uint64_t number, const job_id& job) -> bool
     {
         if (m_ownership.owner() || m_ownership.owner_address().empty())
@@ -583,6 +608,9 @@
         case wire::cell_message::kQuestionAnswer:
             take_question_answer(message.question_answer());
             break;
+        case wire::cell_message::kArrival:
+            take_arrival(message.arrival());
+            break;
         case wire::cell_message::BODY_NOT_SET:
             break;
         }
@@ -673,6 +701,17 @@
         m_desk.owner_answered(answer.number(), state);
     }
 
+    auto take_arrival(const wire::cell_arrival& arrival) -> void
+    {
+        if (m_role != nullptr)
+        {
+            m_role->row_arrived({{inbox_table, arrival.part(), arrival.key()},
+                                 arrival.value(),
+                                 arrival.version(),
+                                 false});
+        }
+    }
+
     auto take_question(const std::string& from,
                        const wire::cell_question& question) -> void
     {
--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -12,7 +12,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // any_of, min
+#include <algorithm>  // any_of, find_if, none_of
 #include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
@@ -125,9 +125,13 @@
   public:
     /// What takes entries that this part did not take.
     using failure_handler = std::function<void(intake_entry)>;
+    /// What is told of each row that is stored.
+    using stored_handler = std::function<void(const stored_row&)>;
 
-    intake_lane(Platform& outside, store_health& health, failure_handler failed)
-        : m_outside(outside), m_health(health), m_failed(std::move(failed))
+    intake_lane(Platform& outside, store_health& health, stored_handler stored,
+                failure_handler failed)
+        : m_outside(outside), m_health(health), m_stored(std::move(stored)),
+          m_failed(std::move(failed))
     {
     }
 
@@ -210,9 +214,9 @@
         switch (result.state)
         {
         case commit_state::committed:
-            for (auto& item : items)
+            for (const auto& item : items)
             {
-                item.caller->answer(intake_result::stored);
+                stored(item, result.version);
             }
             break;
         case commit_state::conflict:
@@ -235,14 +239,19 @@
     auto settle_conflict(std::vector<intake_entry>& items,
                          const commit_result& result) -> bool
     {
+        const auto version_of = [&](const intake_entry& item) -> std::uint64_t
+        {
+            const auto row =
+                std::find_if(result.current.begin(), result.current.end(),
+                             [&](const stored_row& found)
+                             {
+                                 return found.at == item.at && !found.removed;
+                             });
+            return row == result.current.end() ? 0 : row->version;
+        };
         const auto is_there = [&](const intake_entry& item)
         {
-            return std::any_of(result.current.begin(), result.current.end(),
-                               [&](const stored_row& row)
-                               {
-                                   return row.at == item.at &&
-                                          row.version > 0 && !row.removed;
-                               });
+            return version_of(item) > 0;
         };
         if (std::none_of(items.begin(), items.end(), is_there))
         {
@@ -252,7 +261,7 @@
         {
             if (is_there(*item))
             {
-                item->caller->answer(intake_result::stored);
+                stored(*item, version_of(*item));
             }
             else
             {
@@ -263,6 +272,13 @@
         return true;
     }
 
+    /// The owner is told first: it can begin while the answer travels.
+    auto stored(const intake_entry& item, std::uint64_t version) -> void
+    {
+        m_stored({item.at, item.value, version, false});
+        item.caller->answer(intake_result::stored);
+    }
+
     auto fail(std::vector<intake_entry>& items, bool unknown, time_point now)
         -> void
     {
@@ -277,6 +293,7 @@
 
     Platform& m_outside;
     store_health& m_health;
+    stored_handler m_stored;
     failure_handler m_failed;
     std::deque<intake_entry> m_queue;
     std::vector<intake_entry> m_under_way;
@@ -290,16 +307,18 @@
 {
   public:
     using handler = intake_caller::handler;
+    using stored_handler = typename intake_lane<Platform>::stored_handler;
 
+    /// @param stored  told of each row that is stored
     intake(Platform& outside, boost::asio::io_context& control,
-           store_health& health)
+           store_health& health, const stored_handler& stored)
         : m_control(control), m_health(health)
     {
         for (std::size_t i = 0; i < inbox_parts; ++i)
         {
             m_lanes.emplace(inbox_part(i),
                             std::make_unique<intake_lane<Platform>>(
-                                outside, health,
+                                outside, health, stored,
                                 [this](intake_entry item)
                                 {
                                     retry(std::move(item));
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -129,6 +129,17 @@
         return m_scheduler;
     }
 
+    /// @brief An instance has stored a row of the inbox. Before everything is
+    /// loaded it is passed over: loading or the feed brings it.
+    auto row_arrived(const stored_row& row) -> void
+    {
+        if (m_loaded)
+        {
+            inbox_changed(row);
+            wake();
+        }
+    }
+
     /// @brief Another instance has asked a question for this one.
     auto question_answered(std::uint64_t number, approval_answer answer) -> void
     {
@@ -146,7 +157,10 @@
   private:
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
-    static constexpr feed_times inbox_times{};
+    /// Rows come at once from the instances that stored them; the feed is for
+    /// those whose message was lost.
+    static constexpr feed_times inbox_times{milliseconds(1'000),
+                                            milliseconds(150)};
     /// Workers renew their entries all the time; one that leaves may still be
     /// given work for two seconds.
     static constexpr feed_times worker_times{milliseconds(1'000),
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -42,7 +42,12 @@
     boost::asio::io_context control;
     fake_cell_store store{control};
     cell::store_health health;
-    cell::intake<fake_cell_store> desk{store, control, health};
+    std::vector<cell::stored_row> announced;
+    cell::intake<fake_cell_store> desk{store, control, health,
+                                       [this](const cell::stored_row& row)
+                                       {
+                                           announced.push_back(row);
+                                       }};
 
     auto submit(const std::string& id) -> std::optional<cell::intake_result>
     {
@@ -73,6 +78,20 @@
     cr_assert_eq(bed.store.row(cell::job_row(job_id("0a"))).version, first);
 }
 
+// Days on which the store's feed pauses: the owner learns of a job from the
+// instance that stored it, also if the answer to the first attempt was lost.
+Test(cell_store, a_stored_job_is_announced_with_its_version)
+{
+    intake_bed bed;
+    bed.store.lost_answers = 1;
+    cr_assert(bed.submit("0a") == cell::intake_result::stored);
+    cr_assert_eq(bed.announced.size(), 1u);
+    const auto& row = bed.announced.front();
+    cr_assert_eq(row.version, bed.store.row(row.at).version);
+    const auto job = cell::read_job(row.value);
+    cr_assert(job && job->id == job_id("0a"));
+}
+
 // nokf-trykk trouble-2: with parts of the store down, jobs were refused.
 Test(cell_store, a_job_goes_to_another_part_while_its_own_is_down)
 {
