The first message between two instances arrives

Cause: links between instances dropped what was sent before their connection stood, so the first message to an address was always lost. A new owner's first question to each other instance went that way; each counted as lost half a second later and its asker then rested for 1.5 s. Ruled out: loading (80 ms); workers (all adopted within 50 ms); room. Change: links of a cell let messages wait for the connection, at most 200, and give a silent one up after a second (ZMQ_TCP_MAXRT). Followers greet a new owner at once. Messages may now come later than before, so numbers of questions carry the epoch and those of look-ups begin at the instance's life: before, an answer to an earlier owner could be taken for an answer to another question of the present one.

--- a/include/pimentoshunt/cell/approval_desk.hpp
+++ b/include/pimentoshunt/cell/approval_desk.hpp
@@ -49,6 +49,13 @@
 class approval_desk
 {
   public:
+    /// @param epoch  of the ownership: an answer to a question of an earlier
+    ///               owner, which may have used the same numbers, is no answer
+    explicit approval_desk(std::uint64_t epoch)
+        : m_last_number(epoch << numbers_of_epoch)
+    {
+    }
+
     explicit approval_desk(approval_desk_options options = {})
         : m_options(options)
     {
@@ -97,7 +104,10 @@
     std::vector<approval_question> m_waiting;
     std::map<std::uint64_t, asked> m_asked;
     std::map<std::string, time_point> m_resting;
-    std::uint64_t m_last_number = 0;
+    /// Bits for the questions of one epoch: more than it can ask.
+    static constexpr unsigned numbers_of_epoch = 32;
+
+    std::uint64_t m_last_number;
 };
 
 } // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -47,11 +47,15 @@
   public:
     using reply = net::http_server::reply;
 
+    /// @param first_lookup  number of the first question to an owner; differs
+    ///                      from life to life, as answers may come late
     caller_desk(Platform& outside, boost::asio::io_context& control,
-                store_health& health, caller_desk_context around)
+                store_health& health, caller_desk_context around,
+                std::uint64_t first_lookup)
         : m_outside(outside), m_control(control), m_health(health),
           m_around(std::move(around)),
-          m_intake(outside, control, health, m_around.announce)
+          m_intake(outside, control, health, m_around.announce),
+          m_last_lookup(first_lookup)
     {
     }
 
@@ -377,7 +381,7 @@
     store_health& m_health;
     caller_desk_context m_around;
     intake<Platform> m_intake;
-    std::uint64_t m_last_lookup = 0;
+    std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_seen;
 };
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -55,7 +55,9 @@
               {
                   take_message(from, message);
               }),
-          m_desk(outside, control, m_health, desk_context()), m_tick(control),
+          m_desk(outside, control, m_health, desk_context(),
+                 options.incarnation),
+          m_tick(control),
           m_calendar_offset(std::chrono::duration_cast<milliseconds>(
               std::chrono::system_clock::now().time_since_epoch() -
               boot_clock::now().time_since_epoch()))
@@ -356,11 +358,16 @@
 
     auto say_hello(time_point now) -> void
     {
-        if (now < m_next_hello || m_ownership.owner_address().empty())
+        // A new owner knows nobody yet: each instance that it knows can ask
+        // for approvals.
+        const bool new_owner = m_ownership.epoch() != m_greeted_epoch;
+        if ((now < m_next_hello && !new_owner) ||
+            m_ownership.owner_address().empty())
         {
             return;
         }
         m_next_hello = now + hello_interval;
+        m_greeted_epoch = m_ownership.epoch();
         wire::cell_message message;
         auto& hello = *message.mutable_hello();
         hello.set_peer_address(m_options.peer_address);
@@ -792,6 +799,8 @@
     time_point m_next_renewal;
     time_point m_next_beat;
     time_point m_next_hello;
+    /// The owner that was told of this instance last.
+    std::uint64_t m_greeted_epoch = 0;
     bool m_row_busy = false;
     bool m_leaving = false;
     time_point m_leave_by;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -60,8 +60,8 @@
         : m_outside(outside), m_control(control), m_peers(others),
           m_health(health), m_around(std::move(around)),
           m_epoch_version(epoch_version),
-          m_scheduler(epoch, options, present()), m_tick(control),
-          m_gather(control)
+          m_scheduler(epoch, options, present()), m_desk(epoch),
+          m_tick(control), m_gather(control)
     {
     }
 
--- a/include/pimentoshunt/cell/peers.hpp
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -72,7 +72,7 @@
     std::string m_address;
     consumer m_take;
     zmq::context_t m_context{1};
-    transport::peer_sender m_sender{m_context};
+    transport::peer_sender m_sender;
     std::map<std::string, peer_entry> m_known;
     std::unique_ptr<transport::peer_receiver> m_receiver;
 };
--- a/include/pimentoshunt/transport/peer_link.hpp
+++ b/include/pimentoshunt/transport/peer_link.hpp
@@ -20,14 +20,28 @@
 namespace pimentoshunt::transport
 {
 
+/// @brief How links to other instances behave.
+struct link_options
+{
+    /// Whether messages wait for a connection that is being made. Without, the
+    /// first message to an address is always lost.
+    bool wait_for_connection = false;
+    /// Messages kept for one peer that does not read, or is not connected.
+    int queue_messages = 2'000;
+    /// A connection is given up when sent data stays unacknowledged for so
+    /// long; zero: by the system's own limit.
+    milliseconds silent_limit{0};
+};
+
 /// @brief Sends to other instances; to be used by one thread.
 ///
-/// A message that can't be sent at once is dropped: all messages between
-/// instances are repeated or settled by their receiver's inquiries.
+/// A message that can't be sent may be lost: all messages between instances
+/// are repeated or settled by their receiver's inquiries.
 class peer_sender
 {
   public:
-    explicit peer_sender(zmq::context_t& context) : m_context(context)
+    explicit peer_sender(zmq::context_t& context, link_options options = {})
+        : m_context(context), m_options(options)
     {
     }
 
@@ -52,6 +66,7 @@
     auto close_unused(time_point now) -> void;
 
     zmq::context_t& m_context;
+    link_options m_options;
     std::unordered_map<std::string, link> m_links;
     std::atomic<std::uint64_t> m_bytes{0};
 };
--- a/src/cell/peers.cpp
+++ b/src/cell/peers.cpp
@@ -12,12 +12,19 @@
 /// An instance that was silent for so long has gone for good.
 constexpr milliseconds forget_after{60'000};
 
+/// A new owner's first questions must arrive: they wait for the connection.
+/// Beats and greetings are sent several times a second, so data that stays
+/// unacknowledged for a second tells of a connection that has gone silent.
+constexpr transport::link_options cell_links{true, 200,
+                                             std::chrono::milliseconds(1'000)};
+
 } // namespace
 
 peers::peers(boost::asio::io_context& control, instance_id self,
              std::string address, consumer take)
     : m_control(control), m_self(std::move(self)),
-      m_address(std::move(address)), m_take(std::move(take))
+      m_address(std::move(address)), m_take(std::move(take)),
+      m_sender(m_context, cell_links)
 {
     m_receiver = std::make_unique<transport::peer_receiver>(
         m_context, m_address,
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -7,8 +7,6 @@
 namespace
 {
 
-/// Messages kept for one peer that does not read.
-constexpr int send_queue_messages = 2'000;
 constexpr milliseconds reconnect_first{20};
 constexpr milliseconds reconnect_longest{200};
 /// A link that was not used for this long is closed.
@@ -30,8 +28,13 @@
     close_unused(now);
     zmq::socket_t socket(m_context, zmq::socket_type::dealer);
     socket.set(zmq::sockopt::linger, 0);
-    socket.set(zmq::sockopt::sndhwm, send_queue_messages);
-    socket.set(zmq::sockopt::immediate, true);
+    socket.set(zmq::sockopt::sndhwm, m_options.queue_messages);
+    socket.set(zmq::sockopt::immediate, !m_options.wait_for_connection);
+    if (m_options.silent_limit.count() > 0)
+    {
+        socket.set(zmq::sockopt::tcp_maxrt,
+                   static_cast<int>(m_options.silent_limit.count()));
+    }
     socket.set(zmq::sockopt::reconnect_ivl,
                static_cast<int>(reconnect_first.count()));
     socket.set(zmq::sockopt::reconnect_ivl_max,
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -17,6 +17,7 @@
 
 constexpr milliseconds slow_call{600};
 constexpr milliseconds quick_call{30};
+constexpr std::uint64_t first_epoch = 1;
 
 auto question(const std::string& job, std::uint32_t priority,
               milliseconds expected) -> approval_question
@@ -52,7 +53,7 @@
 
 Test(cell_approvals, quick_questions_come_before_slow_ones)
 {
-    approval_desk desk;
+    approval_desk desk(first_epoch);
     const time_point now{};
     desk.add(question("slow", 4, slow_call), now);
     desk.add(question("quick", 0, quick_call), now);
@@ -65,7 +66,7 @@
 // three of the five askers through a crest of short work.
 Test(cell_approvals, slow_calls_leave_askers_for_a_crest_of_quick_ones)
 {
-    approval_desk desk;
+    approval_desk desk(first_epoch);
     time_point now{};
     // Quick calls for 70 steps a second keep two askers busy.
     for (int i = 0; i < 140; ++i)
@@ -86,9 +87,24 @@
     cr_assert_geq(assigned.size(), 1u);
 }
 
+// A follower may answer the question of an owner that was to the one after it.
+Test(cell_approvals, an_answer_to_an_earlier_owner_is_no_answer)
+{
+    const time_point now{};
+    approval_desk earlier(first_epoch);
+    approval_desk later(first_epoch + 1);
+    earlier.add(question("first", 0, quick_call), now);
+    later.add(question("second", 0, quick_call), now);
+    const auto old_number = earlier.assign(names(1), now).at(0).number;
+    const auto new_number = later.assign(names(1), now).at(0).number;
+    cr_assert(!later.answered(old_number));
+    const auto own = later.answered(new_number);
+    cr_assert(own && own->step.job == job_id("second"));
+}
+
 Test(cell_approvals, without_quick_ones_slow_calls_use_most_askers)
 {
-    approval_desk desk;
+    approval_desk desk(first_epoch);
     const time_point now{};
     for (int i = 0; i < 8; ++i)
     {
@@ -99,7 +115,7 @@
 
 Test(cell_approvals, a_lost_question_is_given_up_and_its_asker_rests)
 {
-    approval_desk desk;
+    approval_desk desk(first_epoch);
     time_point now{};
     desk.add(question("quick", 0, quick_call), now);
     cr_assert_eq(desk.assign(names(1), now).size(), 1u);
