A write of progress keeps new jobs going while the lease's part is away

Ruled out: rows of the lease in several parts (a takeover would need a majority of them, which is down as often). Change: a committed write of progress proves that no later owner had taken that part, so none had loaded the cell; it counts like a confirmation, and the owner writes the part's row alone when neither has come for 0.5 s. As such a proof has no waiting time before a takeover, a new owner treats jobs as inherited until a renewal that was sent 0.9 s after it had loaded: they wait only for workers that have not answered.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -455,12 +455,16 @@
     {
         owner_context around;
         around.self = m_options.name.str();
-        around.authority = [this]
+        around.may_act = [this]
         {
             const auto now = boot_clock::now();
-            return owner_authority{m_ownership.may_act(followed(now), now),
-                                   m_ownership.new_jobs_until()};
+            return m_ownership.may_act(followed(now), now);
         };
+        around.confirmed_at = [this]
+        {
+            return m_ownership.confirmed_at();
+        };
+        around.earlier_owner_over = m_options.scheduler.earlier_owner_over;
         around.overtaken = [this]
         {
             step_down("another instance has taken the cell over");
@@ -534,6 +538,10 @@
         {
             m_health.record(true, now);
             m_ownership.confirmed(result.version, content, sent_at);
+            if (m_role)
+            {
+                m_role->confirmed(result.version, sent_at);
+            }
             if (content.released)
             {
                 release(now);
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -39,8 +39,12 @@
 {
     /// Name of this instance among the askers.
     std::string self;
-    /// What the owner may do now.
-    std::function<owner_authority()> authority;
+    /// Whether leases may be renewed and work be started now.
+    std::function<bool()> may_act;
+    /// When the store was last asked to confirm the ownership, and did.
+    std::function<time_point()> confirmed_at;
+    /// Whether the earlier owner is over for certain.
+    bool earlier_owner_over = false;
     /// Called once when a later owner is there.
     std::function<void()> overtaken;
     /// The time of day.
@@ -60,6 +64,8 @@
         : m_outside(outside), m_control(control), m_peers(others),
           m_health(health), m_around(std::move(around)),
           m_epoch_version(epoch_version),
+          m_own_from(m_around.earlier_owner_over ? std::optional(epoch_version)
+                                                 : std::nullopt),
           m_scheduler(epoch, options, present()), m_desk(epoch),
           m_tick(control), m_gather(control)
     {
@@ -129,6 +135,15 @@
         return m_scheduler;
     }
 
+    /// @brief The ownership was confirmed by a transaction of that version.
+    auto confirmed(std::uint64_t version, time_point sent_at) -> void
+    {
+        if (m_loaded && !m_own_from && sent_at > m_loaded_at + new_jobs_for)
+        {
+            m_own_from = version;
+        }
+    }
+
     /// @brief An instance has stored a row of the inbox. Before everything is
     /// loaded it is passed over: loading or the feed brings it.
     auto row_arrived(const stored_row& row) -> void
@@ -155,6 +170,11 @@
     }
 
   private:
+    /// An owner starts jobs that came in within so long of a proof that no
+    /// later owner has loaded the cell: less than two renewals that fail.
+    static constexpr milliseconds new_jobs_for{900};
+    /// Without another proof for so long, the owner writes for one.
+    static constexpr milliseconds prove_after{500};
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
     /// Rows come at once from the instances that stored them; the feed is for
@@ -210,6 +230,7 @@
             }
         }
         m_loaded = true;
+        m_loaded_at = present();
         logging::info("cell is loaded")
             .with("epoch", m_scheduler.epoch())
             .with("jobs", m_scheduler.job_count())
@@ -357,10 +378,19 @@
         }
     }
 
-    /// An earlier owner may have started what was stored before the takeover.
+    /// What this owner may do. A confirmation proves that there was no later
+    /// owner, a write of progress that none had loaded the cell.
+    auto authority() const -> owner_authority
+    {
+        return {m_around.may_act(),
+                std::max(m_around.confirmed_at(), m_proven_at) + new_jobs_for};
+    }
+
+    /// An earlier owner may have started what was stored before it noticed
+    /// this one.
     auto take_job(const job_spec& job, std::uint64_t version) -> void
     {
-        if (version > m_epoch_version)
+        if (m_own_from && version > *m_own_from)
         {
             m_scheduler.accept(job, present());
             return;
@@ -450,7 +480,7 @@
         }
         const auto now = present();
         const auto out =
-            m_scheduler.advance(now, m_around.calendar(), m_around.authority());
+            m_scheduler.advance(now, m_around.calendar(), authority());
         carry_out(out);
         ask_questions(now);
         write_progress();
@@ -589,21 +619,21 @@
 
     auto write_progress() -> void
     {
-        if (m_writing || present() < m_next_write)
+        const auto now = present();
+        if (m_writing || now < m_next_write)
         {
             return;
         }
-        if (!m_scheduler.progress_waits() ||
-            (!m_scheduler.end_waits() && !gathered()))
+        const bool proof_due = now - m_proven_at > prove_after &&
+                               now - m_around.confirmed_at() > prove_after;
+        const bool due = m_scheduler.progress_waits() &&
+                         (m_scheduler.end_waits() || gathered());
+        if (!due && !proof_due)
         {
             return;
         }
         const auto batch = m_scheduler.take_progress(most_rows);
-        if (!batch)
-        {
-            return;
-        }
-        if (batch->jobs.empty())
+        if (batch && batch->jobs.empty())
         {
             // Ends that changed nothing need no write.
             m_scheduler.progress_stored(*batch, present());
@@ -618,7 +648,8 @@
             {epoch_at, m_part_versions[m_progress_part]});
         transaction.writes.push_back(
             {epoch_at, std::to_string(m_scheduler.epoch())});
-        for (const auto& job : batch->jobs)
+        const auto written = batch.value_or(progress_batch{});
+        for (const auto& job : written.jobs)
         {
             const auto at =
                 progress_row(job.id, m_scheduler.epoch(), m_progress_part);
@@ -627,10 +658,10 @@
         }
         m_writing = true;
         m_outside.commit(transaction, commit_limit,
-                         [self = this->shared_from_this(),
-                          batch](const commit_result& result)
+                         [self = this->shared_from_this(), written,
+                          now](const commit_result& result)
                          {
-                             self->progress_written(*batch, result);
+                             self->progress_written(written, result, now);
                          });
     }
 
@@ -661,7 +692,8 @@
     }
 
     auto progress_written(const progress_batch& batch,
-                          const commit_result& result) -> void
+                          const commit_result& result, time_point sent_at)
+        -> void
     {
         m_writing = false;
         if (m_ended)
@@ -676,6 +708,7 @@
         case commit_state::committed:
             m_failed_writes = 0;
             m_part_versions[m_progress_part] = result.version;
+            m_proven_at = sent_at;
             m_scheduler.progress_stored(batch, present());
             break;
         case commit_state::conflict:
@@ -854,6 +887,9 @@
     store_health& m_health;
     owner_context m_around;
     std::uint64_t m_epoch_version;
+    /// Rows of the inbox of a later version were seen by no earlier owner;
+    /// nothing until that is certain of any.
+    std::optional<std::uint64_t> m_own_from;
     scheduler m_scheduler;
     approval_desk m_desk;
     std::shared_ptr<cell_loader<Platform>> m_loader;
@@ -871,6 +907,9 @@
     std::array<std::uint64_t, progress_parts> m_part_versions{};
     std::size_t m_failed_writes = 0;
     bool m_loaded = false;
+    time_point m_loaded_at;
+    /// When the last write of progress was sent that was done.
+    time_point m_proven_at;
     bool m_woken = false;
     bool m_writing = false;
     bool m_writing_roster = false;
--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -67,10 +67,6 @@
     /// Without a confirmation for so long, an owner renews no leases and
     /// starts nothing, unless most other instances follow it.
     milliseconds confirm_limit{3'000};
-    /// An owner starts jobs that came in within so long of its latest
-    /// confirmation: less than take_over_after, so that no later owner has
-    /// begun when they were stored.
-    milliseconds new_jobs_for{900};
 };
 
 /// @brief The next step of a follower.
@@ -133,12 +129,10 @@
     /// @param followed  whether most other instances follow it now
     [[nodiscard]] auto may_act(bool followed, time_point now) const -> bool;
 
-    /// @brief Until when jobs may have come in that an owner starts. Those
-    /// that come later wait for the next confirmation: a later owner starts
-    /// what was stored after its takeover without asking every worker first.
-    [[nodiscard]] auto new_jobs_until() const -> time_point
+    /// @brief When the transaction was sent that confirmed the ownership last.
+    [[nodiscard]] auto confirmed_at() const noexcept -> time_point
     {
-        return m_confirmed_at + m_options.new_jobs_for;
+        return m_confirmed_at;
     }
 
     /// @brief The highest epoch known.
