Instances that do not reach the store have their jobs stored by others

Ruled out: reporting not ready sooner (it does after 0.4 s; the balancer needs two checks, and open connections stay). Change: deposits. What an instance can't store within 0.6 s, or at all, it hands to the owner, or as owner to a follower that reaches the store. A caller gets 503 only if neither has sent the row; without an answer, 504. Cancellations go the same way.

--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -3,6 +3,7 @@
 /// store, look-ups to the owner and, where it does not answer, to the store.
 #pragma once
 
+#include <pimentoshunt/cell/deposits.hpp>
 #include <pimentoshunt/cell/intake.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
@@ -38,6 +39,8 @@
     std::function<std::optional<std::uint64_t>(const queue_name&)> pending;
     /// Tells the owner of a row of the inbox that is stored.
     std::function<void(const stored_row&)> announce;
+    /// Asks an instance that should reach the store.
+    deposits::sender deposit;
 };
 
 /// @brief The callers' requests of one instance. Control thread only.
@@ -47,15 +50,16 @@
   public:
     using reply = net::http_server::reply;
 
-    /// @param first_lookup  number of the first question to an owner; differs
+    /// @param first_number  of questions to other instances; differs
     ///                      from life to life, as answers may come late
     caller_desk(Platform& outside, boost::asio::io_context& control,
                 store_health& health, caller_desk_context around,
-                std::uint64_t first_lookup)
+                std::uint64_t first_number)
         : m_outside(outside), m_control(control), m_health(health),
           m_around(std::move(around)),
           m_intake(outside, control, health, m_around.announce),
-          m_last_lookup(first_lookup)
+          m_deposits(control, m_around.deposit, first_number),
+          m_last_lookup(first_number)
     {
     }
 
@@ -123,6 +127,26 @@
         read_state(item->job, std::move(item->answer));
     }
 
+    /// @brief Stores a job for another instance.
+    auto deposit_job(const job_spec& job, deposits::handler done) -> void
+    {
+        m_intake.submit(job, boot_clock::now() + deposit_limit,
+                        std::move(done));
+    }
+
+    /// @brief Stores a cancellation for another instance.
+    auto deposit_cancellation(const job_id& job, deposits::handler done) -> void
+    {
+        m_intake.cancel(job, boot_clock::now() + deposit_limit,
+                        std::move(done));
+    }
+
+    /// @brief Another instance has answered a deposit.
+    auto deposit_answered(std::uint64_t number, intake_result result) -> void
+    {
+        m_deposits.answered(number, result);
+    }
+
   private:
     static constexpr int bad_request = 400;
     static constexpr int not_found = 404;
@@ -135,6 +159,11 @@
     static constexpr milliseconds longest_wait{1'500};
     /// Time for the answer to travel.
     static constexpr milliseconds answer_margin{200};
+    /// For the store's answer to an instance that reaches it.
+    static constexpr milliseconds deposit_limit{600};
+    /// With less time left no other instance is asked: some ten times what
+    /// its answer takes.
+    static constexpr milliseconds least_for_deposit{100};
     /// The owner answers within a few milliseconds or not at all.
     static constexpr milliseconds owner_limit{250};
     static constexpr milliseconds read_limit{700};
@@ -173,38 +202,76 @@
     auto submit(const job_spec& job, time_point until, reply answer) -> void
     {
         const auto began = boot_clock::now();
+        wire::cell_deposit elsewhere;
+        elsewhere.set_job(to_bytes(job));
         m_intake.submit(
-            job, until,
-            [this, id = job.id, queue = job.queue.name, began,
-             answer = std::move(answer)](intake_result result)
-            {
-                const auto took = boot_clock::now() - began;
-                if (result == intake_result::stored)
+            job, own_limit(until),
+            or_elsewhere(
+                std::move(elsewhere), until,
+                [this, id = job.id, queue = job.queue.name, began,
+                 answer = std::move(answer)](intake_result result)
                 {
-                    logging::info("job accepted")
-                        .with("job", id)
-                        .with("queue", queue)
-                        .with("took", took);
-                    m_seen.try_emplace(id, job_state::queued);
-                    answer(m_outside.state_answer(job_state::queued));
-                    return;
-                }
-                if (result == intake_result::refused)
-                {
-                    logging::warn("job refused: the store took no write")
+                    const auto took = boot_clock::now() - began;
+                    if (result == intake_result::stored)
+                    {
+                        logging::info("job accepted")
+                            .with("job", id)
+                            .with("queue", queue)
+                            .with("took", took);
+                        m_seen.try_emplace(id, job_state::queued);
+                        answer(m_outside.state_answer(job_state::queued));
+                        return;
+                    }
+                    if (result == intake_result::refused)
+                    {
+                        logging::warn("job refused: the store took no write")
+                            .with("job", id)
+                            .with("took", took);
+                        answer(
+                            come_back("the store does not answer; the job was "
+                                      "not accepted"));
+                        return;
+                    }
+                    logging::warn("job's acceptance is not settled")
                         .with("job", id)
                         .with("took", took);
-                    answer(come_back("the store does not answer; the job was "
-                                     "not accepted"));
-                    return;
-                }
-                logging::warn("job's acceptance is not settled")
-                    .with("job", id)
-                    .with("took", took);
-                answer(m_outside.complaint_answer(
-                    no_answer, "it is not known whether the job was accepted; "
-                               "send it again with the same ID"));
-            });
+                    answer(m_outside.complaint_answer(
+                        no_answer,
+                        "it is not known whether the job was accepted; "
+                        "send it again with the same ID"));
+                }));
+    }
+
+    /// When this instance stops trying by itself: another one may do it in the
+    /// time that is left.
+    static auto own_limit(time_point until) -> time_point
+    {
+        return std::min(until, boot_clock::now() + deposit_limit);
+    }
+
+    /// What this instance could not store, another one may. The row is refused
+    /// only if neither has sent it anywhere.
+    auto or_elsewhere(wire::cell_deposit what, time_point until,
+                      deposits::handler done) -> deposits::handler
+    {
+        return [this, what = std::move(what), until,
+                done = std::move(done)](intake_result own)
+        {
+            const auto limit =
+                std::min(until, boot_clock::now() + deposit_limit);
+            const auto settled = [own, done](intake_result theirs)
+            {
+                const bool doubt = own == intake_result::unsettled &&
+                                   theirs == intake_result::refused;
+                done(doubt ? own : theirs);
+            };
+            const bool worth_it = own != intake_result::stored &&
+                                  limit > boot_clock::now() + least_for_deposit;
+            if (!worth_it || !m_deposits.ask(what, limit, settled))
+            {
+                done(own);
+            }
+        };
     }
 
     auto cancel(const job_id& job, time_point until, reply answer) -> void
@@ -239,21 +306,26 @@
 
     auto store_cancel(const job_id& job, time_point until, reply answer) -> void
     {
+        wire::cell_deposit elsewhere;
+        elsewhere.set_cancelled(job.str());
         m_intake.cancel(
-            job, until,
-            [this, job, answer = std::move(answer)](intake_result result)
-            {
-                logging::info("cancellation")
-                    .with("job", job)
-                    .with("stored", result == intake_result::stored);
-                if (result == intake_result::stored)
+            job, own_limit(until),
+            or_elsewhere(
+                std::move(elsewhere), until,
+                [this, job, answer = std::move(answer)](intake_result result)
                 {
-                    answer(m_outside.state_answer(job_state::cancelled));
-                    return;
-                }
-                answer(come_back("the store does not answer; cancel the job "
-                                 "again"));
-            });
+                    logging::info("cancellation")
+                        .with("job", job)
+                        .with("stored", result == intake_result::stored);
+                    if (result == intake_result::stored)
+                    {
+                        answer(m_outside.state_answer(job_state::cancelled));
+                        return;
+                    }
+                    answer(
+                        come_back("the store does not answer; cancel the job "
+                                  "again"));
+                }));
     }
 
     auto tell(const job_id& job, job_state state, const reply& answer) -> void
@@ -381,6 +453,7 @@
     store_health& m_health;
     caller_desk_context m_around;
     intake<Platform> m_intake;
+    deposits m_deposits;
     std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_seen;
--- /dev/null
+++ b/include/pimentoshunt/cell/deposits.hpp
@@ -0,0 +1,71 @@
+/// @file
+/// Rows of the inbox that another instance is asked to store, as this one does
+/// not reach the store.
+#pragma once
+
+#include <pimentoshunt/cell/intake.hpp>
+#include <pimentoshunt/clock.hpp>
+
+#include <cell.pb.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <utility>    // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief The deposits of one instance that have no answer yet. Control thread
+/// only.
+class deposits
+{
+  public:
+    using handler = std::function<void(intake_result)>;
+    /// Sends a deposit to an instance that should reach the store; false when
+    /// none is known.
+    using sender = std::function<bool(const wire::cell_deposit&)>;
+
+    /// @param first  number of the first deposit; differs from life to life
+    deposits(boost::asio::io_context& control, sender send, std::uint64_t first)
+        : m_control(control), m_send(std::move(send)), m_last(first)
+    {
+    }
+
+    /// @brief Asks for a deposit.
+    /// @param until  after that the outcome is not known
+    /// @return false when there is nobody to ask: @p done is not called
+    [[nodiscard]] auto ask(wire::cell_deposit what, time_point until,
+                           handler done) -> bool;
+
+    /// @brief An answer came; one that is too late says nothing.
+    auto answered(std::uint64_t number, intake_result result) -> void;
+
+  private:
+    struct waiting
+    {
+        waiting(boost::asio::io_context& control, handler to)
+            : timer(control), done(std::move(to))
+        {
+        }
+
+        boost::asio::steady_timer timer;
+        handler done;
+    };
+
+    boost::asio::io_context& m_control;
+    sender m_send;
+    std::uint64_t m_last;
+    std::map<std::uint64_t, std::unique_ptr<waiting>> m_waiting;
+};
+
+/// @brief The outcome of a deposit as it travels, and back; a value that is
+/// none reads as unsettled.
+[[nodiscard]] auto to_wire(intake_result result) -> std::uint32_t;
+[[nodiscard]] auto intake_result_of(std::uint32_t value) -> intake_result;
+
+} // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -153,9 +153,46 @@
                 [this](const stored_row& row)
                 {
                     announce(row);
+                },
+                [this](const wire::cell_deposit& what)
+                {
+                    return send_deposit(what);
                 }};
     }
 
+    /// Where a row may be stored that this instance can't store; empty when
+    /// nobody is known who could.
+    [[nodiscard]] auto store_elsewhere() const -> std::string
+    {
+        if (!m_ownership.owner())
+        {
+            return m_ownership.owner_address();
+        }
+        for (const auto& [name, peer] :
+             m_peers.alive(boot_clock::now(), followed_within))
+        {
+            if (peer.reaches_store)
+            {
+                return peer.address;
+            }
+        }
+        return "";
+    }
+
+    auto send_deposit(const wire::cell_deposit& what) -> bool
+    {
+        const auto address = store_elsewhere();
+        if (address.empty())
+        {
+            return false;
+        }
+        wire::cell_message message;
+        *message.mutable_deposit() = what;
+        message.mutable_deposit()->set_reply_to(m_options.peer_address);
+        m_peers.send(address, std::move(message));
+        return true;
+    }
+
     /// Tells the owner of a row of the inbox; its feed tells it too, later.
     auto announce(const stored_row& row) -> void
     {
@@ -373,6 +410,7 @@
         hello.set_peer_address(m_options.peer_address);
         hello.set_epoch(m_ownership.epoch());
         hello.set_serving(!m_leaving);
+        hello.set_reaches_store(!m_health.failing());
         m_peers.send(m_ownership.owner_address(), std::move(message));
     }
 
@@ -626,6 +664,14 @@
         case wire::cell_message::kArrival:
             take_arrival(message.arrival());
             break;
+        case wire::cell_message::kDeposit:
+            take_deposit(message.deposit());
+            break;
+        case wire::cell_message::kDepositAnswer:
+            m_desk.deposit_answered(
+                message.deposit_answer().number(),
+                intake_result_of(message.deposit_answer().result()));
+            break;
         case wire::cell_message::BODY_NOT_SET:
             break;
         }
@@ -727,6 +773,30 @@
         }
     }
 
+    auto take_deposit(const wire::cell_deposit& what) -> void
+    {
+        const auto done = [this, number = what.number(),
+                           address = what.reply_to()](intake_result result)
+        {
+            wire::cell_message message;
+            message.mutable_deposit_answer()->set_number(number);
+            message.mutable_deposit_answer()->set_result(to_wire(result));
+            m_peers.send(address, std::move(message));
+        };
+        if (!what.cancelled().empty())
+        {
+            m_desk.deposit_cancellation(job_id(what.cancelled()), done);
+            return;
+        }
+        if (const auto job = read_job(what.job()))
+        {
+            m_desk.deposit_job(*job, done);
+            return;
+        }
+        logging::error("a job to be stored for another instance can't be read");
+        done(intake_result::refused);
+    }
+
     auto take_question(const std::string& from,
                        const wire::cell_question& question) -> void
     {
--- a/include/pimentoshunt/cell/peers.hpp
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -25,6 +25,7 @@
 {
     std::string address;
     std::uint64_t epoch = 0;
+    bool reaches_store = true;
     bool serving = false;
     time_point heard_at;
 };
--- a/src/cell/peers.cpp
+++ b/src/cell/peers.cpp
@@ -59,6 +59,7 @@
     entry.address = hello.peer_address();
     entry.epoch = hello.epoch();
     entry.serving = hello.serving();
+    entry.reaches_store = hello.reaches_store();
     entry.heard_at = now;
     std::erase_if(m_known,
                   [&](const auto& item)
