The owner's writers are modules of their own

Cause: owner_role.hpp had grown to 900 lines with three writers of the store in it. Change: progress_writer, roster_writer and job_remover, each with what it alone needs; owner_role keeps loading, deciding and carrying out (664 lines). No change of behaviour.

--- /dev/null
+++ b/include/pimentoshunt/cell/job_remover.hpp
@@ -0,0 +1,118 @@
+/// @file
+/// Removes jobs from the store whose time for callers is over.
+#pragma once
+
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/scheduler.hpp>
+#include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm>     // find
+#include <memory>        // enable_shared_from_this, make_shared
+#include <unordered_map> // unordered_map
+#include <vector>        // vector
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Knows where the rows of jobs lie, and removes them in the end.
+template<class Platform>
+class job_remover : public std::enable_shared_from_this<job_remover<Platform>>
+{
+  public:
+    job_remover(Platform& outside, scheduler& jobs)
+        : m_outside(outside), m_scheduler(jobs)
+    {
+    }
+
+    /// @brief Nothing is removed from now on.
+    auto stop() -> void
+    {
+        m_ended = true;
+    }
+
+    /// @brief A row of progress lies there.
+    auto remember_row(const job_id& job, const row_key& at) -> void
+    {
+        auto& rows = m_progress_rows[job];
+        if (std::find(rows.begin(), rows.end(), at) == rows.end())
+        {
+            rows.push_back(at);
+        }
+    }
+
+    /// @brief Removes the jobs that are due, some at a time.
+    auto remove_due(time_point now) -> void
+    {
+        if (now < m_next_expiry)
+        {
+            return;
+        }
+        m_next_expiry = now + expire_interval;
+        const auto jobs = m_scheduler.take_expired(now, expire_at_once);
+        if (jobs.empty())
+        {
+            return;
+        }
+        for (const auto& job : jobs)
+        {
+            remove_job(job);
+        }
+    }
+
+  private:
+    static constexpr milliseconds commit_limit{700};
+    /// How often old jobs are looked for.
+    static constexpr milliseconds expire_interval{5'000};
+    static constexpr std::size_t expire_at_once = 25;
+
+    /// The inbox first: a job without progress would run again.
+    auto remove_job(const job_id& job) -> void
+    {
+        auto missing = std::make_shared<std::size_t>(parts_of_job);
+        for (std::size_t i = 0; i < parts_of_job; ++i)
+        {
+            row_transaction inbox;
+            inbox.removals.push_back(job_row(job, i));
+            inbox.removals.push_back(cancel_row(job, i));
+            m_outside.commit(inbox, commit_limit,
+                             [self = this->shared_from_this(), job,
+                              missing](const commit_result& result)
+                             {
+                                 const bool done =
+                                     result.state == commit_state::committed;
+                                 if (done && --*missing == 0 && !self->m_ended)
+                                 {
+                                     self->remove_progress(job);
+                                 }
+                             });
+        }
+    }
+
+    auto remove_progress(const job_id& job) -> void
+    {
+        const auto rows = m_progress_rows[job];
+        m_progress_rows.erase(job);
+        for (const auto& at : rows)
+        {
+            row_transaction progress;
+            progress.removals.push_back(at);
+            m_outside.commit(progress, commit_limit,
+                             [job](const commit_result& result)
+                             {
+                                 logging::debug("old job removed")
+                                     .with("job", job)
+                                     .with("done", result.state ==
+                                                       commit_state::committed);
+                             });
+        }
+    }
+
+    Platform& m_outside;
+    scheduler& m_scheduler;
+    std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
+    time_point m_next_expiry;
+    bool m_ended = false;
+};
+
+} // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -5,8 +5,11 @@
 
 #include <pimentoshunt/cell/approval_desk.hpp>
 #include <pimentoshunt/cell/cell_loader.hpp>
+#include <pimentoshunt/cell/job_remover.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/progress_writer.hpp>
+#include <pimentoshunt/cell/roster_writer.hpp>
 #include <pimentoshunt/cell/scheduler.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
@@ -18,18 +21,15 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>     // find
-#include <array>         // array
-#include <charconv>      // from_chars
-#include <functional>    // function
-#include <map>           // map
-#include <memory>        // shared_ptr
-#include <optional>      // optional
-#include <set>           // set
-#include <string>        // string
-#include <unordered_map> // unordered_map
-#include <utility>       // move
-#include <vector>        // vector
+#include <algorithm>  // max
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // shared_ptr
+#include <optional>   // optional
+#include <set>        // set
+#include <string>     // string
+#include <utility>    // move
+#include <vector>     // vector
 
 namespace pimentoshunt::cell
 {
@@ -63,11 +63,16 @@
                scheduler_options options)
         : m_outside(outside), m_control(control), m_peers(others),
           m_health(health), m_around(std::move(around)),
-          m_epoch_version(epoch_version),
           m_own_from(m_around.earlier_owner_over ? std::optional(epoch_version)
                                                  : std::nullopt),
           m_scheduler(epoch, options, present()), m_desk(epoch),
-          m_tick(control), m_gather(control)
+          m_progress(std::make_shared<progress_writer<Platform>>(
+              outside, control, health, m_scheduler, progress_listener())),
+          m_roster(std::make_shared<roster_writer<Platform>>(
+              outside, m_scheduler, epoch_version, roster_listener())),
+          m_remover(
+              std::make_shared<job_remover<Platform>>(outside, m_scheduler)),
+          m_tick(control)
     {
     }
 
@@ -93,7 +98,9 @@
     {
         m_ended = true;
         m_tick.cancel();
-        m_gather.cancel();
+        m_progress->stop();
+        m_roster->stop();
+        m_remover->stop();
         if (m_loader)
         {
             m_loader->stop();
@@ -173,8 +180,6 @@
     /// An owner starts jobs that came in within so long of a proof that no
     /// later owner has loaded the cell: less than two renewals that fail.
     static constexpr milliseconds new_jobs_for{900};
-    /// Without another proof for so long, the owner writes for one.
-    static constexpr milliseconds prove_after{500};
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
     /// Rows come at once from the instances that stored them; the feed is for
@@ -185,32 +190,44 @@
     /// given work for two seconds.
     static constexpr feed_times worker_times{milliseconds(1'000),
                                              milliseconds(250)};
-    static constexpr milliseconds commit_limit{700};
-    /// Ends that finish no job are written together: nobody waits for them but
-    /// their worker, which may list them for 100 ms.
-    static constexpr milliseconds gather_time{25};
-    /// Pause after a write that was not done.
-    static constexpr milliseconds commit_pause{120};
-    /// Rows in one transaction: below the store's bound of 100 entries.
-    static constexpr std::size_t most_rows = 80;
     /// An asker must have been heard within this time.
     static constexpr milliseconds asker_heard{700};
-    /// How often old jobs are looked for.
-    static constexpr milliseconds expire_interval{5'000};
-    static constexpr std::size_t expire_at_once = 25;
 
     static auto present() -> time_point
     {
         return boot_clock::now();
     }
 
+    auto progress_listener() -> typename progress_writer<Platform>::listener
+    {
+        // The writer is stopped before this role ends.
+        return {[this]
+                {
+                    wake();
+                },
+                m_around.overtaken,
+                [this](const job_id& job, const row_key& at)
+                {
+                    m_remover->remember_row(job, at);
+                }};
+    }
+
+    auto roster_listener() -> typename roster_writer<Platform>::listener
+    {
+        return {[this]
+                {
+                    wake();
+                },
+                m_around.overtaken};
+    }
+
     auto loaded_rows(const stored_cell& found) -> void
     {
         if (m_ended)
         {
             return;
         }
-        m_part_versions = found.part_versions;
+        m_progress->begin(found.part_versions);
         restore_jobs(found);
         for (const auto& row : found.workers)
         {
@@ -251,7 +268,7 @@
             }
             if (const auto read = read_progress(row.value))
             {
-                remember_row(read->id, row.at);
+                m_remover->remember_row(read->id, row.at);
                 const auto known = progress.try_emplace(read->id.str(), *read);
                 if (!known.second)
                 {
@@ -383,7 +400,8 @@
     auto authority() const -> owner_authority
     {
         return {m_around.may_act(),
-                std::max(m_around.confirmed_at(), m_proven_at) + new_jobs_for};
+                std::max(m_around.confirmed_at(), m_progress->proven_at()) +
+                    new_jobs_for};
     }
 
     /// An earlier owner may have started what was stored before it noticed
@@ -483,9 +501,9 @@
             m_scheduler.advance(now, m_around.calendar(), authority());
         carry_out(out);
         ask_questions(now);
-        write_progress();
-        write_roster(now);
-        remove_expired(now);
+        m_progress->write(m_around.confirmed_at());
+        m_roster->write(now);
+        m_remover->remove_due(now);
         if (m_scheduler.overtaken())
         {
             m_around.overtaken();
@@ -617,303 +635,26 @@
                      std::move(message));
     }
 
-    auto write_progress() -> void
-    {
-        const auto now = present();
-        if (m_writing || now < m_next_write)
-        {
-            return;
-        }
-        const bool proof_due = now - m_proven_at > prove_after &&
-                               now - m_around.confirmed_at() > prove_after;
-        const bool due = m_scheduler.progress_waits() &&
-                         (m_scheduler.end_waits() || gathered());
-        if (!due && !proof_due)
-        {
-            return;
-        }
-        const auto batch = m_scheduler.take_progress(most_rows);
-        if (batch && batch->jobs.empty())
-        {
-            // Ends that changed nothing need no write.
-            m_scheduler.progress_stored(*batch, present());
-            wake();
-            return;
-        }
-        row_transaction transaction;
-        // Each write changes the part's row: one whose answer was lost can't be
-        // done after a later one.
-        const auto epoch_at = part_epoch_row(m_progress_part);
-        transaction.conditions.push_back(
-            {epoch_at, m_part_versions[m_progress_part]});
-        transaction.writes.push_back(
-            {epoch_at, std::to_string(m_scheduler.epoch())});
-        const auto written = batch.value_or(progress_batch{});
-        for (const auto& job : written.jobs)
-        {
-            const auto at =
-                progress_row(job.id, m_scheduler.epoch(), m_progress_part);
-            remember_row(job.id, at);
-            transaction.writes.push_back({at, to_bytes(job)});
-        }
-        m_writing = true;
-        m_outside.commit(transaction, commit_limit,
-                         [self = this->shared_from_this(), written,
-                          now](const commit_result& result)
-                         {
-                             self->progress_written(written, result, now);
-                         });
-    }
-
-    /// Whether changes have gathered for long enough; begins the time if not.
-    auto gathered() -> bool
-    {
-        if (m_gathered)
-        {
-            m_gathered = false;
-            return true;
-        }
-        if (!m_gathering)
-        {
-            m_gathering = true;
-            m_gather.expires_after(gather_time);
-            m_gather.async_wait(
-                [self = this->shared_from_this()](auto fault)
-                {
-                    self->m_gathering = false;
-                    if (!fault && !self->m_ended)
-                    {
-                        self->m_gathered = true;
-                        self->write_progress();
-                    }
-                });
-        }
-        return false;
-    }
-
-    auto progress_written(const progress_batch& batch,
-                          const commit_result& result, time_point sent_at)
-        -> void
-    {
-        m_writing = false;
-        if (m_ended)
-        {
-            return;
-        }
-        m_health.record(result.state == commit_state::committed ||
-                            result.state == commit_state::conflict,
-                        present());
-        switch (result.state)
-        {
-        case commit_state::committed:
-            m_failed_writes = 0;
-            m_part_versions[m_progress_part] = result.version;
-            m_proven_at = sent_at;
-            m_scheduler.progress_stored(batch, present());
-            break;
-        case commit_state::conflict:
-            if (result.current.empty() ||
-                names_later_owner(result.current.front(), m_scheduler.epoch()))
-            {
-                m_around.overtaken();
-                return;
-            }
-            // An earlier write whose answer was lost has been done.
-            m_part_versions[m_progress_part] = result.current.front().version;
-            m_scheduler.progress_failed(batch);
-            break;
-        case commit_state::not_done:
-        case commit_state::unknown:
-            // Written again, to another part: doing it twice is no harm.
-            m_scheduler.progress_failed(batch);
-            m_progress_part = (m_progress_part + 1) % progress_parts;
-            if (++m_failed_writes % progress_parts == 0)
-            {
-                m_next_write = present() + commit_pause;
-            }
-            break;
-        }
-        wake();
-    }
-
-    auto write_roster(time_point now) -> void
-    {
-        if (m_writing_roster || now < m_next_roster)
-        {
-            return;
-        }
-        const auto change = m_scheduler.take_roster(most_rows / 2);
-        if (change.writes.empty() && change.removals.empty())
-        {
-            return;
-        }
-        row_transaction transaction;
-        transaction.conditions.push_back({epoch_row(), m_epoch_version});
-        // A write whose answer is lost must not be done after a later one.
-        for (const auto& item : change.writes)
-        {
-            const auto at = roster_row(item.worker.entry.id);
-            transaction.conditions.push_back({at, item.replaces});
-            transaction.writes.push_back({at, to_bytes(item.worker)});
-        }
-        for (const auto& item : change.removals)
-        {
-            const auto at = roster_row(item.worker);
-            transaction.conditions.push_back({at, item.replaces});
-            transaction.removals.push_back(at);
-        }
-        m_writing_roster = true;
-        m_outside.commit(transaction, commit_limit,
-                         [self = this->shared_from_this(),
-                          change](const commit_result& result)
-                         {
-                             self->roster_written(change, result);
-                         });
-    }
-
-    auto roster_written(const roster_change& change,
-                        const commit_result& result) -> void
-    {
-        m_writing_roster = false;
-        if (m_ended)
-        {
-            return;
-        }
-        if (result.state == commit_state::committed)
-        {
-            m_scheduler.roster_stored(change, result.version);
-            wake();
-            return;
-        }
-        m_scheduler.roster_failed(change);
-        m_next_roster = present() + commit_pause;
-        if (result.state == commit_state::conflict)
-        {
-            take_roster_versions(result);
-        }
-    }
-
-    /// After a conflict: another owner, or an earlier write without an answer.
-    auto take_roster_versions(const commit_result& result) -> void
-    {
-        for (const auto& row : result.current)
-        {
-            const auto version = row.removed ? 0 : row.version;
-            if (row.at == epoch_row())
-            {
-                if (version != m_epoch_version)
-                {
-                    m_around.overtaken();
-                    return;
-                }
-                continue;
-            }
-            m_scheduler.roster_row_is(worker_id(row.at.key), version);
-        }
-    }
-
-    auto remove_expired(time_point now) -> void
-    {
-        if (now < m_next_expiry)
-        {
-            return;
-        }
-        m_next_expiry = now + expire_interval;
-        const auto jobs = m_scheduler.take_expired(now, expire_at_once);
-        if (jobs.empty())
-        {
-            return;
-        }
-        for (const auto& job : jobs)
-        {
-            remove_job(job);
-        }
-    }
-
-    /// The inbox first: a job without progress would run again.
-    auto remove_job(const job_id& job) -> void
-    {
-        auto missing = std::make_shared<std::size_t>(parts_of_job);
-        for (std::size_t i = 0; i < parts_of_job; ++i)
-        {
-            row_transaction inbox;
-            inbox.removals.push_back(job_row(job, i));
-            inbox.removals.push_back(cancel_row(job, i));
-            m_outside.commit(inbox, commit_limit,
-                             [self = this->shared_from_this(), job,
-                              missing](const commit_result& result)
-                             {
-                                 const bool done =
-                                     result.state == commit_state::committed;
-                                 if (done && --*missing == 0 && !self->m_ended)
-                                 {
-                                     self->remove_progress(job);
-                                 }
-                             });
-        }
-    }
-
-    auto remove_progress(const job_id& job) -> void
-    {
-        const auto rows = m_progress_rows[job];
-        m_progress_rows.erase(job);
-        for (const auto& at : rows)
-        {
-            row_transaction progress;
-            progress.removals.push_back(at);
-            m_outside.commit(progress, commit_limit,
-                             [job](const commit_result& result)
-                             {
-                                 logging::debug("old job removed")
-                                     .with("job", job)
-                                     .with("done", result.state ==
-                                                       commit_state::committed);
-                             });
-        }
-    }
-
-    auto remember_row(const job_id& job, const row_key& at) -> void
-    {
-        auto& rows = m_progress_rows[job];
-        if (std::find(rows.begin(), rows.end(), at) == rows.end())
-        {
-            rows.push_back(at);
-        }
-    }
-
     Platform& m_outside;
     boost::asio::io_context& m_control;
     peers& m_peers;
     store_health& m_health;
     owner_context m_around;
-    std::uint64_t m_epoch_version;
     /// Rows of the inbox of a later version were seen by no earlier owner;
     /// nothing until that is certain of any.
     std::optional<std::uint64_t> m_own_from;
     scheduler m_scheduler;
     approval_desk m_desk;
     std::shared_ptr<cell_loader<Platform>> m_loader;
+    std::shared_ptr<progress_writer<Platform>> m_progress;
+    std::shared_ptr<roster_writer<Platform>> m_roster;
+    std::shared_ptr<job_remover<Platform>> m_remover;
     boost::asio::steady_timer m_tick;
-    boost::asio::steady_timer m_gather;
-    bool m_gathering = false;
-    bool m_gathered = false;
     std::shared_ptr<table_follower<Platform>> m_inbox;
     std::shared_ptr<table_follower<Platform>> m_workers;
-    time_point m_next_write;
-    time_point m_next_expiry;
-    /// Where the rows of jobs lie, to remove them in the end.
-    std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
-    std::size_t m_progress_part = 0;
-    std::array<std::uint64_t, progress_parts> m_part_versions{};
-    std::size_t m_failed_writes = 0;
     bool m_loaded = false;
     time_point m_loaded_at;
-    /// When the last write of progress was sent that was done.
-    time_point m_proven_at;
     bool m_woken = false;
-    bool m_writing = false;
-    bool m_writing_roster = false;
-    time_point m_next_roster;
     bool m_ended = false;
 };
 
--- /dev/null
+++ b/include/pimentoshunt/cell/progress_writer.hpp
@@ -0,0 +1,221 @@
+/// @file
+/// Makes progress durable: one transaction at a time, in a part of the store
+/// that takes it.
+#pragma once
+
+#include <pimentoshunt/cell/cell_loader.hpp>
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/scheduler.hpp>
+#include <pimentoshunt/cell/store_health.hpp>
+#include <pimentoshunt/cell/stored.hpp>
+#include <pimentoshunt/cell/tables.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>      // array
+#include <functional> // function
+#include <memory>     // enable_shared_from_this
+#include <string>     // to_string
+#include <utility>    // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Writes what the scheduler has to keep of its jobs.
+template<class Platform>
+class progress_writer
+    : public std::enable_shared_from_this<progress_writer<Platform>>
+{
+  public:
+    /// Versions of the rows that name the owner of each part.
+    using part_versions = std::array<std::uint64_t, progress_parts>;
+
+    /// What is told.
+    struct listener
+    {
+        /// There may be something to decide.
+        std::function<void()> wake;
+        std::function<void()> overtaken;
+        /// A row of a job is written at that place.
+        std::function<void(const job_id&, const row_key&)> row_used;
+    };
+
+    progress_writer(Platform& outside, boost::asio::io_context& control,
+                    store_health& health, scheduler& jobs, listener tell)
+        : m_outside(outside), m_health(health), m_scheduler(jobs),
+          m_tell(std::move(tell)), m_gather(control)
+    {
+    }
+
+    /// @brief All parts have been taken over; the rows have these versions.
+    auto begin(const part_versions& versions) -> void
+    {
+        m_part_versions = versions;
+    }
+
+    /// @brief Nothing is told from now on.
+    auto stop() -> void
+    {
+        m_ended = true;
+        m_gather.cancel();
+    }
+
+    /// @brief When the last write was sent that is certain to be done: no later
+    /// owner had loaded the cell then.
+    [[nodiscard]] auto proven_at() const noexcept -> time_point
+    {
+        return m_proven_at;
+    }
+
+    /// @brief Writes what waits, if no write is under way.
+    /// @param confirmed_at  when the ownership was confirmed otherwise
+    auto write(time_point confirmed_at) -> void
+    {
+        const auto now = boot_clock::now();
+        if (m_writing || now < m_next_write)
+        {
+            return;
+        }
+        const bool proof_due =
+            now - m_proven_at > prove_after && now - confirmed_at > prove_after;
+        const bool due = m_scheduler.progress_waits() &&
+                         (m_scheduler.end_waits() || gathered());
+        if (!due && !proof_due)
+        {
+            return;
+        }
+        const auto batch = m_scheduler.take_progress(most_rows);
+        if (batch && batch->jobs.empty())
+        {
+            // Ends that changed nothing need no write.
+            m_scheduler.progress_stored(*batch, boot_clock::now());
+            m_tell.wake();
+            return;
+        }
+        row_transaction transaction;
+        // Each write changes the part's row: one whose answer was lost can't be
+        // done after a later one.
+        const auto epoch_at = part_epoch_row(m_progress_part);
+        transaction.conditions.push_back(
+            {epoch_at, m_part_versions[m_progress_part]});
+        transaction.writes.push_back(
+            {epoch_at, std::to_string(m_scheduler.epoch())});
+        const auto written = batch.value_or(progress_batch{});
+        for (const auto& job : written.jobs)
+        {
+            const auto at =
+                progress_row(job.id, m_scheduler.epoch(), m_progress_part);
+            m_tell.row_used(job.id, at);
+            transaction.writes.push_back({at, to_bytes(job)});
+        }
+        m_writing = true;
+        m_outside.commit(transaction, commit_limit,
+                         [self = this->shared_from_this(), written,
+                          now](const commit_result& result)
+                         {
+                             self->progress_written(written, result, now);
+                         });
+    }
+
+  private:
+    /// Without another proof of the ownership for so long, a write is made for
+    /// one.
+    static constexpr milliseconds prove_after{500};
+    static constexpr milliseconds commit_limit{700};
+    /// Ends that finish no job are written together: nobody waits for them but
+    /// their worker, which may list them for 100 ms.
+    static constexpr milliseconds gather_time{25};
+    /// Pause after all parts have failed.
+    static constexpr milliseconds commit_pause{120};
+    /// Rows in one transaction: below the store's bound of 100 entries.
+    static constexpr std::size_t most_rows = 80;
+
+    /// Whether changes have gathered for long enough; begins the time if not.
+    auto gathered() -> bool
+    {
+        if (m_gathered)
+        {
+            m_gathered = false;
+            return true;
+        }
+        if (!m_gathering)
+        {
+            m_gathering = true;
+            m_gather.expires_after(gather_time);
+            m_gather.async_wait(
+                [self = this->shared_from_this()](auto fault)
+                {
+                    self->m_gathering = false;
+                    if (!fault && !self->m_ended)
+                    {
+                        self->m_gathered = true;
+                        self->m_tell.wake();
+                    }
+                });
+        }
+        return false;
+    }
+
+    auto progress_written(const progress_batch& batch,
+                          const commit_result& result, time_point sent_at)
+        -> void
+    {
+        m_writing = false;
+        if (m_ended)
+        {
+            return;
+        }
+        m_health.record(result.state == commit_state::committed ||
+                            result.state == commit_state::conflict,
+                        boot_clock::now());
+        switch (result.state)
+        {
+        case commit_state::committed:
+            m_failed_writes = 0;
+            m_part_versions[m_progress_part] = result.version;
+            m_proven_at = sent_at;
+            m_scheduler.progress_stored(batch, boot_clock::now());
+            break;
+        case commit_state::conflict:
+            if (result.current.empty() ||
+                names_later_owner(result.current.front(), m_scheduler.epoch()))
+            {
+                m_tell.overtaken();
+                return;
+            }
+            // An earlier write whose answer was lost has been done.
+            m_part_versions[m_progress_part] = result.current.front().version;
+            m_scheduler.progress_failed(batch);
+            break;
+        case commit_state::not_done:
+        case commit_state::unknown:
+            // Written again, to another part: doing it twice is no harm.
+            m_scheduler.progress_failed(batch);
+            m_progress_part = (m_progress_part + 1) % progress_parts;
+            if (++m_failed_writes % progress_parts == 0)
+            {
+                m_next_write = boot_clock::now() + commit_pause;
+            }
+            break;
+        }
+        m_tell.wake();
+    }
+
+    Platform& m_outside;
+    store_health& m_health;
+    scheduler& m_scheduler;
+    listener m_tell;
+    boost::asio::steady_timer m_gather;
+    bool m_gathering = false;
+    bool m_gathered = false;
+    std::size_t m_progress_part = 0;
+    part_versions m_part_versions{};
+    std::size_t m_failed_writes = 0;
+    time_point m_next_write;
+    time_point m_proven_at;
+    bool m_writing = false;
+    bool m_ended = false;
+};
+
+} // namespace pimentoshunt::cell
--- /dev/null
+++ b/include/pimentoshunt/cell/roster_writer.hpp
@@ -0,0 +1,139 @@
+/// @file
+/// Keeps the durable roster of workers that may have been given work.
+#pragma once
+
+#include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/scheduler.hpp>
+#include <pimentoshunt/cell/stored.hpp>
+#include <pimentoshunt/cell/tables.hpp>
+
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <memory>     // enable_shared_from_this
+#include <utility>    // move
+
+namespace pimentoshunt::cell
+{
+
+/// @brief Writes the roster's changes, one transaction at a time.
+template<class Platform>
+class roster_writer
+    : public std::enable_shared_from_this<roster_writer<Platform>>
+{
+  public:
+    /// What is told.
+    struct listener
+    {
+        /// There may be something to decide.
+        std::function<void()> wake;
+        std::function<void()> overtaken;
+    };
+
+    /// @param epoch_version  version of the row that writes depend on
+    roster_writer(Platform& outside, scheduler& jobs,
+                  std::uint64_t epoch_version, listener tell)
+        : m_outside(outside), m_scheduler(jobs), m_epoch_version(epoch_version),
+          m_tell(std::move(tell))
+    {
+    }
+
+    /// @brief Nothing is told from now on.
+    auto stop() -> void
+    {
+        m_ended = true;
+    }
+
+    /// @brief Writes what has changed, if no write is under way.
+    auto write(time_point now) -> void
+    {
+        if (m_writing || now < m_next_write)
+        {
+            return;
+        }
+        const auto change = m_scheduler.take_roster(most_rows);
+        if (change.writes.empty() && change.removals.empty())
+        {
+            return;
+        }
+        row_transaction transaction;
+        transaction.conditions.push_back({epoch_row(), m_epoch_version});
+        // A write whose answer is lost must not be done after a later one.
+        for (const auto& item : change.writes)
+        {
+            const auto at = roster_row(item.worker.entry.id);
+            transaction.conditions.push_back({at, item.replaces});
+            transaction.writes.push_back({at, to_bytes(item.worker)});
+        }
+        for (const auto& item : change.removals)
+        {
+            const auto at = roster_row(item.worker);
+            transaction.conditions.push_back({at, item.replaces});
+            transaction.removals.push_back(at);
+        }
+        m_writing = true;
+        m_outside.commit(transaction, commit_limit,
+                         [self = this->shared_from_this(),
+                          change](const commit_result& result)
+                         {
+                             self->written(change, result);
+                         });
+    }
+
+  private:
+    static constexpr milliseconds commit_limit{700};
+    /// Pause after a write that was not done.
+    static constexpr milliseconds commit_pause{120};
+    /// Each row is a condition and a write; below the store's bound of 100.
+    static constexpr std::size_t most_rows = 40;
+
+    auto written(const roster_change& change, const commit_result& result)
+        -> void
+    {
+        m_writing = false;
+        if (m_ended)
+        {
+            return;
+        }
+        if (result.state == commit_state::committed)
+        {
+            m_scheduler.roster_stored(change, result.version);
+            m_tell.wake();
+            return;
+        }
+        m_scheduler.roster_failed(change);
+        m_next_write = boot_clock::now() + commit_pause;
+        if (result.state == commit_state::conflict)
+        {
+            take_versions(result);
+        }
+    }
+
+    /// After a conflict: another owner, or an earlier write without an answer.
+    auto take_versions(const commit_result& result) -> void
+    {
+        for (const auto& row : result.current)
+        {
+            const auto version = row.removed ? 0 : row.version;
+            if (row.at == epoch_row())
+            {
+                if (version != m_epoch_version)
+                {
+                    m_tell.overtaken();
+                    return;
+                }
+                continue;
+            }
+            m_scheduler.roster_row_is(worker_id(row.at.key), version);
+        }
+    }
+
+    Platform& m_outside;
+    scheduler& m_scheduler;
+    std::uint64_t m_epoch_version;
+    listener m_tell;
+    time_point m_next_write;
+    bool m_writing = false;
+    bool m_ended = false;
+};
+
+} // namespace pimentoshunt::cell
