--- a/bench/load_bench.cpp
+++ b/bench/load_bench.cpp
@@ -53,7 +53,7 @@
 {
     std::vector<planned_call> calls;
     std::vector<arrival_kind> kinds;
-    json::object tenant_slots;
+    json::object workspace_slots;
     milliseconds idle{0};
 };
 
@@ -77,7 +77,7 @@
         phase.per_second *= slots() / mean_run(kind);
     }
     made.kinds.push_back(kind);
-    made.tenant_slots[kind.tenant] =
+    made.workspace_slots[kind.workspace] =
         static_cast<std::int64_t>(FLAGS_workers * FLAGS_slots);
     add_arrivals(made.calls, kind, phases, seed);
 }
@@ -118,7 +118,7 @@
     return made;
 }
 
-/// Three tenants within their quota, and one at ten times its quota.
+/// Three workspaces within their quota, and one at ten times its quota.
 auto fairness(bool with_hog) -> scenario
 {
     using ms = milliseconds;
@@ -127,14 +127,14 @@
     {
         add(made, {name, name, 5, ms(100), ms(300), ms(1'500), true},
             {{ms(6'000), 0.2}}, FLAGS_seed + made.kinds.size());
-        made.tenant_slots[name] = static_cast<std::int64_t>(slots() * 0.3);
+        made.workspace_slots[name] = static_cast<std::int64_t>(slots() * 0.3);
     }
     if (with_hog)
     {
         add(made, {"hog", "hog", 5, ms(100), ms(300), ms(1'500), true},
             {{ms(1'500), 0.1}, {ms(3'000), 1.0}, {ms(1'500), 0.1}},
             FLAGS_seed + 9);
-        made.tenant_slots["hog"] = static_cast<std::int64_t>(slots() * 0.1);
+        made.workspace_slots["hog"] = static_cast<std::int64_t>(slots() * 0.1);
     }
     return made;
 }
@@ -180,10 +180,10 @@
 
 auto plan_text(const scenario& made) -> std::string
 {
-    json::array tenants;
-    for (const auto& item : made.tenant_slots)
+    json::array workspaces;
+    for (const auto& item : made.workspace_slots)
     {
-        tenants.push_back(
+        workspaces.push_back(
             {{"name", item.key()}, {"quota", {{"slots", item.value()}}}});
     }
     json::array services;
@@ -191,13 +191,13 @@
     {
         const auto run = static_cast<std::int64_t>(mean_run(kind) * 1e3);
         services.push_back({{"name", kind.workload},
-                            {"tenant", kind.tenant},
+                            {"workspace", kind.workspace},
                             {"run_time_ms", run},
                             {"deadline_ms", kind.deadline.count()},
                             {"priority", kind.priority}});
     }
     return json::serialize(
-        json::object{{"tenants", tenants}, {"services", services}});
+        json::object{{"workspaces", workspaces}, {"services", services}});
 }
 
 /// Puts the plan in force on all instances.
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -103,7 +103,7 @@
             return static_cast<std::int64_t>(random()) & (limit - 1);
         };
         made[i].name = workload_name("w" + std::to_string(i));
-        made[i].tenant = tenant_name("t" + std::to_string(i % 5));
+        made[i].workspace = workspace_name("t" + std::to_string(i % 5));
         made[i].each = {1, 500 + draw(2'048), 1'000 + draw(8'192),
                         i % 10 == 0 ? 1 : 0};
         made[i].cls =
@@ -138,8 +138,8 @@
         for (int i = 0; i < 5; ++i)
         {
             const auto most = static_cast<std::int64_t>(workers) * 2;
-            document.tenants.push_back(
-                {tenant_name("t" + std::to_string(i)), {most, 0, 0, 0}});
+            document.workspaces.push_back(
+                {workspace_name("t" + std::to_string(i)), {most, 0, 0, 0}});
         }
         if constexpr (requires { m_picker.set_plan(document); })
         {
@@ -209,7 +209,7 @@
         ledger::holding item;
         item.attempt = attempt_id(std::to_string(++m_attempts));
         item.workload = workload.name;
-        item.tenant = workload.tenant;
+        item.workspace = workload.workspace;
         item.each = workload.each;
         m_held.push_back({worker, item.attempt});
         return m_accounts.take(worker, item);
--- a/bench/policy_quality.cpp
+++ b/bench/policy_quality.cpp
@@ -266,17 +266,17 @@
     return out;
 }
 
-/// @brief Ten tenants, the first at ten times its quota or not.
+/// @brief Ten workspaces, the first at ten times its quota or not.
 auto run_fairness(unsigned seed, const quality_setup& setup)
     -> boost::json::object
 {
-    constexpr std::size_t tenants = 10;
+    constexpr std::size_t workspaces = 10;
     plan::document document;
-    const auto quota = static_cast<std::int64_t>(setup.slots() / tenants);
-    for (std::size_t i = 0; i < tenants; ++i)
+    const auto quota = static_cast<std::int64_t>(setup.slots() / workspaces);
+    for (std::size_t i = 0; i < workspaces; ++i)
     {
-        const auto name = "tenant" + std::to_string(i);
-        document.tenants.push_back({tenant_name(name), {quota, 0, 0, 0}});
+        const auto name = "workspace" + std::to_string(i);
+        document.workspaces.push_back({workspace_name(name), {quota, 0, 0, 0}});
         document.workloads.push_back(make("proof" + std::to_string(i), name,
                                           plan::work_class::service,
                                           milliseconds(2'000)));
@@ -285,7 +285,7 @@
     {
         std::mt19937_64 random(seed);
         std::vector<arrival> arrivals;
-        for (std::size_t i = tenants; i-- > 0;)
+        for (std::size_t i = workspaces; i-- > 0;)
         {
             const auto load = i == 0 ? times_quota : load_of_others;
             const auto rate = load * static_cast<double>(quota) / proof_mean_s;
@@ -301,7 +301,7 @@
         by_time(arrivals);
         const auto result = quality_run(document, setup).run(arrivals);
         tail worst;
-        for (std::size_t i = 1; i < tenants; ++i)
+        for (std::size_t i = 1; i < workspaces; ++i)
         {
             const auto one = tail_of(arrivals, i, result);
             worst.wait_ms = std::max(worst.wait_ms, one.wait_ms);
@@ -314,12 +314,12 @@
     {
         const auto name = std::to_string(load).substr(0, 4);
         boost::json::object one;
-        print_head("nine tenants at " + name +
+        print_head("nine workspaces at " + name +
                    " of their quota; the worst of them");
         const auto calm = run_at(load, load);
         const auto pressed = run_at(load, 10.0);
-        print_tail(one, "tenth tenant as the others", calm);
-        print_tail(one, "tenth tenant at 10 times its quota", pressed);
+        print_tail(one, "tenth workspace as the others", calm);
+        print_tail(one, "tenth workspace at 10 times its quota", pressed);
         print_value(one, "answer p99 pressed / calm",
                     pressed.answer_ms / calm.answer_ms);
         out[name] = one;
--- a/bench/support/class_report.hpp
+++ b/bench/support/class_report.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Waiting times and answers of a run by workload and tenant.
+/// Waiting times and answers of a run by workload and workspace.
 #pragma once
 
 #include "ideal_queue.hpp"
@@ -48,7 +48,7 @@
     return ideal_queue(requests, slots);
 }
 
-/// @brief What one workload of one tenant got, beside the ideal queue.
+/// @brief What one workload of one workspace got, beside the ideal queue.
 struct class_report
 {
     std::size_t offered = 0;
@@ -70,7 +70,7 @@
     return std::to_string(outcome.status) + " " + outcome.ran;
 }
 
-/// @brief Reports by "workload/tenant".
+/// @brief Reports by "workload/workspace".
 /// @param slots  slots of the whole cell
 [[nodiscard]] inline auto by_class(const std::vector<planned_call>& calls,
                                    const std::vector<call_outcome>& outcomes,
@@ -81,7 +81,7 @@
     std::map<std::string, class_report> reports;
     for (std::size_t i = 0; i < calls.size(); ++i)
     {
-        auto& report = reports[calls[i].workload + "/" + calls[i].tenant];
+        auto& report = reports[calls[i].workload + "/" + calls[i].workspace];
         const auto seconds =
             std::chrono::duration<double>(calls[i].run_time).count();
         ++report.offered;
--- a/bench/support/open_loop.hpp
+++ b/bench/support/open_loop.hpp
@@ -23,7 +23,7 @@
 struct planned_call
 {
     std::string workload;
-    std::string tenant;
+    std::string workspace;
     /// As the plan has it; higher goes first.
     int priority = 0;
     /// Since the run began.
@@ -57,7 +57,7 @@
 struct arrival_kind
 {
     std::string workload;
-    std::string tenant;
+    std::string workspace;
     int priority = 0;
     milliseconds shortest_run{0};
     milliseconds longest_run{0};
@@ -83,7 +83,7 @@
             std::exponential_distribution<double> gap(phase.per_second / 1e3);
             for (auto at = begin + gap(random); at < end; at += gap(random))
             {
-                calls.push_back({kind.workload, kind.tenant, kind.priority,
+                calls.push_back({kind.workload, kind.workspace, kind.priority,
                                  milliseconds(static_cast<std::int64_t>(at)),
                                  milliseconds(run(random)), kind.deadline,
                                  kind.counted});
--- a/bench/support/quality_run.hpp
+++ b/bench/support/quality_run.hpp
@@ -310,22 +310,22 @@
 
     auto report_usage(std::size_t number) -> void
     {
-        if (m_document.tenants.empty())
+        if (m_document.workspaces.empty())
         {
             return;
         }
-        std::vector<policy::tenant_usage> usages;
-        for (const auto& tenant : m_document.tenants)
+        std::vector<policy::workspace_usage> usages;
+        for (const auto& workspace : m_document.workspaces)
         {
             resources sum;
             for (std::size_t i = 0; i < m_owners.size(); ++i)
             {
                 if (i != number)
                 {
-                    sum += m_owners[i].accounts.used_by(tenant.name).total;
+                    sum += m_owners[i].accounts.used_by(workspace.name).total;
                 }
             }
-            usages.push_back({tenant.name, sum});
+            usages.push_back({workspace.name, sum});
         }
         m_owners[number].picker.set_usage_elsewhere(usages);
     }
@@ -348,7 +348,7 @@
         held.attempt = attempt_id(std::to_string(*taken) + "." +
                                   std::to_string(answer.starts));
         held.workload = workload.name;
-        held.tenant = workload.tenant;
+        held.workspace = workload.workspace;
         held.each = workload.each;
         held.granted_at = clock();
         if (!m_owners[number].accounts.take(worker, held))
--- a/bench/support/scenario.hpp
+++ b/bench/support/scenario.hpp
@@ -77,12 +77,12 @@
                      });
 }
 
-inline auto make(const std::string& name, const std::string& tenant,
+inline auto make(const std::string& name, const std::string& workspace,
                  plan::work_class cls, milliseconds deadline) -> plan::workload
 {
     plan::workload made;
     made.name = workload_name(name);
-    made.tenant = tenant_name(tenant);
+    made.workspace = workspace_name(workspace);
     made.cls = cls;
     made.each = {1, 1'000, 1'000, 0};
     made.deadline = deadline;
--- a/include/pimentoshunt/control/engine.hpp
+++ b/include/pimentoshunt/control/engine.hpp
@@ -200,8 +200,8 @@
     jobs::job_desk m_jobs;
     policy::grant_picker m_picker;
     policy::worker_health m_health;
-    /// What each other owner says that tenants hold there.
-    std::map<instance_id, std::vector<policy::tenant_usage>> m_usage;
+    /// What each other owner says that workspaces hold there.
+    std::map<instance_id, std::vector<policy::workspace_usage>> m_usage;
     plan::plan_ptr m_plan;
     time_point m_plan_confirmed;
     bool m_plan_known = false;
--- a/include/pimentoshunt/control/status.hpp
+++ b/include/pimentoshunt/control/status.hpp
@@ -42,7 +42,7 @@
 struct queue_status
 {
     workload_name workload;
-    tenant_name tenant;
+    workspace_name workspace;
     std::string cls;
     std::size_t length = 0;
 };
--- a/include/pimentoshunt/entry/idempotency_record.hpp
+++ b/include/pimentoshunt/entry/idempotency_record.hpp
@@ -22,10 +22,10 @@
 /// The prefix of all rows of idempotency keys.
 inline constexpr const char* idempotency_prefix = "idem/";
 
-/// @brief A caller's key; two tenants' equal keys are different.
+/// @brief A caller's key; two workspaces' equal keys are different.
 struct idempotency_key
 {
-    tenant_name tenant;
+    workspace_name workspace;
     std::string text;
 
     /// @brief The row's key in the table.
--- a/include/pimentoshunt/identifier.hpp
+++ b/include/pimentoshunt/identifier.hpp
@@ -54,7 +54,7 @@
 /// One entry instance of the system, unique among those that live.
 using instance_id = identifier<struct instance_tag>;
 /// A customer with a quota.
-using tenant_name = identifier<struct tenant_tag>;
+using workspace_name = identifier<struct workspace_tag>;
 /// A workload of the plan: a service, a batch job kind or a gang job kind.
 using workload_name = identifier<struct workload_tag>;
 /// A data centre.
--- a/include/pimentoshunt/jobs/job_record.hpp
+++ b/include/pimentoshunt/jobs/job_record.hpp
@@ -23,7 +23,7 @@
 struct job_spec
 {
     job_id id;
-    tenant_name tenant;
+    workspace_name workspace;
     workload_name workload;
     /// All tasks start together or none does.
     bool gang = false;
--- a/include/pimentoshunt/json/object_reader.hpp
+++ b/include/pimentoshunt/json/object_reader.hpp
@@ -61,6 +61,12 @@
     /// @brief Any member, or nullptr if it is absent.
     auto member(const std::string& key) -> const boost::json::value*;
 
+    /// @brief The key under which a member that was renamed is found: the
+    /// earlier one if only that is there, which is logged as a warning.
+    [[nodiscard]] auto present_key(const std::string& key,
+                                   const std::string& earlier) const
+        -> std::string;
+
     /// @brief Notes a fault at the member @p key.
     auto note(fault_kind kind, const std::string& key, std::string message,
               std::string remedy) -> void;
--- a/include/pimentoshunt/ledger/capacity_ledger.hpp
+++ b/include/pimentoshunt/ledger/capacity_ledger.hpp
@@ -21,7 +21,7 @@
 {
     attempt_id attempt;
     workload_name workload;
-    tenant_name tenant;
+    workspace_name workspace;
     resources each;
     time_point granted_at;
     /// The instance that was given the grant.
@@ -154,8 +154,8 @@
         return m_capacity;
     }
 
-    /// @brief What the tenant's holdings take on all held workers.
-    [[nodiscard]] auto used_by(const tenant_name& tenant) const -> usage;
+    /// @brief What the workspace's holdings take on all held workers.
+    [[nodiscard]] auto used_by(const workspace_name& workspace) const -> usage;
 
     /// @brief What each workload's holdings take; only those that hold.
     [[nodiscard]] auto used_by_workload() const
@@ -173,7 +173,7 @@
 
     std::unordered_map<worker_id, worker_account> m_accounts;
     free_index m_index;
-    std::unordered_map<tenant_name, usage> m_by_tenant;
+    std::unordered_map<workspace_name, usage> m_by_workspace;
     std::unordered_map<workload_name, usage> m_by_workload;
     resources m_free;
     resources m_capacity;
--- a/include/pimentoshunt/metrics/label_set.hpp
+++ b/include/pimentoshunt/metrics/label_set.hpp
@@ -11,7 +11,7 @@
 /// @brief The labels of one series; an empty one is not shown.
 struct label_set
 {
-    std::string tenant;
+    std::string workspace;
     /// "service", "batch" or "gang".
     std::string cls;
     std::string workload;
@@ -20,14 +20,14 @@
 
     friend auto operator<(const label_set& left, const label_set& right) -> bool
     {
-        return std::tie(left.tenant, left.cls, left.workload, left.kind) <
-               std::tie(right.tenant, right.cls, right.workload, right.kind);
+        return std::tie(left.workspace, left.cls, left.workload, left.kind) <
+               std::tie(right.workspace, right.cls, right.workload, right.kind);
     }
 
     /// @brief Whether each label given here has the same value in @p other.
     [[nodiscard]] auto selects(const label_set& other) const -> bool;
 
-    /// @brief `tenant="a",class="batch"`, escaped for the Prometheus text.
+    /// @brief `workspace="a",class="batch"`, escaped for the Prometheus text.
     [[nodiscard]] auto text() const -> std::string;
 };
 
--- a/include/pimentoshunt/ownership/worker_keeper.hpp
+++ b/include/pimentoshunt/ownership/worker_keeper.hpp
@@ -146,7 +146,7 @@
     auto released(const worker_id& id, const attempt_id& attempt,
                   attempt_outcome outcome, keeper_calls& calls) -> void;
 
-    /// @brief Takes the plan by which running work is told to tenants.
+    /// @brief Takes the plan by which running work is told to workspaces.
     auto set_plan(plan::plan_ptr in_force) -> void
     {
         m_plan = std::move(in_force);
@@ -219,8 +219,8 @@
     auto adopt_running(record& item, const worker::state_report& report,
                        time_point now) -> void;
     auto update_grants(record& item) -> void;
-    [[nodiscard]] auto tenant_of(const workload_name& name) const
-        -> tenant_name;
+    [[nodiscard]] auto workspace_of(const workload_name& name) const
+        -> workspace_name;
     auto find(const worker_id& id) -> record*;
 
     holder m_self;
--- a/include/pimentoshunt/plan/diff.hpp
+++ b/include/pimentoshunt/plan/diff.hpp
@@ -22,7 +22,7 @@
 struct plan_change
 {
     change_kind kind = change_kind::changed;
-    /// "tenant", "service", "batch" or "gang".
+    /// "workspace", "service", "batch" or "gang".
     std::string sort;
     std::string name;
     /// Key in the plan, such as "quota.slots"; empty for added and removed.
--- a/include/pimentoshunt/plan/document.hpp
+++ b/include/pimentoshunt/plan/document.hpp
@@ -29,10 +29,10 @@
 [[nodiscard]] auto to_string(work_class value) -> std::string;
 
 /// @brief A customer and its share of the cell.
-struct tenant
+struct workspace
 {
-    tenant_name name;
-    /// The most that the tenant's work may hold at once while others wait.
+    workspace_name name;
+    /// The most that the workspace's work may hold at once while others wait.
     resources quota;
 };
 
@@ -40,7 +40,7 @@
 struct workload
 {
     workload_name name;
-    tenant_name tenant;
+    workspace_name workspace;
     work_class cls = work_class::service;
     /// What one task or one request takes.
     resources each;
@@ -63,14 +63,15 @@
 /// @brief A whole plan as accepted.
 struct document
 {
-    std::vector<tenant> tenants;
+    std::vector<workspace> workspaces;
     std::vector<workload> workloads;
 
     /// @brief The workload of that name, or nullptr.
     /// @complexity linear in the number of workloads
     [[nodiscard]] auto find(const workload_name& name) const -> const workload*;
-    /// @brief The tenant of that name, or nullptr.
-    [[nodiscard]] auto find(const tenant_name& name) const -> const tenant*;
+    /// @brief The workspace of that name, or nullptr.
+    [[nodiscard]] auto find(const workspace_name& name) const
+        -> const workspace*;
 };
 
 /// @brief A plan with the revision under which it was accepted.
--- a/include/pimentoshunt/policy/grant_picker.hpp
+++ b/include/pimentoshunt/policy/grant_picker.hpp
@@ -9,7 +9,7 @@
 #include <pimentoshunt/policy/admission.hpp>
 #include <pimentoshunt/policy/run_time_estimator.hpp>
 #include <pimentoshunt/policy/short_reserve.hpp>
-#include <pimentoshunt/policy/tenant_shares.hpp>
+#include <pimentoshunt/policy/workspace_shares.hpp>
 
 #include <cstdint>       // int64_t
 #include <queue>         // priority_queue
@@ -99,19 +99,19 @@
     }
 };
 
-/// @brief What one call looks up once for each workload and tenant.
+/// @brief What one call looks up once for each workload and workspace.
 struct pick_facts
 {
     struct workload_facts
     {
         bool is_long = false;
-        std::size_t tenant = 0;
+        std::size_t workspace = 0;
     };
 
     std::unordered_map<const plan::workload*, std::size_t> by_workload;
-    std::unordered_map<tenant_name, std::size_t> by_tenant;
+    std::unordered_map<workspace_name, std::size_t> by_workspace;
     std::vector<workload_facts> workloads;
-    std::vector<tenant_position> tenants;
+    std::vector<workspace_position> workspaces;
 };
 
 /// @brief What one decision has to leave free.
@@ -127,7 +127,7 @@
 /// @brief Chooses placements; takes nothing from the ledger by itself.
 ///
 /// Services go before batch and gangs; within a class by priority, then
-/// tenants within their quota before those over it, then the earliest
+/// workspaces within their quota before those over it, then the earliest
 /// deadline. Work that runs many times longer than the median of the services
 /// leaves room for the recent peak of short use. While a gang waits for more
 /// room, later gangs get nothing and long batch work leaves it some room.
@@ -139,8 +139,9 @@
     /// @brief Takes quotas and workloads in place of those of earlier plans.
     auto set_plan(const plan::document& document) -> void;
 
-    /// @brief Takes what tenants hold at other owners.
-    auto set_usage_elsewhere(const std::vector<tenant_usage>& usages) -> void;
+    /// @brief Takes what workspaces hold at other owners.
+    auto set_usage_elsewhere(const std::vector<workspace_usage>& usages)
+        -> void;
 
     /// @brief Says which share of the cell's capacity this owner holds, 0 to 1.
     ///
@@ -157,7 +158,7 @@
 
     /// @brief Fills free capacity with the most urgent lines.
     /// @param accounts  the ledger; the caller takes each placement from it,
-    ///                  with the workload's tenant, before the call returns
+    ///                  with the workload's workspace, before the call returns
     /// @param lines  in any order; their counts are not changed
     /// @param take  called as bool(const placement&) for each choice, at once;
     ///              false when it is not wanted: its line gets no more
@@ -184,7 +185,7 @@
     /// @brief Names long batch attempts to checkpoint for waiting short work.
     /// @param lines  what still waits after @ref pick
     /// @return as few as make room for this owner's share of it; work over its
-    ///         tenant's quota first, then the lowest priority, then the
+    ///         workspace's quota first, then the lowest priority, then the
     ///         youngest; none before short work has waited long enough, or
     ///         without grant_picker_options::checkpoints
     /// @complexity linear in the number of holdings
@@ -220,7 +221,7 @@
     auto facts_of(const ledger::capacity_ledger& accounts,
                   const plan::workload& workload,
                   detail::pick_facts& facts) const -> std::size_t;
-    [[nodiscard]] static auto urgency_of(const tenant_position& tenant,
+    [[nodiscard]] static auto urgency_of(const workspace_position& workspace,
                                          const demand_line& line,
                                          std::int64_t placed, time_point now)
         -> detail::urgency;
@@ -246,7 +247,7 @@
 
     grant_picker_options m_options;
     std::unordered_map<workload_name, known_workload> m_workloads;
-    tenant_shares m_shares;
+    workspace_shares m_shares;
     run_time_estimator m_times;
     /// Run times of all services together.
     detail::run_time_sample m_service_times;
@@ -272,11 +273,11 @@
         const auto& line = lines[next.line];
         const auto& workload = *line.workload;
         const auto& known = facts.workloads[next.facts];
-        auto& tenant = facts.tenants[known.tenant];
-        const auto key = urgency_of(tenant, line, next.placed, now);
+        auto& workspace = facts.workspaces[known.workspace];
+        const auto key = urgency_of(workspace, line, next.placed, now);
         if (next.key < key)
         {
-            // its tenant got more since the key was made
+            // its workspace got more since the key was made
             next.key = key;
             waiting.push(next);
             continue;
@@ -292,12 +293,12 @@
         {
             continue;
         }
-        tenant.used += workload.each;
+        workspace.used += workload.each;
         ++next.placed;
         --next.left;
         if (next.left > 0)
         {
-            next.key = urgency_of(tenant, line, next.placed, now);
+            next.key = urgency_of(workspace, line, next.placed, now);
             waiting.push(next);
         }
     }
--- a/include/pimentoshunt/policy/workspace_shares.hpp
+++ b/include/pimentoshunt/policy/workspace_shares.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// Fairness between tenants: who is over its quota, and how far.
+/// Fairness between workspaces: who is over its quota, and how far.
 #pragma once
 
 #include <pimentoshunt/identifier.hpp>
@@ -13,15 +13,15 @@
 namespace pimentoshunt::policy
 {
 
-/// @brief What a tenant's work holds on workers of other owners.
-struct tenant_usage
+/// @brief What a workspace's work holds on workers of other owners.
+struct workspace_usage
 {
-    tenant_name tenant;
+    workspace_name workspace;
     resources in_use;
 };
 
-/// @brief A tenant's quota and what it holds, for repeated questions.
-struct tenant_position
+/// @brief A workspace's quota and what it holds, for repeated questions.
+struct workspace_position
 {
     /// All zero without a quota.
     resources quota;
@@ -34,23 +34,24 @@
 };
 
 /// @brief Quotas and the usage that other owners report.
-class tenant_shares
+class workspace_shares
 {
   public:
-    /// @brief Takes the quotas of @p tenants in place of all earlier ones.
-    auto set_quotas(const std::vector<plan::tenant>& tenants) -> void;
+    /// @brief Takes the quotas of @p workspaces in place of all earlier ones.
+    auto set_quotas(const std::vector<plan::workspace>& workspaces) -> void;
 
     /// @brief Takes what other owners report in place of all earlier reports.
-    auto set_usage_elsewhere(const std::vector<tenant_usage>& usages) -> void;
+    auto set_usage_elsewhere(const std::vector<workspace_usage>& usages)
+        -> void;
 
-    /// @brief Where the tenant stands now, here and elsewhere.
+    /// @brief Where the workspace stands now, here and elsewhere.
     [[nodiscard]] auto position(const ledger::capacity_ledger& accounts,
-                                const tenant_name& tenant) const
-        -> tenant_position;
+                                const workspace_name& workspace) const
+        -> workspace_position;
 
   private:
-    std::unordered_map<tenant_name, resources> m_quotas;
-    std::unordered_map<tenant_name, resources> m_elsewhere;
+    std::unordered_map<workspace_name, resources> m_quotas;
+    std::unordered_map<workspace_name, resources> m_elsewhere;
 };
 
 } // namespace pimentoshunt::policy
--- a/src/capacity_ledger.cpp
+++ b/src/capacity_ledger.cpp
@@ -211,10 +211,10 @@
     return found == m_accounts.end() ? nullptr : &found->second;
 }
 
-auto capacity_ledger::used_by(const tenant_name& tenant) const -> usage
+auto capacity_ledger::used_by(const workspace_name& workspace) const -> usage
 {
-    const auto found = m_by_tenant.find(tenant);
-    return found == m_by_tenant.end() ? usage{} : found->second;
+    const auto found = m_by_workspace.find(workspace);
+    return found == m_by_workspace.end() ? usage{} : found->second;
 }
 
 auto capacity_ledger::count_in(worker_account& account) -> void
@@ -247,13 +247,13 @@
 
 auto capacity_ledger::note_taken(const holding& item) -> void
 {
-    add_use(m_by_tenant, item.tenant, item.each);
+    add_use(m_by_workspace, item.workspace, item.each);
     add_use(m_by_workload, item.workload, item.each);
 }
 
 auto capacity_ledger::note_released(const holding& item) -> void
 {
-    drop_use(m_by_tenant, item.tenant, item.each);
+    drop_use(m_by_workspace, item.workspace, item.each);
     drop_use(m_by_workload, item.workload, item.each);
 }
 
--- a/src/cli/cell_commands.cpp
+++ b/src/cli/cell_commands.cpp
@@ -153,7 +153,7 @@
                 {
                     const auto workload = fields::text_of(one, "workload");
                     out << "  " << fields::text_of(one, "class")
-                        << " of tenant " << fields::text_of(one, "tenant")
+                        << " of workspace " << fields::text_of(one, "workspace")
                         << (workload.empty() ? "" : ", " + workload) << ": "
                         << fields::number_of(one, "length") << " wait";
                     const auto p50 = fields::number_of(one, "wait_p50_ms", -1);
--- a/src/control/engine_membership.cpp
+++ b/src/control/engine_membership.cpp
@@ -129,21 +129,21 @@
     {
         resources in_use;
         in_use.slots = item.slots();
-        reported.push_back({tenant_name(item.tenant()), in_use});
+        reported.push_back({workspace_name(item.workspace()), in_use});
     }
-    std::map<tenant_name, resources> totals;
+    std::map<workspace_name, resources> totals;
     for (const auto& [id, items] : m_usage)
     {
         for (const auto& item : items)
         {
-            totals[item.tenant] += item.in_use;
+            totals[item.workspace] += item.in_use;
         }
     }
-    std::vector<policy::tenant_usage> elsewhere;
+    std::vector<policy::workspace_usage> elsewhere;
     elsewhere.reserve(totals.size());
-    for (const auto& [tenant, in_use] : totals)
+    for (const auto& [workspace, in_use] : totals)
     {
-        elsewhere.push_back({tenant, in_use});
+        elsewhere.push_back({workspace, in_use});
     }
     m_picker.set_usage_elsewhere(elsewhere);
 }
@@ -289,13 +289,13 @@
     wire::envelope message;
     auto* const body = message.mutable_beat();
     *body->mutable_self() = transport::to_wire(m_config.self, now);
-    for (const auto& tenant : m_plan->parsed.tenants)
+    for (const auto& workspace : m_plan->parsed.workspaces)
     {
-        const auto used = m_keeper.ledger().used_by(tenant.name);
+        const auto used = m_keeper.ledger().used_by(workspace.name);
         if (used.total.slots > 0)
         {
             auto* const line = body->add_usage();
-            line->set_tenant(tenant.name.str());
+            line->set_workspace(workspace.name.str());
             line->set_slots(used.total.slots);
         }
     }
--- a/src/control/engine_placement.cpp
+++ b/src/control/engine_placement.cpp
@@ -259,7 +259,7 @@
         ledger::holding item;
         item.attempt = next_attempt();
         item.workload = line.workload->name;
-        item.tenant = line.workload->tenant;
+        item.workspace = line.workload->workspace;
         item.each = line.workload->each;
         item.granted_at = now;
         item.entry = line.entry;
--- a/src/control/engine_status.cpp
+++ b/src/control/engine_status.cpp
@@ -100,7 +100,7 @@
     }
     for (const auto& workload : m_plan->parsed.workloads)
     {
-        status.queues.push_back({workload.name, workload.tenant,
+        status.queues.push_back({workload.name, workload.workspace,
                                  plan::to_string(workload.cls),
                                  m_desk.waiting(workload.name)});
     }
--- a/src/entry/idempotency_record.cpp
+++ b/src/entry/idempotency_record.cpp
@@ -150,7 +150,7 @@
 
 auto idempotency_key::row_key() const -> std::string
 {
-    return idempotency_prefix + platform::encode_query(tenant.str()) + "/" +
+    return idempotency_prefix + platform::encode_query(workspace.str()) + "/" +
            platform::encode_query(text);
 }
 
--- a/src/entry/job_routes.cpp
+++ b/src/entry/job_routes.cpp
@@ -28,7 +28,7 @@
 {
     return {{"id", job.spec.id.str()},
             {"workload", job.spec.workload.str()},
-            {"tenant", job.spec.tenant.str()},
+            {"workspace", job.spec.workspace.str()},
             {"state", to_string(job.progress.state)},
             {"tasks", job.spec.tasks},
             {"done", job.progress.done.size()},
@@ -54,7 +54,7 @@
 {
     jobs::job_spec spec;
     spec.id = id;
-    spec.tenant = workload.tenant;
+    spec.workspace = workload.workspace;
     spec.workload = workload.name;
     spec.gang = workload.cls == plan::work_class::gang;
     spec.tasks = workload.tasks;
--- a/src/entry/operator_server.cpp
+++ b/src/entry/operator_server.cpp
@@ -90,7 +90,7 @@
     for (const auto& item : status.queues)
     {
         const metrics::label_set wanted{
-            item.tenant.str(), item.cls, item.workload.str(), {}};
+            item.workspace.str(), item.cls, item.workload.str(), {}};
         const auto waited = [&](double p)
         {
             return context.meters
@@ -98,7 +98,7 @@
                 .count();
         };
         list.push_back(json::object{{"workload", item.workload.str()},
-                                    {"tenant", item.tenant.str()},
+                                    {"workspace", item.workspace.str()},
                                     {"class", item.cls},
                                     {"length", item.length},
                                     {"wait_p50_ms", waited(half)},
--- a/src/entry/request_handler.cpp
+++ b/src/entry/request_handler.cpp
@@ -109,7 +109,8 @@
     const auto& key = state.request.idempotency_key;
     if (!key.empty() && !state.workload->idempotent)
     {
-        state.key.emplace(m_keys, idempotency_key{state.workload->tenant, key},
+        state.key.emplace(m_keys,
+                          idempotency_key{state.workload->workspace, key},
                           fingerprint_of(state.request));
     }
 }
--- a/src/jobs/job_record.cpp
+++ b/src/jobs/job_record.cpp
@@ -192,7 +192,7 @@
 {
     return boost::json::serialize(
         boost::json::object{{"id", spec.id.str()},
-                            {"tenant", spec.tenant.str()},
+                            {"workspace", spec.workspace.str()},
                             {"workload", spec.workload.str()},
                             {"gang", spec.gang},
                             {"tasks", spec.tasks},
@@ -212,7 +212,7 @@
     }
     job_spec out;
     out.id = job_id(fields::text_of(*parsed, "id"));
-    out.tenant = tenant_name(fields::text_of(*parsed, "tenant"));
+    out.workspace = workspace_name(fields::text_of(*parsed, "workspace"));
     out.workload = workload_name(fields::text_of(*parsed, "workload"));
     out.gang = fields::flag_of(*parsed, "gang");
     out.tasks = fields::number_of(*parsed, "tasks");
--- a/src/json/object_reader.cpp
+++ b/src/json/object_reader.cpp
@@ -1,5 +1,7 @@
 #include <pimentoshunt/json/object_reader.hpp>
 
+#include <pimentoshunt/logging.hpp>
+
 #include <utility> // move
 
 namespace pimentoshunt::json
@@ -199,6 +201,22 @@
          "is " + kind_name(found) + ", not " + wanted, "give " + wanted);
 }
 
+auto object_reader::present_key(const std::string& key,
+                                const std::string& earlier) const -> std::string
+{
+    if (m_object == nullptr || m_object->contains(key) ||
+        !m_object->contains(earlier))
+    {
+        return key;
+    }
+    logging::warn("a key has a new name; the earlier one is read in this "
+                  "release only")
+        .with("place", m_pointer)
+        .with("earlier", earlier)
+        .with("now", key);
+    return earlier;
+}
+
 auto object_reader::reject_unknown() -> void
 {
     if (m_object == nullptr)
--- a/src/metrics/label_set.cpp
+++ b/src/metrics/label_set.cpp
@@ -48,14 +48,14 @@
 
 auto label_set::selects(const label_set& other) const -> bool
 {
-    return matches(tenant, other.tenant) && matches(cls, other.cls) &&
+    return matches(workspace, other.workspace) && matches(cls, other.cls) &&
            matches(workload, other.workload) && matches(kind, other.kind);
 }
 
 auto label_set::text() const -> std::string
 {
     std::string joined;
-    append(joined, "tenant", tenant);
+    append(joined, "workspace", workspace);
     append(joined, "class", cls);
     append(joined, "workload", workload);
     append(joined, "kind", kind);
--- a/src/metrics/registry.cpp
+++ b/src/metrics/registry.cpp
@@ -142,7 +142,8 @@
 
 auto labels_of(const plan::workload& item) -> label_set
 {
-    return {item.tenant.str(), plan::to_string(item.cls), item.name.str(), ""};
+    return {item.workspace.str(), plan::to_string(item.cls), item.name.str(),
+            ""};
 }
 
 } // namespace
--- a/src/ownership/worker_keeper.cpp
+++ b/src/ownership/worker_keeper.cpp
@@ -209,7 +209,7 @@
         ledger::holding found;
         found.attempt = running.attempt;
         found.workload = running.workload;
-        found.tenant = tenant_of(running.workload);
+        found.workspace = workspace_of(running.workload);
         found.each = running.each;
         found.granted_at = now;
         found.seen_running = true;
@@ -217,11 +217,12 @@
     }
 }
 
-auto worker_keeper::tenant_of(const workload_name& name) const -> tenant_name
+auto worker_keeper::workspace_of(const workload_name& name) const
+    -> workspace_name
 {
     const auto* const workload =
         m_plan == nullptr ? nullptr : m_plan->parsed.find(name);
-    return workload == nullptr ? tenant_name() : workload->tenant;
+    return workload == nullptr ? workspace_name() : workload->workspace;
 }
 
 auto worker_keeper::settle_missing(record& item,
--- a/src/plan/check_meaning.cpp
+++ b/src/plan/check_meaning.cpp
@@ -42,17 +42,17 @@
     return first;
 }
 
-auto check_tenant_known(const workload& item, const std::string& place,
-                        const index_by_name& tenants,
-                        std::vector<fault>& faults) -> void
+auto check_workspace_known(const workload& item, const std::string& place,
+                           const index_by_name& workspaces,
+                           std::vector<fault>& faults) -> void
 {
-    const auto& name = item.tenant.str();
-    if (!name.empty() && tenants.count(name) == 0)
+    const auto& name = item.workspace.str();
+    if (!name.empty() && workspaces.count(name) == 0)
     {
         json::add_fault(faults, {fault_kind::unknown_name,
-                                 child_pointer(place, "tenant"), 0,
-                                 "no tenant is named \"" + name + "\"",
-                                 "add it to /tenants or correct the name"});
+                                 child_pointer(place, "workspace"), 0,
+                                 "no workspace is named \"" + name + "\"",
+                                 "add it to /workspaces or correct the name"});
     }
 }
 
@@ -91,7 +91,7 @@
 };
 
 auto check_quota(const workload& item, const std::string& place,
-                 const tenant& owner, const std::string& tenant_place,
+                 const workspace& owner, const std::string& workspace_place,
                  std::vector<fault>& faults) -> void
 {
     // A gang starts whole, so the quota must hold all of its tasks.
@@ -107,9 +107,9 @@
                 {fault_kind::quota_too_small, child_pointer(place, "resources"),
                  0,
                  std::string(what) + " takes " + std::to_string(need) + " " +
-                     each.key + ", but the quota of tenant \"" +
+                     each.key + ", but the quota of workspace \"" +
                      owner.name.str() + "\" is " + std::to_string(quota),
-                 "raise " + tenant_place + "/quota/" + each.key + " to " +
+                 "raise " + workspace_place + "/quota/" + each.key + " to " +
                      std::to_string(need) + " or more, or lower the task"});
         }
     }
@@ -222,21 +222,21 @@
 
 auto check_meaning(reading& out) -> void
 {
-    const auto tenants =
-        index_names(out.parsed.tenants, out.tenant_places, out.faults);
+    const auto workspaces =
+        index_names(out.parsed.workspaces, out.workspace_places, out.faults);
     const auto workloads =
         index_names(out.parsed.workloads, out.workload_places, out.faults);
     for (std::size_t i = 0; i < out.parsed.workloads.size(); ++i)
     {
         const auto& item = out.parsed.workloads[i];
         const auto& place = out.workload_places[i];
-        check_tenant_known(item, place, tenants, out.faults);
+        check_workspace_known(item, place, workspaces, out.faults);
         check_dependencies_known(item, place, workloads, out.faults);
-        const auto owner = tenants.find(item.tenant.str());
-        if (owner != tenants.end())
+        const auto owner = workspaces.find(item.workspace.str());
+        if (owner != workspaces.end())
         {
-            check_quota(item, place, out.parsed.tenants[owner->second],
-                        out.tenant_places[owner->second], out.faults);
+            check_quota(item, place, out.parsed.workspaces[owner->second],
+                        out.workspace_places[owner->second], out.faults);
         }
     }
     cycle_finder(out, workloads).run();
--- a/src/plan/diff.cpp
+++ b/src/plan/diff.cpp
@@ -48,9 +48,9 @@
     return "[" + text + "]";
 }
 
-auto flatten(const tenant& item) -> flat_item
+auto flatten(const workspace& item) -> flat_item
 {
-    flat_item flat{"tenant", item.name.str(), {}};
+    flat_item flat{"workspace", item.name.str(), {}};
     add_amounts(flat.fields, "quota", item.quota);
     return flat;
 }
@@ -59,7 +59,7 @@
 {
     flat_item flat{to_string(item.cls), item.name.str(), {}};
     auto& fields = flat.fields;
-    fields.push_back({"tenant", item.tenant.str()});
+    fields.push_back({"workspace", item.workspace.str()});
     add_amounts(fields, "resources", item.each);
     fields.push_back({"tasks", std::to_string(item.tasks)});
     fields.push_back({"deadline_ms", std::to_string(item.deadline.count())});
@@ -74,7 +74,7 @@
 auto flatten(const document& plan) -> items_by_key
 {
     items_by_key items;
-    for (const auto& item : plan.tenants)
+    for (const auto& item : plan.workspaces)
     {
         auto flat = flatten(item);
         items.emplace(flat.sort + " " + flat.name, std::move(flat));
--- a/src/plan/read_shape.cpp
+++ b/src/plan/read_shape.cpp
@@ -65,12 +65,12 @@
     return amounts;
 }
 
-auto read_tenant(const boost::json::value& value, const std::string& pointer,
-                 std::vector<json::fault>& faults) -> tenant
+auto read_workspace(const boost::json::value& value, const std::string& pointer,
+                    std::vector<json::fault>& faults) -> workspace
 {
     object_reader reader(value, pointer, faults);
-    tenant item;
-    item.name = tenant_name(read_name(reader, "name"));
+    workspace item;
+    item.name = workspace_name(read_name(reader, "name"));
     if (const auto* const quota = reader.member("quota"))
     {
         item.quota = read_amounts(*quota, json::child_pointer(pointer, "quota"),
@@ -81,7 +81,7 @@
         json::add_fault(faults,
                         {fault_kind::missing, pointer, 0,
                          "key \"quota\" is missing",
-                         "add \"quota\" with the most that the tenant may "
+                         "add \"quota\" with the most that the workspace may "
                          "hold, such as {\"slots\": 64}"});
     }
     reader.reject_unknown();
@@ -109,7 +109,8 @@
     workload item;
     item.cls = cls;
     item.name = workload_name(read_name(reader, "name"));
-    item.tenant = tenant_name(read_name(reader, "tenant"));
+    item.workspace = workspace_name(
+        read_name(reader, reader.present_key("workspace", "tenant")));
     item.each.slots = 1;
     if (const auto* const amounts = reader.member("resources"))
     {
@@ -154,19 +155,20 @@
     }
 }
 
-auto read_tenants(object_reader& root, reading& out) -> void
+auto read_workspaces(object_reader& root, reading& out) -> void
 {
-    const auto* const items = root.array("tenants");
+    const auto key = root.present_key("workspaces", "tenants");
+    const auto* const items = root.array(key);
     if (items == nullptr)
     {
         return;
     }
     for (std::size_t i = 0; i < items->size(); ++i)
     {
-        const auto place = json::child_pointer("/tenants", std::to_string(i));
-        out.parsed.tenants.push_back(
-            read_tenant((*items)[i], place, out.faults));
-        out.tenant_places.push_back(place);
+        const auto place = json::child_pointer("/" + key, std::to_string(i));
+        out.parsed.workspaces.push_back(
+            read_workspace((*items)[i], place, out.faults));
+        out.workspace_places.push_back(place);
     }
 }
 
@@ -175,7 +177,7 @@
 auto read_shape(const boost::json::value& root, reading& out) -> void
 {
     object_reader reader(root, "", out.faults);
-    read_tenants(reader, out);
+    read_workspaces(reader, out);
     read_workloads(reader, "services", work_class::service, out);
     read_workloads(reader, "batch", work_class::batch, out);
     read_workloads(reader, "gangs", work_class::gang, out);
--- a/src/plan/reading.hpp
+++ b/src/plan/reading.hpp
@@ -18,7 +18,7 @@
 {
     document parsed;
     /// JSON pointers, parallel to the document's two lists.
-    std::vector<std::string> tenant_places;
+    std::vector<std::string> workspace_places;
     std::vector<std::string> workload_places;
     std::vector<json::fault> faults;
 };
--- a/src/plan_document.cpp
+++ b/src/plan_document.cpp
@@ -40,9 +40,9 @@
     return find_named(workloads, name);
 }
 
-auto document::find(const tenant_name& name) const -> const tenant*
+auto document::find(const workspace_name& name) const -> const workspace*
 {
-    return find_named(tenants, name);
+    return find_named(workspaces, name);
 }
 
 } // namespace pimentoshunt::plan
--- a/src/policy/grant_picker.cpp
+++ b/src/policy/grant_picker.cpp
@@ -84,7 +84,7 @@
 
 auto grant_picker::set_plan(const plan::document& document) -> void
 {
-    m_shares.set_quotas(document.tenants);
+    m_shares.set_quotas(document.workspaces);
     for (const auto& [name, known] : m_workloads)
     {
         if (document.find(name) == nullptr)
@@ -100,8 +100,8 @@
     }
 }
 
-auto grant_picker::set_usage_elsewhere(const std::vector<tenant_usage>& usages)
-    -> void
+auto grant_picker::set_usage_elsewhere(
+    const std::vector<workspace_usage>& usages) -> void
 {
     m_shares.set_usage_elsewhere(usages);
 }
@@ -188,7 +188,8 @@
         const auto& workload = *line.workload;
         const auto index = facts_of(accounts, workload, facts);
         const auto& known = facts.workloads[index];
-        const auto key = urgency_of(facts.tenants[known.tenant], line, 0, now);
+        const auto key =
+            urgency_of(facts.workspaces[known.workspace], line, 0, now);
         live.push_back({key, i, line.count, 0, index});
         if (workload.cls == plan::work_class::service && !known.is_long)
         {
@@ -210,22 +211,23 @@
     {
         return entry.first->second;
     }
-    const auto tenant =
-        facts.by_tenant.try_emplace(workload.tenant, facts.tenants.size());
-    if (tenant.second)
+    const auto workspace = facts.by_workspace.try_emplace(
+        workload.workspace, facts.workspaces.size());
+    if (workspace.second)
     {
-        facts.tenants.push_back(m_shares.position(accounts, workload.tenant));
+        facts.workspaces.push_back(
+            m_shares.position(accounts, workload.workspace));
     }
-    facts.workloads.push_back({is_long(workload), tenant.first->second});
+    facts.workloads.push_back({is_long(workload), workspace.first->second});
     return next;
 }
 
-auto grant_picker::urgency_of(const tenant_position& tenant,
+auto grant_picker::urgency_of(const workspace_position& workspace,
                               const demand_line& line, std::int64_t placed,
                               time_point now) -> detail::urgency
 {
     const auto& workload = *line.workload;
-    const auto share = tenant.share(workload.each);
+    const auto share = workspace.share(workload.each);
     detail::urgency key;
     key.rank = workload.cls == plan::work_class::service ? 0 : 1;
     key.priority = workload.priority;
@@ -291,7 +293,7 @@
     const demand_line arrival{{}, &workload, 1, deadline, now};
     const auto position = [&](const plan::workload& of)
     {
-        return m_shares.position(accounts, of.tenant);
+        return m_shares.position(accounts, of.workspace);
     };
     const auto own = urgency_of(position(workload), arrival, 0, now);
     std::vector<work_ahead> ahead;
@@ -301,9 +303,9 @@
         {
             continue;
         }
-        const auto tenant = position(*line.workload);
-        const auto last = urgency_of(tenant, line, line.count - 1, now);
-        const auto first = urgency_of(tenant, line, 0, now);
+        const auto workspace = position(*line.workload);
+        const auto last = urgency_of(workspace, line, line.count - 1, now);
+        const auto first = urgency_of(workspace, line, 0, now);
         if (last < own)
         {
             ahead.push_back({line.workload, line.count});
@@ -359,7 +361,7 @@
             }
             const auto& workload = known->workload;
             const auto share =
-                m_shares.position(accounts, workload.tenant).share({});
+                m_shares.position(accounts, workload.workspace).share({});
             choices.push_back({share > 1.0,
                                workload.priority,
                                item.granted_at,
--- a/src/policy/workspace_shares.cpp
+++ b/src/policy/workspace_shares.cpp
@@ -1,4 +1,4 @@
-#include <pimentoshunt/policy/tenant_shares.hpp>
+#include <pimentoshunt/policy/workspace_shares.hpp>
 
 #include <algorithm> // max
 
@@ -19,35 +19,37 @@
 
 } // namespace
 
-auto tenant_shares::set_quotas(const std::vector<plan::tenant>& tenants) -> void
+auto workspace_shares::set_quotas(
+    const std::vector<plan::workspace>& workspaces) -> void
 {
     m_quotas.clear();
-    for (const auto& tenant : tenants)
+    for (const auto& workspace : workspaces)
     {
-        m_quotas.emplace(tenant.name, tenant.quota);
+        m_quotas.emplace(workspace.name, workspace.quota);
     }
 }
 
-auto tenant_shares::set_usage_elsewhere(const std::vector<tenant_usage>& usages)
-    -> void
+auto workspace_shares::set_usage_elsewhere(
+    const std::vector<workspace_usage>& usages) -> void
 {
     m_elsewhere.clear();
     for (const auto& usage : usages)
     {
-        m_elsewhere[usage.tenant] += usage.in_use;
+        m_elsewhere[usage.workspace] += usage.in_use;
     }
 }
 
-auto tenant_shares::position(const ledger::capacity_ledger& accounts,
-                             const tenant_name& tenant) const -> tenant_position
+auto workspace_shares::position(const ledger::capacity_ledger& accounts,
+                                const workspace_name& workspace) const
+    -> workspace_position
 {
-    const auto quota = m_quotas.find(tenant);
+    const auto quota = m_quotas.find(workspace);
     if (quota == m_quotas.end())
     {
         return {};
     }
-    tenant_position now{quota->second, accounts.used_by(tenant).total};
-    const auto elsewhere = m_elsewhere.find(tenant);
+    workspace_position now{quota->second, accounts.used_by(workspace).total};
+    const auto elsewhere = m_elsewhere.find(workspace);
     if (elsewhere != m_elsewhere.end())
     {
         now.used += elsewhere->second;
@@ -55,7 +57,7 @@
     return now;
 }
 
-auto tenant_position::share(const resources& more) const -> double
+auto workspace_position::share(const resources& more) const -> double
 {
     const auto all = used + more;
     return std::max({share_of(all.slots, quota.slots),
--- a/tests/integration/cell_run.hpp
+++ b/tests/integration/cell_run.hpp
@@ -31,20 +31,20 @@
 /// "desk" may run once, "reader" again; "wide" takes half a worker; "brief"
 /// gives up soon, "prompt" a little later.
 inline constexpr const char* promises_plan = R"({
-  "tenants": [{"name": "dock", "quota": {"slots": 400, "millicpus": 800000,
+  "workspaces": [{"name": "dock", "quota": {"slots": 400, "millicpus": 800000,
                                          "memory_mb": 3200000}}],
   "services": [
-    {"name": "desk", "tenant": "dock", "deadline_ms": 10000, "run_time_ms": 10,
+    {"name": "desk", "workspace": "dock", "deadline_ms": 10000, "run_time_ms": 10,
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
-    {"name": "reader", "tenant": "dock", "deadline_ms": 10000,
+    {"name": "reader", "workspace": "dock", "deadline_ms": 10000,
      "run_time_ms": 10, "idempotent": true,
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
-    {"name": "wide", "tenant": "dock", "deadline_ms": 10000, "run_time_ms": 20,
+    {"name": "wide", "workspace": "dock", "deadline_ms": 10000, "run_time_ms": 20,
      "resources": {"slots": 1, "millicpus": 4000, "memory_mb": 8192}},
-    {"name": "prompt", "tenant": "dock", "deadline_ms": 2500,
+    {"name": "prompt", "workspace": "dock", "deadline_ms": 2500,
      "run_time_ms": 10,
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}},
-    {"name": "brief", "tenant": "dock", "deadline_ms": 300, "run_time_ms": 10,
+    {"name": "brief", "workspace": "dock", "deadline_ms": 300, "run_time_ms": 10,
      "resources": {"slots": 1, "millicpus": 2000, "memory_mb": 4096}}
   ]})";
 
--- a/tests/integration/integration-jobs.cpp
+++ b/tests/integration/integration-jobs.cpp
@@ -21,12 +21,12 @@
 {
 
 constexpr const char* jobs_plan = R"({
-  "tenants": [{"name": "press", "quota": {"slots": 64, "millicpus": 64000,
+  "workspaces": [{"name": "press", "quota": {"slots": 64, "millicpus": 64000,
                                           "memory_mb": 64000}}],
-  "batch": [{"name": "sweep", "tenant": "press", "idempotent": true,
+  "batch": [{"name": "sweep", "workspace": "press", "idempotent": true,
              "run_time_ms": 300, "resources": {"slots": 1, "millicpus": 100,
                                                "memory_mb": 100}}],
-  "gangs": [{"name": "plates", "tenant": "press", "tasks": 12,
+  "gangs": [{"name": "plates", "workspace": "press", "tasks": 12,
              "idempotent": true, "run_time_ms": 2500,
              "resources": {"slots": 1, "millicpus": 100, "memory_mb": 100}}]
 })";
--- a/tests/integration/integration-product.cpp
+++ b/tests/integration/integration-product.cpp
@@ -19,10 +19,10 @@
 constexpr milliseconds prompt{3'000};
 
 constexpr const char* plan_text = R"({
-  "tenants": [{"name": "dock", "quota": {"slots": 100}}],
+  "workspaces": [{"name": "dock", "quota": {"slots": 100}}],
   "services": [
-    {"name": "desk", "tenant": "dock", "path": "/desk", "deadline_ms": 20000},
-    {"name": "render", "tenant": "dock", "run_time_ms": 60000,
+    {"name": "desk", "workspace": "dock", "path": "/desk", "deadline_ms": 20000},
+    {"name": "render", "workspace": "dock", "run_time_ms": 60000,
      "idempotent": true, "deadline_ms": 20000}]})";
 
 auto one_instance() -> cell_options
@@ -223,7 +223,8 @@
     served_cell cell;
     auto client = cell.operators();
     const std::string deep(100'000, '[');
-    const std::string wrong_utf8 = "{\"tenants\": [{\"name\": \"\xff\xfe\"}]}";
+    const std::string wrong_utf8 =
+        "{\"workspaces\": [{\"name\": \"\xff\xfe\"}]}";
     for (const auto& body : {deep, wrong_utf8, std::string("{"), std::string()})
     {
         const auto answer =
@@ -410,10 +411,11 @@
         callers.Get("/services/desk/a", {{"Pimentoshunt-Deadline-Ms", "50"}});
     cr_assert(late);
     cr_expect_eq(late->status, 504);
-    cr_expect(shows("pimentoshunt_refusals_total{tenant=\"dock\",class="
+    cr_expect(shows("pimentoshunt_refusals_total{workspace=\"dock\",class="
                     "\"service\",workload=\"desk\",kind="
                     "\"deadline_passed\"} 1"));
-    cr_expect(shows("pimentoshunt_head_of_line_seconds_count{tenant=\"dock\","
-                    "class=\"service\",workload=\"desk\"} 1"));
+    cr_expect(
+        shows("pimentoshunt_head_of_line_seconds_count{workspace=\"dock\","
+              "class=\"service\",workload=\"desk\"} 1"));
     cr_expect_eq(callers.Delete("/requests/long")->status, 202);
 }
--- a/tests/support/operator_calls.cpp
+++ b/tests/support/operator_calls.cpp
@@ -23,13 +23,13 @@
 auto plan_text(const plan_service& service) -> std::string
 {
     const json::object quota{{"slots", 100'000}};
-    const json::object tenant{{"name", "dock"}, {"quota", quota}};
+    const json::object workspace{{"name", "dock"}, {"quota", quota}};
     const json::object entry{{"name", service.name},
-                             {"tenant", "dock"},
+                             {"workspace", "dock"},
                              {"idempotent", service.idempotent},
                              {"deadline_ms", service.deadline.count()},
                              {"run_time_ms", 20}};
-    return json::serialize(json::object{{"tenants", json::array{tenant}},
+    return json::serialize(json::object{{"workspaces", json::array{workspace}},
                                         {"services", json::array{entry}}});
 }
 
--- a/tests/support/operator_calls.hpp
+++ b/tests/support/operator_calls.hpp
@@ -21,7 +21,7 @@
     milliseconds deadline{10'000};
 };
 
-/// @brief The text of a plan with one tenant and one service.
+/// @brief The text of a plan with one workspace and one service.
 [[nodiscard]] auto plan_text(const plan_service& service = {}) -> std::string;
 
 /// @brief How an instance answered a submitted plan.
--- a/tests/unit-cli.cpp
+++ b/tests/unit-cli.cpp
@@ -18,8 +18,8 @@
 {
 
 const std::string sound_plan =
-    R"({"tenants":[{"name":"t","quota":{"slots":8}}],)"
-    R"("services":[{"name":"a","tenant":"t"}]})";
+    R"({"workspaces":[{"name":"t","quota":{"slots":8}}],)"
+    R"("services":[{"name":"a","workspace":"t"}]})";
 
 /// @brief What a command returned and wrote.
 struct command_end
@@ -309,7 +309,7 @@
                 R"("age_ms":9,"workers_held":5}],"workers":[)"
                 R"({"id":"w1","state":"open","owner":"i1",)"
                 R"("free":{"slots":3},"capacity":{"slots":8}}],)"
-                R"("queues":[{"class":"batch","tenant":"t",)"
+                R"("queues":[{"class":"batch","workspace":"t",)"
                 R"("length":4,"wait_p50_ms":1,"wait_p99_ms":2}]})",
                 "application/json");
         });
@@ -330,7 +330,7 @@
     cr_assert(holds(status.out, "i2 in d: active, heard 9 ms ago, holds 5"));
     cr_assert(holds(status.out, "1 open: 3 of 8 slots"));
     cr_assert(
-        holds(status.out, "batch of tenant t: 4 wait; half waited up to"));
+        holds(status.out, "batch of workspace t: 4 wait; half waited up to"));
 
     const auto submitted = run({"jobs", "submit", "render", port.flag()});
     cr_assert(submitted.code == 0);
--- a/tests/unit-error.cpp
+++ b/tests/unit-error.cpp
@@ -7,8 +7,8 @@
 
 Test(error, message_names_kind_place_and_remedy)
 {
-    const error e{error_kind::plan, 201, "/tenants/0", "unknown key",
+    const error e{error_kind::plan, 201, "/workspaces/0", "unknown key",
                   "remove it"};
     cr_assert(e.message() ==
-              "[plan.201] at /tenants/0: unknown key; remedy: remove it");
+              "[plan.201] at /workspaces/0: unknown key; remedy: remove it");
 }
--- a/tests/unit-idempotency.cpp
+++ b/tests/unit-idempotency.cpp
@@ -16,7 +16,7 @@
 using pimentoshunt::error;
 using pimentoshunt::handle;
 using pimentoshunt::result;
-using pimentoshunt::tenant_name;
+using pimentoshunt::workspace_name;
 using pimentoshunt::tests::fake_platform;
 using pimentoshunt::tests::fake_worker;
 using namespace pimentoshunt::entry;
@@ -27,7 +27,7 @@
 
 using idem_log = idempotency_log<fake_platform>;
 
-const idempotency_key lot{tenant_name("wash"), "lot 7/ä"};
+const idempotency_key lot{workspace_name("wash"), "lot 7/ä"};
 const std::string worker_url = "http://127.0.0.1:1/w/1";
 
 auto claim_of(const std::string& attempt, const std::string& print = "f")
--- a/tests/unit-ledger.cpp
+++ b/tests/unit-ledger.cpp
@@ -30,7 +30,7 @@
     ledger::holding made;
     made.attempt = attempt_id("a" + std::to_string(number));
     made.workload = workload_name("proofs");
-    made.tenant = tenant_name("t" + std::to_string(number % 3));
+    made.workspace = workspace_name("t" + std::to_string(number % 3));
     made.each = each;
     return made;
 }
@@ -60,14 +60,14 @@
             capacity += account.worker.capacity;
         }
     }
-    resources by_tenant;
+    resources by_workspace;
     for (int i = 0; i < 3; ++i)
     {
-        by_tenant +=
-            accounts.used_by(tenant_name("t" + std::to_string(i))).total;
+        by_workspace +=
+            accounts.used_by(workspace_name("t" + std::to_string(i))).total;
     }
     return free == accounts.free_total() &&
-           capacity == accounts.capacity_total() && held == by_tenant;
+           capacity == accounts.capacity_total() && held == by_workspace;
 }
 
 /// @brief Whether best_fit finds a worker exactly when one admits.
@@ -132,7 +132,7 @@
     cr_assert(accounts.take(worker_id("w1"), holding(1, {2, 0, 0, 0})));
     accounts.open(machine(1), 2, {}, {});
     cr_assert(accounts.free_total().slots == 8);
-    cr_assert(accounts.used_by(tenant_name("t1")).holdings == 0);
+    cr_assert(accounts.used_by(workspace_name("t1")).holdings == 0);
     cr_assert(accounts.used_by_workload().empty());
 }
 
--- a/tests/unit-metrics.cpp
+++ b/tests/unit-metrics.cpp
@@ -20,12 +20,12 @@
 namespace
 {
 
-auto make_workload(const std::string& name, const std::string& tenant,
+auto make_workload(const std::string& name, const std::string& workspace,
                    work_class cls) -> workload
 {
     workload item;
     item.name = pimentoshunt::workload_name(name);
-    item.tenant = pimentoshunt::tenant_name(tenant);
+    item.workspace = pimentoshunt::workspace_name(workspace);
     item.cls = cls;
     return item;
 }
@@ -61,7 +61,7 @@
     cr_assert(counts.buckets().back().count == 2);
 }
 
-Test(metrics, quantiles_select_by_tenant_and_class)
+Test(metrics, quantiles_select_by_workspace_and_class)
 {
     registry all;
     const auto proof = make_workload("proof", "print", work_class::service);
@@ -71,9 +71,9 @@
     const auto service =
         all.time_quantile(measure::waiting, {"", "service", "", ""}, 0.99);
     cr_assert(service > milliseconds(8) && service < milliseconds(13));
-    const auto tenant =
+    const auto workspace =
         all.time_quantile(measure::waiting, {"print", "", "", ""}, 1);
-    cr_assert(tenant > milliseconds(8'000));
+    cr_assert(workspace > milliseconds(8'000));
     cr_assert(all.quantile(measure::waiting, {"none", "", "", ""}, 0.5) == 0);
 }
 
@@ -87,7 +87,7 @@
     all.add(counter::answers, {"", "", "", "ok"}, 3);
     const auto text = all.prometheus_text();
     const std::string labels =
-        R"(tenant="a\"b",class="service",workload="proof")";
+        R"(workspace="a\"b",class="service",workload="proof")";
     cr_assert(
         holds(text, "pimentoshunt_service_seconds_count{" + labels + "} 1"));
     cr_assert(
@@ -127,6 +127,6 @@
     }
     cr_assert(all.value(counter::grants) == thread_count * each);
     cr_assert(holds(all.prometheus_text(),
-                    "pimentoshunt_waiting_seconds_count{tenant=\"t\",class="
+                    "pimentoshunt_waiting_seconds_count{workspace=\"t\",class="
                     "\"batch\",workload=\"w\"} 4000"));
 }
--- a/tests/unit-plan-diff.cpp
+++ b/tests/unit-plan-diff.cpp
@@ -12,19 +12,19 @@
 {
 
 const std::string before = R"({
-"tenants": [{"name": "t", "quota": {"slots": 8}}],
-"services": [{"name": "a", "tenant": "t", "deadline_ms": 2000},
-             {"name": "b", "tenant": "t"}]})";
+"workspaces": [{"name": "t", "quota": {"slots": 8}}],
+"services": [{"name": "a", "workspace": "t", "deadline_ms": 2000},
+             {"name": "b", "workspace": "t"}]})";
 
 } // namespace
 
 Test(plan_diff, tells_changes_in_the_plans_own_terms)
 {
     const std::string after = R"({
-"tenants": [{"name": "t", "quota": {"slots": 16}}],
-"services": [{"name": "a", "tenant": "t", "deadline_ms": 3000,
+"workspaces": [{"name": "t", "quota": {"slots": 16}}],
+"services": [{"name": "a", "workspace": "t", "deadline_ms": 3000,
               "depends_on": ["c"]}],
-"batch": [{"name": "c", "tenant": "t"}]})";
+"batch": [{"name": "c", "workspace": "t"}]})";
     std::vector<std::string> lines;
     for (const auto& change : diff(before, after))
     {
@@ -34,7 +34,7 @@
         "changed service a: deadline_ms 2000 -> 3000",
         "changed service a: depends_on [] -> [c]",
         "removed service b",
-        "changed tenant t: quota.slots 8 -> 16",
+        "changed workspace t: quota.slots 8 -> 16",
         "added batch c",
     };
     cr_assert(lines == expected);
@@ -43,10 +43,10 @@
 Test(plan_diff, order_and_defaults_make_no_difference)
 {
     const std::string same = R"({
-"services": [{"name": "b", "tenant": "t", "priority": 0},
-             {"name": "a", "tenant": "t", "deadline_ms": 2000,
+"services": [{"name": "b", "workspace": "t", "priority": 0},
+             {"name": "a", "workspace": "t", "deadline_ms": 2000,
               "resources": {"slots": 1}}],
-"tenants": [{"name": "t", "quota": {"slots": 8}}]})";
+"workspaces": [{"name": "t", "quota": {"slots": 8}}]})";
     cr_assert(diff(before, same).empty());
     cr_assert(diff("", before).size() == 3);
 }
--- a/tests/unit-plan.cpp
+++ b/tests/unit-plan.cpp
@@ -20,17 +20,17 @@
 {
 
 const std::string sound = R"({
-  "tenants": [
+  "workspaces": [
     {"name": "desk", "quota": {"slots": 16, "millicpus": 16000,
                                "memory_mb": 4096}}
   ],
   "services": [
-    {"name": "booking", "tenant": "desk", "path": "/booking",
+    {"name": "booking", "workspace": "desk", "path": "/booking",
      "resources": {"slots": 1, "millicpus": 500, "memory_mb": 256},
      "deadline_ms": 2000, "idempotent": false, "priority": 7}
   ],
   "gangs": [
-    {"name": "plates", "tenant": "desk", "tasks": 8,
+    {"name": "plates", "workspace": "desk", "tasks": 8,
      "depends_on": ["booking"]}
   ]
 })";
@@ -50,6 +50,30 @@
 
 } // namespace
 
+// Plans of the release before, which named workspaces otherwise.
+Test(plan, the_earlier_keys_of_workspaces_are_read_for_one_release)
+{
+    auto earlier = sound;
+    for (std::size_t at = 0;
+         (at = earlier.find("\"workspace", at)) != std::string::npos;)
+    {
+        earlier.replace(at, std::string("\"workspace").size(), "\"tenant");
+    }
+    cr_assert(check(earlier).empty());
+    const auto read = parse(earlier);
+    cr_assert(read);
+    cr_assert_eq(read->workspaces.size(), 1u);
+    const auto* const booking = read->find(workload_name("booking"));
+    cr_assert(booking != nullptr);
+    cr_assert_eq(booking->workspace.str(), "desk");
+}
+
+Test(plan, both_keys_at_once_are_a_fault)
+{
+    const auto faults = check(R"({"workspaces": [], "tenants": []})");
+    cr_assert(has(faults, fault_kind::unknown_key, "/tenants", 1));
+}
+
 Test(plan, reads_a_sound_text)
 {
     cr_assert(check(sound).empty());
@@ -68,9 +92,9 @@
 Test(plan, finds_all_faults_of_shape_at_once_with_their_lines)
 {
     const auto faults = check(R"({
-  "tenants": [{"name": "a b", "quota": {"slots": 4}}],
+  "workspaces": [{"name": "a b", "quota": {"slots": 4}}],
   "services": [
-    {"name": "s", "tenant": "a b",
+    {"name": "s", "workspace": "a b",
      "priority": 10,
      "deadline_ms": "2s",
      "colour": 1,
@@ -79,7 +103,7 @@
   ],
   "extra": {}
 })");
-    cr_assert(has(faults, fault_kind::out_of_range, "/tenants/0/name", 2));
+    cr_assert(has(faults, fault_kind::out_of_range, "/workspaces/0/name", 2));
     cr_assert(has(faults, fault_kind::out_of_range, "/services/0/priority", 5));
     cr_assert(
         has(faults, fault_kind::wrong_type, "/services/0/deadline_ms", 6));
@@ -92,16 +116,17 @@
 Test(plan, finds_all_faults_of_meaning_at_once)
 {
     const auto faults = check(R"({
-  "tenants": [{"name": "t", "quota": {"slots": 4}}],
+  "workspaces": [{"name": "t", "quota": {"slots": 4}}],
   "services": [
-    {"name": "s", "tenant": "u"},
-    {"name": "s", "tenant": "t", "depends_on": ["none"]}
+    {"name": "s", "workspace": "u"},
+    {"name": "s", "workspace": "t", "depends_on": ["none"]}
   ],
   "gangs": [
-    {"name": "g", "tenant": "t", "tasks": 8}
+    {"name": "g", "workspace": "t", "tasks": 8}
   ]
 })");
-    cr_assert(has(faults, fault_kind::unknown_name, "/services/0/tenant", 4));
+    cr_assert(
+        has(faults, fault_kind::unknown_name, "/services/0/workspace", 4));
     cr_assert(has(faults, fault_kind::duplicate, "/services/1/name", 5));
     cr_assert(
         has(faults, fault_kind::unknown_name, "/services/1/depends_on/0", 5));
@@ -114,11 +139,11 @@
 Test(plan, names_the_cycle)
 {
     const auto faults = check(R"({
-  "tenants": [{"name": "t", "quota": {"slots": 4}}],
+  "workspaces": [{"name": "t", "quota": {"slots": 4}}],
   "batch": [
-    {"name": "x", "tenant": "t", "depends_on": ["a"]},
-    {"name": "a", "tenant": "t", "depends_on": ["b"]},
-    {"name": "b", "tenant": "t", "depends_on": ["a"]}
+    {"name": "x", "workspace": "t", "depends_on": ["a"]},
+    {"name": "a", "workspace": "t", "depends_on": ["b"]},
+    {"name": "b", "workspace": "t", "depends_on": ["a"]}
   ]
 })");
     cr_assert(faults.size() == 1);
@@ -130,8 +155,8 @@
 Test(plan, finds_work_that_fits_no_worker)
 {
     const std::string text = R"({
-  "tenants": [{"name": "t", "quota": {"slots": 9, "memory_mb": 900}}],
-  "batch": [{"name": "a", "tenant": "t",
+  "workspaces": [{"name": "t", "quota": {"slots": 9, "memory_mb": 900}}],
+  "batch": [{"name": "a", "workspace": "t",
              "resources": {"slots": 2, "memory_mb": 500}}]
 })";
     cr_assert(check(text, {{8, 100, 400, 0}, {2, 0, 500, 0}}).empty());
--- a/tests/unit-policy-grant-picker.cpp
+++ b/tests/unit-policy-grant-picker.cpp
@@ -21,12 +21,12 @@
     return time_point(std::chrono::hours(1) + milliseconds(ms));
 }
 
-auto make(const char* name, work_class cls, const char* tenant = "a")
+auto make(const char* name, work_class cls, const char* workspace = "a")
     -> plan::workload
 {
     plan::workload made;
     made.name = workload_name(name);
-    made.tenant = tenant_name(tenant);
+    made.workspace = workspace_name(workspace);
     made.cls = cls;
     made.each = {1, 1'000, 1'000, 0};
     return made;
@@ -63,7 +63,7 @@
         ledger::holding item;
         item.attempt = attempt_id(std::to_string(++attempts));
         item.workload = workload.name;
-        item.tenant = workload.tenant;
+        item.workspace = workload.workspace;
         item.each = workload.each;
         item.granted_at = at(now);
         return accounts.take(id, item);
@@ -139,13 +139,13 @@
     cr_assert(asked == 2);
 }
 
-Test(grant_picker, tenants_within_quota_go_before_those_over_it)
+Test(grant_picker, workspaces_within_quota_go_before_those_over_it)
 {
     const auto greedy = make("greedy", work_class::service, "greedy");
     const auto modest = make("modest", work_class::service, "modest");
     plan::document document;
-    document.tenants = {{tenant_name("greedy"), {2, 0, 0, 0}},
-                        {tenant_name("modest"), {4, 0, 0, 0}}};
+    document.workspaces = {{workspace_name("greedy"), {2, 0, 0, 0}},
+                           {workspace_name("modest"), {4, 0, 0, 0}}};
     document.workloads = {greedy, modest};
     cell one(1);
     one.picker.set_plan(document);
@@ -154,7 +154,7 @@
               "all capacity is used, the quota only orders");
     cell two(1);
     two.picker.set_plan(document);
-    two.picker.set_usage_elsewhere({{tenant_name("modest"), {4, 0, 0, 0}}});
+    two.picker.set_usage_elsewhere({{workspace_name("modest"), {4, 0, 0, 0}}});
     cr_assert(two.pick({line(greedy, 2, 900), line(modest, 20, 100)}) ==
               (units{2, 6}));
 }
