An owner whom the store fails alone hands the cell over

It can't release the row, which lies in the store. Ruled out: a shorter watch (an outage for all would end each ownership). Change: greetings carry how long ago the store last answered the sender. When it has answered another instance well after it began to fail here, and has failed here for 0.4 s, the owner ends its role and says so in its beat; followers take over as after a release. An outage for all changes nothing. Three new tests.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -15,7 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // max
+#include <algorithm>  // any_of
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
@@ -171,7 +171,7 @@
         for (const auto& [name, peer] :
              m_peers.alive(boot_clock::now(), followed_within))
         {
-            if (peer.reaches_store)
+            if (peer.store_answered_at != time_point{})
             {
                 return peer.address;
             }
@@ -331,6 +331,11 @@
         if (m_ownership.owner())
         {
             beat(now);
+            if (others_reach_the_store(now))
+            {
+                hand_over(now);
+                return;
+            }
             if (now >= m_next_renewal && !m_row_busy)
             {
                 // A new owner has to read all parts of the store.
@@ -357,6 +362,30 @@
         }
     }
 
+    /// Whether the store fails this owner alone: another instance can do what
+    /// this one can't.
+    [[nodiscard]] auto others_reach_the_store(time_point now) const -> bool
+    {
+        const auto peers = m_peers.alive(now, followed_within);
+        return std::any_of(peers.begin(), peers.end(),
+                           [&](const auto& peer)
+                           {
+                               return m_health.only_here(
+                                   peer.second.store_answered_at, now);
+                           });
+    }
+
+    /// Lets the cell go without the store: the followers are told directly.
+    auto hand_over(time_point now) -> void
+    {
+        if (m_role)
+        {
+            m_role->end();
+            m_role.reset();
+        }
+        release(now);
+    }
+
     auto beat(time_point now) -> void
     {
         if (now < m_next_beat)
@@ -410,7 +439,11 @@
         hello.set_peer_address(m_options.peer_address);
         hello.set_epoch(m_ownership.epoch());
         hello.set_serving(!m_leaving);
-        hello.set_reaches_store(!m_health.failing());
+        hello.set_store_answer_age_ms(
+            m_health.failing() ? -1
+                               : std::chrono::duration_cast<milliseconds>(
+                                     now - m_health.answered_at())
+                                     .count());
         m_peers.send(m_ownership.owner_address(), std::move(message));
     }
 
--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -98,7 +98,8 @@
     [[nodiscard]] auto earlier_owner_over() const -> bool
     {
         return m_row.version == 0 || m_row.content.released ||
-               m_row.content.instance == m_instance;
+               m_row.content.instance == m_instance ||
+               m_row.content.epoch <= m_epoch_let_go;
     }
 
     /// @brief What the row should say for a takeover or a renewal.
@@ -165,6 +166,8 @@
     std::uint64_t m_heard_version = 0;
     bool m_unconfirmed_owner = false;
     bool m_released = false;
+    /// The latest epoch whose owner has said itself that it has ended.
+    std::uint64_t m_epoch_let_go = 0;
     bool m_owner = false;
     std::uint64_t m_epoch = 0;
     std::string m_owner_address;
--- a/include/pimentoshunt/cell/peers.hpp
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -25,7 +25,9 @@
 {
     std::string address;
     std::uint64_t epoch = 0;
-    bool reaches_store = true;
+    /// When the store last answered it; the beginning of time while it does
+    /// not.
+    time_point store_answered_at;
     bool serving = false;
     time_point heard_at;
 };
--- a/include/pimentoshunt/cell/store_health.hpp
+++ b/include/pimentoshunt/cell/store_health.hpp
@@ -16,6 +16,7 @@
     {
         if (answered)
         {
+            m_answered_at = now;
             if (m_failing)
             {
                 logging::info("store answers again")
@@ -51,7 +52,24 @@
         return m_failing;
     }
 
+    /// @brief When it last answered.
+    [[nodiscard]] auto answered_at() const noexcept -> time_point
+    {
+        return m_answered_at;
+    }
+
+    /// @brief Whether it has answered another instance since it last answered
+    /// this one, and calls here have failed for @ref away_after.
+    /// @param others_at  when it last answered the other instance
+    [[nodiscard]] auto only_here(time_point others_at, time_point now) const
+        -> bool
+    {
+        return away(now) && others_at >= m_failing_since + others_later;
+    }
+
   private:
+    /// What others say is old by the way of their message and its interval.
+    static constexpr milliseconds others_later{150};
     /// A single lost answer says little.
     static constexpr milliseconds away_after{400};
 
@@ -60,6 +78,7 @@
 
     bool m_failing = false;
     time_point m_failing_since;
+    time_point m_answered_at;
     time_point m_failed_at;
 };
 
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -66,7 +66,7 @@
     if (row.content.epoch >= m_epoch)
     {
         m_epoch = row.content.epoch;
-        m_released = row.content.released;
+        m_released = row.content.released || m_epoch <= m_epoch_let_go;
         m_owner_address = row.content.peer_address;
     }
 }
@@ -77,6 +77,10 @@
     {
         return;
     }
+    if (beat.released)
+    {
+        m_epoch_let_go = beat.epoch;
+    }
     m_epoch = beat.epoch;
     m_owner_address = beat.peer_address;
     m_heard_at = now;
--- a/src/cell/peers.cpp
+++ b/src/cell/peers.cpp
@@ -59,7 +59,9 @@
     entry.address = hello.peer_address();
     entry.epoch = hello.epoch();
     entry.serving = hello.serving();
-    entry.reaches_store = hello.reaches_store();
+    const milliseconds age(hello.store_answer_age_ms());
+    entry.store_answered_at =
+        age.count() < 0 ? time_point{} : time_point(now - age);
     entry.heard_at = now;
     std::erase_if(m_known,
                   [&](const auto& item)
--- a/tests/unit-cell-ownership.cpp
+++ b/tests/unit-cell-ownership.cpp
@@ -121,3 +121,28 @@
     cr_assert(!bed.self.may_act(false, bed.now));
     cr_assert(bed.self.may_act(true, bed.now));
 }
+
+// wischwerk-zh trouble-1: the store failed the owner alone. It can't say so in
+// the row, so it tells the followers.
+Test(cell_ownership, an_owner_that_says_it_has_ended_is_followed_at_once)
+{
+    follower_bed bed;
+    bed.read();
+    bed.now += milliseconds(900);
+    bed.beat();
+    bed.now += milliseconds(100);
+    bed.self.beat_heard(
+        {3, "other", "10.0.0.2:1", true, milliseconds(600), bed.version},
+        bed.now);
+    cr_assert_leq(bed.until_takeover(long_time, false, false).count(), 200);
+}
+
+Test(cell_ownership, what_an_earlier_owner_said_does_not_end_a_later_one)
+{
+    follower_bed bed;
+    bed.self.beat_heard({2, "first", "10.0.0.3:1", true, milliseconds(100), 5},
+                        bed.now);
+    bed.beat();
+    cr_assert_eq(bed.until_takeover(long_time, true, true).count(),
+                 long_time.count());
+}
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -179,6 +179,23 @@
     }
 }
 
+// An owner lets the cell go only if another instance can do better.
+Test(cell_store, a_store_that_fails_all_is_told_from_one_that_fails_only_here)
+{
+    cell::store_health health;
+    const time_point began{std::chrono::hours(1)};
+    health.record(true, began);
+    health.record(false, began + milliseconds(100));
+    const auto later = began + milliseconds(800);
+    cr_assert(health.away(later));
+    // The other one was answered before the outage, as this one was.
+    cr_assert(!health.only_here(began + milliseconds(50), later));
+    cr_assert(!health.only_here(time_point{}, later));
+    cr_assert(health.only_here(began + milliseconds(500), later));
+    health.record(true, later);
+    cr_assert(!health.only_here(later, later));
+}
+
 // wischwerk-zh trouble-3: a feed call that hung in an outage kept an instance
 // from a configuration for 2.4 s.
 Test(cell_store, a_feed_does_not_wait_until_the_store_has_answered)
