--- a/include/pimentoshunt/cell/store_health.hpp
+++ b/include/pimentoshunt/cell/store_health.hpp
@@ -59,15 +59,18 @@
     }
 
     /// @brief Whether it has answered another instance since it last answered
-    /// this one, and calls here have failed for @ref away_after.
+    /// this one, and calls here have failed for @ref hand_over_after.
     /// @param others_at  when it last answered the other instance
     [[nodiscard]] auto only_here(time_point others_at, time_point now) const
         -> bool
     {
-        return away(now) && others_at >= m_failing_since + others_later;
+        return m_failing && now - m_failing_since >= hand_over_after &&
+               others_at >= m_failing_since + others_later;
     }
 
   private:
+    /// An owner gives up sooner than callers are refused: others go on at once.
+    static constexpr milliseconds hand_over_after{200};
     /// What others say is old by the way of their message and its interval.
     static constexpr milliseconds others_later{150};
     /// A single lost answer says little.
