Ownership is proved by renewals alone; calls lost together count once

A new owner reads the inbox before it has taken all parts of progress, which needed over a second while answers were lost; a job that was stored in between ran under the earlier owner and was unknown to the new one when it listed the worker: it stopped one run, passed over one end, and ran both tasks again. Ruled out: the handing over by an owner that the store fails alone (it ends its role first). Found while reading: a renewal whose answer was lost counted from the next attempt, although a takeover may be due before that: it no longer counts at all. New test of lost calls.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -535,7 +535,6 @@
         {
             return m_ownership.confirmed_at();
         };
-        around.earlier_owner_over = m_options.scheduler.earlier_owner_over;
         around.overtaken = [this]
         {
             step_down("another instance has taken the cell over");
@@ -609,10 +608,6 @@
         {
             m_health.record(true, now);
             m_ownership.confirmed(result.version, content, sent_at);
-            if (m_role)
-            {
-                m_role->confirmed(result.version, sent_at);
-            }
             if (content.released)
             {
                 release(now);
@@ -630,8 +625,10 @@
                 m_ownership.row_seen(row, now);
                 return;
             }
-            // A renewal whose answer was lost.
-            m_ownership.confirmed(row.version, row.content, sent_at);
+            // A renewal whose answer was lost. The row may be about to be
+            // taken over: only what is written from now on confirms.
+            m_ownership.confirmed(row.version, row.content,
+                                  m_ownership.confirmed_at());
             m_next_renewal = now;
             return;
         }
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -43,8 +43,6 @@
     std::function<bool()> may_act;
     /// When the store was last asked to confirm the ownership, and did.
     std::function<time_point()> confirmed_at;
-    /// Whether the earlier owner is over for certain.
-    bool earlier_owner_over = false;
     /// Called once when a later owner is there.
     std::function<void()> overtaken;
     /// The time of day.
@@ -63,8 +61,7 @@
                scheduler_options options)
         : m_outside(outside), m_control(control), m_peers(others),
           m_health(health), m_around(std::move(around)),
-          m_own_from(m_around.earlier_owner_over ? std::optional(epoch_version)
-                                                 : std::nullopt),
+          m_epoch_version(epoch_version),
           m_scheduler(epoch, options, present()), m_desk(epoch),
           m_progress(std::make_shared<progress_writer<Platform>>(
               outside, control, health, m_scheduler, progress_listener())),
@@ -142,15 +139,6 @@
         return m_scheduler;
     }
 
-    /// @brief The ownership was confirmed by a transaction of that version.
-    auto confirmed(std::uint64_t version, time_point sent_at) -> void
-    {
-        if (m_loaded && !m_own_from && sent_at > m_loaded_at + new_jobs_for)
-        {
-            m_own_from = version;
-        }
-    }
-
     /// @brief An instance has stored a row of the inbox. Before everything is
     /// loaded it is passed over: loading or the feed brings it.
     auto row_arrived(const stored_row& row) -> void
@@ -177,8 +165,9 @@
     }
 
   private:
-    /// An owner starts jobs that came in within so long of a proof that no
-    /// later owner has loaded the cell: less than two renewals that fail.
+    /// An owner starts jobs that came in within so long of its latest
+    /// confirmation: less than a takeover waits, so that no later owner has
+    /// begun when they were stored.
     static constexpr milliseconds new_jobs_for{900};
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
@@ -247,7 +236,6 @@
             }
         }
         m_loaded = true;
-        m_loaded_at = present();
         logging::info("cell is loaded")
             .with("epoch", m_scheduler.epoch())
             .with("jobs", m_scheduler.job_count())
@@ -395,20 +383,15 @@
         }
     }
 
-    /// What this owner may do. A confirmation proves that there was no later
-    /// owner, a write of progress that none had loaded the cell.
     auto authority() const -> owner_authority
     {
-        return {m_around.may_act(),
-                std::max(m_around.confirmed_at(), m_progress->proven_at()) +
-                    new_jobs_for};
+        return {m_around.may_act(), m_around.confirmed_at() + new_jobs_for};
     }
 
-    /// An earlier owner may have started what was stored before it noticed
-    /// this one.
+    /// An earlier owner may have started what was stored before the takeover.
     auto take_job(const job_spec& job, std::uint64_t version) -> void
     {
-        if (m_own_from && version > *m_own_from)
+        if (version > m_epoch_version)
         {
             m_scheduler.accept(job, present());
             return;
@@ -501,7 +484,7 @@
             m_scheduler.advance(now, m_around.calendar(), authority());
         carry_out(out);
         ask_questions(now);
-        m_progress->write(m_around.confirmed_at());
+        m_progress->write();
         m_roster->write(now);
         m_remover->remove_due(now);
         if (m_scheduler.overtaken())
@@ -640,9 +623,8 @@
     peers& m_peers;
     store_health& m_health;
     owner_context m_around;
-    /// Rows of the inbox of a later version were seen by no earlier owner;
-    /// nothing until that is certain of any.
-    std::optional<std::uint64_t> m_own_from;
+    /// Version of the takeover: no earlier owner starts what is stored later.
+    std::uint64_t m_epoch_version;
     scheduler m_scheduler;
     approval_desk m_desk;
     std::shared_ptr<cell_loader<Platform>> m_loader;
@@ -653,7 +635,6 @@
     std::shared_ptr<table_follower<Platform>> m_inbox;
     std::shared_ptr<table_follower<Platform>> m_workers;
     bool m_loaded = false;
-    time_point m_loaded_at;
     bool m_woken = false;
     bool m_ended = false;
 };
--- a/include/pimentoshunt/cell/progress_writer.hpp
+++ b/include/pimentoshunt/cell/progress_writer.hpp
@@ -61,32 +61,21 @@
         m_gather.cancel();
     }
 
-    /// @brief When the last write was sent that is certain to be done: no later
-    /// owner had loaded the cell then.
-    [[nodiscard]] auto proven_at() const noexcept -> time_point
-    {
-        return m_proven_at;
-    }
-
     /// @brief Writes what waits, if no write is under way.
-    /// @param confirmed_at  when the ownership was confirmed otherwise
-    auto write(time_point confirmed_at) -> void
+    auto write() -> void
     {
-        const auto now = boot_clock::now();
-        if (m_writing || now < m_next_write)
+        if (m_writing || boot_clock::now() < m_next_write ||
+            !m_scheduler.progress_waits() ||
+            (!m_scheduler.end_waits() && !gathered()))
         {
             return;
         }
-        const bool proof_due =
-            now - m_proven_at > prove_after && now - confirmed_at > prove_after;
-        const bool due = m_scheduler.progress_waits() &&
-                         (m_scheduler.end_waits() || gathered());
-        if (!due && !proof_due)
+        const auto batch = m_scheduler.take_progress(most_rows);
+        if (!batch)
         {
             return;
         }
-        const auto batch = m_scheduler.take_progress(most_rows);
-        if (batch && batch->jobs.empty())
+        if (batch->jobs.empty())
         {
             // Ends that changed nothing need no write.
             m_scheduler.progress_stored(*batch, boot_clock::now());
@@ -101,8 +90,7 @@
             {epoch_at, m_part_versions[m_progress_part]});
         transaction.writes.push_back(
             {epoch_at, std::to_string(m_scheduler.epoch())});
-        const auto written = batch.value_or(progress_batch{});
-        for (const auto& job : written.jobs)
+        for (const auto& job : batch->jobs)
         {
             const auto at =
                 progress_row(job.id, m_scheduler.epoch(), m_progress_part);
@@ -111,17 +99,14 @@
         }
         m_writing = true;
         m_outside.commit(transaction, commit_limit,
-                         [self = this->shared_from_this(), written,
-                          now](const commit_result& result)
+                         [self = this->shared_from_this(),
+                          batch](const commit_result& result)
                          {
-                             self->progress_written(written, result, now);
+                             self->progress_written(*batch, result);
                          });
     }
 
   private:
-    /// Without another proof of the ownership for so long, a write is made for
-    /// one.
-    static constexpr milliseconds prove_after{500};
     static constexpr milliseconds commit_limit{700};
     /// Ends that finish no job are written together: nobody waits for them but
     /// their worker, which may list them for 100 ms.
@@ -158,8 +143,7 @@
     }
 
     auto progress_written(const progress_batch& batch,
-                          const commit_result& result, time_point sent_at)
-        -> void
+                          const commit_result& result) -> void
     {
         m_writing = false;
         if (m_ended)
@@ -174,7 +158,6 @@
         case commit_state::committed:
             m_failed_writes = 0;
             m_part_versions[m_progress_part] = result.version;
-            m_proven_at = sent_at;
             m_scheduler.progress_stored(batch, boot_clock::now());
             break;
         case commit_state::conflict:
@@ -213,7 +196,6 @@
     part_versions m_part_versions{};
     std::size_t m_failed_writes = 0;
     time_point m_next_write;
-    time_point m_proven_at;
     bool m_writing = false;
     bool m_ended = false;
 };
--- a/include/pimentoshunt/net/response_time.hpp
+++ b/include/pimentoshunt/net/response_time.hpp
@@ -21,8 +21,10 @@
     /// @brief An answer came.
     auto answered(milliseconds took) -> void;
 
-    /// @brief A call had no answer; its time says nothing.
-    auto unanswered() -> void;
+    /// @brief A call had no answer; its time says nothing. Calls that were
+    /// under way together count as one.
+    /// @param began  when the call was sent
+    auto unanswered(time_point began, time_point now) -> void;
 
     /// @brief When to give a call up.
     /// @param least  never before
@@ -36,6 +38,8 @@
     std::optional<real_milliseconds> m_mean;
     real_milliseconds m_deviation{0};
     std::uint32_t m_unanswered = 0;
+    /// When the limit was doubled last.
+    time_point m_doubled_at;
 };
 
 } // namespace pimentoshunt::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -308,7 +308,8 @@
         {
             // The peer may have gone silent: the others may be as dead.
             m_peers[item->address].idle.clear();
-            m_peers[item->address].times.unanswered();
+            m_peers[item->address].times.unanswered(item->began,
+                                                    boot_clock::now());
         }
         fail(item, exchange_state::unknown, fault.message());
     }
--- a/src/net/response_time.cpp
+++ b/src/net/response_time.cpp
@@ -33,8 +33,13 @@
     *m_mean += error * mean_weight;
 }
 
-auto response_time::unanswered() -> void
+auto response_time::unanswered(time_point began, time_point now) -> void
 {
+    if (began < m_doubled_at)
+    {
+        return;
+    }
+    m_doubled_at = now;
     m_unanswered = std::min(m_unanswered + 1, most_doublings);
 }
 
--- a/tests/unit-net-response-time.cpp
+++ b/tests/unit-net-response-time.cpp
@@ -18,6 +18,15 @@
 
 constexpr milliseconds least{200};
 constexpr milliseconds most{1'000};
+constexpr time_point began{std::chrono::hours(1)};
+
+/// A call that is sent now and given up.
+auto lose_one(response_time& times, time_point& now) -> void
+{
+    const auto sent_at = now;
+    now += times.limit(least, most);
+    times.unanswered(sent_at, now);
+}
 
 } // namespace
 
@@ -41,9 +50,10 @@
 {
     response_time times;
     times.answered(milliseconds(5));
-    times.unanswered();
+    auto now = began;
+    lose_one(times, now);
     cr_assert_eq(times.limit(least, most).count(), 2 * least.count());
-    times.unanswered();
+    lose_one(times, now);
     cr_assert_eq(times.limit(least, most).count(), 4 * least.count());
     for (int i = 0; i < 10; ++i)
     {
@@ -52,11 +62,24 @@
     cr_assert(times.limit(least, most) > milliseconds(240));
     for (int i = 0; i < 10; ++i)
     {
-        times.unanswered();
+        lose_one(times, now);
     }
     cr_assert_eq(times.limit(least, most).count(), most.count());
 }
 
+// wischwerk-zh inc-b999: three of eight answers that were lost together
+// made the next attempts wait 1 s each, and a takeover as long.
+Test(response_time, calls_lost_together_double_the_limit_once)
+{
+    response_time times;
+    times.answered(milliseconds(5));
+    for (int i = 0; i < 3; ++i)
+    {
+        times.unanswered(began, began + least);
+    }
+    cr_assert_eq(times.limit(least, most).count(), 2 * least.count());
+}
+
 // A peer that answers once, then takes calls and says nothing.
 Test(response_time, a_call_to_a_peer_gone_silent_ends_before_its_timeout)
 {
