--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -204,42 +204,45 @@
         const auto began = boot_clock::now();
         wire::cell_deposit elsewhere;
         elsewhere.set_job(to_bytes(job));
+        auto settled = [this, id = job.id, queue = job.queue.name, began,
+                        answer = std::move(answer)](intake_result result)
+        {
+            answer(answer_submission(id, queue, result,
+                                     boot_clock::now() - began));
+        };
         m_intake.submit(
             job, own_limit(until),
-            or_elsewhere(
-                std::move(elsewhere), until,
-                [this, id = job.id, queue = job.queue.name, began,
-                 answer = std::move(answer)](intake_result result)
-                {
-                    const auto took = boot_clock::now() - began;
-                    if (result == intake_result::stored)
-                    {
-                        logging::info("job accepted")
-                            .with("job", id)
-                            .with("queue", queue)
-                            .with("took", took);
-                        m_seen.try_emplace(id, job_state::queued);
-                        answer(m_outside.state_answer(job_state::queued));
-                        return;
-                    }
-                    if (result == intake_result::refused)
-                    {
-                        logging::warn("job refused: the store took no write")
-                            .with("job", id)
-                            .with("took", took);
-                        answer(
-                            come_back("the store does not answer; the job was "
-                                      "not accepted"));
-                        return;
-                    }
-                    logging::warn("job's acceptance is not settled")
-                        .with("job", id)
-                        .with("took", took);
-                    answer(m_outside.complaint_answer(
-                        no_answer,
-                        "it is not known whether the job was accepted; "
-                        "send it again with the same ID"));
-                }));
+            or_elsewhere(std::move(elsewhere), until, std::move(settled)));
+    }
+
+    auto answer_submission(const job_id& job, const queue_name& queue,
+                           intake_result result, boot_clock::duration took)
+        -> net::server_answer
+    {
+        switch (result)
+        {
+        case intake_result::stored:
+            logging::info("job accepted")
+                .with("job", job)
+                .with("queue", queue)
+                .with("took", took);
+            m_seen.try_emplace(job, job_state::queued);
+            return m_outside.state_answer(job_state::queued);
+        case intake_result::refused:
+            logging::warn("job refused: the store took no write")
+                .with("job", job)
+                .with("took", took);
+            return come_back("the store does not answer; the job was not "
+                             "accepted");
+        case intake_result::unsettled:
+            break;
+        }
+        logging::warn("job's acceptance is not settled")
+            .with("job", job)
+            .with("took", took);
+        return m_outside.complaint_answer(
+            no_answer, "it is not known whether the job was accepted; "
+                       "send it again with the same ID");
     }
 
     /// When this instance stops trying by itself: another one may do it in the
