Dead state and twins of the cell removed

Cause: a last reading of the whole change. watch_starts went over all runs at each decision for a flag that nothing read; missing_since, a job's batch and a second map of arrivals were kept and not needed; the address parser stood in client and server, the end of reading settings and plans in three files, questions and their answers were put into messages in one header and taken out in another, and an owner built the same beat, with its counts over all jobs, once for each instance. No assertion changed. One difference that no checked settings can reach: a listener with a port that is no number is refused instead of bound to any port.

--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -211,7 +211,7 @@
                                      boot_clock::now() - began));
         };
         m_intake.submit(
-            job, own_limit(until),
+            job, end_of_try(until),
             or_elsewhere(std::move(elsewhere), until, std::move(settled)));
     }
 
@@ -245,9 +245,9 @@
                        "send it again with the same ID");
     }
 
-    /// When this instance stops trying by itself: another one may do it in the
-    /// time that is left.
-    static auto own_limit(time_point until) -> time_point
+    /// When one instance's try ends: this one's, or that of another in the time
+    /// that is left.
+    static auto end_of_try(time_point until) -> time_point
     {
         return std::min(until, boot_clock::now() + deposit_limit);
     }
@@ -260,8 +260,7 @@
         return [this, what = std::move(what), until,
                 done = std::move(done)](intake_result own)
         {
-            const auto limit =
-                std::min(until, boot_clock::now() + deposit_limit);
+            const auto limit = end_of_try(until);
             const auto settled = [own, done](intake_result theirs)
             {
                 const bool doubt = own == intake_result::unsettled &&
@@ -312,7 +311,7 @@
         wire::cell_deposit elsewhere;
         elsewhere.set_cancelled(job.str());
         m_intake.cancel(
-            job, own_limit(until),
+            job, end_of_try(until),
             or_elsewhere(
                 std::move(elsewhere), until,
                 [this, job, answer = std::move(answer)](intake_result result)
--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -55,7 +55,6 @@
     worker_entry entry;
     /// Whether its entry is there; without it nothing new is started.
     bool listed = false;
-    time_point missing_since;
     /// Whether the durable roster has it open for work: a later owner will
     /// ask it for everything.
     bool enrolled = false;
@@ -88,8 +87,6 @@
     std::uint32_t silent_calls = 0;
     resources used;
     std::map<run_ref, run_record> runs;
-    /// A start has been without an answer for long: it may be dark.
-    bool slow_to_answer = false;
     /// No starts before; after refusals.
     time_point closed_until;
     time_point pace_raised_at;
@@ -167,12 +164,12 @@
     job_state shown = job_state::queued;
     time_point accepted_at;
     time_point ended_at;
+    /// Its place in the order in which jobs came in.
+    std::uint64_t arrival = 0;
     /// Accepted before this ownership: runs of it may be anywhere.
     bool inherited = false;
     bool any_started = false;
     bool dirty = false;
-    /// The batch that carries its latest change.
-    std::uint64_t batch = 0;
     std::vector<round_record> rounds;
 };
 
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/caller_desk.hpp>
+#include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/owner_role.hpp>
 #include <pimentoshunt/cell/ownership.hpp>
 #include <pimentoshunt/cell/peers.hpp>
@@ -132,6 +133,12 @@
     /// to be in force within two seconds.
     static constexpr feed_times configuration_times{};
 
+    /// Whether this instance owns the cell and knows all of it.
+    [[nodiscard]] auto role_loaded() const -> bool
+    {
+        return m_role != nullptr && m_role->loaded();
+    }
+
     auto desk_context() -> caller_desk_context
     {
         return {[this](const job_id& job)
@@ -140,7 +147,7 @@
                 },
                 [this]
                 {
-                    return m_role != nullptr && m_role->loaded();
+                    return role_loaded();
                 },
                 [this](std::uint64_t number, const job_id& job)
                 {
@@ -205,13 +212,7 @@
         {
             return;
         }
-        wire::cell_message message;
-        auto& arrival = *message.mutable_arrival();
-        arrival.set_part(row.at.part);
-        arrival.set_key(row.at.key);
-        arrival.set_value(row.value);
-        arrival.set_version(row.version);
-        m_peers.send(m_ownership.owner_address(), std::move(message));
+        m_peers.send(m_ownership.owner_address(), arrival_message(row));
     }
 
     auto ask_owner(std::uint64_t number, const job_id& job) -> bool
@@ -229,7 +230,7 @@
 
     auto pending_of(const queue_name& queue) -> std::optional<std::uint64_t>
     {
-        if (m_role != nullptr && m_role->loaded())
+        if (role_loaded())
         {
             remember_pending();
         }
@@ -393,13 +394,20 @@
             return;
         }
         m_next_beat = now + beat_interval;
+        send_beats(false);
+    }
+
+    /// Tells all instances that are known how this owner stands.
+    auto send_beats(bool released) -> void
+    {
+        const auto message = beat_message(released);
         for (const auto& [name, peer] : m_peers.known())
         {
-            send_beat(peer.address, false);
+            m_peers.send(peer.address, message);
         }
     }
 
-    auto send_beat(const std::string& address, bool released) -> void
+    [[nodiscard]] auto beat_message(bool released) const -> wire::cell_message
     {
         wire::cell_message message;
         auto& out = *message.mutable_beat();
@@ -410,7 +418,7 @@
         out.set_row_version(m_ownership.version());
         out.set_confirmed_age_ms(
             m_ownership.confirmed_age(boot_clock::now()).count());
-        if (m_role != nullptr && m_role->loaded())
+        if (role_loaded())
         {
             for (const auto& item : m_role->pending())
             {
@@ -419,7 +427,7 @@
                 line.set_jobs(item.pending);
             }
         }
-        m_peers.send(address, std::move(message));
+        return message;
     }
 
     auto say_hello(time_point now) -> void
@@ -640,10 +648,7 @@
     auto release(time_point now) -> void
     {
         logging::info("lets the cell go").with("epoch", m_ownership.epoch());
-        for (const auto& [name, peer] : m_peers.known())
-        {
-            send_beat(peer.address, true);
-        }
+        send_beats(true);
         m_ownership.lost(now);
     }
 
@@ -686,7 +691,7 @@
             take_lookup_answer(message.lookup_answer());
             break;
         case wire::cell_message::kQuestion:
-            take_question(from, message.question());
+            take_question(message.question());
             break;
         case wire::cell_message::kQuestionAnswer:
             take_question_answer(message.question_answer());
@@ -724,7 +729,7 @@
         }
         if (fresh)
         {
-            send_beat(hello.peer_address(), false);
+            m_peers.send(hello.peer_address(), beat_message(false));
         }
     }
 
@@ -771,7 +776,7 @@
         wire::cell_message message;
         auto& out = *message.mutable_lookup_answer();
         out.set_number(lookup.number());
-        if (m_role != nullptr && m_role->loaded())
+        if (role_loaded())
         {
             const auto state = m_role->state_of(job_id(lookup.job()));
             out.set_known(state.has_value());
@@ -796,10 +801,7 @@
     {
         if (m_role != nullptr)
         {
-            m_role->row_arrived({{inbox_table, arrival.part(), arrival.key()},
-                                 arrival.value(),
-                                 arrival.version(),
-                                 false});
+            m_role->row_arrived(read_arrival(arrival));
         }
     }
 
@@ -827,66 +829,32 @@
         done(intake_result::refused);
     }
 
-    auto take_question(const std::string& from,
-                       const wire::cell_question& question) -> void
+    auto take_question(const wire::cell_question& question) -> void
     {
-        approval_question out;
-        out.step = {job_id(question.job()), question.round(), question.step()};
-        for (const auto& id : question.workers())
-        {
-            out.workers.emplace_back(id);
-        }
-        out.expected = milliseconds(question.expected_ms());
-        const auto number = question.number();
-        m_outside.ask(out,
-                      [this, from, number](const approval_answer& answer)
-                      {
-                          send_question_answer(number, answer);
-                      });
+        m_outside.ask(
+            read_question(question),
+            [this, number = question.number()](const approval_answer& answer)
+            {
+                send_question_answer(number, answer);
+            });
     }
 
     auto send_question_answer(std::uint64_t number,
                               const approval_answer& answer) -> void
     {
-        if (m_ownership.owner_address().empty())
-        {
-            return;
-        }
-        wire::cell_message message;
-        auto& out = *message.mutable_question_answer();
-        out.set_number(number);
-        out.set_answered(answer.approved.has_value());
-        out.set_ticket_life_ms(answer.ticket_life.count());
-        if (answer.approved)
+        if (!m_ownership.owner_address().empty())
         {
-            for (const auto& item : *answer.approved)
-            {
-                auto& line = *out.add_approved();
-                line.set_worker(item.worker.str());
-                line.set_ticket(item.ticket);
-            }
+            m_peers.send(m_ownership.owner_address(),
+                         answer_message(number, answer));
         }
-        m_peers.send(m_ownership.owner_address(), std::move(message));
     }
 
     auto take_question_answer(const wire::cell_question_answer& answer) -> void
     {
-        if (!m_role)
-        {
-            return;
-        }
-        approval_answer out;
-        if (answer.answered())
+        if (m_role)
         {
-            out.ticket_life = milliseconds(answer.ticket_life_ms());
-            out.approved.emplace();
-            for (const auto& line : answer.approved())
-            {
-                out.approved->push_back(
-                    {worker_id(line.worker()), line.ticket()});
-            }
+            m_role->question_answered(answer.number(), read_answer(answer));
         }
-        m_role->question_answered(answer.number(), std::move(out));
     }
 
     Platform& m_outside;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -6,6 +6,7 @@
 #include <pimentoshunt/cell/approval_desk.hpp>
 #include <pimentoshunt/cell/cell_loader.hpp>
 #include <pimentoshunt/cell/job_remover.hpp>
+#include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/progress_writer.hpp>
@@ -405,7 +406,7 @@
     {
         if (row.removed)
         {
-            m_scheduler.worker_unlisted(worker_id(row.at.key), present());
+            m_scheduler.worker_unlisted(worker_id(row.at.key));
             return;
         }
         if (const auto entry = m_outside.read_worker(row))
@@ -436,7 +437,7 @@
         }
         for (const auto& id : gone)
         {
-            m_scheduler.worker_unlisted(id, present());
+            m_scheduler.worker_unlisted(id);
         }
     }
 
@@ -603,19 +604,8 @@
 
     auto ask_there(const assigned_question& item) -> void
     {
-        wire::cell_message message;
-        auto& question = *message.mutable_question();
-        question.set_number(item.number);
-        question.set_job(item.question.step.job.str());
-        question.set_round(item.question.step.round);
-        question.set_step(item.question.step.step);
-        for (const auto& id : item.question.workers)
-        {
-            question.add_workers(id.str());
-        }
-        question.set_expected_ms(item.question.expected.count());
         m_peers.send(m_peers.known().at(item.asker).address,
-                     std::move(message));
+                     question_message(item.number, item.question));
     }
 
     Platform& m_outside;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>       // uint64_t
 #include <map>           // map
 #include <optional>      // optional
+#include <set>           // set
 #include <string>        // string
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -41,9 +42,6 @@
     milliseconds paced_hold_wait{400};
     /// Until a hold is repeated that had to be answered at once.
     milliseconds hold_retry{100};
-    /// Workers answer a start within milliseconds: one that has not for so
-    /// long gets no other until it has.
-    milliseconds slow_answer{120};
     /// A stop without an answer is repeated after so long.
     milliseconds stop_retry{150};
     /// Longest time that a final state is kept for callers.
@@ -98,7 +96,7 @@
     /// @brief A worker's entry is there or has changed.
     auto worker_listed(const worker_entry& entry, time_point now) -> void;
     /// @brief A worker's entry has gone.
-    auto worker_unlisted(const worker_id& worker, time_point now) -> void;
+    auto worker_unlisted(const worker_id& worker) -> void;
 
     /// @brief A worker that an earlier owner may have given work.
     /// @param version  of its row in the roster
@@ -243,7 +241,6 @@
     auto stop_runs_of(const task_record& task, time_point now) -> void;
     auto give_up_gang(const task_place& place, time_point now) -> void;
     auto retry_stops(worker_record& worker, time_point now) -> void;
-    auto watch_starts(worker_record& worker, time_point now) -> void;
     auto give_up_lapsed(worker_record& worker, time_point now) -> void;
     auto plan_hold(worker_record& worker, time_point now, bool may_extend)
         -> void;
@@ -296,7 +293,6 @@
     std::unordered_map<job_id, job_record> m_jobs;
     /// Jobs that are not over, by the order of their arrival.
     std::map<std::uint64_t, job_record*> m_active;
-    std::unordered_map<job_id, std::uint64_t> m_arrival;
     std::uint64_t m_arrivals = 0;
     std::map<worker_id, worker_record> m_workers;
     std::vector<job_id> m_dirty;
@@ -307,7 +303,8 @@
         m_ends_of_batch;
     std::vector<job_id> m_finished;
     pimentoshunt::policy::worker_health m_health;
-    std::map<worker_id, bool> m_probe;
+    /// Ejected workers that may be given one run.
+    std::set<worker_id> m_probe;
     /// Share of the workers asked for that a queue's policy approves.
     std::map<queue_name, double> m_approval_rates;
     outbox m_out;
--- a/include/pimentoshunt/json/fault.hpp
+++ b/include/pimentoshunt/json/fault.hpp
@@ -63,4 +63,16 @@
 [[nodiscard]] auto child_pointer(const std::string& parent,
                                  const std::string& token) -> std::string;
 
+/// @brief What was read, or one error that tells of all @p faults.
+template<class T>
+[[nodiscard]] auto result_of(error_kind kind, const std::vector<fault>& faults,
+                             T read) -> result<T>
+{
+    if (!faults.empty())
+    {
+        return leaf::new_error(to_error(kind, faults));
+    }
+    return read;
+}
+
 } // namespace pimentoshunt::json
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -52,13 +52,12 @@
     for (auto& [id, worker] : m_workers)
     {
         retry_stops(worker, now);
-        watch_starts(worker, now);
         give_up_lapsed(worker, now);
         leave_draining(worker, now);
     }
     for (const auto& id : m_health.take_due_probes(now))
     {
-        m_probe[id] = true;
+        m_probe.insert(id);
     }
     const bool may_act = authority.may_act && !m_overtaken;
     if (may_act)
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -58,9 +58,8 @@
     auto& record = m_jobs[job.id];
     record.spec = std::make_shared<const job_spec>(job);
     record.accepted_at = now;
-    const auto arrival = ++m_arrivals;
-    m_arrival[job.id] = arrival;
-    m_active[arrival] = &record;
+    record.arrival = ++m_arrivals;
+    m_active[record.arrival] = &record;
     for (std::uint32_t number = 0; number < job.rounds(); ++number)
     {
         add_round(record, number);
@@ -162,7 +161,7 @@
     if (is_final(progress.state))
     {
         record->ended_at = now;
-        m_active.erase(m_arrival[job.id]);
+        m_active.erase(record->arrival);
         m_finished.push_back(job.id);
     }
 }
@@ -190,7 +189,7 @@
     mark_dirty(job);
     m_end_waits = m_end_waits || state != job_state::cancelled;
     stop_all_runs(job, now);
-    m_active.erase(m_arrival[job.spec->id]);
+    m_active.erase(job.arrival);
     m_finished.push_back(job.spec->id);
 }
 
@@ -405,7 +404,6 @@
             m_jobs.erase(found);
         }
         out.push_back(m_finished.front());
-        m_arrival.erase(m_finished.front());
         m_finished.erase(m_finished.begin());
     }
     return out;
--- a/src/cell/scheduler_progress.cpp
+++ b/src/cell/scheduler_progress.cpp
@@ -79,7 +79,6 @@
             continue;
         }
         found->second.dirty = false;
-        found->second.batch = batch.number;
         batch.jobs.push_back(progress_of(found->second));
     }
     m_dirty.erase(m_dirty.begin(),
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-using detail::run_phase;
-
 /// Added to the time after which a lease has certainly ended.
 constexpr milliseconds lapse_slack{200};
 /// A hold is repeated no sooner after one without an answer.
@@ -33,7 +31,6 @@
     {
         worker.entry = entry;
         worker.next_hold_at = now;
-        worker.missing_since = now;
         m_health.add(entry.id);
     }
     return worker;
@@ -65,7 +62,7 @@
     }
 }
 
-auto scheduler::worker_unlisted(const worker_id& worker, time_point now) -> void
+auto scheduler::worker_unlisted(const worker_id& worker) -> void
 {
     const auto found = m_workers.find(worker);
     if (found == m_workers.end() || !found->second.listed)
@@ -73,7 +70,6 @@
         return;
     }
     found->second.listed = false;
-    found->second.missing_since = now;
     logging::info("worker's entry is gone")
         .with("worker", worker)
         .with("runs", found->second.runs.size());
@@ -251,17 +247,6 @@
     set_paces(worker, now);
 }
 
-auto scheduler::watch_starts(worker_record& worker, time_point now) -> void
-{
-    worker.slow_to_answer = false;
-    for (const auto& [ref, run] : worker.runs)
-    {
-        const bool waits = run.phase == run_phase::starting && !run.seen_at &&
-                           now - run.sent_at >= m_options.slow_answer;
-        worker.slow_to_answer = worker.slow_to_answer || waits;
-    }
-}
-
 auto scheduler::give_up_lapsed(worker_record& worker, time_point now) -> void
 {
     const bool silent = worker.silent_calls > 0 || !worker.adopted;
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -104,12 +104,8 @@
 auto parse_settings(const std::string& text) -> result<settings>
 {
     auto outcome = read_settings(text);
-    if (!outcome.faults.empty())
-    {
-        return leaf::new_error(
-            json::to_error(error_kind::settings, outcome.faults));
-    }
-    return std::move(outcome.read);
+    return json::result_of(error_kind::settings, outcome.faults,
+                           std::move(outcome.read));
 }
 
 } // namespace pimentoshunt::cell
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,4 +1,6 @@
 #include <pimentoshunt/net/http_client.hpp>
+
+#include <pimentoshunt/net/address.hpp>
 #include <pimentoshunt/net/response_time.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +11,6 @@
 
 #include <netinet/tcp.h>
 
-#include <charconv>      // from_chars
 #include <deque>         // deque
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
@@ -29,25 +30,6 @@
 /// The kernel gives a connection up when sent data stays unacknowledged.
 constexpr milliseconds unacknowledged_limit{2'000};
 
-auto parse_address(const std::string& text) -> std::optional<tcp::endpoint>
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
-    {
-        return std::nullopt;
-    }
-    unsigned short port = 0;
-    const auto* const end = text.data() + text.size();
-    const auto read = std::from_chars(text.data() + colon + 1, end, port);
-    boost::system::error_code fault;
-    const auto host = asio::ip::make_address(text.substr(0, colon), fault);
-    if (fault || read.ec != std::errc() || read.ptr != end)
-    {
-        return std::nullopt;
-    }
-    return tcp::endpoint(host, port);
-}
-
 struct connection
 {
     explicit connection(asio::io_context& traffic) : stream(traffic)
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include <pimentoshunt/net/http_server.hpp>
 
+#include <pimentoshunt/net/address.hpp>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -227,7 +229,6 @@
 
 auto http_server::state::listen(const std::string& address) -> result<void>
 {
-    const auto colon = address.rfind(':');
     const auto fail = [&](const std::string& why) -> result<void>
     {
         return leaf::new_error(
@@ -236,23 +237,15 @@
                   "choose a free address of this machine, written as "
                   "10.0.0.7:8080"});
     };
-    if (colon == std::string::npos)
+    const auto endpoint = parse_address(address);
+    if (!endpoint)
     {
-        return fail("no port");
+        return fail("it is no IP address with a port");
     }
-    unsigned short port = 0;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
     boost::system::error_code fault;
-    const auto host = asio::ip::make_address(address.substr(0, colon), fault);
-    if (fault)
-    {
-        return fail(fault.message());
-    }
-    const tcp::endpoint endpoint(host, port);
-    m_acceptor.open(endpoint.protocol(), fault);
+    m_acceptor.open(endpoint->protocol(), fault);
     m_acceptor.set_option(tcp::acceptor::reuse_address(true), fault);
-    m_acceptor.bind(endpoint, fault);
+    m_acceptor.bind(*endpoint, fault);
     if (fault)
     {
         return fail(fault.message());
--- a/src/plan/parse.cpp
+++ b/src/plan/parse.cpp
@@ -38,12 +38,8 @@
 auto parse(const std::string& text) -> result<document>
 {
     auto outcome = read(text, {});
-    if (!outcome.faults.empty())
-    {
-        return leaf::new_error(
-            json::to_error(error_kind::plan, outcome.faults));
-    }
-    return std::move(outcome.parsed);
+    return json::result_of(error_kind::plan, outcome.faults,
+                           std::move(outcome.parsed));
 }
 
 } // namespace pimentoshunt::plan
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -141,7 +141,7 @@
     cell_world world;
     world.add_worker("w1", 4'000);
     world.pass(milliseconds(200));
-    world.jobs().worker_unlisted(worker_id("w1"), world.now);
+    world.jobs().worker_unlisted(worker_id("w1"));
     const auto change = world.jobs().take_roster(10);
     cr_assert_eq(change.removals.size(), 1u);
     cr_assert(change.writes.empty());
