Logs tell which jobs an owner knew, and on what it began them

The hypotheses written down before could not be told apart by the logs: an end of an unknown job left no line, nor did the ends that a batch of progress lets workers forget; a job's line did not say whether an earlier owner may have begun it, or why.

Change, without a change of decisions: - 'a run of an unknown job has ended' (warn), and job_known at 'a run is not wanted here'; both counted in pimentoshunt_runs_total. - 'progress is durable': epoch, batch, jobs, and the last end that each worker may forget. - 'job taken in' for every job that is not over, with epoch, inherited, the row's version, that of the takeover, and the age of the confirmation. - 'tasks are started' carries epoch, inherited and the confirmation's age.

Bounded as before: 500 lines a second below warn; one line a batch.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -37,6 +37,8 @@
     scheduler_options scheduler;
     /// Told of each configuration that comes in force.
     std::function<void(const configuration&)> configured;
+    /// Told of what its scheduler has met, while it is the owner.
+    std::function<void(const scheduler_counts&)> counted;
 };
 
 /// @brief All parts of one instance. Control thread only.
@@ -551,6 +553,7 @@
         {
             return calendar();
         };
+        around.counted = m_options.counted;
         m_role = std::make_shared<owner_role<Platform>>(
             m_outside, m_control, m_peers, m_health, std::move(around),
             m_ownership.epoch(), m_epoch_version, m_options.scheduler);
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -48,6 +48,8 @@
     std::function<void()> overtaken;
     /// The time of day.
     std::function<calendar_time()> calendar;
+    /// Told of what the scheduler has met.
+    std::function<void(const scheduler_counts&)> counted;
 };
 
 /// @brief One ownership, from the takeover to its end. Control thread only.
@@ -288,13 +290,14 @@
                 continue;
             }
             const auto known = progress.find(row.at.key);
-            if (known != progress.end())
+            if (known == progress.end())
             {
-                m_scheduler.restore(*job, known->second, present());
+                take_job(*job, row.version);
             }
-            else
+            else if (m_scheduler.restore(*job, known->second, present()) &&
+                     !is_final(known->second.state))
             {
-                take_job(*job, row.version);
+                log_arrival(*job, row.version, true);
             }
         }
         for (const auto& job : cancelled)
@@ -386,20 +389,42 @@
 
     auto authority() const -> owner_authority
     {
-        return {m_around.may_act(), m_around.confirmed_at() + new_jobs_for};
+        return {m_around.may_act(), m_around.confirmed_at() + new_jobs_for,
+                confirmed_age()};
+    }
+
+    [[nodiscard]] auto confirmed_age() const -> milliseconds
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            present() - m_around.confirmed_at());
     }
 
     /// An earlier owner may have started what was stored before the takeover.
     auto take_job(const job_spec& job, std::uint64_t version) -> void
     {
-        if (version > m_epoch_version)
-        {
-            m_scheduler.accept(job, present());
-            return;
-        }
         job_progress none;
         none.id = job.id;
-        m_scheduler.restore(job, none, present());
+        const bool inherited = version <= m_epoch_version;
+        const bool added = inherited ? m_scheduler.restore(job, none, present())
+                                     : m_scheduler.accept(job, present());
+        if (added)
+        {
+            log_arrival(job, version, inherited);
+        }
+    }
+
+    auto log_arrival(const job_spec& job, std::uint64_t version,
+                     bool inherited) const -> void
+    {
+        logging::info("job taken in")
+            .with("job", job.id)
+            .with("queue", job.queue.name)
+            .with("steps", job.steps.size())
+            .with("epoch", m_scheduler.epoch())
+            .with("inherited", inherited)
+            .with("row_version", version)
+            .with("takeover_version", m_epoch_version)
+            .with("confirmed_age", confirmed_age());
     }
 
     auto worker_changed(const stored_row& row) -> void
@@ -484,6 +509,7 @@
         const auto out =
             m_scheduler.advance(now, m_around.calendar(), authority());
         carry_out(out);
+        m_around.counted(m_scheduler.take_counts());
         ask_questions(now);
         m_progress->write();
         m_roster->write(now);
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -71,6 +71,18 @@
     bool may_act = true;
     /// Jobs that came in later may already belong to a later owner.
     time_point new_jobs_until = time_point::max();
+    /// Since the store last confirmed the ownership; for the log.
+    milliseconds confirmed_age{0};
+};
+
+/// @brief What a scheduler has met since it was last asked.
+struct scheduler_counts
+{
+    /// Ends that are durable, so that their workers may forget them.
+    std::uint64_t ends_noted = 0;
+    /// Runs and ends at workers whose job isn't known here.
+    std::uint64_t unknown_runs = 0;
+    std::uint64_t unknown_ends = 0;
 };
 
 /// @brief Numbers of one queue for callers and metrics.
@@ -111,10 +123,12 @@
     auto roster_row_is(const worker_id& worker, std::uint64_t version) -> void;
 
     /// @brief Takes in a job that an earlier owner may have worked on.
+    /// @return false when the job is known already
     auto restore(const job_spec& job, const job_progress& progress,
-                 time_point now) -> void;
+                 time_point now) -> bool;
     /// @brief Takes in a job that was accepted under this ownership.
-    auto accept(const job_spec& job, time_point now) -> void;
+    /// @return false when the job is known already
+    auto accept(const job_spec& job, time_point now) -> bool;
     /// @brief Ends a job without finishing it.
     auto cancel(const job_id& job, time_point now) -> void;
 
@@ -153,6 +167,8 @@
     [[nodiscard]] auto take_roster(std::size_t most) -> roster_change;
     /// @brief A batch could not be written: its jobs are due again.
     auto progress_failed(const progress_batch& batch) -> void;
+    /// @brief Counts since the last call.
+    auto take_counts() -> scheduler_counts;
     /// @brief Finished jobs whose time is over; they are forgotten here.
     auto take_expired(time_point now, std::size_t most) -> std::vector<job_id>;
 
@@ -254,8 +270,9 @@
 
     // Placing.
     auto dispatch(time_point now) -> void;
-    static auto log_starts(const policy::waiting_step& item, std::size_t count,
-                           time_point now) -> void;
+    auto log_starts(const policy::waiting_step& item, std::size_t count,
+                    time_point now) const -> void;
+    auto log_stored(const progress_batch& batch) const -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
     auto usable(const worker_record& worker, const job_record& job,
                 const step_record& step, time_point now) const -> bool;
@@ -302,6 +319,7 @@
     std::map<std::uint64_t, std::vector<std::pair<worker_id, std::uint64_t>>>
         m_ends_of_batch;
     std::vector<job_id> m_finished;
+    scheduler_counts m_counts;
     pimentoshunt::policy::worker_health m_health;
     /// Ejected workers that may be given one run.
     std::set<worker_id> m_probe;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -190,10 +190,13 @@
 }
 
 auto scheduler::log_starts(const policy::waiting_step& item, std::size_t count,
-                           time_point now) -> void
+                           time_point now) const -> void
 {
     logging::info("tasks are started")
         .with("job", item.job->spec->id)
+        .with("epoch", m_epoch)
+        .with("inherited", item.job->inherited)
+        .with("confirmed_age", m_authority.confirmed_age)
         .with("step", item.step->number)
         .with("tasks", count)
         .with("still_waiting", item.step->waiting.size())
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -4,7 +4,7 @@
 #include <pimentoshunt/logging.hpp>
 
 #include <algorithm> // find, remove
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 namespace pimentoshunt::cell
 {
@@ -90,25 +90,18 @@
     job.rounds.push_back(std::move(round));
 }
 
-auto scheduler::accept(const job_spec& job, time_point now) -> void
+auto scheduler::accept(const job_spec& job, time_point now) -> bool
 {
-    if (add_job(job, now) == nullptr)
-    {
-        return;
-    }
-    logging::info("job taken in")
-        .with("job", job.id)
-        .with("queue", job.queue.name)
-        .with("steps", job.steps.size());
+    return add_job(job, now) != nullptr;
 }
 
 auto scheduler::restore(const job_spec& job, const job_progress& progress,
-                        time_point now) -> void
+                        time_point now) -> bool
 {
     auto* const record = add_job(job, now);
     if (record == nullptr)
     {
-        return;
+        return false;
     }
     record->inherited = true;
     record->state = progress.state;
@@ -164,6 +157,7 @@
         m_active.erase(record->arrival);
         m_finished.push_back(job.id);
     }
+    return true;
 }
 
 auto scheduler::cancel(const job_id& job, time_point now) -> void
@@ -409,6 +403,11 @@
     return out;
 }
 
+auto scheduler::take_counts() -> scheduler_counts
+{
+    return std::exchange(m_counts, {});
+}
+
 auto scheduler::state_of(const job_id& job) const -> std::optional<job_state>
 {
     const auto found = m_jobs.find(job);
--- a/src/cell/scheduler_progress.cpp
+++ b/src/cell/scheduler_progress.cpp
@@ -4,6 +4,7 @@
 #include <pimentoshunt/logging.hpp>
 
 #include <algorithm> // max, min
+#include <string>    // string, to_string
 #include <utility>   // move
 
 namespace pimentoshunt::cell
@@ -130,12 +131,14 @@
             found->second.shown = stored.state;
         }
     }
+    log_stored(batch);
     for (const auto& [id, number] : m_ends_of_batch[batch.number])
     {
         const auto worker = m_workers.find(id);
         if (worker != m_workers.end() && worker->second.ends_seen >= number)
         {
             auto& noted = worker->second.ends_noted;
+            m_counts.ends_noted += number - std::min(noted, number);
             noted = std::max(noted, number);
             worker->second.next_hold_at = now;
         }
@@ -143,6 +146,35 @@
     m_ends_of_batch.erase(batch.number);
 }
 
+/// Names the jobs, and the last end that each worker may forget.
+auto scheduler::log_stored(const progress_batch& batch) const -> void
+{
+    if (!logging::enabled(logging::level::info))
+    {
+        return;
+    }
+    std::string jobs;
+    for (const auto& stored : batch.jobs)
+    {
+        jobs += (jobs.empty() ? "" : " ") + stored.id.str();
+    }
+    std::string ends;
+    const auto noted = m_ends_of_batch.find(batch.number);
+    if (noted != m_ends_of_batch.end())
+    {
+        for (const auto& [worker, number] : noted->second)
+        {
+            ends += (ends.empty() ? "" : " ") + worker.str() + ":" +
+                    std::to_string(number);
+        }
+    }
+    logging::info("progress is durable")
+        .with("epoch", m_epoch)
+        .with("batch", batch.number)
+        .with("jobs", jobs)
+        .with("ends", ends);
+}
+
 auto scheduler::progress_failed(const progress_batch& batch) -> void
 {
     m_ends_of_batch.erase(batch.number);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -195,6 +195,17 @@
         return;
     }
     worker.ends_seen = end.number;
+    if (find(end.run.task).task == nullptr)
+    {
+        ++m_counts.unknown_ends;
+        logging::warn("a run of an unknown job has ended")
+            .with("run", to_string(end.run.task))
+            .with("number", end.run.number)
+            .with("worker", worker.entry.id)
+            .with("end", end.number)
+            .with("how", to_string(end.how))
+            .with("epoch", m_epoch);
+    }
     run_over(worker, end.run, end.how, end.checkpoint, now);
 }
 
@@ -217,12 +228,16 @@
         {
             place.job->any_started = true;
         }
+        const bool job_known = place.task != nullptr;
+        m_counts.unknown_runs += job_known ? 0 : 1;
         if (!wanted)
         {
             logging::warn("a run is not wanted here")
                 .with("run", to_string(seen.run.task))
                 .with("number", seen.run.number)
-                .with("worker", worker.entry.id);
+                .with("worker", worker.entry.id)
+                .with("job_known", job_known)
+                .with("epoch", m_epoch);
             want_stop(worker, run, now);
         }
     }
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -123,6 +123,14 @@
             limits.idle_timeout = in_force.idle_timeout;
             m_callers.set_limits(limits);
         };
+        out.counted = [this](const scheduler_counts& seen)
+        {
+            m_meters.add("runs_total", {"event", "end noted"}, seen.ends_noted);
+            m_meters.add("runs_total", {"event", "unknown run"},
+                         seen.unknown_runs);
+            m_meters.add("runs_total", {"event", "unknown end"},
+                         seen.unknown_ends);
+        };
         return out;
     }
 
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -69,6 +69,27 @@
               cell::job_state::succeeded);
 }
 
+// A new owner has read every job that can have run: any other end is a finding.
+Test(cell_takeover, runs_and_ends_of_unknown_jobs_are_counted)
+{
+    cell_world world(second_epoch);
+    auto& worker = world.add_worker("w1", 4'000);
+    const cell::run_ref run{{{job_id("j1"), 0, 0}, 0}, 7};
+    worker.runs[run].listed.run = run;
+    worker.lease_end = worker.clock(world.now) + milliseconds(2'000);
+    worker.ended.push_back({++worker.last_end,
+                            {{{job_id("j2"), 0, 0}, 0}, 1},
+                            cell::run_end::done,
+                            ""});
+    world.pass(milliseconds(100));
+    const auto counts = world.jobs().take_counts();
+    cr_assert_eq(counts.unknown_runs, 1u);
+    // The run is stopped: that is an end as well.
+    cr_assert_eq(counts.unknown_ends, 2u);
+    cr_assert_geq(counts.ends_noted, 1u);
+    cr_assert_eq(world.jobs().take_counts().unknown_ends, 0u);
+}
+
 Test(cell_takeover, an_unreachable_worker_blocks_only_earlier_jobs)
 {
     cell_world world(second_epoch);
