The inbox names its owner: a new one knows each job that can have run

A job that was stored after a change of owner ran under the earlier owner, which did not know that it was overtaken, and again under its successor.

Cause: a new owner read the inbox at one moment and listed the workers at a later one. Jobs stored in between counted as new, since no earlier owner was supposed to begin them. When it did, the new owner met runs and ends of jobs that it did not know: it stopped the runs, counted the ends as seen, had them noted, and began the jobs anew when they came by the feed. The class: absence of knowledge taken for proof of absence, with the order of events guarded by elapsed time.

Ruled out for these cases: progress that was not read (each write depends on the part's row); a lease that was taken for over (the earlier run had ended and was noted).

Change: each part of the inbox has a row that names its owner, as parts of progress have. Writes to the part depend on it, and the job's row carries its epoch. A new owner takes each part before it reads it, and reads again what is as of before that. An owner leaves jobs of a higher epoch alone and ends its role when it meets one. So what an earlier owner may have begun is among what the new one has read before it lists the first worker, whatever the clocks do. The rule on elapsed time goes; with the lease's part of the store down, new jobs go on. A row that was there already is announced as it was stored, not as it was sent again; the lowest epoch counts for a job in two parts.

--- a/include/pimentoshunt/cell/cell_loader.hpp
+++ b/include/pimentoshunt/cell/cell_loader.hpp
@@ -1,19 +1,20 @@
 /// @file
-/// Reads all that a new owner has to know, and takes the parts of progress over
-/// on the way.
+/// Reads all that a new owner has to know, and takes the parts of the inbox and
+/// of progress over on the way.
 #pragma once
 
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
 #include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>  // min
 #include <array>      // array
-#include <charconv>   // from_chars
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <optional>   // optional
@@ -33,8 +34,9 @@
     std::vector<stored_row> roster;
     /// From which to follow changes.
     std::uint64_t version = 0;
-    /// Versions of the rows that name the owner of each part of progress.
+    /// Versions of the rows that name the owner of each part.
     std::array<std::uint64_t, progress_parts> part_versions{};
+    std::array<std::uint64_t, inbox_parts> inbox_versions{};
     /// Ranges that have not been read.
     std::size_t missing = 0;
 };
@@ -43,11 +45,7 @@
 [[nodiscard]] inline auto names_later_owner(const stored_row& row,
                                             std::uint64_t epoch) -> bool
 {
-    std::uint64_t named = 0;
-    const auto& text = row.value;
-    // A text that is no number names nobody: it reads as zero.
-    std::from_chars(text.data(), text.data() + text.size(), named);
-    return named > epoch;
+    return named_epoch(row) > epoch;
 }
 
 /// @brief Reads until the store has answered everything.
@@ -69,19 +67,30 @@
     {
     }
 
-    auto begin() -> void
+    /// @param takeover  version of the takeover: no earlier owner has changed
+    ///                  the roster since
+    auto begin(std::uint64_t takeover = 0) -> void
     {
-        auto found = std::make_shared<stored_cell>();
-        load_ranges(found, inbox_ranges(), &stored_cell::inbox);
-        found->missing += progress_parts;
-        for (std::size_t part = 0; part < progress_parts; ++part)
+        m_found = std::make_shared<stored_cell>();
+        m_found->missing = inbox_parts + progress_parts + 2;
+        for (std::size_t i = 0; i < inbox_parts; ++i)
         {
-            take_part(found, part, 0);
+            take_part({inbox_epoch_row(inbox_part(i)),
+                       {inbox_table, inbox_part(i), "", ""},
+                       &stored_cell::inbox,
+                       &m_found->inbox_versions[i]});
         }
-        load_ranges(found, {{roster_table, cell_part, "", ""}},
-                    &stored_cell::roster);
-        load_ranges(found, {{m_outside.worker_table(), "", "", ""}},
-                    &stored_cell::workers);
+        for (std::size_t i = 0; i < progress_parts; ++i)
+        {
+            take_part({part_epoch_row(i),
+                       {progress_table, progress_part(i), "", ""},
+                       &stored_cell::progress,
+                       &m_found->part_versions[i]});
+        }
+        load_range({roster_table, cell_part, "", ""}, &stored_cell::roster,
+                   takeover);
+        load_range({m_outside.worker_table(), "", "", ""},
+                   &stored_cell::workers, 0);
     }
 
     auto stop() -> void
@@ -93,40 +102,45 @@
   private:
     using stored_rows = std::vector<stored_row> stored_cell::*;
 
+    /// A part that is taken over before it is read.
+    struct owned_part
+    {
+        row_key epoch_at;
+        row_range range;
+        stored_rows into;
+        /// Version of its row: that of the earlier owner (0: none) until it is
+        /// taken.
+        std::uint64_t* version;
+    };
+
     static constexpr milliseconds load_limit{1'000};
     static constexpr milliseconds load_pause{40};
 
-    /// Takes a part of progress over, then reads it.
-    /// @param version  of the row that names the earlier owner; 0: none
-    auto take_part(const std::shared_ptr<stored_cell>& found, std::size_t part,
-                   std::uint64_t version) -> void
+    auto take_part(const owned_part& part) -> void
     {
         row_transaction transaction;
-        transaction.conditions.push_back({part_epoch_row(part), version});
-        transaction.writes.push_back(
-            {part_epoch_row(part), std::to_string(m_epoch)});
-        m_outside.commit(transaction, load_limit,
-                         [self = this->shared_from_this(), found, part,
-                          version](const commit_result& result)
-                         {
-                             if (!self->m_ended)
-                             {
-                                 self->part_taken(found, part, version, result);
-                             }
-                         });
+        transaction.conditions.push_back({part.epoch_at, *part.version});
+        transaction.writes.push_back({part.epoch_at, std::to_string(m_epoch)});
+        m_outside.commit(
+            transaction, load_limit,
+            [self = this->shared_from_this(), part](const commit_result& result)
+            {
+                if (!self->m_ended)
+                {
+                    self->part_taken(part, result);
+                }
+            });
     }
 
-    auto part_taken(const std::shared_ptr<stored_cell>& found, std::size_t part,
-                    std::uint64_t version, const commit_result& result) -> void
+    auto part_taken(const owned_part& part, const commit_result& result) -> void
     {
         m_health.record(result.state == commit_state::committed ||
                             result.state == commit_state::conflict,
                         boot_clock::now());
         if (result.state == commit_state::committed)
         {
-            found->part_versions[part] = result.version;
-            load_range(found, {progress_table, progress_part(part), "", ""},
-                       &stored_cell::progress);
+            *part.version = result.version;
+            load_range(part.range, part.into, result.version);
             return;
         }
         if (result.state == commit_state::conflict && !result.current.empty())
@@ -137,13 +151,14 @@
                 m_tell.overtaken();
                 return;
             }
-            take_part(found, part, row.removed ? 0 : row.version);
+            *part.version = row.removed ? 0 : row.version;
+            take_part(part);
             return;
         }
         after(load_pause,
-              [found, part, version](cell_loader& self)
+              [part](cell_loader& self)
               {
-                  self.take_part(found, part, version);
+                  self.take_part(part);
               });
     }
 
@@ -163,62 +178,60 @@
             });
     }
 
-    auto load_ranges(const std::shared_ptr<stored_cell>& found,
-                     const std::vector<row_range>& ranges, stored_rows into)
-        -> void
-    {
-        found->missing += ranges.size();
-        for (const auto& range : ranges)
-        {
-            load_range(found, range, into);
-        }
-    }
-
     /// Reads one range until the store has answered: while it is down in part,
     /// all ranges at once would hardly ever be read.
-    auto load_range(const std::shared_ptr<stored_cell>& found,
-                    const row_range& range, stored_rows into) -> void
+    /// @param least  version that the answer must have reached
+    auto load_range(const row_range& range, stored_rows into,
+                    std::uint64_t least) -> void
     {
         read_all(m_outside, range, load_limit,
-                 [self = this->shared_from_this(), found, range,
-                  into](std::optional<table_rows> part)
+                 [self = this->shared_from_this(), range, into,
+                  least](std::optional<table_rows> rows)
                  {
-                     if (self->m_ended)
+                     if (!self->m_ended)
                      {
-                         return;
+                         self->range_read(range, into, least, rows);
                      }
-                     self->m_health.record(part.has_value(), boot_clock::now());
-                     if (!part)
-                     {
-                         self->load_later(found, range, into);
-                         return;
-                     }
-                     self->range_loaded(*found, *part, into);
                  });
     }
 
-    auto load_later(const std::shared_ptr<stored_cell>& found,
-                    const row_range& range, stored_rows into) -> void
+    auto range_read(const row_range& range, stored_rows into,
+                    std::uint64_t least, const std::optional<table_rows>& rows)
+        -> void
     {
+        m_health.record(rows.has_value(), boot_clock::now());
+        if (rows && rows->version >= least)
+        {
+            range_loaded(*rows, into);
+            return;
+        }
+        if (rows)
+        {
+            logging::warn("the store has answered with rows of the past: they "
+                          "are read again")
+                .with("table", range.table)
+                .with("part", range.part)
+                .with("version", rows->version)
+                .with("needed", least);
+        }
         after(load_pause,
-              [found, range, into](cell_loader& self)
+              [range, into, least](cell_loader& self)
               {
-                  self.load_range(found, range, into);
+                  self.load_range(range, into, least);
               });
     }
 
-    auto range_loaded(stored_cell& found, const table_rows& part,
-                      stored_rows into) -> void
+    auto range_loaded(const table_rows& part, stored_rows into) -> void
     {
         // Changes since the earliest reading come again by the feeds.
-        found.version = found.version == 0
-                            ? part.version
-                            : std::min(found.version, part.version);
-        auto& rows = found.*into;
+        m_found->version = m_found->version == 0
+                               ? part.version
+                               : std::min(m_found->version, part.version);
+        auto& rows = (*m_found).*into;
         rows.insert(rows.end(), part.rows.begin(), part.rows.end());
-        if (--found.missing == 0)
+        if (--m_found->missing == 0)
         {
-            m_tell.loaded(found);
+            m_tell.loaded(*m_found);
         }
     }
 
@@ -227,6 +240,7 @@
     store_health& m_health;
     std::uint64_t m_epoch;
     listener m_tell;
+    std::shared_ptr<stored_cell> m_found;
     bool m_ended = false;
 };
 
--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -12,7 +12,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // any_of, find_if, none_of
+#include <algorithm>  // any_of, find_if
+#include <cstdint>    // uint64_t
 #include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
@@ -111,10 +112,22 @@
     std::size_t choice = 0;
     std::size_t failed = 0;
     row_key at;
+    /// The job to be stored; nullptr: its cancellation.
+    std::shared_ptr<const job_spec> spec;
     std::string value;
-    /// Only if the row is not there yet.
-    bool fresh = true;
     std::shared_ptr<intake_caller> caller;
+
+    /// @brief Whether the row is written only if it is not there yet.
+    [[nodiscard]] auto fresh() const -> bool
+    {
+        return spec != nullptr;
+    }
+
+    /// @brief What is written while the part names the owner of @p epoch.
+    [[nodiscard]] auto value_under(std::uint64_t epoch) const -> std::string
+    {
+        return spec ? to_bytes(inbox_job{*spec, epoch}) : "1";
+    }
 };
 
 /// @brief Group commit for one part of the inbox; one transaction under way at
@@ -128,10 +141,10 @@
     /// What is told of each row that is stored.
     using stored_handler = std::function<void(const stored_row&)>;
 
-    intake_lane(Platform& outside, store_health& health, stored_handler stored,
-                failure_handler failed)
-        : m_outside(outside), m_health(health), m_stored(std::move(stored)),
-          m_failed(std::move(failed))
+    intake_lane(Platform& outside, store_health& health, std::string part,
+                stored_handler stored, failure_handler failed)
+        : m_outside(outside), m_health(health), m_part(std::move(part)),
+          m_stored(std::move(stored)), m_failed(std::move(failed))
     {
     }
 
@@ -163,6 +176,8 @@
             return;
         }
         row_transaction transaction;
+        transaction.conditions.push_back(
+            {inbox_epoch_row(m_part), m_epoch_version});
         std::size_t bytes = 0;
         while (!m_queue.empty() && m_under_way.size() < most_rows &&
                bytes < most_bytes)
@@ -183,10 +198,11 @@
             {
                 break;
             }
-            if (item.fresh)
+            if (item.fresh())
             {
                 transaction.conditions.push_back({item.at, 0});
             }
+            item.value = item.value_under(m_epoch);
             bytes += item.value.size();
             transaction.writes.push_back({item.at, item.value});
             item.caller->sent();
@@ -216,7 +232,7 @@
         case commit_state::committed:
             for (const auto& item : items)
             {
-                stored(item, result.version);
+                stored(item, {item.at, item.value, result.version, false});
             }
             break;
         case commit_state::conflict:
@@ -235,35 +251,27 @@
     }
 
     /// Rows that were there already are stored; the others go again.
-    /// @return false when none was there
+    /// @return false when nothing that is known was in the way
     auto settle_conflict(std::vector<intake_entry>& items,
                          const commit_result& result) -> bool
     {
-        const auto version_of = [&](const intake_entry& item) -> std::uint64_t
-        {
-            const auto row =
-                std::find_if(result.current.begin(), result.current.end(),
-                             [&](const stored_row& found)
-                             {
-                                 return found.at == item.at && !found.removed;
-                             });
-            return row == result.current.end() ? 0 : row->version;
-        };
-        const auto is_there = [&](const intake_entry& item)
+        bool known = !result.current.empty() && take_epoch(result);
+        for (auto item = items.rbegin(); item != items.rend(); ++item)
         {
-            return version_of(item) > 0;
-        };
-        if (std::none_of(items.begin(), items.end(), is_there))
+            // As it was written: an earlier owner may have been in force.
+            if (const auto* const row = row_in(result, item->at))
+            {
+                known = true;
+                stored(*item, *row);
+            }
+        }
+        if (!known)
         {
             return false;
         }
         for (auto item = items.rbegin(); item != items.rend(); ++item)
         {
-            if (is_there(*item))
-            {
-                stored(*item, version_of(*item));
-            }
-            else
+            if (row_in(result, item->at) == nullptr)
             {
                 item->caller->came_back(false);
                 m_queue.push_front(std::move(*item));
@@ -272,10 +280,41 @@
         return true;
     }
 
+    /// @return whether another owner is in force here than was known
+    auto take_epoch(const commit_result& result) -> bool
+    {
+        const auto* const row = row_in(result, inbox_epoch_row(m_part));
+        const auto version = row == nullptr ? 0 : row->version;
+        if (version == m_epoch_version)
+        {
+            return false;
+        }
+        m_epoch_version = version;
+        m_epoch = row == nullptr ? 0 : named_epoch(*row);
+        logging::info("a part of the inbox has another owner")
+            .with("part", m_part)
+            .with("epoch", m_epoch)
+            .with("version", version);
+        return true;
+    }
+
+    /// @return nullptr when the row is not there
+    static auto row_in(const commit_result& result, const row_key& at)
+        -> const stored_row*
+    {
+        const auto row = std::find_if(
+            result.current.begin(), result.current.end(),
+            [&](const stored_row& found)
+            {
+                return found.at == at && !found.removed && found.version > 0;
+            });
+        return row == result.current.end() ? nullptr : &*row;
+    }
+
     /// The owner is told first: it can begin while the answer travels.
-    auto stored(const intake_entry& item, std::uint64_t version) -> void
+    auto stored(const intake_entry& item, const stored_row& row) -> void
     {
-        m_stored({item.at, item.value, version, false});
+        m_stored(row);
         item.caller->answer(intake_result::stored);
     }
 
@@ -293,6 +332,10 @@
 
     Platform& m_outside;
     store_health& m_health;
+    std::string m_part;
+    /// The owner that the part names, and the version of the row that does.
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_epoch_version = 0;
     stored_handler m_stored;
     failure_handler m_failed;
     std::deque<intake_entry> m_queue;
@@ -318,7 +361,7 @@
         {
             m_lanes.emplace(inbox_part(i),
                             std::make_unique<intake_lane<Platform>>(
-                                outside, health, stored,
+                                outside, health, inbox_part(i), stored,
                                 [this](intake_entry item)
                                 {
                                     retry(std::move(item));
@@ -332,7 +375,7 @@
     {
         intake_entry item;
         item.job = job.id;
-        item.value = to_bytes(job);
+        item.spec = std::make_shared<const job_spec>(job);
         add(std::move(item), until, std::move(done));
     }
 
@@ -341,8 +384,6 @@
     {
         intake_entry item;
         item.job = job;
-        item.value = "1";
-        item.fresh = false;
         add(std::move(item), until, std::move(done));
     }
 
@@ -381,8 +422,8 @@
 
     auto send(intake_entry item) -> void
     {
-        item.at = item.fresh ? job_row(item.job, item.choice)
-                             : cancel_row(item.job, item.choice);
+        item.at = item.fresh() ? job_row(item.job, item.choice)
+                               : cancel_row(item.job, item.choice);
         auto& lane = lane_of(item.job, item.choice);
         lane.add(std::move(item));
     }
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -5,6 +5,7 @@
 
 #include <pimentoshunt/cell/approval_desk.hpp>
 #include <pimentoshunt/cell/cell_loader.hpp>
+#include <pimentoshunt/cell/inbox.hpp>
 #include <pimentoshunt/cell/job_remover.hpp>
 #include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/peers.hpp>
@@ -22,7 +23,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // max
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
@@ -42,7 +43,8 @@
     std::string self;
     /// Whether leases may be renewed and work be started now.
     std::function<bool()> may_act;
-    /// When the store was last asked to confirm the ownership, and did.
+    /// When the store was last asked to confirm the ownership, and did; for the
+    /// log.
     std::function<time_point()> confirmed_at;
     /// Called once when a later owner is there.
     std::function<void()> overtaken;
@@ -89,7 +91,7 @@
         m_loader = std::make_shared<cell_loader<Platform>>(
             m_outside, m_control, m_health, m_scheduler.epoch(),
             std::move(tell));
-        m_loader->begin();
+        m_loader->begin(m_epoch_version);
         tick();
     }
 
@@ -168,10 +170,6 @@
     }
 
   private:
-    /// An owner starts jobs that came in within so long of its latest
-    /// confirmation: less than a takeover waits, so that no later owner has
-    /// begun when they were stored.
-    static constexpr milliseconds new_jobs_for{900};
     /// How often leases, stops and lost answers are looked at.
     static constexpr milliseconds tick_interval{50};
     /// Rows come at once from the instances that stored them; the feed is for
@@ -253,7 +251,7 @@
         std::map<std::string, job_progress> progress;
         for (const auto& row : found.progress)
         {
-            if (row.at.key.front() == '@')
+            if (is_part_epoch(row.at))
             {
                 continue;
             }
@@ -273,34 +271,13 @@
                     .with("key", row.at.key);
             }
         }
-        std::vector<job_id> cancelled;
-        for (const auto& row : found.inbox)
+        const auto inbox = read_inbox(found.inbox);
+        for (const auto& [id, job] : inbox.jobs)
         {
-            const auto cancelled_here = cancelled_job(row.at);
-            if (!cancelled_here.empty())
-            {
-                cancelled.push_back(cancelled_here);
-                continue;
-            }
-            const auto job = read_job(row.value);
-            if (!job)
-            {
-                logging::error("a stored job can't be read: it is passed over")
-                    .with("key", row.at.key);
-                continue;
-            }
-            const auto known = progress.find(row.at.key);
-            if (known == progress.end())
-            {
-                take_job(*job, row.version);
-            }
-            else if (m_scheduler.restore(*job, known->second, present()) &&
-                     !is_final(known->second.state))
-            {
-                log_arrival(*job, row.version, true);
-            }
+            const auto known = progress.find(id.str());
+            take_job(job, known == progress.end() ? nullptr : &known->second);
         }
-        for (const auto& job : cancelled)
+        for (const auto& job : inbox.cancelled)
         {
             m_scheduler.cancel(job, present());
         }
@@ -376,21 +353,25 @@
             m_scheduler.cancel(cancelled, present());
             return;
         }
-        if (const auto job = read_job(row.value))
+        if (is_part_epoch(row.at))
         {
-            take_job(*job, row.version);
+            later_owner(named_epoch(row));
         }
-        else
+        else if (const auto job = read_arrived(row))
         {
-            logging::error("a stored job can't be read: it is passed over")
-                .with("key", row.at.key);
+            take_job(*job, nullptr);
         }
     }
 
+    /// A row of the inbox names an owner: a later one has taken the cell over.
+    auto later_owner(std::uint64_t epoch) -> void
+    {
+        m_overtaken = m_overtaken || epoch > m_scheduler.epoch();
+    }
+
     auto authority() const -> owner_authority
     {
-        return {m_around.may_act(), m_around.confirmed_at() + new_jobs_for,
-                confirmed_age()};
+        return {m_around.may_act(), confirmed_age()};
     }
 
     [[nodiscard]] auto confirmed_age() const -> milliseconds
@@ -399,32 +380,48 @@
             present() - m_around.confirmed_at());
     }
 
-    /// An earlier owner may have started what was stored before the takeover.
-    auto take_job(const job_spec& job, std::uint64_t version) -> void
+    /// An earlier owner may have begun what was stored while it was in force,
+    /// and nothing else: it leaves the jobs of later owners alone.
+    /// @param known  stored progress; nullptr: none
+    auto take_job(const arrived_job& arrived, const job_progress* known) -> void
     {
+        const auto& [job, epoch] = arrived.item;
+        later_owner(epoch);
+        if (epoch > m_scheduler.epoch())
+        {
+            return;
+        }
         job_progress none;
         none.id = job.id;
-        const bool inherited = version <= m_epoch_version;
-        const bool added = inherited ? m_scheduler.restore(job, none, present())
-                                     : m_scheduler.accept(job, present());
-        if (added)
+        const auto& progress = known == nullptr ? none : *known;
+        const bool inherited = known != nullptr || epoch < m_scheduler.epoch();
+        const bool added = inherited
+                               ? m_scheduler.restore(job, progress, present())
+                               : m_scheduler.accept(job, present());
+        if (added && !is_final(progress.state))
+        {
+            log_arrival(arrived, inherited);
+        }
+        if (added && m_loaded && inherited)
         {
-            log_arrival(job, version, inherited);
+            logging::error("a job of an earlier owner was not there when the "
+                           "cell was loaded")
+                .with("job", job.id)
+                .with("epoch", epoch);
         }
     }
 
-    auto log_arrival(const job_spec& job, std::uint64_t version,
-                     bool inherited) const -> void
+    auto log_arrival(const arrived_job& arrived, bool inherited) const -> void
     {
+        const auto& job = arrived.item.job;
         logging::info("job taken in")
             .with("job", job.id)
             .with("queue", job.queue.name)
             .with("steps", job.steps.size())
             .with("epoch", m_scheduler.epoch())
             .with("inherited", inherited)
-            .with("row_version", version)
-            .with("takeover_version", m_epoch_version)
-            .with("confirmed_age", confirmed_age());
+            .with("stored_under", arrived.item.epoch)
+            .with("row_version", arrived.version);
     }
 
     auto worker_changed(const stored_row& row) -> void
@@ -505,6 +502,11 @@
         {
             return;
         }
+        if (m_overtaken || m_scheduler.overtaken())
+        {
+            m_around.overtaken();
+            return;
+        }
         const auto now = present();
         const auto out =
             m_scheduler.advance(now, m_around.calendar(), authority());
@@ -514,10 +516,6 @@
         m_progress->write();
         m_roster->write(now);
         m_remover->remove_due(now);
-        if (m_scheduler.overtaken())
-        {
-            m_around.overtaken();
-        }
     }
 
     auto carry_out(const outbox& out) -> void
@@ -639,7 +637,7 @@
     peers& m_peers;
     store_health& m_health;
     owner_context m_around;
-    /// Version of the takeover: no earlier owner starts what is stored later.
+    /// Version of the takeover: writes of the roster depend on it.
     std::uint64_t m_epoch_version;
     scheduler m_scheduler;
     approval_desk m_desk;
@@ -651,6 +649,8 @@
     std::shared_ptr<table_follower<Platform>> m_inbox;
     std::shared_ptr<table_follower<Platform>> m_workers;
     bool m_loaded = false;
+    /// Whether the inbox has shown a later owner.
+    bool m_overtaken = false;
     bool m_woken = false;
     bool m_ended = false;
 };
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -69,8 +69,6 @@
 {
     /// Whether leases may be renewed and runs started.
     bool may_act = true;
-    /// Jobs that came in later may already belong to a later owner.
-    time_point new_jobs_until = time_point::max();
     /// Since the store last confirmed the ownership; for the log.
     milliseconds confirmed_age{0};
 };
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -19,7 +19,8 @@
 namespace pimentoshunt::cell
 {
 
-/// @brief What a table held, and the version from which to follow it.
+/// @brief What a table held, and the version from which to follow it: each
+/// page was read at that version or later.
 struct table_rows
 {
     std::vector<stored_row> rows;
@@ -51,12 +52,12 @@
                              done(std::nullopt);
                              return;
                          }
-                         if (state->first)
-                         {
-                             // Changes made while reading come again.
-                             state->found.version = page.version;
-                             state->first = false;
-                         }
+                         // Changes made while reading come again.
+                         auto& version = state->found.version;
+                         version = state->first
+                                       ? page.version
+                                       : std::min(version, page.version);
+                         state->first = false;
                          for (auto& row : page.rows)
                          {
                              state->found.rows.push_back(std::move(row));
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -4,10 +4,11 @@
 
 #include <pimentoshunt/cell/ports.hpp>
 
-#include <cstddef> // size_t
-#include <cstdint> // uint64_t
-#include <string>  // string
-#include <vector>  // vector
+#include <charconv> // from_chars
+#include <cstddef>  // size_t
+#include <cstdint>  // uint64_t
+#include <string>   // string
+#include <vector>   // vector
 
 namespace pimentoshunt::cell
 {
@@ -90,12 +91,39 @@
     return "progress-" + std::to_string(number);
 }
 
+/// Key of the row by which a part names the owner in force there. No ID of a
+/// job begins like it.
+inline const std::string part_epoch_key = "@epoch";
+
 /// @brief Each part of progress names the owner that may write there. A new
 /// owner writes it before it reads the part: what is read is then complete,
 /// and no earlier owner takes note of an end that is not in it.
 [[nodiscard]] inline auto part_epoch_row(std::size_t part) -> row_key
 {
-    return {progress_table, progress_part(part), "@epoch"};
+    return {progress_table, progress_part(part), part_epoch_key};
+}
+
+/// @brief Each part of the inbox names the owner whose jobs it takes; writes
+/// there depend on it, and jobs carry its epoch. A new owner writes it before
+/// it reads the part: no job that an earlier owner may begin comes later.
+[[nodiscard]] inline auto inbox_epoch_row(const std::string& part) -> row_key
+{
+    return {inbox_table, part, part_epoch_key};
+}
+
+[[nodiscard]] inline auto is_part_epoch(const row_key& at) -> bool
+{
+    return at.key == part_epoch_key;
+}
+
+/// @brief The epoch that a part's row names; 0 for none, as in a row that is
+/// not there.
+[[nodiscard]] inline auto named_epoch(const stored_row& row) -> std::uint64_t
+{
+    std::uint64_t named = 0;
+    const auto& text = row.value;
+    std::from_chars(text.data(), text.data() + text.size(), named);
+    return named;
 }
 
 /// @brief A row of progress; those of several owners and parts are put
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -90,8 +90,7 @@
     const bool blocked = earlier_runs_possible(now);
     for (auto& [arrival, job] : m_active)
     {
-        const bool too_new = job->accepted_at > m_authority.new_jobs_until;
-        if ((job->inherited && blocked) || too_new)
+        if (job->inherited && blocked)
         {
             continue;
         }
--- a/src/cell/stored.cpp
+++ b/src/cell/stored.cpp
@@ -157,6 +157,12 @@
 
 auto to_bytes(const job_spec& job) -> std::string
 {
+    return to_bytes(inbox_job{job, 0});
+}
+
+auto to_bytes(const inbox_job& item) -> std::string
+{
+    const auto& job = item.job;
     wire::stored_job out;
     out.set_id(job.id.str());
     write_queue(job.queue, *out.mutable_queue());
@@ -168,17 +174,26 @@
     out.set_occurrences(job.occurrences);
     out.set_first_due_ms(job.first_due.time_since_epoch().count());
     out.set_interval_ms(job.interval.count());
+    out.set_epoch(item.epoch);
     return out.SerializeAsString();
 }
 
 auto read_job(const std::string& bytes) -> std::optional<job_spec>
+{
+    auto item = read_inbox_job(bytes);
+    return item ? std::optional(std::move(item->job)) : std::nullopt;
+}
+
+auto read_inbox_job(const std::string& bytes) -> std::optional<inbox_job>
 {
     wire::stored_job from;
     if (!from.ParseFromString(bytes) || from.id().empty())
     {
         return std::nullopt;
     }
-    job_spec out;
+    inbox_job item;
+    item.epoch = from.epoch();
+    auto& out = item.job;
     out.id = job_id(from.id());
     out.queue = read_queue(from.queue());
     out.payload = from.payload();
@@ -189,7 +204,7 @@
     out.occurrences = from.occurrences();
     out.first_due = calendar_time(milliseconds(from.first_due_ms()));
     out.interval = milliseconds(from.interval_ms());
-    return out;
+    return item;
 }
 
 auto to_bytes(const job_progress& progress) -> std::string
--- a/tests/fakes/fake_cell_pool.hpp
+++ b/tests/fakes/fake_cell_pool.hpp
@@ -184,10 +184,11 @@
         }
     }
 
-    auto start(const cell::start_order& order,
-               std::function<void(cell::start_outcome,
-                                  std::optional<cell::worker_time>)>
-                   done) -> void
+    auto
+    start(const cell::start_order& order,
+          const std::function<void(cell::start_outcome,
+                                   std::optional<cell::worker_time>)>& done)
+        -> void
     {
         const auto outcome = m_pool.start(order);
         const auto clock =
@@ -234,7 +235,7 @@
     }
 
     auto ask(const cell::approval_question& question,
-             std::function<void(cell::approval_answer)> done) -> void
+             const std::function<void(cell::approval_answer)>& done) -> void
     {
         cell::approval_answer out;
         out.step = question.step;
--- a/tests/fakes/fake_cell_store.hpp
+++ b/tests/fakes/fake_cell_store.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/tables.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -40,6 +41,8 @@
     bool silent = false;
     /// Transactions that are done and not answered.
     int lost_answers = 0;
+    /// Reads of the inbox that are answered as of before its first row.
+    int stale_reads = 0;
     /// Waits of the feed calls, in their order.
     std::vector<milliseconds> waits;
     std::size_t commits = 0;
@@ -74,6 +77,13 @@
               cell::read_handler done) -> void
     {
         cell::read_result out;
+        if (stale_reads > 0 && range.table == cell::inbox_table)
+        {
+            --stale_reads;
+            out.answered = true;
+            answer(std::move(done), std::move(out));
+            return;
+        }
         if (!away && !is_down(range.part))
         {
             out.answered = true;
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -274,3 +274,114 @@
     cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u, "%zu starts",
                  bed.pool.starts_of(job_id("0a")));
 }
+
+// wischwerk-zh pair-cancel-in-takeover, seed 1: an owner that is overtaken learns
+// it from the first job that is not its own.
+Test(cell_two_owners, a_job_of_a_later_owner_ends_the_earlier_one)
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    auto& later = bed.settled_owner();
+    const auto row = bed.submit("0a");
+    earlier.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    cr_assert(earlier.overtaken);
+    cr_assert(!later.overtaken);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 0u);
+    later.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    cr_assert_eq(bed.pool.begun.front().target.epoch, 2u);
+}
+
+// A third owner meets what the second has begun for the first.
+Test(cell_two_owners, an_inherited_job_begun_during_a_takeover_runs_once)
+{
+    cell_bed bed;
+    bed.settled_owner();
+    bed.submit("0a");
+    auto& second = bed.take_over();
+    second.outside.hold_back_lists = true;
+    cr_assert(bed.loaded(second));
+    auto& third = bed.take_over();
+    third.outside.hold_back_lists = true;
+    cr_assert(bed.loaded(third));
+    second.outside.let_lists_pass();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    bed.pool.end_all();
+    third.outside.let_lists_pass();
+    bed.run_for(some_decisions);
+    third.outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+}
+
+// Its row was written before the takeover; the answer was lost, and it was sent
+// again afterwards.
+Test(cell_two_owners, a_job_sent_again_after_a_takeover_runs_once)
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    const auto row = bed.submit("0a");
+    auto& later = bed.take_over();
+    later.outside.hold_back_lists = true;
+    cr_assert(bed.loaded(later));
+    earlier.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    bed.pool.end_all();
+    const auto again = bed.submit("0a");
+    cr_assert_eq(again.value, row.value);
+    later.role->row_arrived(again);
+    bed.run_for(some_decisions);
+    later.outside.let_lists_pass();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+}
+
+// One part took it under the earlier owner, without an answer; another one under
+// the later owner.
+Test(cell_two_owners, a_job_that_lies_in_two_parts_runs_once)
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    const job_id job("0a");
+    const auto row = bed.submit("0a");
+    bed.store.down.insert(cell::progress_part(3));
+    auto& later = bed.take_over();
+    bed.run_for(some_decisions);
+    bed.commit(
+        {}, {{cell::job_row(job, 1),
+              cell::to_bytes(cell::inbox_job{simple_job("0a", 1, 1'000), 2})}});
+    earlier.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    bed.pool.end_all();
+    later.outside.hold_back_lists = true;
+    bed.store.down.clear();
+    cr_assert(bed.loaded(later));
+    bed.run_for(some_decisions);
+    later.outside.let_lists_pass();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job), 1u);
+}
+
+// A lagging copy of the store may answer with rows of before the takeover.
+Test(cell_two_owners, a_part_that_is_read_as_of_the_past_is_read_again)
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    const auto row = bed.submit("0a");
+    bed.store.stale_reads = 3;
+    auto& later = bed.take_over();
+    later.outside.hold_back_lists = true;
+    cr_assert(bed.loaded(later));
+    cr_assert_eq(bed.store.stale_reads, 0);
+    earlier.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    bed.pool.end_all();
+    later.outside.let_lists_pass();
+    bed.run_for(some_decisions);
+    later.outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+}
