A part that was taken over without an answer is not taken again

What callers saw: nothing wrong, but a cell without starts for about a second when an owner changed while answers of the store were lost.

Cause: a new owner repeats each write that takes a part until it has an answer. A repeat finds its own epoch in the row, which tells that the first attempt was done; it was written once more all the same, and that answer could be lost as well. Since the inbox has owners too, there are sixteen such writes instead of eight.

Change: a row that names the own epoch counts as taken, at its version. Only this owner writes that epoch, and an attempt that is still under way depends on a version that has passed.

Test a_part_that_was_taken_without_an_answer_is_not_taken_again: all sixteen answers are lost; failed before (a further write of a part), passes now with one conflict a part.

--- a/include/pimentoshunt/cell/cell_loader.hpp
+++ b/include/pimentoshunt/cell/cell_loader.hpp
@@ -145,14 +145,7 @@
         }
         if (result.state == commit_state::conflict && !result.current.empty())
         {
-            const auto& row = result.current.front();
-            if (names_later_owner(row, m_epoch))
-            {
-                m_tell.overtaken();
-                return;
-            }
-            *part.version = row.removed ? 0 : row.version;
-            take_part(part);
+            part_in_conflict(part, result.current.front());
             return;
         }
         after(load_pause,
@@ -162,6 +155,24 @@
               });
     }
 
+    auto part_in_conflict(const owned_part& part, const stored_row& row) -> void
+    {
+        if (names_later_owner(row, m_epoch))
+        {
+            m_tell.overtaken();
+            return;
+        }
+        *part.version = row.removed ? 0 : row.version;
+        // An attempt without an answer was done.
+        const bool taken = !row.removed && named_epoch(row) == m_epoch;
+        if (taken)
+        {
+            load_range(part.range, part.into, row.version);
+            return;
+        }
+        take_part(part);
+    }
+
     /// Does something later, unless the ownership has ended.
     template<class Step>
     auto after(milliseconds pause, Step step) -> void
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -281,6 +281,41 @@
     cr_assert(!cell::names_later_owner(store.row(cell::part_epoch_row(0)), 2));
 }
 
+// pair-late-writes-takeover on nokf-trykk: each answer that was lost cost a new
+// owner another write, whose answer could be lost as well.
+Test(cell_store, a_part_that_was_taken_without_an_answer_is_not_taken_again)
+{
+    boost::asio::io_context control;
+    fake_cell_store store(control);
+    cell::store_health health;
+    bool loaded = false;
+    typename cell::cell_loader<fake_cell_store>::listener tell;
+    tell.loaded = [&](const cell::stored_cell& found)
+    {
+        loaded = true;
+        cr_assert_eq(found.part_versions[0],
+                     store.row(cell::part_epoch_row(0)).version);
+    };
+    tell.overtaken = [] {};
+    constexpr auto parts = cell::inbox_parts + cell::progress_parts;
+    store.lost_answers = parts;
+    const auto loader = std::make_shared<cell::cell_loader<fake_cell_store>>(
+        store, control, health, 1, std::move(tell));
+    loader->begin();
+    run_until(control,
+              [&]
+              {
+                  return loaded;
+              });
+    cr_assert(loaded);
+    // The last of the writes: none came after it.
+    for (std::size_t i = 0; i < cell::progress_parts; ++i)
+    {
+        cr_assert_leq(store.row(cell::part_epoch_row(i)).version, parts);
+    }
+    cr_assert_eq(store.commits, 2 * parts);
+}
+
 Test(cell_store, loading_waits_for_a_part_that_is_down)
 {
     boost::asio::io_context control;
