A worker's list that lacks ends is not taken for the whole

A worker lists at most 500 ends at once and the others once these are noted, for instance after the store was away for long.

A new owner counted a worker as read after its first list and began inherited tasks anew whose ends stood in the next one. A run that was neither present nor among the first ends was taken for stopped and begun again.

Change: the adapter says when a list may lack ends. Until then the worker does not count as read (inherited jobs wait, it gets nothing new), and nothing is concluded from what such a list does not name.

Open: an entry of a list that can't be read is passed over without a line.

--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -273,6 +273,8 @@
     worker_time clock{0};
     std::vector<listed_run> present;
     std::vector<listed_end> ended;
+    /// Further ends may be listed once these are noted.
+    bool more_ends = false;
 };
 
 /// @brief Durable knowledge of a worker that may have been given work.
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -191,9 +191,11 @@
     }
     worker.clock = report->clock;
     worker.clock_at = now;
-    worker.adopted = true;
+    // Ends that are not listed yet may be those of any task.
+    worker.adopted = worker.adopted || !report->more_ends;
     worker.ends_told = std::max(worker.ends_told, order.ends_noted);
-    worker.next_hold_at = now;
+    worker.next_hold_at =
+        worker.adopted ? now : time_point(now + m_options.hold_retry);
     take_report(worker, *report, sent_at, now);
 }
 
@@ -242,7 +244,11 @@
     {
         take_present(worker, seen, now);
     }
-    drop_absent(worker, report, sent_at, now);
+    // A run that is not present may be among the ends to come.
+    if (!report.more_ends)
+    {
+        drop_absent(worker, report, sent_at, now);
+    }
     stop_stalled(worker, now);
     set_paces(worker, now);
 }
--- a/tests/fakes/cell_world.hpp
+++ b/tests/fakes/cell_world.hpp
@@ -5,7 +5,7 @@
 
 #include <pimentoshunt/cell/scheduler.hpp>
 
-#include <algorithm>  // find_if
+#include <algorithm>  // find_if, max, min
 #include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
@@ -222,6 +222,8 @@
 
     /// What a call without an answer costs its caller.
     static constexpr milliseconds lost_after{600};
+    /// Ends that a worker lists at once.
+    static constexpr std::size_t most_listed_ends = 500;
     static constexpr milliseconds ticket_life{2'500};
 
     auto find_worker(const worker_id& id) -> fake_cell_worker*
@@ -336,6 +338,8 @@
         report.born = worker->entry.born;
         report.clock = worker->clock(now);
         report.ended = worker->ended;
+        report.more_ends = report.ended.size() > most_listed_ends;
+        report.ended.resize(std::min(report.ended.size(), most_listed_ends));
         for (const auto& [ref, run] : worker->runs)
         {
             report.present.push_back(run.listed);
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -90,6 +90,58 @@
     cr_assert_eq(world.jobs().take_counts().unknown_ends, 0u);
 }
 
+// A worker lists its ends some at a time: the task had ended in the next list.
+Test(cell_takeover, nothing_inherited_runs_again_before_all_ends_are_listed)
+{
+    cell_world world(second_epoch);
+    auto& worker = world.add_worker("w1", 4'000);
+    constexpr std::uint32_t more_than_one_list = 1'100;
+    for (std::uint32_t i = 0; i < more_than_one_list; ++i)
+    {
+        worker.ended.push_back({++worker.last_end,
+                                {{{job_id("j1"), 0, 0}, i}, 1},
+                                cell::run_end::done,
+                                ""});
+    }
+    world.add_worker("w2", 4'000);
+    world.jobs().restore(simple_job("j1", more_than_one_list, 1),
+                         no_progress("j1"), world.now);
+    world.pass(milliseconds(2'000));
+    cr_assert_eq(world.starts.size(), 0u, "%zu starts", world.starts.size());
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
+
+// The same for a run that is neither present nor among the first ends.
+Test(cell_takeover, a_run_that_is_not_listed_waits_for_all_ends)
+{
+    cell_world world;
+    auto& worker = world.add_worker("w1", 4'000);
+    world.add_worker("w2", 4'000);
+    world.jobs().accept(simple_job("j1", 1, 3'000), world.now);
+    world.pass(milliseconds(200));
+    cr_assert_eq(world.starts.size(), 1u);
+    const auto begun = world.starts.front();
+    cr_assert_eq(begun.target.worker, worker.entry.id);
+    world.store_answers = false;
+    constexpr std::uint32_t one_list = 500;
+    for (std::uint32_t i = 0; i < one_list; ++i)
+    {
+        worker.ended.push_back({++worker.last_end,
+                                {{{job_id("other"), 0, 0}, i}, 1},
+                                cell::run_end::stopped,
+                                ""});
+    }
+    world.end_run("w1", begun.run, cell::run_end::done);
+    world.pass(milliseconds(3'000));
+    cr_assert_eq(world.starts.size(), 1u, "%zu starts", world.starts.size());
+    world.store_answers = true;
+    world.pass(milliseconds(1'000));
+    cr_assert_eq(world.starts.size(), 1u);
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
+
 Test(cell_takeover, an_unreachable_worker_blocks_only_earlier_jobs)
 {
     cell_world world(second_epoch);
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -121,6 +121,23 @@
     cr_assert(!decode_report("{}").has_value());
 }
 
+Test(platform_wire, a_report_says_whether_it_may_lack_ends)
+{
+    const auto report_of = [](int ends)
+    {
+        std::string text =
+            R"({"clockMs":1,"born":9,"running":[],"endedRuns":[)";
+        for (int i = 1; i <= ends; ++i)
+        {
+            text += (i == 1 ? "[" : ",[") + std::to_string(i) +
+                    R"(,"5c0e7a21d94b36f8.0.1.9",1,"stopped",""])";
+        }
+        return decode_report(text + "]}");
+    };
+    cr_assert(!report_of(499)->more_ends);
+    cr_assert(report_of(500)->more_ends);
+}
+
 Test(platform_wire, values_of_rows_come_back_byte_for_byte)
 {
     for (std::size_t size = 0; size < 70; ++size)
