An overtaken owner removes no job that its successor has read

A job that had ended and been shown as succeeded was run again by a new owner.

Cause: the removal of old jobs depended on nothing. An overtaken owner's calls (or its earlier ones, carried out seconds later) removed the rows in the inbox after the new owner had read them, then the rows of progress before the new owner had read those. It had a job without progress, and began it. The class: what is read in several steps taken for one moment, and a write of an overtaken owner that the store does not fence.

Ruled out: that removals of progress need a condition of their own.

Change: removals in the inbox depend on the version of the row that names the part's owner. an_owner_removes_old_jobs shows that they still happen.

--- a/include/pimentoshunt/cell/job_remover.hpp
+++ b/include/pimentoshunt/cell/job_remover.hpp
@@ -8,6 +8,8 @@
 #include <pimentoshunt/logging.hpp>
 
 #include <algorithm>     // find
+#include <array>         // array
+#include <cstdint>       // uint64_t
 #include <memory>        // enable_shared_from_this, make_shared
 #include <unordered_map> // unordered_map
 #include <vector>        // vector
@@ -20,11 +22,21 @@
 class job_remover : public std::enable_shared_from_this<job_remover<Platform>>
 {
   public:
+    /// Versions of the rows that name the owner of each part of the inbox.
+    using inbox_versions = std::array<std::uint64_t, inbox_parts>;
+
     job_remover(Platform& outside, scheduler& jobs)
         : m_outside(outside), m_scheduler(jobs)
     {
     }
 
+    /// @brief All parts of the inbox have been taken over; the rows have these
+    /// versions.
+    auto begin(const inbox_versions& versions) -> void
+    {
+        m_inbox_versions = versions;
+    }
+
     /// @brief Nothing is removed from now on.
     auto stop() -> void
     {
@@ -66,13 +78,18 @@
     static constexpr milliseconds expire_interval{5'000};
     static constexpr std::size_t expire_at_once = 25;
 
-    /// The inbox first: a job without progress would run again.
+    /// The inbox first: a job without progress would run again. A later owner
+    /// has none of its rows then: it takes each part over before it reads it,
+    /// and these removals were done before that.
     auto remove_job(const job_id& job) -> void
     {
         auto missing = std::make_shared<std::size_t>(parts_of_job);
         for (std::size_t i = 0; i < parts_of_job; ++i)
         {
             row_transaction inbox;
+            const auto part = inbox_part_number(job, i);
+            inbox.conditions.push_back(
+                {inbox_epoch_row(inbox_part(part)), m_inbox_versions[part]});
             inbox.removals.push_back(job_row(job, i));
             inbox.removals.push_back(cancel_row(job, i));
             m_outside.commit(inbox, commit_limit,
@@ -110,6 +127,7 @@
 
     Platform& m_outside;
     scheduler& m_scheduler;
+    inbox_versions m_inbox_versions{};
     std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
     time_point m_next_expiry;
     bool m_ended = false;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -218,6 +218,7 @@
             return;
         }
         m_progress->begin(found.part_versions);
+        m_remover->begin(found.inbox_versions);
         restore_jobs(found);
         for (const auto& row : found.workers)
         {
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -31,15 +31,23 @@
 /// Distance between them; has no factor in common with their number.
 inline constexpr std::size_t part_distance = 3;
 
-/// @brief The part in which a job lies, or lies if the earlier choices failed;
-/// the same at all instances.
-[[nodiscard]] inline auto inbox_part_of(const job_id& job,
-                                        std::size_t choice = 0) -> std::string
+/// @brief Number of the part in which a job lies, or lies if the earlier choices
+/// failed; the same at all instances.
+[[nodiscard]] inline auto inbox_part_number(const job_id& job,
+                                            std::size_t choice = 0)
+    -> std::size_t
 {
     const auto& text = job.str();
     const std::size_t last =
         text.empty() ? 0 : static_cast<unsigned char>(text.back());
-    return inbox_part((last + choice * part_distance) % inbox_parts);
+    return (last + choice * part_distance) % inbox_parts;
+}
+
+/// @brief That part's name.
+[[nodiscard]] inline auto inbox_part_of(const job_id& job,
+                                        std::size_t choice = 0) -> std::string
+{
+    return inbox_part(inbox_part_number(job, choice));
 }
 
 /// Jobs as they were accepted, and their cancellations.
--- a/tests/fakes/fake_cell_pool.hpp
+++ b/tests/fakes/fake_cell_pool.hpp
@@ -144,17 +144,59 @@
 
     /// Whether lists of workers are held back on their way.
     bool hold_back_lists = false;
+    /// Whether transactions that remove rows are held back on their way.
+    bool hold_back_removals = false;
+    /// Whether reads of progress are held back on their way.
+    bool hold_back_progress = false;
 
     auto commit(const cell::row_transaction& transaction, milliseconds limit,
                 cell::commit_handler done) -> void
     {
-        m_store.commit(transaction, limit, std::move(done));
+        const auto call = [this, transaction, limit, done = std::move(done)]
+        {
+            m_store.commit(transaction, limit, done);
+        };
+        if (hold_back_removals && !transaction.removals.empty())
+        {
+            m_removals.push_back(call);
+            return;
+        }
+        call();
     }
 
     auto read(const cell::row_range& range, milliseconds limit,
               cell::read_handler done) -> void
     {
-        m_store.read(range, limit, std::move(done));
+        const auto call = [this, range, limit, done = std::move(done)]
+        {
+            m_store.read(range, limit, done);
+        };
+        if (hold_back_progress && range.table == cell::progress_table)
+        {
+            m_reads.push_back(call);
+            return;
+        }
+        call();
+    }
+
+    /// @brief Removals that were held back reach the store now.
+    auto let_removals_pass() -> void
+    {
+        hold_back_removals = false;
+        for (const auto& item : std::exchange(m_removals, {}))
+        {
+            item();
+        }
+    }
+
+    /// @brief Reads of progress that were held back reach the store now.
+    auto let_progress_pass() -> void
+    {
+        hold_back_progress = false;
+        for (const auto& item : std::exchange(m_reads, {}))
+        {
+            item();
+        }
     }
 
     /// The feed is told when the test says so.
@@ -280,6 +322,8 @@
     fake_cell_pool& m_pool;
     std::vector<waiting_feed> m_feeds;
     std::vector<std::function<void()>> m_lists;
+    std::vector<std::function<void()>> m_removals;
+    std::vector<std::function<void()>> m_reads;
 };
 
 } // namespace pimentoshunt::fakes
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -146,7 +146,7 @@
     }
 
     /// The takeover's transaction, and the role that follows it.
-    auto take_over() -> owner_bed&
+    auto take_over(const cell::scheduler_options& options = {}) -> owner_bed&
     {
         const std::uint64_t epoch = owners.size() + 1;
         const auto row = store.row(cell::lease_row());
@@ -158,7 +158,7 @@
         auto owner = std::make_unique<owner_bed>(control, store, pool, epoch);
         owner->role = std::make_shared<cell::owner_role<fake_cell_outside>>(
             owner->outside, control, owner->others, owner->health,
-            owner->context(), epoch, taken.version, cell::scheduler_options{});
+            owner->context(), epoch, taken.version, options);
         owners.push_back(std::move(owner));
         owners.back()->role->begin(cell::configuration{});
         return *owners.back();
@@ -385,3 +385,74 @@
     bed.run_for(some_decisions);
     cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
 }
+
+namespace
+{
+
+/// An owner with these forgets a job as soon as it has ended.
+auto quick_to_forget() -> cell::scheduler_options
+{
+    cell::scheduler_options out;
+    out.keep_final = milliseconds(0);
+    return out;
+}
+
+/// A cell in which a job has ended, and the end is durable.
+auto finish_job(cell_bed& bed, const std::string& id) -> void
+{
+    auto& owner = bed.settled_owner();
+    owner.role->row_arrived(bed.submit(id));
+    bed.run_for(some_decisions);
+    bed.pool.end_all();
+    cr_assert(bed.run_until(
+        [&]
+        {
+            return owner.role->state_of(job_id(id)) ==
+                   cell::job_state::succeeded;
+        }));
+}
+
+} // namespace
+
+// Its removals in the inbox came after its successor had read the inbox, and
+// those of progress before the successor had read progress.
+Test(cell_two_owners, an_overtaken_owner_removes_no_job_of_its_successor)
+{
+    cell_bed bed;
+    finish_job(bed, "0a");
+    auto& earlier = bed.take_over(quick_to_forget());
+    earlier.outside.hold_back_removals = true;
+    cr_assert(bed.loaded(earlier));
+    bed.run_for(some_decisions);
+    auto& later = bed.take_over();
+    later.outside.hold_back_progress = true;
+    bed.run_for(some_decisions);
+    cr_assert(!later.role->loaded());
+    earlier.outside.let_removals_pass();
+    bed.run_for(some_decisions);
+    later.outside.let_progress_pass();
+    cr_assert(bed.loaded(later));
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u, "%zu starts",
+                 bed.pool.starts_of(job_id("0a")));
+    cr_assert(later.role->state_of(job_id("0a")) == cell::job_state::succeeded);
+}
+
+Test(cell_two_owners, an_owner_removes_old_jobs)
+{
+    cell_bed bed;
+    finish_job(bed, "0a");
+    const auto rows = {cell::job_row(job_id("0a")),
+                       cell::progress_row(job_id("0a"), 1, 0)};
+    for (const auto& at : rows)
+    {
+        cr_assert(!bed.store.row(at).removed);
+    }
+    auto& owner = bed.take_over(quick_to_forget());
+    cr_assert(bed.loaded(owner));
+    bed.run_for(some_decisions);
+    for (const auto& at : rows)
+    {
+        cr_assert(bed.store.row(at).removed);
+    }
+}
