A cancellation that is told before its job holds

Cause: the scheduler dropped the cancellation of a job that it did not know. It may come first: once the store has lost the history of the inbox all parts are read anew and told one after another, and the two lie in different parts when one had failed; and two instances announce the two rows in any order. In the first case nothing told it again. The class: what is unknown taken for what does not exist.

Evidence: cell_two_owners::a_cancellation_that_is_read_before_its_job_holds and ..._that_is_announced_before_its_job_holds; before, the job was not cancelled in either, now it is and nothing starts. Ruled out: a new owner's first reading (all cancellations follow all jobs, and a row that came after the earliest page comes again by the feed, in order); the feed itself, which tells changes in their order.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -127,7 +127,8 @@
     /// @brief Takes in a job that was accepted under this ownership.
     /// @return false when the job is known already
     auto accept(const job_spec& job, time_point now) -> bool;
-    /// @brief Ends a job without finishing it.
+    /// @brief Ends a job without finishing it; one that is not known yet, when
+    /// it comes.
     auto cancel(const job_id& job, time_point now) -> void;
 
     /// @param clock  the worker's clock, where the answer had one
@@ -213,6 +214,7 @@
 
     // Jobs.
     auto add_job(const job_spec& job, time_point now) -> job_record*;
+    auto cancel_at_once(job_record& job, time_point now) -> void;
     auto add_round(job_record& job, std::uint32_t number) -> void;
     auto release_rounds(time_point now, calendar_time calendar) -> void;
     auto release_steps(job_record& job, round_record& round, time_point now)
@@ -317,6 +319,8 @@
     std::map<std::uint64_t, std::vector<std::pair<worker_id, std::uint64_t>>>
         m_ends_of_batch;
     std::vector<job_id> m_finished;
+    /// When jobs were cancelled that were not known then.
+    std::unordered_map<job_id, time_point> m_early_cancellations;
     scheduler_counts m_counts;
     pimentoshunt::policy::worker_health m_health;
     /// Ejected workers that may be given one run.
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -92,7 +92,12 @@
 
 auto scheduler::accept(const job_spec& job, time_point now) -> bool
 {
-    return add_job(job, now) != nullptr;
+    auto* const record = add_job(job, now);
+    if (record != nullptr)
+    {
+        cancel_at_once(*record, now);
+    }
+    return record != nullptr;
 }
 
 auto scheduler::restore(const job_spec& job, const job_progress& progress,
@@ -157,13 +162,20 @@
         m_active.erase(record->arrival);
         m_finished.push_back(job.id);
     }
+    cancel_at_once(*record, now);
     return true;
 }
 
 auto scheduler::cancel(const job_id& job, time_point now) -> void
 {
     const auto found = m_jobs.find(job);
-    if (found == m_jobs.end() || is_final(found->second.state))
+    if (found == m_jobs.end())
+    {
+        // Its job may be told later, though it was stored before.
+        m_early_cancellations.try_emplace(job, now);
+        return;
+    }
+    if (is_final(found->second.state))
     {
         return;
     }
@@ -171,6 +183,14 @@
     finish(found->second, job_state::cancelled, now);
 }
 
+auto scheduler::cancel_at_once(job_record& job, time_point now) -> void
+{
+    if (m_early_cancellations.erase(job.spec->id) > 0)
+    {
+        cancel(job.spec->id, now);
+    }
+}
+
 auto scheduler::finish(job_record& job, job_state state, time_point now) -> void
 {
     job.state = state;
@@ -383,6 +403,12 @@
 auto scheduler::take_expired(time_point now, std::size_t most)
     -> std::vector<job_id>
 {
+    // Those of jobs that have been removed.
+    std::erase_if(m_early_cancellations,
+                  [&](const auto& item)
+                  {
+                      return now - item.second >= m_options.keep_final;
+                  });
     std::vector<job_id> out;
     while (!m_finished.empty() && out.size() < most)
     {
--- a/tests/fakes/fake_cell_store.hpp
+++ b/tests/fakes/fake_cell_store.hpp
@@ -43,6 +43,8 @@
     int lost_answers = 0;
     /// Reads of the inbox that are answered as of before its first row.
     int stale_reads = 0;
+    /// Feed calls that are told that the history is gone.
+    int forgotten_histories = 0;
     /// Waits of the feed calls, in their order.
     std::vector<milliseconds> waits;
     std::size_t commits = 0;
@@ -108,7 +110,12 @@
     {
         waits.push_back(wait);
         cell::feed_result out;
-        if (!away)
+        if (!away && forgotten_histories > 0)
+        {
+            --forgotten_histories;
+            out.state = cell::feed_state::history_gone;
+        }
+        else if (!away)
         {
             out.state = cell::feed_state::changes;
             out.version = m_version;
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -456,3 +456,37 @@
         cr_assert(bed.store.row(at).removed);
     }
 }
+
+// The store had lost the history of the inbox, which was read anew: the
+// cancellation lay in a part that was told before that of its job.
+Test(cell_two_owners, a_cancellation_that_is_read_before_its_job_holds)
+{
+    cell_bed bed;
+    auto& owner = bed.settled_owner();
+    const job_id job("0a");
+    bed.store.down.insert(cell::inbox_part_of(job));
+    bed.submit("0a");
+    bed.store.down.clear();
+    bed.commit({}, {{cell::cancel_row(job), "1"}});
+    cr_assert_lt(cell::cancel_row(job).part, bed.announced.front().at.part);
+    bed.store.forgotten_histories = 2;
+    owner.outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.store.forgotten_histories, 0);
+    cr_assert(owner.role->state_of(job) == cell::job_state::cancelled);
+    cr_assert_eq(bed.pool.starts_of(job), 0u);
+}
+
+// The instances that have stored the two tell the owner in any order.
+Test(cell_two_owners, a_cancellation_that_is_announced_before_its_job_holds)
+{
+    cell_bed bed;
+    auto& owner = bed.settled_owner();
+    const job_id job("0a");
+    const auto row = bed.submit("0a");
+    owner.role->row_arrived({cell::cancel_row(job), "1", row.version + 1});
+    owner.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    cr_assert(owner.role->state_of(job) == cell::job_state::cancelled);
+    cr_assert_eq(bed.pool.starts_of(job), 0u);
+}
