A new owner counts the leases that an earlier one has given

What callers would see: TWICE. A task ran on a worker that had fallen silent, under the lease of an earlier owner, and was begun elsewhere.

Cause: a new owner's books have no lease for a worker that has just answered for the first time. Two cases took that for none: a worker that leaves, which got a short lease of 1.8 s though the earlier owner had given 5 s and leases never shorten; and an owner that might not act when the worker answered, so that it gave none. When the worker then fell silent, its runs were given up after what the books said.

Evidence: cell_leases::a_leaving_worker_keeps_the_lease_of_an_earlier_owner and an_owner_that_may_not_act_counts_the_lease_of_an_earlier_one; two runs of the task at once before, one now. Ruled out: later leases of the earlier owner, which the worker refuses from its first answer on.

Change: the first answer under an epoch counts as a full lease.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -189,6 +189,12 @@
         }
         new_life(worker, report->born, now);
     }
+    if (!worker.clock)
+    {
+        // An earlier owner may have given a full lease until this answer.
+        worker.lease_end =
+            std::max(worker.lease_end, report->clock + m_options.lease);
+    }
     worker.clock = report->clock;
     worker.clock_at = now;
     worker.adopted = true;
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -139,3 +139,62 @@
     world.pass(milliseconds(500));
     cr_assert_eq(world.running(), 1u);
 }
+
+namespace
+{
+
+/// A successor's worker, on which the earlier owner's run of the job has its
+/// full lease.
+auto inherit_run(cell_world& world, const std::string& name,
+                 const cell::run_ref& run) -> fakes::fake_cell_worker&
+{
+    auto& worker = world.add_worker(name, 4'000);
+    worker.runs[run].listed.run = run;
+    worker.highest_epoch = 1;
+    worker.lease_end = worker.clock(world.now) + milliseconds(5'000);
+    return worker;
+}
+
+/// Cuts the worker off and watches that the task does not run twice; the lease
+/// is over in between.
+auto watch_cut_off(cell_world& world, fakes::fake_cell_worker& worker,
+                   const cell::task_ref& task) -> void
+{
+    worker.receives = false;
+    world.authority.may_act = true;
+    world.add_worker("w2", 4'000);
+    for (int i = 0; i < 400; ++i)
+    {
+        world.pass(milliseconds(20));
+        cr_assert_leq(world.alive(task), 1u);
+    }
+    cr_assert_eq(world.workers.at(worker_id("w2")).runs.size(), 1u);
+}
+
+const cell::task_ref first_task{{job_id("j1"), 0, 0}, 0};
+
+} // namespace
+
+// The new owner gave a worker that leaves a short lease, and forgot that the
+// earlier one had given it a long one.
+Test(cell_leases, a_leaving_worker_keeps_the_lease_of_an_earlier_owner)
+{
+    cell_world world(2);
+    auto& worker = inherit_run(world, "w1", {first_task, 1});
+    worker.entry.draining = true;
+    world.list(worker);
+    world.jobs().restore(simple_job("j1", 1, 1'000), {}, world.now);
+    world.pass(milliseconds(100));
+    watch_cut_off(world, worker, first_task);
+}
+
+// The new owner had given no lease yet, and took that for none.
+Test(cell_leases, an_owner_that_may_not_act_counts_the_lease_of_an_earlier_one)
+{
+    cell_world world(2);
+    auto& worker = inherit_run(world, "w1", {first_task, 1});
+    world.authority.may_act = false;
+    world.jobs().restore(simple_job("j1", 1, 1'000), {}, world.now);
+    world.pass(milliseconds(100));
+    watch_cut_off(world, worker, first_task);
+}
