A later life of a worker refuses the starts of the earlier one

A worker crashed and came back under its ID with a start on its way; the start reached the new life after the task had been begun elsewhere.

Cause: three things, each enough. - The new life counted as silent, and the lease that was waited for was that of an owner before this one: over at once for an owner older than 8.3 s. So the run was given up in the next decision. - A stop that the earlier life had answered counted for the new one, which had barred nothing. - A stop's answer that came after the new life was noticed counted too. A start's late answer could also set the worker's clock to that of its earlier life.

Change: orders carry the life that they are meant for; answers of another one settle nothing. Runs whose start is not settled are stopped at the new life too, and given up only when it has answered, or after a lease. Not solved: a start that comes later than that to a life that never answers; and a hold meant for the earlier life, whose note of ends and whose lease, by the earlier clock, the new life takes for its own. The platform tells lives apart by ID alone.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -65,6 +65,8 @@
     std::uint64_t roster_version = 0;
     /// Whether it has answered under the present epoch.
     bool adopted = false;
+    /// When its latest life was noticed, if it is not the first one known.
+    time_point born_again_at;
     /// Last reading of its clock and when it came.
     std::optional<worker_time> clock;
     time_point clock_at;
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -20,6 +20,8 @@
     std::string address;
     /// Epoch of the ownership; the worker refuses lower ones.
     std::uint64_t epoch = 0;
+    /// The life that is meant; the next one may get the order.
+    calendar_time born{};
 };
 
 /// @brief Start one run.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -236,6 +236,7 @@
     auto target_of(const worker_record& worker) const -> order_target;
     auto lease_for(const worker_record& worker, time_point now) const
         -> worker_time;
+    auto stretched(milliseconds by_worker) const -> milliseconds;
     auto lapses_at(const worker_record& worker) const -> time_point;
     auto new_life(worker_record& worker, calendar_time born, time_point now)
         -> void;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -346,7 +346,7 @@
         return;
     }
     auto& worker = found->second;
-    if (clock)
+    if (clock && order.target.born == worker.entry.born)
     {
         worker.clock = clock;
         worker.clock_at = now;
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -169,7 +169,9 @@
                               time_point now) -> void
 {
     const auto worker = m_workers.find(order.target.worker);
-    if (worker == m_workers.end())
+    // A later life has not heard of a stop that an earlier one has answered.
+    if (worker == m_workers.end() ||
+        order.target.born != worker->second.entry.born)
     {
         return;
     }
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -19,7 +19,7 @@
 
 auto scheduler::target_of(const worker_record& worker) const -> order_target
 {
-    return {worker.entry.id, worker.entry.address, m_epoch};
+    return {worker.entry.id, worker.entry.address, m_epoch, worker.entry.born};
 }
 
 auto scheduler::enter(const worker_entry& entry, time_point now)
@@ -82,6 +82,7 @@
         .with("worker", worker.entry.id)
         .with("runs", worker.runs.size());
     worker.entry.born = born;
+    worker.born_again_at = now;
     worker.ends_seen = 0;
     worker.ends_noted = 0;
     worker.ends_told = 0;
@@ -102,14 +103,20 @@
                       });
     }
     // What it had begun has gone with its earlier life. A start without an
-    // answer may yet reach the new one.
+    // answer may yet reach the new one, which knows of no stop.
     std::vector<run_ref> gone;
-    for (const auto& [ref, run] : worker.runs)
+    for (auto& [ref, run] : worker.runs)
     {
         if (run.seen_at)
         {
             gone.push_back(ref);
         }
+        else if (run.phase == detail::run_phase::stopping)
+        {
+            run.stop_in_flight = false;
+            run.stop_answered_at.reset();
+            want_stop(worker, run, now);
+        }
     }
     for (const auto& ref : gone)
     {
@@ -126,27 +133,29 @@
            (worker.entry.draining ? m_options.leaving_lease : m_options.lease);
 }
 
+/// How long something of that length by a worker's clock lasts at most.
+auto scheduler::stretched(milliseconds by_worker) const -> milliseconds
+{
+    const auto longest = std::chrono::duration<double, std::milli>(
+        static_cast<double>(by_worker.count()) *
+        (1 + m_options.clock_slowness));
+    return std::chrono::duration_cast<milliseconds>(longest) + lapse_slack;
+}
+
 auto scheduler::lapses_at(const worker_record& worker) const -> time_point
 {
     if (!worker.clock)
     {
         // Whatever runs there is under the lease of an earlier owner, which
         // may have been renewed until that owner noticed its end.
-        const auto longest = std::chrono::duration<double, std::milli>(
-            static_cast<double>(m_options.lease.count()) *
-            (1 + m_options.clock_slowness));
         const auto unaware = m_options.earlier_owner_over
                                  ? milliseconds(0)
                                  : m_options.earlier_owner_limit;
-        return m_since + unaware +
-               std::chrono::duration_cast<milliseconds>(longest) + lapse_slack;
+        return m_since + unaware + stretched(m_options.lease);
     }
     const auto left =
         std::max(worker.lease_end - *worker.clock, worker_time{0});
-    const auto stretched = std::chrono::duration<double, std::milli>(
-        static_cast<double>(left.count()) * (1 + m_options.clock_slowness));
-    return worker.clock_at +
-           std::chrono::duration_cast<milliseconds>(stretched) + lapse_slack;
+    return worker.clock_at + stretched(left);
 }
 
 auto scheduler::hold_answered(const hold_order& order,
@@ -256,7 +265,10 @@
 auto scheduler::give_up_lapsed(worker_record& worker, time_point now) -> void
 {
     const bool silent = worker.silent_calls > 0 || !worker.adopted;
-    if (!silent || now < lapses_at(worker))
+    // A start may have reached a life that has not answered yet.
+    const auto lapsed = std::max(
+        lapses_at(worker), worker.born_again_at + stretched(m_options.lease));
+    if (!silent || now < lapsed)
     {
         return;
     }
--- a/tests/fakes/cell_world.hpp
+++ b/tests/fakes/cell_world.hpp
@@ -10,6 +10,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <optional>   // optional
+#include <set>        // set
 #include <string>     // string
 #include <utility>    // move
 #include <vector>     // vector
@@ -42,6 +43,8 @@
     /// Orders that neither arrive nor get an answer.
     int lost_starts = 0;
     int lost_stops = 0;
+    /// Runs that were stopped there: they never begin any more.
+    std::set<cell::run_ref> barred;
 
     [[nodiscard]] auto clock(time_point now) const -> cell::worker_time
     {
@@ -176,6 +179,17 @@
         at.ended.push_back({++at.last_end, run, how, std::move(checkpoint)});
     }
 
+    /// @brief A start that got no answer arrives, perhaps in a later life.
+    auto arrive_late(const cell::start_order& order) -> void
+    {
+        auto& worker = workers.at(order.target.worker);
+        if (order.target.epoch >= worker.highest_epoch &&
+            !worker.barred.contains(order.run))
+        {
+            begin_run(worker, order);
+        }
+    }
+
     /// @brief How many runs of the task are alive anywhere.
     [[nodiscard]] auto alive(const cell::task_ref& task) const -> std::size_t
     {
@@ -253,8 +267,19 @@
                                        clock, now);
             return;
         }
-        worker->highest_epoch = order.target.epoch;
-        worker->lease_end = std::max(worker->lease_end, order.lease_end);
+        begin_run(*worker, order);
+        m_scheduler.start_answered(
+            order,
+            worker->answers ? cell::start_outcome::started
+                            : cell::start_outcome::unknown,
+            worker->answers ? std::optional(clock) : std::nullopt, now);
+    }
+
+    auto begin_run(fake_cell_worker& worker, const cell::start_order& order)
+        -> void
+    {
+        worker.highest_epoch = order.target.epoch;
+        worker.lease_end = std::max(worker.lease_end, order.lease_end);
         fake_cell_worker::run made;
         made.listed.run = order.run;
         made.listed.checkpoint = order.checkpoint;
@@ -264,12 +289,7 @@
         {
             made.ends_at = now + *time;
         }
-        worker->runs[order.run] = made;
-        m_scheduler.start_answered(
-            order,
-            worker->answers ? cell::start_outcome::started
-                            : cell::start_outcome::unknown,
-            worker->answers ? std::optional(clock) : std::nullopt, now);
+        worker.runs[order.run] = made;
     }
 
     auto take_stop(const cell::stop_order& order) -> void
@@ -281,6 +301,10 @@
             --worker->lost_stops;
         }
         const bool heard = worker != nullptr && worker->receives && !lost;
+        if (heard)
+        {
+            worker->barred.insert(order.run);
+        }
         if (heard && worker->runs.contains(order.run))
         {
             end_run(order.target.worker.str(), order.run,
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -198,3 +198,45 @@
     world.pass(milliseconds(100));
     watch_cut_off(world, worker, first_task);
 }
+
+namespace
+{
+
+/// A worker that starts again while a start is on its way to it; the start
+/// arrives once the task has been begun elsewhere. It must not run then.
+/// @param lost_stops  stops that do not reach the earlier life
+auto start_again_before_a_start(int lost_stops) -> void
+{
+    cell_world world;
+    auto& worker = world.add_worker("w1", 4'000);
+    // No lease of an earlier owner is to be waited for any more.
+    world.pass(milliseconds(10'000));
+    worker.lost_starts = 1;
+    worker.lost_stops = lost_stops;
+    world.jobs().accept(simple_job("j1", 1, 1'000), world.now);
+    world.turn();
+    world.turn();
+    cr_assert_eq(world.stops.size(), 1u);
+    world.rebirth("w1");
+    world.add_worker("w2", 4'000);
+    for (int i = 0; i < 400 && world.starts.size() < 2; ++i)
+    {
+        world.pass(milliseconds(20));
+    }
+    cr_assert_eq(world.starts.size(), 2u);
+    world.arrive_late(world.starts.front());
+    cr_assert_eq(world.alive({{job_id("j1"), 0, 0}, 0}), 1u);
+}
+
+} // namespace
+
+Test(cell_leases, a_start_that_reaches_a_later_life_of_its_worker_is_refused)
+{
+    start_again_before_a_start(1'000);
+}
+
+// The stop's answer is of the earlier life: the later one knows nothing of it.
+Test(cell_leases, a_stop_that_an_earlier_life_has_answered_is_sent_again)
+{
+    start_again_before_a_start(0);
+}
