A run that a worker's cut list leaves out is not over

While the store was away more runs had ended at a worker than it lists at once; those that it did not list yet were begun again, and their ends noted later.

Cause: a worker lists 500 ends, the others once these are noted. A run that was neither running nor in the list counted as gone without an end. The same at a takeover: the worker counted as asked, so that inherited tasks whose ends were not listed yet were begun. The class: absence from a part taken for absence.

The fakes list no more than 500 at once from now on.

--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -273,6 +273,9 @@
     worker_time clock{0};
     std::vector<listed_run> present;
     std::vector<listed_end> ended;
+    /// Whether no end is missing: a worker lists the others once these are
+    /// noted.
+    bool all_ended = true;
 };
 
 /// @brief Durable knowledge of a worker that may have been given work.
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -268,6 +268,11 @@
 auto scheduler::drop_absent(worker_record& worker, const run_report& report,
                             time_point sent_at, time_point now) -> void
 {
+    if (!report.all_ended)
+    {
+        // It may have ended in a way that is not told yet.
+        return;
+    }
     std::set<run_ref> present;
     for (const auto& seen : report.present)
     {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -206,9 +206,10 @@
     }
     worker.clock = report->clock;
     worker.clock_at = now;
-    worker.adopted = true;
+    // Only a whole list shows what an earlier owner had begun there.
+    worker.adopted = worker.adopted || report->all_ended;
     worker.ends_told = std::max(worker.ends_told, order.ends_noted);
-    worker.next_hold_at = now;
+    worker.next_hold_at = worker.adopted ? now : now + m_options.hold_retry;
     take_report(worker, *report, sent_at, now);
 }
 
--- a/tests/fakes/cell_world.hpp
+++ b/tests/fakes/cell_world.hpp
@@ -234,6 +234,8 @@
         time_point sent_at;
     };
 
+    /// Ends in one list; the others come once these are noted.
+    static constexpr std::size_t most_listed_ends = 500;
     /// What a call without an answer costs its caller.
     static constexpr milliseconds lost_after{600};
     static constexpr milliseconds ticket_life{2'500};
@@ -359,7 +361,11 @@
         cell::run_report report;
         report.born = worker->entry.born;
         report.clock = worker->clock(now);
-        report.ended = worker->ended;
+        const auto listed = std::min(worker->ended.size(), most_listed_ends);
+        report.ended.assign(worker->ended.begin(),
+                            worker->ended.begin() +
+                                static_cast<std::ptrdiff_t>(listed));
+        report.all_ended = listed < most_listed_ends;
         for (const auto& [ref, run] : worker->runs)
         {
             report.present.push_back(run.listed);
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -240,3 +240,26 @@
 {
     start_again_before_a_start(0);
 }
+
+// While the store was away more runs ended at a worker than it lists at once:
+// those that it did not list yet counted as gone, and ran again.
+Test(cell_leases, a_run_whose_end_is_not_listed_yet_does_not_run_again)
+{
+    constexpr std::uint32_t tasks = 800;
+    cell_world world;
+    world.add_worker("w1", 1'000'000);
+    world.pass(milliseconds(200));
+    world.work = [](const cell::run_ref&)
+    {
+        return milliseconds(100);
+    };
+    world.store_answers = false;
+    world.jobs().accept(simple_job("j1", tasks, 1'000), world.now);
+    world.pass(milliseconds(10'000));
+    cr_assert_eq(world.starts.size(), tasks, "%zu starts", world.starts.size());
+    world.store_answers = true;
+    world.pass(milliseconds(5'000));
+    cr_assert_eq(world.starts.size(), tasks, "%zu starts", world.starts.size());
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -167,3 +167,25 @@
     cr_assert_eq(change.removals.size(), 1u);
     cr_assert(change.writes.empty());
 }
+
+// Ends that a worker does not list yet are no sign that nothing ended: its list
+// is cut, and the rest comes once the first are noted.
+Test(cell_takeover, a_task_whose_end_is_not_listed_yet_does_not_run_again)
+{
+    constexpr std::uint32_t tasks = 800;
+    cell_world world(second_epoch);
+    auto& worker = world.add_worker("w1", 1'000'000);
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        worker.ended.push_back({++worker.last_end,
+                                {{{job_id("j1"), 0, 0}, i}, 1},
+                                cell::run_end::done,
+                                ""});
+    }
+    world.jobs().restore(simple_job("j1", tasks, 1'000), no_progress("j1"),
+                         world.now);
+    world.pass(milliseconds(1'000));
+    cr_assert(world.starts.empty(), "%zu starts", world.starts.size());
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+}
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -121,6 +121,25 @@
     cr_assert(!decode_report("{}").has_value());
 }
 
+// A worker lists so many at once; the others come once these are noted.
+Test(platform_wire, a_full_list_of_ends_may_be_cut)
+{
+    constexpr int most = 500;
+    for (const int count : {0, 1, most - 1, most})
+    {
+        std::string ends;
+        for (int i = 1; i <= count; ++i)
+        {
+            ends += (i > 1 ? "," : "") + std::string("[") + std::to_string(i) +
+                    R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+        }
+        const auto read =
+            decode_report(R"({"running":[],"endedRuns":[)" + ends + "]}");
+        cr_assert(read.has_value());
+        cr_assert_eq(read->all_ended, count < most, "%d", count);
+    }
+}
+
 Test(platform_wire, values_of_rows_come_back_byte_for_byte)
 {
     for (std::size_t size = 0; size < 70; ++size)
