An owner of a moment does not vouch for the one before it

What callers would see: TWICE after two changes of owner within seconds.

Cause: a new owner waits 3 s less for silent workers when the earlier owner is over for certain: it let go, or was a life of the same instance. That says nothing of the owner before, which may act for 3 s after the store confirmed it last. If the second owner held the cell for less, the third took the leases of the first for over too early. The class: safety that rests on elapsed time, and what is known of one taken for all.

Evidence: cell_ownership::an_owner_of_a_moment_does_not_vouch_for_the_one_before failed before. an_owner_of_some_seconds_vouches_for_the_one_before: after 4 s nothing changes. Quick takeovers stay quick.

Change: the lease row says whether an owner before the one it names may not have noticed its end yet. An owner keeps that mark until the store has confirmed it for 4 s: the limit of 3 s and what a transaction may take.

--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -21,6 +21,8 @@
     std::uint64_t incarnation = 0;
     bool released = false;
     std::uint64_t renewals = 0;
+    /// An owner before this one may not have noticed yet that it is over.
+    bool unsettled = false;
 };
 
 /// @brief The lease row as it was read; version 0: there is none.
@@ -67,6 +69,9 @@
     /// Without a confirmation for so long, an owner renews no leases and
     /// starts nothing, unless most other instances follow it.
     milliseconds confirm_limit{3'000};
+    /// After so long as owner, the one before it acts no more: its limit, and
+    /// the time that a transaction may take.
+    milliseconds settled_after{4'000};
 };
 
 /// @brief The next step of a follower.
@@ -93,13 +98,10 @@
     /// @brief What a follower does now.
     [[nodiscard]] auto next_step(time_point now) -> ownership_step;
 
-    /// @brief Whether the owner that the row names is over for certain: it let
-    /// go, or it was an earlier life of this instance.
+    /// @brief Whether all earlier owners are over for certain.
     [[nodiscard]] auto earlier_owner_over() const -> bool
     {
-        return m_row.version == 0 || m_row.content.released ||
-               m_row.content.instance == m_instance ||
-               m_row.content.epoch <= m_epoch_let_go;
+        return last_owner_over() && !m_row.content.unsettled;
     }
 
     /// @brief What the row should say for a takeover or a renewal.
@@ -152,6 +154,15 @@
     }
 
   private:
+    /// Whether the owner that the row names is over for certain: it let go, or
+    /// it was an earlier life of this instance.
+    [[nodiscard]] auto last_owner_over() const -> bool
+    {
+        return m_row.version == 0 || m_row.content.released ||
+               m_row.content.instance == m_instance ||
+               m_row.content.epoch <= m_epoch_let_go;
+    }
+
     std::string m_instance;
     std::string m_peer_address;
     std::uint64_t m_incarnation;
@@ -172,6 +183,7 @@
     std::uint64_t m_epoch = 0;
     std::string m_owner_address;
     time_point m_confirmed_at;
+    time_point m_taken_over_at;
 };
 
 } // namespace pimentoshunt::cell
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -16,6 +16,7 @@
     out.set_incarnation(content.incarnation);
     out.set_released(content.released);
     out.set_renewals(content.renewals);
+    out.set_unsettled(content.unsettled);
     return out.SerializeAsString();
 }
 
@@ -33,6 +34,7 @@
     out.incarnation = from.incarnation();
     out.released = from.released();
     out.renewals = from.renewals();
+    out.unsettled = from.unsettled();
     return out;
 }
 
@@ -102,7 +104,7 @@
     }
     const bool fresh =
         m_row_known && now - m_last_reading < 2 * m_options.read_every;
-    if (fresh && earlier_owner_over())
+    if (fresh && last_owner_over())
     {
         m_row_known = false;
         return ownership_step::take_over;
@@ -122,19 +124,28 @@
 
 auto ownership::claim() const -> lease_content
 {
-    return {m_row.content.epoch + 1, m_instance, m_peer_address,
-            m_incarnation,           false,      0};
+    lease_content out{m_row.content.epoch + 1, m_instance, m_peer_address,
+                      m_incarnation,           false,      0};
+    out.unsettled = !earlier_owner_over();
+    return out;
 }
 
 auto ownership::renewal(bool released) const -> lease_content
 {
-    return {m_epoch,       m_instance, m_peer_address,
-            m_incarnation, released,   m_row.content.renewals + 1};
+    lease_content out{m_epoch,       m_instance, m_peer_address,
+                      m_incarnation, released,   m_row.content.renewals + 1};
+    out.unsettled = m_row.content.unsettled &&
+                    m_confirmed_at - m_taken_over_at < m_options.settled_after;
+    return out;
 }
 
 auto ownership::confirmed(std::uint64_t version, const lease_content& content,
                           time_point sent_at) -> void
 {
+    if (!m_owner || content.epoch != m_epoch)
+    {
+        m_taken_over_at = sent_at;
+    }
     m_row = {version, content};
     m_epoch = content.epoch;
     m_owner = true;
--- a/tests/unit-cell-ownership.cpp
+++ b/tests/unit-cell-ownership.cpp
@@ -146,3 +146,48 @@
     cr_assert_eq(bed.until_takeover(long_time, true, true).count(),
                  long_time.count());
 }
+
+namespace
+{
+
+/// Lets a new owner renew its row for so long; @return what the row says when
+/// it then lets the cell go
+auto row_after(ownership& owner, milliseconds held, time_point& now)
+    -> cell::lease_reading
+{
+    std::uint64_t version = 11;
+    owner.confirmed(version, owner.claim(), now);
+    const auto until = now + held;
+    while (now < until)
+    {
+        now += milliseconds(400);
+        owner.confirmed(++version, owner.renewal(false), now);
+    }
+    return {++version, owner.renewal(true)};
+}
+
+} // namespace
+
+// That the last owner has let go says nothing of the one before it, which may
+// not have noticed yet that it was overtaken.
+Test(cell_ownership, an_owner_of_a_moment_does_not_vouch_for_the_one_before)
+{
+    follower_bed bed;
+    bed.read();
+    const auto row = row_after(bed.self, milliseconds(800), bed.now);
+    follower_bed next;
+    next.self.row_seen(row, next.now);
+    cr_assert(next.self.next_step(next.now) == ownership_step::take_over);
+    cr_assert(!next.self.earlier_owner_over());
+}
+
+Test(cell_ownership, an_owner_of_some_seconds_vouches_for_the_one_before)
+{
+    follower_bed bed;
+    bed.read();
+    const auto row = row_after(bed.self, milliseconds(6'000), bed.now);
+    follower_bed next;
+    next.self.row_seen(row, next.now);
+    cr_assert(next.self.next_step(next.now) == ownership_step::take_over);
+    cr_assert(next.self.earlier_owner_over());
+}
