Without the store an owner acts only while all others follow it

An owner whom most instances follow renews leases and starts work for as long as the store is away for it. If another instance reaches the store it takes the cell over, waits 3 s and a lease for the workers that are silent to it, and begins their tasks elsewhere, while the earlier owner goes on renewing.

Cause, in the rule for who follows: - most are enough, while one that reaches the store is enough for a takeover; - an instance that was silent for a minute was forgotten: an owner in a small part that had stopped acting began again, since its one follower was most of two; - a greeting counted when it came, though links keep messages until their connection stands again.

Change: while the store does not confirm it, an owner acts only if each instance follows it that it heard in the minute before the store's last confirmation. Following is dated by the owner's own beat, which the greeting repeats. So the owner stops at the latest 1.3 s after a beat that its successor heard as a follower; the successor allows 3 s. An instance that stops says so and is not waited for. The store away for all takes nothing from that.

Not solved: instances that the owner has not heard at all, as in the first moments after a takeover.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/caller_desk.hpp>
+#include <pimentoshunt/cell/followers.hpp>
 #include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/owner_role.hpp>
 #include <pimentoshunt/cell/ownership.hpp>
@@ -17,6 +18,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>  // any_of
+#include <cstdint>    // int64_t, uint64_t
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // shared_ptr
@@ -121,7 +123,7 @@
     static constexpr milliseconds tick_interval{50};
     static constexpr milliseconds beat_interval{150};
     static constexpr milliseconds hello_interval{300};
-    /// An instance that was silent for longer does not follow.
+    /// An instance that was silent for longer is not asked for anything.
     static constexpr milliseconds followed_within{1'300};
     /// Counts older than that are not told any more: callers may rely on two
     /// seconds beside the time of their own request.
@@ -418,8 +420,11 @@
         out.set_peer_address(m_options.peer_address);
         out.set_released(released);
         out.set_row_version(m_ownership.version());
-        out.set_confirmed_age_ms(
-            m_ownership.confirmed_age(boot_clock::now()).count());
+        const auto now = boot_clock::now();
+        out.set_confirmed_age_ms(m_ownership.confirmed_age(now).count());
+        out.set_sent_ms(
+            std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
+                .count());
         if (role_loaded())
         {
             for (const auto& item : m_role->pending())
@@ -454,6 +459,8 @@
                                : std::chrono::duration_cast<milliseconds>(
                                      now - m_health.answered_at())
                                      .count());
+        hello.set_beat_sent_ms(
+            m_heard_beat_epoch == m_ownership.epoch() ? m_heard_beat_ms : 0);
         m_peers.send(m_ownership.owner_address(), std::move(message));
     }
 
@@ -539,7 +546,7 @@
         around.may_act = [this]
         {
             const auto now = boot_clock::now();
-            return m_ownership.may_act(followed(now), now);
+            return m_ownership.may_act(m_followers.all_follow(now), now);
         };
         around.confirmed_at = [this]
         {
@@ -560,21 +567,6 @@
         m_role->begin(*m_configuration);
     }
 
-    /// Whether most instances that are known follow this owner now.
-    auto followed(time_point now) const -> bool
-    {
-        std::size_t following = 0;
-        for (const auto& [name, peer] : m_peers.known())
-        {
-            const bool follows = now - peer.heard_at < followed_within &&
-                                 peer.epoch <= m_ownership.epoch();
-            following += follows ? 1 : 0;
-        }
-        // This instance counts among them.
-        return 2 * (following + 1) > m_peers.known().size() + 1 &&
-               following > 0;
-    }
-
     /// The calendar by the clock of this process: later jumps of the machine's
     /// time of day do not matter.
     auto calendar() const -> calendar_time
@@ -619,6 +611,7 @@
         {
             m_health.record(true, now);
             m_ownership.confirmed(result.version, content, sent_at);
+            m_followers.confirmed(now);
             if (content.released)
             {
                 release(now);
@@ -721,6 +714,7 @@
         const auto now = boot_clock::now();
         const bool fresh = !m_peers.known().contains(from);
         m_peers.heard(from, hello, now);
+        take_follower(from, hello, now);
         if (!m_ownership.owner())
         {
             return;
@@ -736,6 +730,21 @@
         }
     }
 
+    auto take_follower(const std::string& name, const wire::cell_hello& hello,
+                       time_point now) -> void
+    {
+        if (!hello.serving())
+        {
+            m_followers.left(name);
+            return;
+        }
+        const bool follows = m_ownership.owner() &&
+                             hello.epoch() == m_ownership.epoch() &&
+                             hello.beat_sent_ms() > 0;
+        m_followers.heard(name, follows,
+                          time_point(milliseconds(hello.beat_sent_ms())), now);
+    }
+
     auto take_beat(const wire::cell_beat& beat) -> void
     {
         const auto now = boot_clock::now();
@@ -751,6 +760,8 @@
         {
             return;
         }
+        m_heard_beat_epoch = beat.epoch();
+        m_heard_beat_ms = beat.sent_ms();
         m_ownership.beat_heard({beat.epoch(), beat.instance(),
                                 beat.peer_address(), beat.released(),
                                 milliseconds(beat.confirmed_age_ms()),
@@ -866,6 +877,7 @@
     store_health m_health;
     ownership m_ownership;
     peers m_peers;
+    followers m_followers;
     caller_desk<Platform> m_desk;
     boost::asio::steady_timer m_tick;
     milliseconds m_calendar_offset;
@@ -880,6 +892,9 @@
     time_point m_next_hello;
     /// The owner that was told of this instance last.
     std::uint64_t m_greeted_epoch = 0;
+    /// The beat that was heard last, by the clock of its sender.
+    std::uint64_t m_heard_beat_epoch = 0;
+    std::int64_t m_heard_beat_ms = 0;
     bool m_row_busy = false;
     bool m_leaving = false;
     time_point m_leave_by;
--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -67,7 +67,7 @@
     /// How often a follower reads the row while it suspects.
     milliseconds read_every{100};
     /// Without a confirmation for so long, an owner renews no leases and
-    /// starts nothing, unless most other instances follow it.
+    /// starts nothing, unless all other instances follow it.
     milliseconds confirm_limit{3'000};
     /// After so long as owner, the one before it acts no more: its limit, and
     /// the time that a transaction may take.
@@ -129,7 +129,7 @@
     /// @brief Age of the store's last confirmation, for an owner.
     [[nodiscard]] auto confirmed_age(time_point now) const -> milliseconds;
     /// @brief Whether an owner may renew leases and start work.
-    /// @param followed  whether most other instances follow it now
+    /// @param followed  whether all other instances follow it now
     [[nodiscard]] auto may_act(bool followed, time_point now) const -> bool;
 
     /// @brief When the transaction was sent that confirmed the ownership last.
--- /dev/null
+++ b/src/cell/followers.cpp
@@ -0,0 +1,51 @@
+#include <pimentoshunt/cell/followers.hpp>
+
+#include <algorithm> // all_of
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+/// Of an instance that heard no beat for longer it isn't known whom it follows.
+/// Shorter than what a later owner allows for an earlier one to go on.
+constexpr milliseconds followed_within{1'300};
+/// An instance that was silent for so long has gone for good.
+constexpr milliseconds forget_after{60'000};
+
+} // namespace
+
+auto followers::heard(const std::string& name, bool follows, time_point beat_at,
+                      time_point now) -> void
+{
+    auto& item = m_known[name];
+    item.heard_at = now;
+    item.followed_at = follows ? std::optional(beat_at) : std::nullopt;
+}
+
+auto followers::left(const std::string& name) -> void
+{
+    m_known.erase(name);
+}
+
+auto followers::confirmed(time_point now) -> void
+{
+    std::erase_if(m_known,
+                  [&](const auto& item)
+                  {
+                      return now - item.second.heard_at > forget_after;
+                  });
+}
+
+auto followers::all_follow(time_point now) const -> bool
+{
+    return !m_known.empty() &&
+           std::all_of(m_known.begin(), m_known.end(),
+                       [&](const auto& item)
+                       {
+                           const auto& at = item.second.followed_at;
+                           return at && now - *at < followed_within;
+                       });
+}
+
+} // namespace pimentoshunt::cell
