A job that has ended does not come back from a late reading

What callers would see (role serve): a job that had succeeded was shown as active again and run again, or, if it must not run twice, as failed.

Cause: partitions are read every few seconds, beside the commits. A job whose end was committed after its row was read, and told before, was no longer known when the reading came: it was taken in as active, its workers were asked, and what they did not report counted as lost.

Change: the tracker remembers the jobs whose end is durable for as long as it owns the partition. Their rows are not erased, so no id comes again.

--- a/include/pimentoshunt/jobs/job_tracker.hpp
+++ b/include/pimentoshunt/jobs/job_tracker.hpp
@@ -297,6 +297,9 @@
     std::unordered_map<worker_id, time_point> m_gone;
     bool m_all_loaded = false;
     std::vector<job_id> m_ended;
+    /// Jobs whose end is durable: a reading of before may be told late. Their
+    /// rows stay, so none comes again under its id.
+    std::unordered_set<job_id> m_over;
     std::vector<job_effect> m_effects;
 };
 
--- a/src/jobs/job_tracker.cpp
+++ b/src/jobs/job_tracker.cpp
@@ -62,7 +62,7 @@
 auto job_tracker::on_loaded(const job_record& record, time_point now) -> bool
 {
     if (record.progress.state != job_state::active ||
-        m_jobs.count(record.spec.id) != 0)
+        m_jobs.count(record.spec.id) != 0 || m_over.count(record.spec.id) != 0)
     {
         return false;
     }
--- a/src/jobs/job_tracker_tick.cpp
+++ b/src/jobs/job_tracker_tick.cpp
@@ -117,6 +117,7 @@
             m_effects.emplace_back(
                 job_ended{id, found->second.record.progress.state});
             m_jobs.erase(found);
+            m_over.insert(id);
         }
     }
     m_ended.clear();
--- a/tests/unit-jobs-tracker.cpp
+++ b/tests/unit-jobs-tracker.cpp
@@ -383,3 +383,24 @@
     }
     cr_assert(b.m_last.state == job_state::succeeded);
 }
+
+// Read before its end was committed, told after it: the partition is read again
+// and again, while commits go on.
+Test(jobs_tracker, a_job_that_has_ended_does_not_come_back_from_a_late_reading)
+{
+    bench b(job_of(1, false, false));
+    b.start("a1");
+    job_record read_before = job_of(1, false, false);
+    read_before.progress = b.m_last;
+    cr_assert(read_before.progress.state == job_state::active);
+    b.finish("a1", 0);
+    b.pass(200ms);
+    cr_assert(b.m_last.state == job_state::succeeded);
+    cr_assert(b.count<job_ended>() == 1);
+    cr_assert(!b.m_tracker.on_loaded(read_before, b.m_now));
+    b.run();
+    b.on(worker_fenced{worker_of(1), true, {}});
+    b.pass(1'000ms);
+    cr_assert(b.m_last.state == job_state::succeeded);
+    cr_assert(b.wish() == 0);
+}
