A job that is being removed is not told to be queued

What callers would see: an instance that asks the store told `queued` of a job that had succeeded, when it was removed between the reading of its row and of its progress.

Cause: two readings taken for one moment: no progress counted as not begun.

Evidence: cell_caller_desk::a_job_that_is_being_removed_is_not_queued_again; 200 `queued` before, 410 now.

Change: without progress the rows of the inbox are read again; they go first when a job is removed.

--- a/include/pimentoshunt/cell/caller_desk.hpp
+++ b/include/pimentoshunt/cell/caller_desk.hpp
@@ -415,10 +415,38 @@
                             answer(come_back("the store does not answer"));
                             return;
                         }
+                        if (found->rows.empty())
+                        {
+                            tell_if_there(job, cancelled, answer);
+                            return;
+                        }
                         tell(job, state_in(found->rows, cancelled), answer);
                     });
     }
 
+    /// No progress: it has none yet, or the job was removed between the two
+    /// readings. Its rows in the inbox go first.
+    auto tell_if_there(const job_id& job, bool cancelled, reply answer) -> void
+    {
+        read_ranges(m_outside, job_ranges(job), read_limit,
+                    [this, job, cancelled, answer = std::move(answer)](
+                        std::optional<table_rows> found)
+                    {
+                        if (!found)
+                        {
+                            answer(come_back("the store does not answer"));
+                            return;
+                        }
+                        if (found->rows.empty())
+                        {
+                            answer(m_outside.complaint_answer(
+                                gone, "there is no such job"));
+                            return;
+                        }
+                        tell(job, state_in({}, cancelled), answer);
+                    });
+    }
+
     static auto state_in(const std::vector<stored_row>& rows, bool cancelled)
         -> job_state
     {
