A transaction without a version is not settled

What callers would see: nothing but a change of owner too many. A new owner whose takeover was answered with 200 and a body that can't be read had version 0, so that its first write of the roster ended its role; others repeated a write after a conflict.

Ruled out: a write that counts as done and was not; 200 says that it was.

--- /dev/null
+++ b/tests/unit-platform-gateway.cpp
@@ -0,0 +1,50 @@
+/// @file
+/// What the store's answers to transactions mean.
+#include "platform/gateway.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <utility>
+
+using namespace pimentoshunt;
+using adapter::commit_result_of;
+using cell::commit_state;
+
+namespace
+{
+
+auto answered(int status, std::string body) -> net::http_exchange
+{
+    net::http_exchange out;
+    out.state = net::exchange_state::answered;
+    out.status = status;
+    out.body = std::move(body);
+    return out;
+}
+
+} // namespace
+
+Test(platform_gateway, a_transaction_that_was_done_has_a_version)
+{
+    const auto done = commit_result_of(answered(200, R"({"ver":7})"));
+    cr_assert(done.state == commit_state::committed);
+    cr_assert_eq(done.version, 7u);
+    const auto refused = commit_result_of(answered(
+        412,
+        R"({"ver":7,"rows":[{"table":"t","part":"p","key":"k","ver":5}]})"));
+    cr_assert(refused.state == commit_state::conflict);
+    cr_assert_eq(refused.current.size(), 1u);
+    cr_assert_eq(refused.current.front().version, 5u);
+}
+
+// Later writes would depend on version 0: that the row is not there.
+Test(platform_gateway, a_transaction_whose_version_is_not_told_is_not_settled)
+{
+    for (const std::string body : {"", "{", "{}", "[]", R"({"ver":"x"})"})
+    {
+        cr_assert(commit_result_of(answered(200, body)).state ==
+                      commit_state::unknown,
+                  "%s", body.c_str());
+    }
+}
