A fault on the way settles no transaction and no start

What callers would see: 503 for a job that was stored and runs, or a task begun twice, if something between answered 500, 502 or 504.

Cause: each answer without a meaning of its own counted as a refusal that did nothing. The store says that of 503 and the worker of 400, 429 and 503 alone.

Evidence: platform_gateway::an_answer_without_a_meaning_settles_no_transaction failed before. Nobody has seen such an answer on the platform.

--- a/tests/unit-platform-gateway.cpp
+++ b/tests/unit-platform-gateway.cpp
@@ -48,3 +48,20 @@
                   "%s", body.c_str());
     }
 }
+
+// Only some refusals say that nothing was done.
+Test(platform_gateway, an_answer_without_a_meaning_settles_no_transaction)
+{
+    for (const int status : {400, 403, 429, 503, 507})
+    {
+        cr_assert(commit_result_of(answered(status, "")).state ==
+                      commit_state::not_done,
+                  "%d", status);
+    }
+    for (const int status : {500, 502, 504})
+    {
+        cr_assert(commit_result_of(answered(status, "")).state ==
+                      commit_state::unknown,
+                  "%d", status);
+    }
+}
