An end is kept for callers from when they can be shown it

What callers would see: 410 for a job some seconds after it was first shown as succeeded, when its end could be stored only long after it.

Cause: ended jobs are kept for 130 s (callers rely on 120 s) from when the owner knew of the end, not from when it was durable.

Evidence: cell_leases::an_end_is_kept_for_callers_from_when_it_is_shown; with the store away for 120 s the job was due for removal within 119 s of being shown before, and is not now.

Change: the time begins when the end is durable.

--- a/src/cell/scheduler_progress.cpp
+++ b/src/cell/scheduler_progress.cpp
@@ -129,6 +129,8 @@
         if (found != m_jobs.end() && !is_final(found->second.shown))
         {
             found->second.shown = stored.state;
+            // From now on callers may be told of an end.
+            found->second.ended_at = now;
         }
     }
     log_stored(batch);
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -263,3 +263,28 @@
     cr_assert(world.jobs().state_of(job_id("j1")) ==
               cell::job_state::succeeded);
 }
+
+// Its end could be stored only long after it: its time for callers begins when
+// they can be shown it.
+Test(cell_leases, an_end_is_kept_for_callers_from_when_it_is_shown)
+{
+    cell_world world;
+    world.add_worker("w1", 4'000);
+    world.work = [](const cell::run_ref&)
+    {
+        return milliseconds(100);
+    };
+    world.pass(milliseconds(200));
+    world.store_answers = false;
+    world.jobs().accept(simple_job("j1", 1, 1'000), world.now);
+    world.pass(milliseconds(120'000), milliseconds(50));
+    world.store_answers = true;
+    world.pass(milliseconds(200));
+    cr_assert(world.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+    constexpr std::size_t most = 25;
+    world.pass(milliseconds(119'000), milliseconds(50));
+    cr_assert(world.jobs().take_expired(world.now, most).empty());
+    world.pass(milliseconds(20'000), milliseconds(50));
+    cr_assert_eq(world.jobs().take_expired(world.now, most).size(), 1u);
+}
