A new owner reads all jobs of a partition

What callers would see (role serve): with more than 1,000 jobs in a partition, ended ones among them, a new owner did not know the later ones. Their tasks that ran were stopped as unknown, and the jobs stood still until a look found them.

Cause: one page of 1,000 rows was read and taken for all; ended jobs are not erased, so every partition gets there in the end.

No test failed before: what failed is a constant in a call that no unit test makes.

Change: jobs and cancellations of a partition are read page by page.

--- a/include/pimentoshunt/jobs/job_store.hpp
+++ b/include/pimentoshunt/jobs/job_store.hpp
@@ -11,6 +11,7 @@
 
 #include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
+#include <iterator>      // make_move_iterator
 #include <optional>      // optional
 #include <string>        // string
 #include <unordered_set> // unordered_set
@@ -121,6 +122,12 @@
                             std::size_t limit)
         -> result<std::vector<job_record>>;
 
+    /// @brief All jobs of a partition, read page by page.
+    /// @param page  rows in one answer
+    /// @throw (leaf) job 653; platform errors
+    [[nodiscard]] auto list_all(int partition, std::size_t page)
+        -> result<std::vector<job_record>>;
+
     /// @brief Keeps a request to cancel, for the owner to find.
     /// @throw (leaf) platform errors: 301 when it may be kept
     [[nodiscard]] auto request_cancel(const job_id& id) -> result<void>;
@@ -131,6 +138,12 @@
                                     std::size_t limit)
         -> result<std::vector<job_id>>;
 
+    /// @brief All of them, read page by page.
+    /// @param page  rows in one answer
+    /// @throw (leaf) platform errors
+    [[nodiscard]] auto list_all_cancels(int partition, std::size_t page)
+        -> result<std::vector<job_id>>;
+
     /// @brief A partition's row; version and epoch 0 when it has none.
     /// @throw (leaf) platform errors
     [[nodiscard]] auto read_partition(int partition) -> result<partition_state>;
@@ -256,6 +269,25 @@
     return out;
 }
 
+template<class Platform>
+auto job_store<Platform>::list_all(int partition, std::size_t page)
+    -> result<std::vector<job_record>>
+{
+    std::vector<job_record> all;
+    job_id after;
+    for (;;)
+    {
+        BOOST_LEAF_AUTO(some, list(partition, after, page));
+        if (some.empty())
+        {
+            return all;
+        }
+        after = some.back().spec.id;
+        all.insert(all.end(), std::make_move_iterator(some.begin()),
+                   std::make_move_iterator(some.end()));
+    }
+}
+
 template<class Platform>
 auto job_store<Platform>::request_cancel(const job_id& id) -> result<void>
 {
@@ -282,6 +314,24 @@
     return out;
 }
 
+template<class Platform>
+auto job_store<Platform>::list_all_cancels(int partition, std::size_t page)
+    -> result<std::vector<job_id>>
+{
+    std::vector<job_id> all;
+    job_id after;
+    for (;;)
+    {
+        BOOST_LEAF_AUTO(some, list_cancels(partition, after, page));
+        if (some.empty())
+        {
+            return all;
+        }
+        after = some.back();
+        all.insert(all.end(), some.begin(), some.end());
+    }
+}
+
 template<class Platform>
 auto job_store<Platform>::read_partition(int partition)
     -> result<partition_state>
--- a/src/control/job_calls.cpp
+++ b/src/control/job_calls.cpp
@@ -11,7 +11,7 @@
 {
 
 /// Jobs read of one partition at a time.
-constexpr std::size_t list_limit = 1'000;
+constexpr std::size_t jobs_in_page = 1'000;
 
 /// Answers each worker call by its own event.
 class call_answerer
@@ -151,9 +151,9 @@
     }
     // After the claim: what the earlier owner committed is all there.
     BOOST_LEAF_ASSIGN(news.jobs,
-                      m_store.list(wanted.partition, job_id(), list_limit));
-    BOOST_LEAF_ASSIGN(news.cancels, m_store.list_cancels(wanted.partition,
-                                                         job_id(), list_limit));
+                      m_store.list_all(wanted.partition, jobs_in_page));
+    BOOST_LEAF_ASSIGN(news.cancels,
+                      m_store.list_all_cancels(wanted.partition, jobs_in_page));
     news.state = std::move(state);
     return news;
 }
--- a/tests/unit-jobs-store.cpp
+++ b/tests/unit-jobs-store.cpp
@@ -133,6 +133,39 @@
     cr_assert(!jobs.read(id).value().has_value());
 }
 
+// A new owner that did not read some would never run them.
+Test(jobs_store, a_partition_is_read_whole_however_many_jobs_it_has)
+{
+    fake_platform table;
+    fake_store jobs(table, "i1#1");
+    const auto partition = partition_of(job_id("j0"));
+    std::set<std::string> there;
+    for (int i = 0; there.size() < 7; ++i)
+    {
+        const auto id = "j" + std::to_string(i);
+        if (partition_of(job_id(id)) == partition)
+        {
+            there.insert(id);
+            cr_assert(jobs.submit(spec_of(id)).value().created);
+            cr_assert(!!jobs.request_cancel(job_id(id)));
+        }
+    }
+    std::set<std::string> read;
+    const auto listed = jobs.list_all(partition, 3).value();
+    for (const auto& job : listed)
+    {
+        read.insert(job.spec.id.str());
+    }
+    cr_assert(read == there);
+    read.clear();
+    const auto cancelled = jobs.list_all_cancels(partition, 3).value();
+    for (const auto& id : cancelled)
+    {
+        read.insert(id.str());
+    }
+    cr_assert(read == there);
+}
+
 Test(jobs_store, claim_makes_each_commit_of_the_earlier_owner_fail)
 {
     fake_platform table;
