Tests of two owners fail when their mechanism is missing

New: a part that is taken late, inherited jobs that wait for the worker that runs them, own jobs that don't, the feed and the loader that meet a later owner.

--- /dev/null
+++ b/tests/fakes/cell_bed.hpp
@@ -0,0 +1,213 @@
+/// @file
+/// A store, two workers, an instance that takes jobs in, and owners that follow
+/// each other, with real roles and writers.
+#pragma once
+
+#include "fakes/fake_cell_pool.hpp"
+#include "support/port_allocator.hpp"
+
+#include <pimentoshunt/cell/intake.hpp>
+#include <pimentoshunt/cell/owner_role.hpp>
+#include <pimentoshunt/cell/ownership.hpp>
+
+#include <criterion/criterion.h>
+
+#include <memory>   // make_shared, unique_ptr
+#include <optional> // optional
+#include <string>   // string, to_string
+#include <utility>  // move
+#include <vector>   // vector
+
+namespace pimentoshunt::fakes
+{
+
+/// One instance while it owns the cell.
+struct owner_bed
+{
+    owner_bed(boost::asio::io_context& control, fake_cell_store& store,
+              fake_cell_pool& pool, std::uint64_t epoch)
+        : outside(control, store, pool), name("owner-" + std::to_string(epoch)),
+          others(control, instance_id(name),
+                 "127.0.0.1:" + std::to_string(testing::free_port()),
+                 [](const std::string&, const wire::cell_message&) {})
+    {
+    }
+
+    /// Its clock may have stood still: a confirmation never seems old.
+    auto context() -> cell::owner_context
+    {
+        cell::owner_context out;
+        out.self = name;
+        out.may_act = []
+        {
+            return true;
+        };
+        out.confirmed_at = []
+        {
+            return boot_clock::now();
+        };
+        out.overtaken = [this]
+        {
+            overtaken = true;
+            role->end();
+        };
+        out.calendar = []
+        {
+            return cell::calendar_time{};
+        };
+        out.counted = [](const cell::scheduler_counts&) {};
+        return out;
+    }
+
+    fake_cell_outside outside;
+    std::string name;
+    cell::store_health health;
+    cell::peers others;
+    bool overtaken = false;
+    std::shared_ptr<cell::owner_role<fake_cell_outside>> role;
+};
+
+/// A store and two workers, an instance that takes jobs in, and owners.
+struct cell_bed
+{
+    boost::asio::io_context control;
+    fake_cell_store store{control};
+    fake_cell_pool pool;
+    fake_cell_outside entry_outside{control, store, pool};
+    cell::store_health entry_health;
+    std::vector<cell::stored_row> announced;
+    cell::intake<fake_cell_outside> entry{entry_outside, control, entry_health,
+                                          [this](const cell::stored_row& row)
+                                          {
+                                              announced.push_back(row);
+                                          }};
+    std::vector<std::unique_ptr<owner_bed>> owners;
+
+    cell_bed()
+    {
+        for (const auto* const name : {"w1", "w2"})
+        {
+            commit({}, {{{store.worker_table(), "", name}, "entry"}});
+            pool.add(name);
+        }
+    }
+
+    ~cell_bed()
+    {
+        for (const auto& owner : owners)
+        {
+            owner->role->end();
+        }
+        run_for(milliseconds(0));
+    }
+
+    /// A part of the time that an owner may take for a step; timers run.
+    auto run_for(milliseconds time) -> void
+    {
+        const auto until = boot_clock::now() + time;
+        do
+        {
+            control.restart();
+            control.run_for(milliseconds(5));
+        } while (boot_clock::now() < until);
+    }
+
+    template<class Done>
+    auto run_until(Done done) -> bool
+    {
+        const auto limit = boot_clock::now() + std::chrono::seconds(5);
+        while (!done() && boot_clock::now() < limit)
+        {
+            run_for(milliseconds(0));
+        }
+        return done();
+    }
+
+    auto commit(std::vector<cell::row_condition> conditions,
+                std::vector<cell::row_write> writes) -> cell::commit_result
+    {
+        std::optional<cell::commit_result> out;
+        cell::row_transaction transaction;
+        transaction.conditions = std::move(conditions);
+        transaction.writes = std::move(writes);
+        store.commit(transaction, milliseconds(100),
+                     [&](const cell::commit_result& result)
+                     {
+                         out = result;
+                     });
+        run_until(
+            [&]
+            {
+                return out.has_value();
+            });
+        return *out;
+    }
+
+    /// The takeover's transaction, and the role that follows it.
+    auto take_over(const cell::scheduler_options& options = {}) -> owner_bed&
+    {
+        const std::uint64_t epoch = owners.size() + 1;
+        const auto row = store.row(cell::lease_row());
+        const auto content =
+            cell::to_bytes(cell::lease_content{epoch, "", "", 0, false, 0});
+        const auto taken = commit(
+            {{cell::lease_row(), row.removed ? 0 : row.version}},
+            {{cell::lease_row(), content}, {cell::epoch_row(), content}});
+        auto owner = std::make_unique<owner_bed>(control, store, pool, epoch);
+        owner->role = std::make_shared<cell::owner_role<fake_cell_outside>>(
+            owner->outside, control, owner->others, owner->health,
+            owner->context(), epoch, taken.version, options);
+        owners.push_back(std::move(owner));
+        owners.back()->role->begin(cell::configuration{});
+        return *owners.back();
+    }
+
+    auto loaded(const owner_bed& owner) -> bool
+    {
+        return run_until(
+            [&]
+            {
+                return owner.role->loaded();
+            });
+    }
+
+    /// An owner that may give work to all workers.
+    auto settled_owner() -> owner_bed&
+    {
+        auto& owner = take_over();
+        cr_assert(loaded(owner));
+        cr_assert(run_until(
+            [&]
+            {
+                return store.row(cell::roster_row(worker_id("w2"))).version > 0;
+            }));
+        return owner;
+    }
+
+    auto worker_of_first_start() const -> worker_id
+    {
+        return pool.begun.front().target.worker;
+    }
+
+    /// Stores a job; @return its row as the owner is told of it.
+    auto submit(const std::string& id) -> cell::stored_row
+    {
+        std::optional<cell::intake_result> out;
+        announced.clear();
+        entry.submit(simple_job(id, 1, 1'000),
+                     boot_clock::now() + std::chrono::seconds(2),
+                     [&](cell::intake_result result)
+                     {
+                         out = result;
+                     });
+        run_until(
+            [&]
+            {
+                return out.has_value();
+            });
+        cr_assert(out == cell::intake_result::stored);
+        return announced.front();
+    }
+};
+
+} // namespace pimentoshunt::fakes
--- a/tests/fakes/fake_cell_pool.hpp
+++ b/tests/fakes/fake_cell_pool.hpp
@@ -13,6 +13,7 @@
 #include <functional> // function
 #include <map>        // map
 #include <optional>   // optional
+#include <set>        // set
 #include <string>     // string
 #include <utility>    // exchange, move
 #include <vector>     // vector
@@ -148,6 +149,9 @@
     bool hold_back_removals = false;
     /// Whether reads of progress are held back on their way.
     bool hold_back_progress = false;
+    /// The same for writes to these parts, and lists of this worker.
+    std::set<std::string> hold_back_parts;
+    worker_id hold_back_worker;
 
     auto commit(const cell::row_transaction& transaction, milliseconds limit,
                 cell::commit_handler done) -> void
@@ -161,6 +165,12 @@
             m_removals.push_back(call);
             return;
         }
+        if (!transaction.writes.empty() &&
+            hold_back_parts.contains(transaction.writes.front().at.part))
+        {
+            m_writes.push_back(call);
+            return;
+        }
         call();
     }
 
@@ -189,6 +199,16 @@
         }
     }
 
+    /// @brief Writes that were held back reach the store now.
+    auto let_writes_pass() -> void
+    {
+        hold_back_parts.clear();
+        for (const auto& item : std::exchange(m_writes, {}))
+        {
+            item();
+        }
+    }
+
     /// @brief Reads of progress that were held back reach the store now.
     auto let_progress_pass() -> void
     {
@@ -264,7 +284,7 @@
                     done(report, !report);
                 });
         };
-        if (hold_back_lists)
+        if (hold_back_lists || order.target.worker == hold_back_worker)
         {
             m_lists.push_back(list);
             return;
@@ -323,6 +343,7 @@
     std::vector<waiting_feed> m_feeds;
     std::vector<std::function<void()>> m_lists;
     std::vector<std::function<void()>> m_removals;
+    std::vector<std::function<void()>> m_writes;
     std::vector<std::function<void()>> m_reads;
 };
 
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -1,212 +1,17 @@
 /// @file
 /// An owner and its successor at work at the same time: the earlier one does
 /// not know that it was overtaken, and nothing that it can measure tells it.
-#include "fakes/fake_cell_pool.hpp"
-#include "support/port_allocator.hpp"
-
-#include <pimentoshunt/cell/intake.hpp>
-#include <pimentoshunt/cell/owner_role.hpp>
-#include <pimentoshunt/cell/ownership.hpp>
+#include "fakes/cell_bed.hpp"
 
 #include <criterion/criterion.h>
 
-#include <memory>
-#include <optional>
-#include <string>
-
 using namespace pimentoshunt;
-using fakes::fake_cell_outside;
-using fakes::fake_cell_pool;
-using fakes::fake_cell_store;
+using fakes::cell_bed;
 using fakes::simple_job;
 
 namespace
 {
 
-/// One instance while it owns the cell.
-struct owner_bed
-{
-    owner_bed(boost::asio::io_context& control, fake_cell_store& store,
-              fake_cell_pool& pool, std::uint64_t epoch)
-        : outside(control, store, pool), name("owner-" + std::to_string(epoch)),
-          others(control, instance_id(name),
-                 "127.0.0.1:" + std::to_string(testing::free_port()),
-                 [](const std::string&, const wire::cell_message&) {})
-    {
-    }
-
-    /// Its clock may have stood still: a confirmation never seems old.
-    auto context() -> cell::owner_context
-    {
-        cell::owner_context out;
-        out.self = name;
-        out.may_act = []
-        {
-            return true;
-        };
-        out.confirmed_at = []
-        {
-            return boot_clock::now();
-        };
-        out.overtaken = [this]
-        {
-            overtaken = true;
-            role->end();
-        };
-        out.calendar = []
-        {
-            return cell::calendar_time{};
-        };
-        out.counted = [](const cell::scheduler_counts&) {};
-        return out;
-    }
-
-    fake_cell_outside outside;
-    std::string name;
-    cell::store_health health;
-    cell::peers others;
-    bool overtaken = false;
-    std::shared_ptr<cell::owner_role<fake_cell_outside>> role;
-};
-
-/// A store and two workers, an instance that takes jobs in, and owners.
-struct cell_bed
-{
-    boost::asio::io_context control;
-    fake_cell_store store{control};
-    fake_cell_pool pool;
-    fake_cell_outside entry_outside{control, store, pool};
-    cell::store_health entry_health;
-    std::vector<cell::stored_row> announced;
-    cell::intake<fake_cell_outside> entry{entry_outside, control, entry_health,
-                                          [this](const cell::stored_row& row)
-                                          {
-                                              announced.push_back(row);
-                                          }};
-    std::vector<std::unique_ptr<owner_bed>> owners;
-
-    cell_bed()
-    {
-        for (const auto* const name : {"w1", "w2"})
-        {
-            commit({}, {{{store.worker_table(), "", name}, "entry"}});
-            pool.add(name);
-        }
-    }
-
-    ~cell_bed()
-    {
-        for (const auto& owner : owners)
-        {
-            owner->role->end();
-        }
-        run_for(milliseconds(0));
-    }
-
-    /// A part of the time that an owner may take for a step; timers run.
-    auto run_for(milliseconds time) -> void
-    {
-        const auto until = boot_clock::now() + time;
-        do
-        {
-            control.restart();
-            control.run_for(milliseconds(5));
-        } while (boot_clock::now() < until);
-    }
-
-    template<class Done>
-    auto run_until(Done done) -> bool
-    {
-        const auto limit = boot_clock::now() + std::chrono::seconds(5);
-        while (!done() && boot_clock::now() < limit)
-        {
-            run_for(milliseconds(0));
-        }
-        return done();
-    }
-
-    auto commit(std::vector<cell::row_condition> conditions,
-                std::vector<cell::row_write> writes) -> cell::commit_result
-    {
-        std::optional<cell::commit_result> out;
-        cell::row_transaction transaction;
-        transaction.conditions = std::move(conditions);
-        transaction.writes = std::move(writes);
-        store.commit(transaction, milliseconds(100),
-                     [&](const cell::commit_result& result)
-                     {
-                         out = result;
-                     });
-        run_until(
-            [&]
-            {
-                return out.has_value();
-            });
-        return *out;
-    }
-
-    /// The takeover's transaction, and the role that follows it.
-    auto take_over(const cell::scheduler_options& options = {}) -> owner_bed&
-    {
-        const std::uint64_t epoch = owners.size() + 1;
-        const auto row = store.row(cell::lease_row());
-        const auto content =
-            cell::to_bytes(cell::lease_content{epoch, "", "", 0, false, 0});
-        const auto taken = commit(
-            {{cell::lease_row(), row.removed ? 0 : row.version}},
-            {{cell::lease_row(), content}, {cell::epoch_row(), content}});
-        auto owner = std::make_unique<owner_bed>(control, store, pool, epoch);
-        owner->role = std::make_shared<cell::owner_role<fake_cell_outside>>(
-            owner->outside, control, owner->others, owner->health,
-            owner->context(), epoch, taken.version, options);
-        owners.push_back(std::move(owner));
-        owners.back()->role->begin(cell::configuration{});
-        return *owners.back();
-    }
-
-    auto loaded(const owner_bed& owner) -> bool
-    {
-        return run_until(
-            [&]
-            {
-                return owner.role->loaded();
-            });
-    }
-
-    /// An owner that may give work to all workers.
-    auto settled_owner() -> owner_bed&
-    {
-        auto& owner = take_over();
-        cr_assert(loaded(owner));
-        cr_assert(run_until(
-            [&]
-            {
-                return store.row(cell::roster_row(worker_id("w2"))).version > 0;
-            }));
-        return owner;
-    }
-
-    /// Stores a job; @return its row as the owner is told of it.
-    auto submit(const std::string& id) -> cell::stored_row
-    {
-        std::optional<cell::intake_result> out;
-        announced.clear();
-        entry.submit(simple_job(id, 1, 1'000),
-                     boot_clock::now() + std::chrono::seconds(2),
-                     [&](cell::intake_result result)
-                     {
-                         out = result;
-                     });
-        run_until(
-            [&]
-            {
-                return out.has_value();
-            });
-        cr_assert(out == cell::intake_result::stored);
-        return announced.front();
-    }
-};
-
 /// Time for several decisions of an owner.
 constexpr milliseconds some_decisions{300};
 
@@ -317,73 +122,148 @@
     cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
 }
 
-// Its row was written before the takeover; the answer was lost, and it was sent
-// again afterwards.
-Test(cell_two_owners, a_job_sent_again_after_a_takeover_runs_once)
+// A job may be stored after the takeover and before its part is taken over.
+Test(cell_two_owners, a_job_stored_before_its_part_is_taken_over_is_known)
 {
     cell_bed bed;
     auto& earlier = bed.settled_owner();
-    const auto row = bed.submit("0a");
+    const job_id job("0a");
     auto& later = bed.take_over();
     later.outside.hold_back_lists = true;
-    cr_assert(bed.loaded(later));
-    earlier.role->row_arrived(row);
+    later.outside.hold_back_parts.insert(cell::job_row(job).part);
     bed.run_for(some_decisions);
-    bed.pool.end_all();
-    const auto again = bed.submit("0a");
-    cr_assert_eq(again.value, row.value);
-    later.role->row_arrived(again);
+    cr_assert(!later.role->loaded());
+    earlier.role->row_arrived(bed.submit("0a"));
     bed.run_for(some_decisions);
+    bed.pool.end_all();
+    later.outside.let_writes_pass();
+    cr_assert(bed.loaded(later));
+    cr_assert(later.role->state_of(job).has_value());
     later.outside.let_lists_pass();
     bed.run_for(some_decisions);
-    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    later.outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job), 1u);
 }
 
-// One part took it under the earlier owner, without an answer; another one under
-// the later owner.
-Test(cell_two_owners, a_job_that_lies_in_two_parts_runs_once)
+Test(cell_two_owners, an_inherited_job_waits_for_the_worker_that_runs_it)
 {
     cell_bed bed;
     auto& earlier = bed.settled_owner();
-    const job_id job("0a");
-    const auto row = bed.submit("0a");
-    bed.store.down.insert(cell::progress_part(3));
-    auto& later = bed.take_over();
+    earlier.role->row_arrived(bed.submit("0a"));
     bed.run_for(some_decisions);
-    bed.commit(
-        {}, {{cell::job_row(job, 1),
-              cell::to_bytes(cell::inbox_job{simple_job("0a", 1, 1'000), 2})}});
-    earlier.role->row_arrived(row);
+    auto& later = bed.take_over();
+    later.outside.hold_back_worker = bed.worker_of_first_start();
+    cr_assert(bed.loaded(later));
     bed.run_for(some_decisions);
-    bed.pool.end_all();
-    later.outside.hold_back_lists = true;
-    bed.store.down.clear();
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+}
+
+Test(cell_two_owners, a_job_of_its_own_waits_for_no_other_worker)
+{
+    cell_bed bed;
+    bed.settled_owner();
+    auto& later = bed.take_over();
+    later.outside.hold_back_worker = worker_id("w1");
     cr_assert(bed.loaded(later));
+    later.role->row_arrived(bed.submit("0a"));
     bed.run_for(some_decisions);
-    later.outside.let_lists_pass();
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    cr_assert_eq(bed.worker_of_first_start(), worker_id("w2"));
+}
+
+// Its row was written before the takeover; the answer was lost, and it was sent
+// again afterwards: it still belongs to the earlier owner.
+Test(cell_two_owners, a_row_that_was_there_is_announced_as_it_was_stored)
+{
+    cell_bed bed;
+    bed.settled_owner();
+    const auto row = bed.submit("0a");
+    bed.settled_owner();
+    // The instance learns of the later owner by another job of that part.
+    bed.submit("1a");
+    const auto again = bed.submit("0a");
+    cr_assert_eq(again.value, row.value);
+    cr_assert_eq(again.version, row.version);
+}
+
+namespace
+{
+
+/// One part took it under the earlier owner, without an answer; another one under
+/// the later owner.
+auto store_in_two_parts(std::size_t earlier_choice, std::size_t later_choice)
+    -> void
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    const job_id job("0a");
+    const auto store_under = [&](std::uint64_t epoch, std::size_t choice)
+    {
+        const cell::inbox_job item{simple_job("0a", 1, 1'000), epoch};
+        bed.commit({}, {{cell::job_row(job, choice), cell::to_bytes(item)}});
+    };
+    store_under(1, earlier_choice);
+    earlier.role->row_arrived(
+        bed.store.row(cell::job_row(job, earlier_choice)));
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job), 1u);
+    auto& later = bed.take_over();
+    later.outside.hold_back_worker = bed.worker_of_first_start();
+    store_under(2, later_choice);
+    cr_assert(bed.loaded(later));
     bed.run_for(some_decisions);
     cr_assert_eq(bed.pool.starts_of(job), 1u);
 }
 
+} // namespace
+
+Test(cell_two_owners, a_job_that_lies_in_two_parts_runs_once)
+{
+    store_in_two_parts(0, 1);
+    store_in_two_parts(1, 0);
+}
+
 // A lagging copy of the store may answer with rows of before the takeover.
 Test(cell_two_owners, a_part_that_is_read_as_of_the_past_is_read_again)
 {
     cell_bed bed;
-    auto& earlier = bed.settled_owner();
-    const auto row = bed.submit("0a");
+    bed.settled_owner();
+    bed.submit("0a");
     bed.store.stale_reads = 3;
     auto& later = bed.take_over();
     later.outside.hold_back_lists = true;
     cr_assert(bed.loaded(later));
     cr_assert_eq(bed.store.stale_reads, 0);
-    earlier.role->row_arrived(row);
+    cr_assert(later.role->state_of(job_id("0a")).has_value());
+}
+
+Test(cell_two_owners, the_feed_of_the_inbox_ends_an_earlier_owner)
+{
+    cell_bed bed;
+    auto& earlier = bed.settled_owner();
+    bed.settled_owner();
+    earlier.outside.tell_changes();
     bed.run_for(some_decisions);
-    bed.pool.end_all();
-    later.outside.let_lists_pass();
+    cr_assert(earlier.overtaken);
+}
+
+Test(cell_two_owners, an_owner_that_still_loads_meets_a_later_one)
+{
+    cell_bed bed;
+    bed.settled_owner();
+    auto& second = bed.take_over();
+    for (std::size_t i = 0; i < cell::inbox_parts; ++i)
+    {
+        second.outside.hold_back_parts.insert(cell::inbox_part(i));
+    }
     bed.run_for(some_decisions);
-    later.outside.tell_changes();
+    auto& third = bed.take_over();
+    cr_assert(bed.loaded(third));
+    second.outside.let_writes_pass();
     bed.run_for(some_decisions);
-    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    cr_assert(second.overtaken);
+    cr_assert(!second.role->loaded());
 }
 
 namespace
