A transaction of the intake stays within the store's bound

What callers would see: 503 at a crest, while the store is well. The store takes at most 100 entries in a transaction, conditions and writes together; 60 new jobs in one part made 121 (120 before the part's owner was among them).

Change: 49 rows, 99 entries.

--- a/include/pimentoshunt/cell/intake.hpp
+++ b/include/pimentoshunt/cell/intake.hpp
@@ -161,8 +161,9 @@
     }
 
   private:
-    /// Bounds of one transaction: below those of the platform's store.
-    static constexpr std::size_t most_rows = 60;
+    /// Bounds of one transaction: below those of the platform's store, which
+    /// counts each row as a condition and as a write, and the part's owner.
+    static constexpr std::size_t most_rows = 49;
     static constexpr std::size_t most_bytes = 400'000;
     /// A transaction takes milliseconds unless the store is in trouble.
     static constexpr milliseconds commit_limit{700};
