An instance begins one role for each epoch

What callers would see: TWICE around a planned stop. An instance that lets the cell go has ended its role and waits for the store's answer to the release; a configuration that came just then began a second role of the same epoch. Jobs of the own epoch count as new, so it began what the first one had begun.

Found by review. Cause, of the same class: 'stored under the own epoch' was taken for 'begun by nobody', which holds only for the first role of an epoch. Change: one role for each epoch. An instance that is owner again has a higher one. Test a_configuration_during_a_release_begins_no_second_role: 2 starts before.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -539,8 +539,15 @@
         }
     }
 
+    /// Once for each epoch: what a role of that epoch has begun counts as
+    /// inherited only for a later one.
     auto begin_role() -> void
     {
+        if (m_role_epoch == m_ownership.epoch())
+        {
+            return;
+        }
+        m_role_epoch = m_ownership.epoch();
         owner_context around;
         around.self = m_options.name.str();
         around.may_act = [this]
@@ -885,6 +892,8 @@
     std::shared_ptr<table_follower<Platform>> m_configuration_follower;
     std::shared_ptr<owner_role<Platform>> m_role;
     std::uint64_t m_epoch_version = 0;
+    /// The epoch for which a role was begun last.
+    std::uint64_t m_role_epoch = 0;
     std::map<std::string, std::uint64_t> m_pending;
     time_point m_pending_at;
     time_point m_next_renewal;
--- a/tests/unit-cell-instance.cpp
+++ b/tests/unit-cell-instance.cpp
@@ -1,13 +1,111 @@
 /// @file
-/// One instance and the store.
+/// One instance that comes to own the cell and lets it go.
 #include "fakes/cell_bed.hpp"
 
+#include <pimentoshunt/cell/instance.hpp>
+
 #include <criterion/criterion.h>
 
 using namespace pimentoshunt;
 using fakes::cell_bed;
 using fakes::fake_cell_outside;
 
+namespace
+{
+
+/// Callers say nothing; a configuration is its version.
+struct instance_outside : fake_cell_outside
+{
+    using fake_cell_outside::fake_cell_outside;
+
+    auto read_configuration(const cell::stored_row& row) const
+        -> std::optional<cell::configuration>
+    {
+        cell::configuration out;
+        out.version = std::stoull(row.value);
+        return out;
+    }
+
+    auto read_caller(const net::server_request&,
+                     const cell::configuration&) const -> cell::caller_request
+    {
+        return {};
+    }
+
+    auto state_answer(cell::job_state) const -> net::server_answer
+    {
+        return {};
+    }
+
+    auto count_answer(std::uint64_t) const -> net::server_answer
+    {
+        return {};
+    }
+
+    auto complaint_answer(int status, const std::string&) const
+        -> net::server_answer
+    {
+        return {status, ""};
+    }
+
+    auto configuration_row() const -> cell::row_key
+    {
+        return {"op", "", "config"};
+    }
+};
+
+auto options() -> cell::instance_options
+{
+    cell::instance_options out;
+    out.name = instance_id("a");
+    out.peer_address = "127.0.0.1:" + std::to_string(testing::free_port());
+    out.incarnation = 7;
+    out.configured = [](const cell::configuration&) {};
+    out.counted = [](const cell::scheduler_counts&) {};
+    return out;
+}
+
+constexpr milliseconds some_decisions{300};
+
+} // namespace
+
+// It lets the cell go, the release has no answer yet, and a configuration comes:
+// a second role of the same epoch took the jobs of the first one for new.
+Test(cell_instance, a_configuration_during_a_release_begins_no_second_role)
+{
+    cell_bed bed;
+    instance_outside outside{bed.control, bed.store, bed.pool};
+    const auto configuration = outside.configuration_row();
+    bed.commit({}, {{configuration, "1"}});
+    cell::instance<instance_outside> one(outside, bed.control, options());
+    one.start();
+    cr_assert(bed.run_until(
+        [&]
+        {
+            return bed.store.row(cell::roster_row(worker_id("w2"))).version > 0;
+        }));
+    bed.submit("0a");
+    outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u);
+    bed.store.silent = true;
+    one.leave();
+    cr_assert(bed.run_until(
+        [&]
+        {
+            return one.role() == nullptr;
+        }));
+    bed.store.silent = false;
+    bed.commit({}, {{configuration, "2"}});
+    outside.hold_back_worker = bed.worker_of_first_start();
+    outside.tell_changes();
+    bed.run_for(some_decisions);
+    one.stop();
+    bed.run_for(milliseconds(20));
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u, "%zu starts",
+                 bed.pool.starts_of(job_id("0a")));
+}
+
 // The store counts each row as a condition and as a write, a hundred in all.
 Test(cell_instance, one_transaction_takes_no_more_than_the_store_does)
 {
