A forgotten job is not begun again while its rows are still there

What callers would see: TWICE, 130 s after a job has ended. The owner forgets the job and removes its rows; a removal that failed was never repeated. When the store then lost the history of the inbox, the row was read anew, its job was unknown, and it ran again.

Found by review; the class is the same: what is unknown was taken for what has not run. Change: the remover knows the jobs whose rows may still be there; they are not taken in, and their removal is repeated each 5 s, at most 25 at once. Test a_forgotten_job_whose_rows_are_still_there_runs_once: 2 starts before.

--- a/include/pimentoshunt/cell/job_remover.hpp
+++ b/include/pimentoshunt/cell/job_remover.hpp
@@ -12,6 +12,8 @@
 #include <cstdint>       // uint64_t
 #include <memory>        // enable_shared_from_this, make_shared
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
+#include <utility>       // exchange
 #include <vector>        // vector
 
 namespace pimentoshunt::cell
@@ -61,29 +63,44 @@
             return;
         }
         m_next_expiry = now + expire_interval;
-        const auto jobs = m_scheduler.take_expired(now, expire_at_once);
-        if (jobs.empty())
+        const auto room = expire_at_once - m_failed.size();
+        for (const auto& job : m_scheduler.take_expired(now, room))
         {
-            return;
+            m_removing.insert(job);
+            m_failed.push_back(job);
         }
-        for (const auto& job : jobs)
+        for (const auto& job : std::exchange(m_failed, {}))
         {
             remove_job(job);
         }
     }
 
+    /// @brief Whether the scheduler has forgotten a job whose rows may still be
+    /// there: it has ended, however often it is read.
+    [[nodiscard]] auto removing(const job_id& job) const -> bool
+    {
+        return m_removing.contains(job);
+    }
+
   private:
     static constexpr milliseconds commit_limit{700};
     /// How often old jobs are looked for.
     static constexpr milliseconds expire_interval{5'000};
     static constexpr std::size_t expire_at_once = 25;
 
+    /// The removals of one job in its parts of the inbox.
+    struct removal
+    {
+        std::size_t missing = parts_of_job;
+        bool failed = false;
+    };
+
     /// The inbox first: a job without progress would run again. A later owner
     /// has none of its rows then: it takes each part over before it reads it,
     /// and these removals were done before that.
     auto remove_job(const job_id& job) -> void
     {
-        auto missing = std::make_shared<std::size_t>(parts_of_job);
+        const auto state = std::make_shared<removal>();
         for (std::size_t i = 0; i < parts_of_job; ++i)
         {
             row_transaction inbox;
@@ -94,18 +111,31 @@
             inbox.removals.push_back(cancel_row(job, i));
             m_outside.commit(inbox, commit_limit,
                              [self = this->shared_from_this(), job,
-                              missing](const commit_result& result)
+                              state](const commit_result& result)
                              {
-                                 const bool done =
-                                     result.state == commit_state::committed;
-                                 if (done && --*missing == 0 && !self->m_ended)
+                                 state->failed =
+                                     state->failed ||
+                                     result.state != commit_state::committed;
+                                 if (--state->missing == 0 && !self->m_ended)
                                  {
-                                     self->remove_progress(job);
+                                     self->inbox_answered(job, state->failed);
                                  }
                              });
         }
     }
 
+    auto inbox_answered(const job_id& job, bool failed) -> void
+    {
+        if (failed)
+        {
+            logging::info("an old job is not removed yet").with("job", job);
+            m_failed.push_back(job);
+            return;
+        }
+        m_removing.erase(job);
+        remove_progress(job);
+    }
+
     auto remove_progress(const job_id& job) -> void
     {
         const auto rows = m_progress_rows[job];
@@ -129,6 +159,9 @@
     scheduler& m_scheduler;
     inbox_versions m_inbox_versions{};
     std::unordered_map<job_id, std::vector<row_key>> m_progress_rows;
+    /// Forgotten jobs, and those of them whose removal is to be tried again.
+    std::unordered_set<job_id> m_removing;
+    std::vector<job_id> m_failed;
     time_point m_next_expiry;
     bool m_ended = false;
 };
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -388,7 +388,7 @@
     {
         const auto& [job, epoch] = arrived.item;
         later_owner(epoch);
-        if (epoch > m_scheduler.epoch())
+        if (epoch > m_scheduler.epoch() || m_remover->removing(job.id))
         {
             return;
         }
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -337,6 +337,24 @@
     }
 }
 
+// The owner had forgotten it, its removal had no answer, and the inbox was read
+// anew.
+Test(cell_two_owners, a_forgotten_job_whose_rows_are_still_there_runs_once)
+{
+    cell_bed bed;
+    finish_job(bed, "0a");
+    auto& owner = bed.take_over(quick_to_forget());
+    owner.outside.hold_back_removals = true;
+    cr_assert(bed.loaded(owner));
+    bed.run_for(some_decisions);
+    cr_assert(!owner.role->state_of(job_id("0a")).has_value());
+    bed.store.forgotten_histories = 2;
+    owner.outside.tell_changes();
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u, "%zu starts",
+                 bed.pool.starts_of(job_id("0a")));
+}
+
 // The store had lost the history of the inbox, which was read anew: the
 // cancellation lay in a part that was told before that of its job.
 Test(cell_two_owners, a_cancellation_that_is_read_before_its_job_holds)
