A soak of real processes under faults from outside

What was missing: no test ran real processes of `cell` against the users' platform, so a task that ran twice after changes of owner was met by the users and not by a test.

Change: tests/soak/ holds a stand-in of the platform (table store with conditions, feed and bounded history; approval service; workers that fence, lease, list and forget), callers over connections that stay open, seeded faults on processes, links to the store, store and workers, and a checker of TWICE, LIMIT, ORDER, REFUSED, UNASKED, LOST and MIXED that reads only what workers, store and callers have seen. Faults come in series, aimed at whoever owns the cell; one kind wakes the earlier owner while its successor still loads. Three seeds run with the integration tests, any number by hand (build/soak).

Left out of the stand-in: bounds on calls a second, objects, machines, workers that leave or are born again, gangs, lasting and scheduled jobs, the approval service's turn for each caller. Links between instances have no faults of their own, since an instance binds the address that it announces.

A seed fixes the faults' schedule and the callers' choices, not the processes' timing: a violation may need several runs of its seed.

--- /dev/null
+++ b/tests/integration/integration-cell-soak.cpp
@@ -0,0 +1,49 @@
+/// @file
+/// Real processes of a cell under faults from outside, judged by the records
+/// of workers, store and callers. By hand: build/soak --seed 1 --last_seed 50.
+#include "soak/soak.hpp"
+
+#include <criterion/criterion.h>
+#include <criterion/logging.h>
+
+namespace
+{
+
+using namespace pimentoshunt::soak;
+
+auto keeps_its_promises(std::uint64_t seed) -> bool
+{
+    soak_options options;
+    options.seed = seed;
+    const auto report = run_soak(options);
+    for (const auto& item : report.violations)
+    {
+        cr_log_error("seed %lu: %s %s: %s", static_cast<unsigned long>(seed),
+                     item.rule.c_str(), item.job.c_str(), item.text.c_str());
+    }
+    if (!report.violations.empty())
+    {
+        cr_log_error("logs: %s\n%s", report.folder.c_str(),
+                     report.story.c_str());
+    }
+    // A soak that changed no owner has guarded nothing.
+    constexpr std::size_t least_takeovers = 4;
+    return report.violations.empty() && report.takeovers >= least_takeovers;
+}
+
+} // namespace
+
+Test(cell_soak, promises_hold_while_owners_change_seed_1)
+{
+    cr_assert(keeps_its_promises(1));
+}
+
+Test(cell_soak, promises_hold_while_owners_change_seed_2)
+{
+    cr_assert(keeps_its_promises(2));
+}
+
+Test(cell_soak, promises_hold_while_owners_change_seed_3)
+{
+    cr_assert(keeps_its_promises(3));
+}
--- /dev/null
+++ b/tests/soak/job_callers.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// Callers that hand jobs in, ask again after a lost answer, cancel some and
+/// look states up.
+#pragma once
+
+#include "record.hpp"
+
+#include <atomic>     // atomic
+#include <cstdint>    // uint64_t
+#include <functional> // function
+#include <map>        // map
+#include <memory>     // unique_ptr
+#include <random>     // mt19937_64
+#include <string>     // string
+#include <thread>     // thread
+#include <vector>     // vector
+
+namespace httplib
+{
+class Client;
+}
+
+namespace pimentoshunt::soak
+{
+
+/// @brief One caller on a thread of its own. Its connections stay open until
+/// the process at the other end is gone.
+class job_caller
+{
+  public:
+    /// @param ports  where instances serve callers
+    /// @param pause  mean time between two jobs
+    job_caller(std::vector<int> ports, std::uint64_t seed, milliseconds pause);
+    ~job_caller();
+    job_caller(const job_caller&) = delete;
+    auto operator=(const job_caller&) -> job_caller& = delete;
+
+    /// @brief No more jobs: looks its jobs up until all have ended.
+    auto settle() -> void;
+    /// @brief Whether all its jobs have ended.
+    [[nodiscard]] auto settled() const -> bool;
+    /// @brief Ends the thread and hands over what it has seen.
+    auto finish(std::map<std::string, job_record>& out) -> void;
+
+  private:
+    auto run() -> void;
+    auto run_due() -> void;
+    auto settle_round() -> void;
+    auto later(milliseconds least, milliseconds most,
+               std::function<void()> what) -> void;
+    auto new_job() -> job_record;
+    auto submit(job_record& job) -> void;
+    auto plan_rest(job_record& job) -> void;
+    auto cancel(job_record& job) -> void;
+    auto look(job_record& job) -> bool;
+    auto call(const std::string& method, const job_record& job)
+        -> answer_record;
+    auto choose() -> std::size_t;
+    auto any() -> std::size_t;
+    auto number(std::int64_t least, std::int64_t most) -> std::int64_t;
+    auto happens(double share) -> bool;
+
+    std::vector<int> m_ports;
+    std::vector<std::unique_ptr<httplib::Client>> m_clients;
+    std::mt19937_64 m_random;
+    milliseconds m_pause;
+    std::size_t m_home;
+    std::map<std::string, job_record> m_jobs;
+    std::multimap<time_point, std::function<void()>> m_due;
+    std::atomic<bool> m_settling{false};
+    std::atomic<bool> m_settled{false};
+    std::atomic<bool> m_stopping{false};
+    std::thread m_thread;
+};
+
+} // namespace pimentoshunt::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,75 @@
+/// @file
+/// Soaks the product by hand: one line a seed, and all that is known of each
+/// broken promise.
+#include "soak.hpp"
+
+#include <gflags/gflags.h>
+
+#include <algorithm> // max
+#include <cstdio>    // printf
+#include <exception> // exception
+#include <map>       // map
+
+DEFINE_uint64(seed, 1, "the only seed, or the first one");
+DEFINE_uint64(last_seed, 0, "the last seed; 0: only one");
+DEFINE_int32(seconds, 20, "how long faults last");
+DEFINE_int32(instances, 5, "processes of the product");
+DEFINE_string(binary, "", "the product's program; empty: the one built here");
+
+namespace
+{
+
+using namespace pimentoshunt::soak;
+
+auto print(std::uint64_t seed, const soak_report& report) -> void
+{
+    std::map<std::string, int> rules;
+    std::printf("seed %lu: %s\n", static_cast<unsigned long>(seed),
+                report.summary().c_str());
+    for (const auto& item : report.violations)
+    {
+        ++rules[item.rule];
+        std::printf("  %s %s: %s\n", item.rule.c_str(), item.job.c_str(),
+                    item.text.c_str());
+    }
+    for (const auto& [rule, count] : rules)
+    {
+        std::printf("  %s: %d\n", rule.c_str(), count);
+    }
+    if (!report.violations.empty())
+    {
+        std::printf("  logs: %s\n%s", report.folder.c_str(),
+                    report.story.c_str());
+    }
+    std::fflush(stdout);
+}
+
+} // namespace
+
+auto main(int argc, char** argv) -> int
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    soak_options options;
+    options.faulty = std::chrono::seconds(FLAGS_seconds);
+    options.instances = static_cast<std::size_t>(FLAGS_instances);
+    options.binary = FLAGS_binary;
+    bool kept = true;
+    const auto last = std::max(FLAGS_seed, FLAGS_last_seed);
+    for (auto seed = FLAGS_seed; seed <= last; ++seed)
+    {
+        options.seed = seed;
+        try
+        {
+            const auto report = run_soak(options);
+            print(seed, report);
+            kept = kept && report.violations.empty();
+        }
+        catch (const std::exception& fault)
+        {
+            std::printf("seed %lu: not run: %s\n",
+                        static_cast<unsigned long>(seed), fault.what());
+            kept = false;
+        }
+    }
+    return kept ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/platform.cpp
@@ -0,0 +1,477 @@
+#include "platform.hpp"
+
+#include "support/port_allocator.hpp"
+
+#include <pimentoshunt/cell/tables.hpp>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm> // find, max
+#include <future>    // promise
+#include <stdexcept> // runtime_error
+#include <utility>   // move
+
+namespace pimentoshunt::soak
+{
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr milliseconds tick_every{4};
+constexpr milliseconds beat_every{1'500};
+constexpr milliseconds transaction_time{3};
+constexpr milliseconds read_time{1};
+constexpr milliseconds shortest_hold_up{200};
+constexpr milliseconds longest_hold_up{3'000};
+constexpr std::size_t approved_percent = 70;
+constexpr double slow_clock = 0.982;
+constexpr int unavailable = 503;
+constexpr int forbidden = 403;
+constexpr int bad_request = 400;
+constexpr int gone = 410;
+constexpr int condition_failed = 412;
+constexpr resources worker_capacity{0, 8'000, 16'000, 0};
+const std::string service = "press";
+
+auto unix_ms() -> std::int64_t
+{
+    const auto since = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(since).count();
+}
+
+auto local(int port) -> std::string
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+} // namespace
+
+auto soak_queues() -> const std::vector<queue_facts>&
+{
+    static const std::vector<queue_facts> queues{
+        {"brief", "/brief/", service, 12, false},
+        {"vetted", "/vetted/", service, 12, true}};
+    return queues;
+}
+
+platform::platform(std::size_t workers, std::uint64_t seed) : m_random(seed)
+{
+    std::tie(m_store_server, m_store_port) = listen(
+        [this](const net::server_request& request, reply answer)
+        {
+            serve_store(request, std::move(answer));
+        });
+    std::tie(m_approval_server, m_approval_port) = listen(
+        [this](const net::server_request& request, reply answer)
+        {
+            serve_approvals(request, std::move(answer));
+        });
+    m_workers.reserve(workers);
+    for (std::size_t i = 0; i < workers; ++i)
+    {
+        add_worker(i);
+    }
+    m_store.apply(
+        {{}, {{configuration_key(), write_configuration(soak_queues())}}, {}});
+    beat();
+    tick();
+    m_thread = std::thread(
+        [this]
+        {
+            const auto kept = asio::make_work_guard(m_context);
+            m_context.run();
+        });
+}
+
+platform::~platform()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+    {
+        m_thread.join();
+    }
+}
+
+auto platform::listen(net::http_server::handler serve)
+    -> std::pair<std::unique_ptr<net::http_server>, int>
+{
+    net::server_limits limits;
+    limits.body_bytes = 2u << 20;
+    limits.idle_timeout = std::chrono::minutes(2);
+    limits.connections = 4'000;
+    auto server = std::make_unique<net::http_server>(
+        m_context, m_context.get_executor(), limits, std::move(serve));
+    const int port = testing::free_port();
+    if (!server->listen(local(port)))
+    {
+        throw std::runtime_error("the platform's port is taken");
+    }
+    return {std::move(server), port};
+}
+
+auto platform::add_worker(std::size_t number) -> void
+{
+    auto& at = m_workers.emplace_back();
+    int port = 0;
+    std::tie(at.server, port) = listen(
+        [this, &at](const net::server_request& request, reply answer)
+        {
+            serve_worker(at, request, std::move(answer));
+        });
+    worker_facts facts;
+    facts.id = "i-" + std::to_string(100 + number);
+    facts.service = service;
+    facts.address = local(port);
+    facts.rack = "r-" + std::to_string(number % 2);
+    facts.capacity = worker_capacity;
+    facts.born_ms = unix_ms();
+    at.model = std::make_unique<worker>(std::move(facts),
+                                        number % 2 == 0 ? slow_clock : 1.0,
+                                        boot_clock::now(), m_runs);
+    at.model->ask_tickets("vetted");
+}
+
+auto platform::run_here(std::function<void()> what) -> void
+{
+    std::promise<void> done;
+    asio::post(m_context,
+               [&]
+               {
+                   what();
+                   done.set_value();
+               });
+    done.get_future().wait();
+}
+
+auto platform::set(const store_faults& faults) -> void
+{
+    run_here(
+        [&]
+        {
+            m_store_faults = faults;
+        });
+}
+
+auto platform::set(std::size_t number, const worker_faults& faults) -> void
+{
+    run_here(
+        [&]
+        {
+            m_workers.at(number).faults = faults;
+        });
+}
+
+auto platform::forget_history() -> void
+{
+    run_here(
+        [&]
+        {
+            m_store.forget_history(0);
+        });
+}
+
+auto platform::lease() -> cell::lease_content
+{
+    cell::lease_content out;
+    run_here(
+        [&]
+        {
+            if (const auto row = m_store.find(cell::lease_row()))
+            {
+                out = cell::read_lease(row->value);
+            }
+        });
+    return out;
+}
+
+auto platform::finish(soak_record& out) -> void
+{
+    m_context.stop();
+    m_thread.join();
+    out.runs = std::move(m_runs);
+    out.takeovers = std::move(m_takeovers);
+}
+
+auto platform::after(milliseconds delay, std::function<void()> what) -> void
+{
+    auto timer = std::make_shared<asio::steady_timer>(m_context, delay);
+    timer->async_wait(
+        [timer, what = std::move(what)](boost::system::error_code fault)
+        {
+            if (!fault)
+            {
+                what();
+            }
+        });
+}
+
+auto platform::tick() -> void
+{
+    for (auto& at : m_workers)
+    {
+        at.model->tick(boot_clock::now());
+    }
+    answer_follows();
+    after(tick_every,
+          [this]
+          {
+              tick();
+          });
+}
+
+auto platform::beat() -> void
+{
+    cell::row_transaction transaction;
+    ++m_beats;
+    for (const auto& at : m_workers)
+    {
+        const auto& facts = at.model->facts();
+        transaction.writes.push_back(
+            {worker_key(facts.id),
+             write_worker(facts, m_beats, at.model->clock(boot_clock::now()))});
+    }
+    m_store.apply(transaction);
+    after(beat_every,
+          [this]
+          {
+              beat();
+          });
+}
+
+auto platform::between(milliseconds least, milliseconds most) -> milliseconds
+{
+    return milliseconds(std::uniform_int_distribution<std::int64_t>(
+        least.count(), most.count())(m_random));
+}
+
+auto platform::happens(double share) -> bool
+{
+    return share > 0 && std::bernoulli_distribution(share)(m_random);
+}
+
+auto platform::serve_store(const net::server_request& request, reply answer)
+    -> void
+{
+    auto call = read_store_call(request);
+    if (!call)
+    {
+        answer({bad_request, "{}"});
+    }
+    else if (auto* const transaction =
+                 std::get_if<cell::row_transaction>(&*call))
+    {
+        transact(std::move(*transaction), std::move(answer));
+    }
+    else if (const auto* const rows = std::get_if<read_call>(&*call))
+    {
+        read(*rows, answer);
+    }
+    else
+    {
+        const auto& follow = std::get<follow_call>(*call);
+        m_follows.push_back(
+            {follow, std::move(answer), boot_clock::now() + follow.wait});
+        answer_follows();
+    }
+}
+
+auto platform::transact(cell::row_transaction transaction, reply answer) -> void
+{
+    const auto part =
+        transaction.writes.empty()
+            ? (transaction.removals.empty() ? std::string()
+                                            : transaction.removals.front().part)
+            : transaction.writes.front().at.part;
+    if (!part.empty() && part == m_store_faults.dark_part)
+    {
+        answer({unavailable, "{}"});
+        return;
+    }
+    const auto now = boot_clock::now();
+    auto& free_at = m_part_free[part];
+    free_at = std::max(free_at, now) + transaction_time;
+    auto delay = std::chrono::duration_cast<milliseconds>(free_at - now) +
+                 m_store_faults.slow / 2;
+    const bool late = happens(m_store_faults.late_commits);
+    const bool lost = late || happens(m_store_faults.lost_answers);
+    delay +=
+        late ? between(shortest_hold_up, longest_hold_up) : milliseconds(0);
+    after(delay,
+          [this, lost, transaction = std::move(transaction),
+           answer = std::move(answer)]
+          {
+              auto out = commit(transaction);
+              if (lost)
+              {
+                  m_unanswered.push_back(answer);
+                  return;
+              }
+              after(m_store_faults.slow / 2,
+                    [answer, out = std::move(out)]
+                    {
+                        answer(out);
+                    });
+          });
+}
+
+auto platform::commit(const cell::row_transaction& transaction)
+    -> net::server_answer
+{
+    for (const auto& write : transaction.writes)
+    {
+        if (guarded(write.at.table))
+        {
+            return {forbidden, "{}"};
+        }
+    }
+    const auto outcome = m_store.apply(transaction);
+    if (outcome.committed)
+    {
+        note_takeover(transaction);
+        answer_follows();
+    }
+    return write_rows(outcome.committed ? 200 : condition_failed,
+                      outcome.current, m_store.version(), false);
+}
+
+auto platform::note_takeover(const cell::row_transaction& transaction) -> void
+{
+    const auto lease_row = cell::lease_row();
+    for (const auto& write : transaction.writes)
+    {
+        const auto lease = write.at == lease_row ? cell::read_lease(write.value)
+                                                 : cell::lease_content();
+        if (m_takeovers.empty() ? lease.epoch > 0
+                                : lease.epoch > m_takeovers.back().epoch)
+        {
+            m_takeovers.push_back(
+                {boot_clock::now(), lease.epoch, lease.instance});
+        }
+    }
+}
+
+auto platform::read(const read_call& call, const reply& answer) -> void
+{
+    if (!call.range.part.empty() && call.range.part == m_store_faults.dark_part)
+    {
+        answer({unavailable, "{}"});
+        return;
+    }
+    after(read_time + m_store_faults.slow / 2,
+          [this, call, answer]
+          {
+              const auto page = m_store.read(call.range, call.limit);
+              auto out =
+                  write_rows(200, page.rows, m_store.version(), page.more);
+              after(m_store_faults.slow / 2,
+                    [answer, out = std::move(out)]
+                    {
+                        answer(out);
+                    });
+          });
+}
+
+auto platform::answer_follows() -> void
+{
+    std::vector<waiting_follow> kept;
+    const auto now = boot_clock::now();
+    for (auto& item : m_follows)
+    {
+        const auto rows = m_store.changes(item.call.table, item.call.after);
+        if (!rows)
+        {
+            item.answer({gone, "{}"});
+        }
+        else if (!rows->empty() || now >= item.until)
+        {
+            item.answer(write_rows(200, *rows, m_store.version(), false));
+        }
+        else
+        {
+            kept.push_back(std::move(item));
+        }
+    }
+    m_follows = std::move(kept);
+}
+
+auto platform::serve_approvals(const net::server_request& request, reply answer)
+    -> void
+{
+    const auto call = read_approval_call(request);
+    if (!call)
+    {
+        answer({bad_request, "{}"});
+        return;
+    }
+    const std::hash<std::string> dice;
+    // One worker at least may run any step, or its job could never end.
+    const auto always = dice(call->step) % m_workers.size();
+    std::vector<std::pair<std::string, std::string>> approved;
+    for (std::size_t i = 0; i < m_workers.size(); ++i)
+    {
+        auto& model = *m_workers[i].model;
+        const auto& id = model.facts().id;
+        const bool asked = std::find(call->workers.begin(), call->workers.end(),
+                                     id) != call->workers.end();
+        if (asked &&
+            (i == always || dice(call->step + id) % 100 < approved_percent))
+        {
+            auto ticket = "t-" + std::to_string(++m_tickets);
+            model.admit(call->step, ticket, boot_clock::now());
+            approved.emplace_back(id, std::move(ticket));
+        }
+    }
+    constexpr milliseconds decision{30};
+    after(decision,
+          [answer = std::move(answer), out = write_approvals(approved)]
+          {
+              answer(out);
+          });
+}
+
+auto platform::serve_worker(station& at, const net::server_request& request,
+                            reply answer) -> void
+{
+    const auto call = read_order(request);
+    if (!call)
+    {
+        answer({bad_request, "{}"});
+        return;
+    }
+    if (at.faults.deaf)
+    {
+        m_unanswered.push_back(std::move(answer));
+        return;
+    }
+    if (at.faults.unhealthy && call->kind == order_kind::start)
+    {
+        answer({unavailable, "{}"});
+        return;
+    }
+    const auto vanish = [](const worker_answer&) {};
+    if (happens(at.faults.late))
+    {
+        m_unanswered.push_back(std::move(answer));
+        after(between(shortest_hold_up, longest_hold_up),
+              [&at, call = *call, vanish]
+              {
+                  at.model->obey(call, true, boot_clock::now(), vanish);
+              });
+        return;
+    }
+    if (at.faults.mute)
+    {
+        m_unanswered.push_back(std::move(answer));
+        at.model->obey(*call, false, boot_clock::now(), vanish);
+        return;
+    }
+    at.model->obey(*call, false, boot_clock::now(),
+                   [answer = std::move(answer)](const worker_answer& out)
+                   {
+                       answer(write_answer(out));
+                   });
+}
+
+} // namespace pimentoshunt::soak
