An announcement that comes late begins no job that was removed

What callers would see: TWICE. Links between instances keep messages until their connection stands again. An announcement of a row that was kept longer than the job ran and was kept for callers reached an owner that had removed the job: it was unknown, and ran again. The same with a reading of the whole inbox that was under way while the job was removed.

Cause: unknown taken for new. Found by reading.

Evidence: cell_two_owners::an_announcement_after_the_removal_begins_nothing, 2 starts before, 1 now. The reading under way has no test of its own.

Change: the owner has read or been told all rows of up to the version from which it follows the inbox; it passes such rows over when they come again.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -344,7 +344,9 @@
 
     auto inbox_changed(const stored_row& row) -> void
     {
-        if (row.removed)
+        // What was there when it was read or followed has been told: unknown
+        // now, it has been removed since.
+        if (row.removed || row.version <= m_inbox->version())
         {
             return;
         }
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>  // min, max
+#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <optional>   // optional
@@ -175,6 +176,12 @@
         follow();
     }
 
+    /// @brief All rows of up to there have been read or told.
+    [[nodiscard]] auto version() const noexcept -> std::uint64_t
+    {
+        return m_version;
+    }
+
     auto stop() -> void
     {
         m_stopped = true;
@@ -204,8 +211,12 @@
                   });
             return;
         }
-        m_version = found->version;
         m_tell.all(found->rows);
+        if (m_stopped)
+        {
+            return;
+        }
+        m_version = found->version;
         follow();
     }
 
--- a/tests/unit-cell-two-owners.cpp
+++ b/tests/unit-cell-two-owners.cpp
@@ -388,3 +388,20 @@
     cr_assert(owner.role->state_of(job) == cell::job_state::cancelled);
     cr_assert_eq(bed.pool.starts_of(job), 0u);
 }
+
+// Links keep messages until their connection stands again: the job has been run
+// and removed in between.
+Test(cell_two_owners, an_announcement_after_the_removal_begins_nothing)
+{
+    cell_bed bed;
+    finish_job(bed, "0a");
+    const auto row = bed.announced.front();
+    auto& owner = bed.take_over(quick_to_forget());
+    cr_assert(bed.loaded(owner));
+    bed.run_for(some_decisions);
+    cr_assert(bed.store.row(row.at).removed);
+    owner.role->row_arrived(row);
+    bed.run_for(some_decisions);
+    cr_assert_eq(bed.pool.starts_of(job_id("0a")), 1u, "%zu starts",
+                 bed.pool.starts_of(job_id("0a")));
+}
