The number of removals at once cannot wrap around

An owner whose process stood still may have more failed removals waiting than it tries at once; the room for further ones was then a huge number, and all old jobs would have been removed in one burst.

--- a/include/pimentoshunt/cell/job_remover.hpp
+++ b/include/pimentoshunt/cell/job_remover.hpp
@@ -7,7 +7,7 @@
 #include <pimentoshunt/cell/tables.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm>     // find
+#include <algorithm>     // find, min
 #include <array>         // array
 #include <cstdint>       // uint64_t
 #include <memory>        // enable_shared_from_this, make_shared
@@ -63,7 +63,8 @@
             return;
         }
         m_next_expiry = now + expire_interval;
-        const auto room = expire_at_once - m_failed.size();
+        const auto room =
+            expire_at_once - std::min(expire_at_once, m_failed.size());
         for (const auto& job : m_scheduler.take_expired(now, room))
         {
             m_removing.insert(job);
