A step that waits for long tells what it waits for

The hypotheses could not be told apart by the logs: a step was logged only when it started, and a request for approval that was given up left no line.

Change, without a change of decisions: - 'ready step has started nothing for long': after 3 s without a start, every 3 s, one step in a pass; which workers are usable, approved, refused, have a ticket and room, whether a request is in flight and since when, reservations. - 'inherited jobs wait for reports of workers', with the first of them. - 'approval request was not answered in time', with the instance. - both waits are counted in pimentoshunt_long_waits_total.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -79,7 +79,7 @@
     /// @brief Removes the requests whose answer is overdue; they count as
     /// failed.
     [[nodiscard]] auto take_timed_out(time_point now)
-        -> std::vector<approval_request>;
+        -> std::vector<assigned_request>;
 
     /// @brief Number of further slow calls that could be made at once.
     /// @param instances  number of instances that can call the service now
--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -134,6 +134,8 @@
     std::unordered_map<worker_record*, ticket> approved;
     std::set<const worker_record*> refused;
     bool in_flight = false;
+    /// When the request in flight was made.
+    time_point requested_at;
     time_point next_request_at;
 };
 
@@ -166,6 +168,11 @@
     std::uint32_t done_count = 0;
     bool ready = false;
     time_point ready_since;
+    /// When the step became ready, last started a task or got one back while
+    /// none waited, whichever is latest.
+    time_point waiting_since;
+    /// When its wait was last logged.
+    time_point wait_logged_at;
     approval_record approvals;
     gang_reservation reservation;
     /// Number of runs of this step on each worker.
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -656,9 +656,15 @@
     {
         for (const auto& lost : m_approvals.take_timed_out(now))
         {
+            logging::info("approval request was not answered in time")
+                .with("job", lost.request.step.job)
+                .with("step", lost.request.step.step)
+                .with("instance", lost.instance)
+                .with("asked", lost.request.workers.size())
+                .with("expected", lost.request.expected);
             approval_response none;
-            none.step = lost.step;
-            none.asked = lost.workers;
+            none.step = lost.request.step;
+            none.asked = lost.request.workers;
             m_scheduler.on_approval_response(none, now);
         }
         if (m_approvals.waiting() == 0)
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -88,6 +88,9 @@
     /// How long a worker gets no starts after it refused one for lack of room
     /// or health, or could not be reached.
     milliseconds refusal_pause{400};
+    /// A step that has waited this long since its last start is logged, and
+    /// again at intervals of the same length.
+    milliseconds wait_log_interval{3'000};
 };
 
 /// @brief What the owner may do at one moment.
@@ -111,6 +114,9 @@
     /// Reported runs and ends whose job is not known.
     std::uint64_t unknown_runs = 0;
     std::uint64_t unknown_ends = 0;
+    /// Logged waits of ready steps, and of inherited jobs for reports of
+    /// workers.
+    std::uint64_t long_waits = 0;
 
     friend auto operator==(const scheduler_counts&, const scheduler_counts&)
         -> bool = default;
@@ -279,7 +285,8 @@
     auto step_done(const task_location& location, time_point now) -> void;
     auto finish(job_record& job, job_state state, time_point now) -> void;
     auto stop_all_runs(job_record& job, time_point now) -> void;
-    auto requeue(const task_location& location, std::uint32_t index) -> void;
+    auto requeue(const task_location& location, std::uint32_t index,
+                 time_point now) -> void;
     auto count_failure(const task_location& location, const run_ref& run,
                        time_point now) -> void;
     auto progress_of(const job_record& job) const -> job_progress;
@@ -329,6 +336,9 @@
     auto log_starts(const policy::waiting_step& item, std::size_t count,
                     time_point now) const -> void;
     auto log_stored(const progress_batch& batch) const -> void;
+    auto log_long_wait(const policy::waiting_step& item, time_point now)
+        -> void;
+    auto log_blocked_jobs(time_point now) -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
     auto is_usable(const worker_record& worker, const job_record& job,
                    const step_record& step, time_point now) const -> bool;
@@ -407,6 +417,10 @@
     time_point m_supervised_at;
     /// Slow approval requests that may still be made in this pass.
     std::size_t m_slow_request_slots_left = 0;
+    /// When it was last logged that a step waits; one step in a pass.
+    time_point m_wait_logged_at;
+    /// When it was last logged that inherited jobs wait for reports.
+    time_point m_blocked_logged_at;
     /// Steps with a gang that reserves room.
     std::set<step_record*> m_reserving_steps;
     /// Services of which a gang has reserved part of its room in this pass.
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -123,9 +123,9 @@
 }
 
 auto approval_dispatcher::take_timed_out(time_point now)
-    -> std::vector<approval_request>
+    -> std::vector<assigned_request>
 {
-    std::vector<approval_request> out;
+    std::vector<assigned_request> out;
     for (auto item = m_in_flight.begin(); item != m_in_flight.end();)
     {
         if (now < item->second.times_out_at)
@@ -134,7 +134,8 @@
             continue;
         }
         m_cooldown_until[item->second.instance] = now + m_options.cooldown;
-        out.push_back(std::move(item->second.request));
+        out.push_back({item->first, item->second.instance,
+                       std::move(item->second.request)});
         item = m_in_flight.erase(item);
     }
     return out;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -180,6 +180,7 @@
             std::min<std::size_t>(m_slow_request_slots_left, 1);
     }
     state.in_flight = true;
+    state.requested_at = now;
     m_outbox.approval_requests.push_back(std::move(request));
 }
 
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -104,6 +104,10 @@
         if (job->inherited && !blocked)
         {
             blocked = earlier_runs_possible(now);
+            if (*blocked)
+            {
+                log_blocked_jobs(now);
+            }
         }
         if (job->inherited && *blocked)
         {
@@ -250,12 +254,14 @@
         if (item.step->waiting.size() < before)
         {
             log_starts(item, before - item.step->waiting.size(), now);
+            item.step->waiting_since = now;
         }
         if (!item.step->waiting.empty() &&
             item.job->spec->queue.approval.required)
         {
             request_approval(item, false, now);
         }
+        log_long_wait(item, now);
     }
     release_unvisited_reservations(now);
     request_early_approvals(now);
@@ -403,7 +409,7 @@
     erase_run(worker, order.run);
     if (location.task != nullptr)
     {
-        requeue(location, order.run.task.index);
+        requeue(location, order.run.task.index, now);
     }
 }
 
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -297,6 +297,7 @@
         {
             step.ready = true;
             step.ready_since = now;
+            step.waiting_since = now;
         }
     }
     // Jobs without steps, or with only finished tasks before a takeover.
@@ -393,12 +394,16 @@
     }
 }
 
-auto scheduler::requeue(const task_location& location, std::uint32_t index)
-    -> void
+auto scheduler::requeue(const task_location& location, std::uint32_t index,
+                        time_point now) -> void
 {
     if (!location.task->done && location.task->runs.empty() &&
         !is_final(location.job->state))
     {
+        if (location.step->waiting.empty())
+        {
+            location.step->waiting_since = now;
+        }
         location.step->waiting.insert(index);
     }
 }
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -97,7 +97,7 @@
                         pimentoshunt::policy::attempt_outcome::failure, now);
         count_failure(location, run, now);
     }
-    requeue(location, run.task.index);
+    requeue(location, run.task.index, now);
     if (how != run_end::done)
     {
         logging::info("run ended without success")
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -146,6 +146,7 @@
                      counts.unknown_runs);
         m_meters.add("runs_total", {"event", "unknown end"},
                      counts.unknown_ends);
+        m_meters.add("long_waits_total", {"of", "step"}, counts.long_waits);
     }
 
     auto serve_status(const net::server_request& request,
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -123,7 +123,10 @@
     dispatcher.add(request("quick", 0, quick_call), now);
     cr_assert_eq(dispatcher.assign(names(1), now).size(), 1u);
     now += milliseconds(600);
-    cr_assert_eq(dispatcher.take_timed_out(now).size(), 1u);
+    const auto lost = dispatcher.take_timed_out(now);
+    cr_assert_eq(lost.size(), 1u);
+    cr_assert_eq(lost.front().instance, "i0");
+    cr_assert_eq(lost.front().request.step.job, job_id("quick"));
     dispatcher.add(request("quick", 0, quick_call), now);
     cr_assert(dispatcher.assign(names(1), now).empty());
     cr_assert_eq(dispatcher.assign(names(2), now).size(), 1u);
@@ -187,3 +190,19 @@
     cr_assert(simulation.jobs().state_of(job_id("j1")) ==
               cell::job_state::succeeded);
 }
+
+Test(cell_approvals, a_step_that_starts_nothing_for_long_is_counted)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 4'000);
+    simulation.approves = [](const cell::step_ref&, const worker_id&)
+    {
+        return false;
+    };
+    simulation.run_pass();
+    simulation.jobs().accept(approved_job("j1", 1), simulation.now);
+    simulation.run_for(milliseconds(2'900));
+    cr_assert_eq(simulation.jobs().take_counts().long_waits, 0u);
+    simulation.run_for(milliseconds(3'300));
+    cr_assert_eq(simulation.jobs().take_counts().long_waits, 2u);
+}
