Approval requests in flight claim the room that they will probably take

What callers saw: a step with nothing running beside free workers (LOST).

Cause: the workers to ask were chosen by their free processors alone. Steps that became ready within the half second that a call takes all asked for the same 30 workers; the first answers filled these, and the other steps had tickets for full workers and had to ask again, about the same next 30.

Change: a request claims on each worker it names the share of its tasks that is expected there, until its answer, its failure or the end of its job; workers to ask are chosen by what is neither taken nor claimed. Claims order the choice only: no worker is refused to a step because of them.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -93,6 +93,9 @@
     resources used;
     /// Reserved for gangs that wait for enough room.
     resources reserved;
+    /// Expected to be taken by steps with an approval request in flight that
+    /// names this worker.
+    std::int64_t claimed_millicpus = 0;
     std::map<run_ref, run_record> runs;
     /// No runs are started earlier, after a refusal.
     time_point no_starts_until;
@@ -104,6 +107,12 @@
     {
         return entry.capacity - used - reserved;
     }
+
+    /// @brief Free processors that no request in flight is expected to use.
+    [[nodiscard]] auto unclaimed_millicpus() const noexcept -> std::int64_t
+    {
+        return room().millicpus - claimed_millicpus;
+    }
 };
 
 /// @brief A task of a step.
@@ -137,6 +146,8 @@
     /// When the request in flight was made.
     time_point requested_at;
     time_point next_request_at;
+    /// What the request in flight claims on each worker.
+    std::vector<std::pair<worker_record*, std::int64_t>> claims;
 };
 
 /// Resources reserved for a gang on each worker, in the order of selection.
--- a/include/pimentoshunt/cell/policy/worker_choice.hpp
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -35,6 +35,11 @@
 /// @brief Sorts stably by free processors, most first.
 auto sort_by_free_cpu(std::vector<detail::worker_record*>& workers) -> void;
 
+/// @brief Sorts stably by free processors that no approval request in flight
+/// claims, most first.
+auto sort_by_unclaimed_cpu(std::vector<detail::worker_record*>& workers)
+    -> void;
+
 /// @brief Finds a place for every member of a gang, all on one rack if the step
 /// prefers that and such a rack exists.
 /// @return one worker per task, or an empty list if they don't all fit
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -390,6 +390,9 @@
     auto request_early_approvals(time_point now) -> void;
     [[nodiscard]] auto is_ready_soon(const round_record& round,
                                      const step_record& step) const -> bool;
+    auto claim_room(const policy::waiting_step& item,
+                    const std::vector<worker_record*>& asked) -> void;
+    auto release_claims(step_record& step) -> void;
     [[nodiscard]] auto approval_rate(const queue_name& queue) const -> double;
     auto workers_to_ask(const policy::waiting_step& item, time_point now)
         -> std::vector<worker_record*>;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -111,8 +111,8 @@
             expired_tickets.push_back(&worker);
         }
     }
-    policy::sort_by_free_cpu(expired_tickets);
-    policy::sort_by_free_cpu(not_requested);
+    policy::sort_by_unclaimed_cpu(expired_tickets);
+    policy::sort_by_unclaimed_cpu(not_requested);
     // Approvals are permanent: a new ticket for an approved worker is certain.
     std::vector<worker_record*> out = expired_tickets;
     std::int64_t room = 0;
@@ -138,6 +138,44 @@
     return out;
 }
 
+/// Claims the room that the step will probably take on the requested workers,
+/// so that other steps prefer different ones until the answer arrives.
+auto scheduler::claim_room(const policy::waiting_step& item,
+                           const std::vector<worker_record*>& asked) -> void
+{
+    auto& step = *item.step;
+    const auto& approved = step.approvals.approved;
+    const auto rate = approval_rate(item.job->spec->queue.name);
+    std::vector<double> expected_tasks;
+    double sum = 0;
+    for (auto* const worker : asked)
+    {
+        const auto places = policy::places_on(*worker, *step.spec);
+        expected_tasks.push_back(places *
+                                 (approved.contains(worker) ? 1.0 : rate));
+        sum += expected_tasks.back();
+    }
+    const auto waiting = static_cast<double>(step.waiting.size());
+    const auto scale = sum > waiting ? waiting / sum : 1.0;
+    const auto each = policy::resources_for(*step.spec, 1).millicpus;
+    for (std::size_t i = 0; i < asked.size(); ++i)
+    {
+        const auto claim = static_cast<std::int64_t>(expected_tasks[i] * scale *
+                                                     static_cast<double>(each));
+        asked[i]->claimed_millicpus += claim;
+        step.approvals.claims.emplace_back(asked[i], claim);
+    }
+}
+
+auto scheduler::release_claims(step_record& step) -> void
+{
+    for (const auto& [worker, claim] : step.approvals.claims)
+    {
+        worker->claimed_millicpus -= claim;
+    }
+    step.approvals.claims.clear();
+}
+
 auto scheduler::request_approval(const policy::waiting_step& item, bool early,
                                  time_point now) -> void
 {
@@ -179,6 +217,7 @@
         m_slow_request_slots_left -=
             std::min<std::size_t>(m_slow_request_slots_left, 1);
     }
+    claim_room(item, list);
     state.in_flight = true;
     state.requested_at = now;
     m_outbox.approval_requests.push_back(std::move(request));
@@ -193,6 +232,7 @@
         return;
     }
     auto& state = location.step->approvals;
+    release_claims(*location.step);
     state.in_flight = false;
     state.next_request_at = now + m_options.request_pause;
     if (!answer.approved)
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -272,7 +272,7 @@
             not_requested.push_back(&worker);
         }
     }
-    policy::sort_by_free_cpu(not_requested);
+    policy::sort_by_unclaimed_cpu(not_requested);
     const bool enough =
         approved_places >=
         m_options.gang_place_surplus * static_cast<double>(step.spec->count);
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -229,6 +229,7 @@
         for (auto& step : round.steps)
         {
             release_reservation(step);
+            release_claims(step);
         }
     }
     m_active.erase(job.arrival);
--- a/src/cell/worker_choice.cpp
+++ b/src/cell/worker_choice.cpp
@@ -95,6 +95,16 @@
                      });
 }
 
+auto sort_by_unclaimed_cpu(std::vector<worker_record*>& workers) -> void
+{
+    std::stable_sort(workers.begin(), workers.end(),
+                     [](const worker_record* left, const worker_record* right)
+                     {
+                         return left->unclaimed_millicpus() >
+                                right->unclaimed_millicpus();
+                     });
+}
+
 auto placement_cost(const worker_record& worker, const step_spec& step,
                     const worker_id& avoid) -> double
 {
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -278,3 +278,27 @@
     }
     cr_assert_eq(running.size(), static_cast<std::size_t>(jobs));
 }
+
+// A claim that outlived its request would keep its workers from being asked.
+Test(cell_approvals, claims_of_a_request_end_with_it_or_with_its_job)
+{
+    empty_cell cell;
+    const auto claimed = [&]
+    {
+        std::int64_t sum = 0;
+        for (const auto& [id, worker] : cell.simulation.jobs().workers())
+        {
+            sum += worker.claimed_millicpus;
+        }
+        return sum;
+    };
+    cell.accept("answered", 4, 23'000);
+    cell.accept("cancelled", 4, 23'000);
+    cell.simulation.run_for(milliseconds(100));
+    const auto of_both = claimed();
+    cr_assert_gt(of_both, 0);
+    cell.simulation.jobs().cancel(job_id("cancelled"), cell.simulation.now);
+    cr_assert_lt(claimed(), of_both);
+    cell.simulation.run_for(milliseconds(2'000));
+    cr_assert_eq(claimed(), 0);
+}
