A gang asks for as many workers at once as it needs

What callers saw: steps with nothing running beside free workers (LOST).

Cause: without a reservation a gang asked like any step, for 30 workers at a time, of which a third are approved, and spent these 30 on renewing tickets that had run out meanwhile. A reservation needs enough free places on approved workers, and until it is made other steps take these.

Change: gangs always choose by gang_workers_to_ask: workers not asked yet, until the expected places suffice, up to 100; tickets are renewed by the reservation. On that way a worker that restarted after its approval counted as asked, but nothing can start there on its old ticket; it is asked for again.

--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -86,7 +86,7 @@
 auto scheduler::workers_to_ask(const policy::waiting_step& item, time_point now)
     -> std::vector<worker_record*>
 {
-    if (item.step->reservation.since)
+    if (item.step->spec->gang)
     {
         return gang_workers_to_ask(item, now);
     }
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -246,7 +246,9 @@
 }
 
 /// With a complete reservation, requests new tickets for exactly the reserved
-/// workers; before that, looks for further workers that may run the gang.
+/// workers; before that, looks for further workers that may run the gang, as
+/// many at once as it needs: tickets of several requests are rarely valid at
+/// the same time.
 auto scheduler::gang_workers_to_ask(const policy::waiting_step& item,
                                     time_point now)
     -> std::vector<worker_record*>
@@ -264,8 +266,12 @@
     std::vector<worker_record*> not_requested;
     for (auto& [id, worker] : m_workers)
     {
-        const bool asked = step.approvals.refused.contains(&worker) ||
-                           step.approvals.approved.contains(&worker);
+        // A ticket for an earlier incarnation permits nothing.
+        const auto ticket = step.approvals.approved.find(&worker);
+        const bool approved =
+            ticket != step.approvals.approved.end() &&
+            ticket->second.incarnation == worker.entry.incarnation;
+        const bool asked = approved || step.approvals.refused.contains(&worker);
         if (!asked && is_usable(worker, *item.job, step, now) &&
             policy::places_when_empty(worker, *step.spec) > 0)
         {
--- a/tests/unit-cell-gangs.cpp
+++ b/tests/unit-cell-gangs.cpp
@@ -375,3 +375,22 @@
     }
     cr_assert_eq(reserved, 4'000);
 }
+
+// Guards against a gang that never starts: a worker that restarted after its
+// approval was counted as asked, but its ticket is of the earlier incarnation.
+Test(cell_gangs, a_gang_asks_again_for_a_restarted_worker)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 2'000);
+    simulation.add_worker("w2", 2'000);
+    simulation.run_for(settle_time);
+    simulation.jobs().accept(simple_job("lasting", 1, 1'000), simulation.now);
+    simulation.run_for(settle_time);
+    simulation.jobs().accept(approved_gang("gang", 4, 1'000), simulation.now);
+    simulation.run_for(std::chrono::seconds(2));
+    simulation.restart_worker("w2");
+    simulation.run_for(std::chrono::seconds(2));
+    simulation.jobs().cancel(job_id("lasting"), simulation.now);
+    simulation.run_for(std::chrono::seconds(3));
+    cr_assert_eq(simulation.running(), 4u);
+}
