Renewed tickets do not raise the estimated approval rate

With a rate that is too high a step asks for too few workers, gets none approved, and asks again half a second later.

Cause: the moving average of the share of approved workers also counted requests for new tickets, which are granted always.

Change: only workers that are asked for the first time for a step count.

--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -239,6 +239,8 @@
     {
         return;
     }
+    std::size_t first_asked = 0;
+    std::size_t first_approved = 0;
     for (const auto& id : answer.asked)
     {
         const auto worker = m_workers.find(id);
@@ -246,6 +248,7 @@
             !state.approved.contains(&worker->second))
         {
             state.refused.insert(&worker->second);
+            ++first_asked;
         }
     }
     for (const auto& item : *answer.approved)
@@ -255,16 +258,18 @@
         {
             continue;
         }
-        state.refused.erase(&worker->second);
+        first_approved += state.refused.erase(&worker->second);
         state.approved[&worker->second] = {item.ticket,
                                            now + answer.ticket_lifetime,
                                            worker->second.entry.incarnation};
     }
-    if (!answer.asked.empty())
+    // A new ticket for an approved worker is certain and tells nothing about
+    // the others.
+    if (first_asked > 0)
     {
         const auto& queue = location.job->spec->queue.name;
-        const auto share = static_cast<double>(answer.approved->size()) /
-                           static_cast<double>(answer.asked.size());
+        const auto share = static_cast<double>(first_approved) /
+                           static_cast<double>(first_asked);
         const auto rate = approval_rate(queue);
         m_approval_rates[queue] = rate + rate_weight * (share - rate);
     }
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -302,3 +302,31 @@
     cell.simulation.run_for(milliseconds(2'000));
     cr_assert_eq(claimed(), 0);
 }
+
+// Guards against requests that name too few workers: renewed tickets, which are
+// always granted, raised the estimated share of approved workers.
+Test(cell_approvals, renewed_tickets_do_not_raise_the_approval_rate)
+{
+    empty_cell cell;
+    constexpr int runs = 40;
+    cell.accept("first", 1, 23'000);
+    cell.simulation.run_for(milliseconds(2'000));
+    const auto few = cell.simulation.approval_requests.back().workers.size();
+    for (int run = 0; run < runs; ++run)
+    {
+        for (auto& [id, worker] : cell.simulation.workers)
+        {
+            while (!worker.runs.empty())
+            {
+                cell.simulation.end_run(id.str(), worker.runs.begin()->first,
+                                        cell::run_end::lease_expired);
+            }
+        }
+        cell.simulation.run_for(milliseconds(3'000));
+    }
+    cell.accept("second", 1, 23'000);
+    cell.simulation.run_for(milliseconds(40));
+    const auto& last = cell.simulation.approval_requests.back();
+    cr_assert_eq(last.step.job, job_id("second"));
+    cr_assert_geq(last.workers.size(), few);
+}
