A worker without runs that missed a call is used again

Cause: a worker with unanswered calls gets no starts until it answers a heartbeat, but a reconciled worker without runs was sent none. A worker whose runs were given up with its lease, or that could not be reached for a moment when an idle one was given its first run (the start not sent, the heartbeat beside it failed), stayed excluded until it restarted or the owner changed.

Change: a registered worker with unanswered calls is sent heartbeats until it answers.

Result: on the code before, cell_leases:: a_worker_that_lost_its_runs_with_its_lease_is_used_again (line 73) and an_idle_worker_that_missed_a_start_is_used_again (line 89) fail with 0 runs in place of 1, 14 of 16 tests of cell_leases pass. Now all 133 tests of 'cell*/*' pass.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -321,7 +321,9 @@
     const bool has_unsaved_ends = worker.ends_received > worker.ends_durable;
     const bool has_unacknowledged_ends =
         worker.ends_durable > worker.ends_acknowledged;
-    const bool needed = must_reconcile || has_unsaved_ends ||
+    // Only an answer shows that the worker can be used again.
+    const bool must_answer = worker.registered && worker.unanswered_calls > 0;
+    const bool needed = must_reconcile || must_answer || has_unsaved_ends ||
                         has_unacknowledged_ends || !worker.runs.empty();
     if (!needed)
     {
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -54,6 +54,41 @@
     cr_assert_eq(simulation.workers.at(worker_id("w2")).runs.size(), 1u);
 }
 
+// Guards against a worker that gets no work for good: its runs were given up
+// with its lease, and without runs it was sent no heartbeat that could show that
+// it answers again.
+Test(cell_leases, a_worker_that_lost_its_runs_with_its_lease_is_used_again)
+{
+    cell_simulation simulation;
+    auto& worker = simulation.add_worker("w1", 4'000);
+    simulation.run_pass();
+    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+    simulation.run_for(milliseconds(200));
+    cr_assert_eq(simulation.running(), 1u);
+    worker.receives_orders = false;
+    simulation.run_for(longest_wait + milliseconds(1'000));
+    cr_assert_eq(simulation.running(), 0u);
+    worker.receives_orders = true;
+    simulation.run_for(milliseconds(3'000));
+    cr_assert_eq(simulation.running(), 1u);
+}
+
+// The same after a short outage of an idle worker: the start order was not sent
+// and the heartbeat beside it failed.
+Test(cell_leases, an_idle_worker_that_missed_a_start_is_used_again)
+{
+    cell_simulation simulation;
+    auto& worker = simulation.add_worker("w1", 4'000);
+    simulation.run_pass();
+    worker.receives_orders = false;
+    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+    simulation.run_for(milliseconds(1'000));
+    cr_assert_eq(simulation.running(), 0u);
+    worker.receives_orders = true;
+    simulation.run_for(milliseconds(3'000));
+    cr_assert_eq(simulation.running(), 1u);
+}
+
 Test(cell_leases, a_worker_that_answers_keeps_its_work)
 {
     cell_simulation simulation;
