A lost answer to a removal no longer blocks the roster

Cause: after a conflict the roster writer took the versions of its rows from the store's answer only. A row whose removal had taken effect, though the answer was lost, isn't in that answer, so its version stayed and each later batch with it conflicted again, every 120 ms. Until the next takeover no new or restarted worker got a row, and workers without a row are given no work.

Change: a row of the batch that the answer leaves out has version 0. An answer without the epoch row changes nothing and is logged. The fake store leaves rows that don't exist out of a conflict, as the soak's does.

--- a/include/pimentoshunt/cell/roster_writer.hpp
+++ b/include/pimentoshunt/cell/roster_writer.hpp
@@ -7,7 +7,9 @@
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/scheduler.hpp>
 #include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/logging.hpp>
 
+#include <algorithm>  // find_if
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // enable_shared_from_this
@@ -109,28 +111,57 @@
         m_next_write = boot_clock::now() + retry_pause;
         if (result.state == commit_state::conflict)
         {
-            update_versions(result);
+            update_versions(change, result);
         }
     }
 
     /// Handles a conflict: either there is a later owner, or an earlier write
     /// succeeded although its answer was lost.
-    auto update_versions(const commit_result& result) -> void
+    auto update_versions(const roster_change& change,
+                         const commit_result& result) -> void
     {
-        for (const auto& row : result.current)
+        const auto* const epoch = find_row(result, epoch_row());
+        if (epoch == nullptr)
         {
-            const auto version = row.removed ? 0 : row.version;
-            if (row.at == epoch_row())
-            {
-                if (version != m_epoch_version)
-                {
-                    m_callbacks.overtaken();
-                    return;
-                }
-                continue;
-            }
-            m_scheduler.set_roster_version(worker_id(row.at.key), version);
+            // The row is never removed: the answer is incomplete.
+            logging::error("roster conflict without the epoch row");
+            return;
         }
+        if (epoch->version != m_epoch_version)
+        {
+            m_callbacks.overtaken();
+            return;
+        }
+        for (const auto& item : change.writes)
+        {
+            update_version(item.worker.entry.id, result);
+        }
+        for (const auto& item : change.removals)
+        {
+            update_version(item.worker, result);
+        }
+    }
+
+    auto update_version(const worker_id& worker, const commit_result& result)
+        -> void
+    {
+        const auto* const row = find_row(result, roster_row(worker));
+        m_scheduler.set_roster_version(worker,
+                                       row == nullptr ? 0 : row->version);
+    }
+
+    /// @return nullptr if the row does not exist: the store may leave it out of
+    ///         its answer
+    static auto find_row(const commit_result& result, const row_key& at)
+        -> const stored_row*
+    {
+        const auto row =
+            std::find_if(result.current.begin(), result.current.end(),
+                         [&](const stored_row& found)
+                         {
+                             return found.at == at && !found.removed;
+                         });
+        return row == result.current.end() ? nullptr : &*row;
     }
 
     Platform& m_platform;
--- a/tests/fakes/fake_cell_store.hpp
+++ b/tests/fakes/fake_cell_store.hpp
@@ -185,7 +185,10 @@
             const auto now = row(condition.at);
             const auto version = now.removed ? 0 : now.version;
             conditions_met = conditions_met && version == condition.version;
-            out.current.push_back(now);
+            if (!now.removed)
+            {
+                out.current.push_back(now);
+            }
         }
         if (!conditions_met)
         {
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -5,6 +5,7 @@
 
 #include <pimentoshunt/cell/cell_loader.hpp>
 #include <pimentoshunt/cell/inbox_writer.hpp>
+#include <pimentoshunt/cell/roster_writer.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
 
 #include <criterion/criterion.h>
@@ -387,3 +388,60 @@
     cr_assert(!cell::read_job("no job").has_value());
     cr_assert(!cell::read_progress("\xff\xff").has_value());
 }
+
+// A removal whose answer was lost conflicted with every later write: no new
+// worker got a row, so that none could be given work.
+Test(cell_store, a_lost_answer_to_a_removal_does_not_block_the_roster)
+{
+    boost::asio::io_context control;
+    fake_cell_store store(control);
+    cell::row_transaction takeover;
+    takeover.writes.push_back({cell::epoch_row(), "1"});
+    store.commit(takeover, milliseconds(100), [](const auto&) {});
+    run_ready(control);
+    fakes::cell_simulation simulation;
+    // Only the writer under test stores the roster.
+    simulation.store_answers = false;
+    const auto roster = std::make_shared<cell::roster_writer<fake_cell_store>>(
+        store, simulation.jobs(), store.row(cell::epoch_row()).version,
+        cell::roster_writer<fake_cell_store>::listener{[] {}, [] {}});
+    const auto write_until = [&](auto done)
+    {
+        run_until(control,
+                  [&]
+                  {
+                      roster->write(boot_clock::now());
+                      return done();
+                  });
+    };
+    const auto has_row = [&](const char* name)
+    {
+        return !store.row(cell::roster_row(worker_id(name))).removed;
+    };
+    simulation.add_worker("w1", 4'000);
+    simulation.run_for(milliseconds(200));
+    write_until(
+        [&]
+        {
+            return has_row("w1");
+        });
+    cr_assert(has_row("w1"));
+    run_ready(control);
+    store.lost_answers = 1;
+    simulation.jobs().on_worker_unregistered(worker_id("w1"));
+    write_until(
+        [&]
+        {
+            return !has_row("w1");
+        });
+    cr_assert(!has_row("w1"));
+    cr_assert_eq(store.lost_answers, 0);
+    simulation.add_worker("w2", 4'000);
+    simulation.run_for(milliseconds(200));
+    write_until(
+        [&]
+        {
+            return has_row("w2");
+        });
+    cr_assert(has_row("w2"));
+}
