A step meets silent instances at each approval request no longer

An instance that is heard but doesn't answer was chosen again: the dispatcher took the idle instance that comes last by name. With slow calls, which time out after 1.1 s, the first of three such instances had cooled down when the third one timed out, so that a step that was alone never got an answer.

The dispatcher now takes the instance with the fewest calls in a row without an answer, then the one that answered last. A request that follows an unanswered one prefers the owner, which needs no message.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -67,14 +67,18 @@
     /// value.
     auto add(approval_request request, time_point now) -> void;
 
-    /// @brief Assigns waiting requests to idle instances.
-    /// @param instances  names of the instances that can call the service now
+    /// @brief Assigns waiting requests to idle instances, first to those whose
+    /// calls have been answered.
+    /// @param instances  names of the instances that can call the service now;
+    ///                   the first one is the owner, to which no message can get
+    ///                   lost
     [[nodiscard]] auto assign(const std::vector<std::string>& instances,
                               time_point now) -> std::vector<assigned_request>;
 
     /// @brief Removes an answered request and returns it; nothing if it is
     /// unknown or has timed out.
-    auto answered(std::uint64_t number) -> std::optional<approval_request>;
+    auto answered(std::uint64_t number, time_point now)
+        -> std::optional<approval_request>;
 
     /// @brief Removes the requests whose answer is overdue; they count as
     /// failed.
@@ -101,6 +105,18 @@
         time_point times_out_at;
     };
 
+    /// What is known of an instance from its earlier calls.
+    struct instance_record
+    {
+        /// Calls without an answer since the last answer.
+        unsigned unanswered = 0;
+        time_point answered_at;
+        time_point cooldown_until;
+    };
+
+    /// Takes the instance for @p request from the names of idle ones.
+    auto take_instance(std::vector<std::string>& idle,
+                       const approval_request& request) -> std::string;
     [[nodiscard]] auto is_slow(const approval_request& request) const -> bool
     {
         return request.expected >= m_options.slow_threshold;
@@ -119,7 +135,7 @@
     time_point m_decayed_at;
     std::vector<approval_request> m_waiting;
     std::map<std::uint64_t, in_flight_call> m_in_flight;
-    std::map<std::string, time_point> m_cooldown_until;
+    std::map<std::string, instance_record> m_instances;
     /// Bits of a request number below the epoch: more than an owner can use up.
     static constexpr unsigned request_number_bits = 32;
 
--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -143,6 +143,8 @@
     std::unordered_map<worker_record*, ticket> approved;
     std::set<const worker_record*> refused;
     bool in_flight = false;
+    /// Requests without an answer since the last answer.
+    std::uint32_t unanswered = 0;
     /// When the request in flight was made.
     time_point requested_at;
     time_point next_request_at;
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -81,6 +81,8 @@
     std::vector<worker_id> workers;
     /// Lower comes first.
     std::uint32_t priority = 0;
+    /// Requests of the step that got no answer since the last one that did.
+    std::uint32_t unanswered = 0;
     /// Expected duration of the call once the service handles it.
     milliseconds expected{0};
 };
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -171,7 +171,7 @@
     auto on_request_answered(std::uint64_t number, approval_response answer)
         -> void
     {
-        const auto request = m_approvals.answered(number);
+        const auto request = m_approvals.answered(number, steady_now());
         if (!request)
         {
             return;
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -78,9 +78,7 @@
     std::vector<std::string> idle;
     for (const auto& name : instances)
     {
-        const auto cooldown_end = m_cooldown_until.find(name);
-        const bool cooling_down = cooldown_end != m_cooldown_until.end() &&
-                                  now < cooldown_end->second;
+        const bool cooling_down = now < m_instances[name].cooldown_until;
         if (!busy.contains(name) && !cooling_down)
         {
             idle.push_back(name);
@@ -100,16 +98,45 @@
         }
         slow_in_flight += slow ? 1 : 0;
         const auto number = ++m_last_number;
-        m_in_flight[number] = {idle.back(), *item,
+        auto instance = take_instance(idle, *item);
+        m_in_flight[number] = {instance, *item,
                                now + item->expected + m_options.timeout_margin};
-        out.push_back({number, idle.back(), std::move(*item)});
-        idle.pop_back();
+        out.push_back({number, std::move(instance), std::move(*item)});
         item = m_waiting.erase(item);
     }
     return out;
 }
 
-auto approval_dispatcher::answered(std::uint64_t number)
+auto approval_dispatcher::take_instance(std::vector<std::string>& idle,
+                                        const approval_request& request)
+    -> std::string
+{
+    // Silent instances are not recognised by their hellos. The owner needs no
+    // message to make a call, so that it is the safest choice for a request
+    // that got no answer elsewhere.
+    const auto is_better =
+        [&](const std::string& left, const std::string& right)
+    {
+        const auto& first = m_instances[left];
+        const auto& second = m_instances[right];
+        return first.unanswered != second.unanswered
+                   ? first.unanswered < second.unanswered
+                   : first.answered_at > second.answered_at;
+    };
+    auto best = idle.begin();
+    for (auto item = idle.begin(); item != idle.end(); ++item)
+    {
+        // Among equal ones the last one, or the first one after a failure.
+        const bool better = request.unanswered == 0 ? !is_better(*best, *item)
+                                                    : is_better(*item, *best);
+        best = better ? item : best;
+    }
+    auto out = std::move(*best);
+    idle.erase(best);
+    return out;
+}
+
+auto approval_dispatcher::answered(std::uint64_t number, time_point now)
     -> std::optional<approval_request>
 {
     const auto found = m_in_flight.find(number);
@@ -117,6 +144,9 @@
     {
         return std::nullopt;
     }
+    auto& instance = m_instances[found->second.instance];
+    instance.unanswered = 0;
+    instance.answered_at = now;
     auto out = std::move(found->second.request);
     m_in_flight.erase(found);
     return out;
@@ -133,7 +163,9 @@
             ++item;
             continue;
         }
-        m_cooldown_until[item->second.instance] = now + m_options.cooldown;
+        auto& instance = m_instances[item->second.instance];
+        ++instance.unanswered;
+        instance.cooldown_until = now + m_options.cooldown;
         out.push_back({item->first, item->second.instance,
                        std::move(item->second.request)});
         item = m_in_flight.erase(item);
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -200,6 +200,7 @@
     const auto priority = 2 * item.job->spec->queue.priority;
     request.priority = has_reservation ? std::max(priority, 1u) - 1
                                        : priority + (early ? 1 : 0);
+    request.unanswered = state.unanswered;
     for (const auto* worker : list)
     {
         request.workers.push_back(worker->entry.id);
@@ -237,8 +238,10 @@
     state.next_request_at = now + m_options.request_pause;
     if (!answer.approved)
     {
+        ++state.unanswered;
         return;
     }
+    state.unanswered = 0;
     std::size_t first_asked = 0;
     std::size_t first_approved = 0;
     for (const auto& id : answer.asked)
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -8,8 +8,10 @@
 #include <criterion/criterion.h>
 
 #include <functional> // hash
+#include <optional>   // optional
 #include <set>        // set
 #include <string>     // string, to_string
+#include <vector>     // vector
 
 using namespace pimentoshunt;
 using cell::approval_dispatcher;
@@ -54,8 +56,78 @@
     return job;
 }
 
+/// Time from the first request of a step to its answer. The step asks again
+/// 60 ms after each failure.
+/// @param silent  whether the instance never answers
+/// @param limit   returned if there is no answer by then
+template<class Silent>
+auto time_to_answer(approval_dispatcher& dispatcher, milliseconds expected,
+                    const std::vector<std::string>& instances, Silent silent,
+                    milliseconds limit) -> milliseconds
+{
+    constexpr milliseconds pass{10};
+    constexpr milliseconds pause{60};
+    const time_point began{std::chrono::hours(1)};
+    auto now = began;
+    auto next_request_at = began;
+    auto item = request("step", 0, expected);
+    bool in_flight = false;
+    std::optional<time_point> answer_at;
+    while (now < began + limit)
+    {
+        if (answer_at && now >= *answer_at)
+        {
+            return std::chrono::duration_cast<milliseconds>(now - began);
+        }
+        if (!dispatcher.take_timed_out(now).empty())
+        {
+            in_flight = false;
+            ++item.unanswered;
+            next_request_at = now + pause;
+        }
+        if (!in_flight && now >= next_request_at)
+        {
+            dispatcher.add(item, now);
+            in_flight = true;
+        }
+        for (const auto& sent : dispatcher.assign(instances, now))
+        {
+            if (!silent(sent.instance))
+            {
+                answer_at = now + expected;
+            }
+        }
+        now += pass;
+    }
+    return limit;
+}
+
 } // namespace
 
+// Guards against a step that meets one of three silent instances at each
+// attempt: the first one was tried again when the third one had timed out.
+Test(cell_approvals, three_silent_instances_of_42_do_not_starve_a_step)
+{
+    constexpr milliseconds bound{3'000};
+    const auto instances = names(42);
+    // The first name is the owner's own.
+    for (std::size_t first = 1; first + 3 <= instances.size(); ++first)
+    {
+        const std::set<std::string> silent(instances.begin() + first,
+                                           instances.begin() + first + 3);
+        approval_dispatcher dispatcher(first_epoch);
+        const auto took = time_to_answer(
+            dispatcher, slow_call, instances,
+            [&](const std::string& name)
+            {
+                return silent.contains(name);
+            },
+            milliseconds(20'000));
+        cr_assert_lt(took, bound, "silent from %zu: %lld ms", first,
+                     static_cast<long long>(took.count()));
+    }
+}
+
 Test(cell_approvals, quick_requests_come_before_slow_ones)
 {
     approval_dispatcher dispatcher(first_epoch);
@@ -81,7 +153,7 @@
         dispatcher.add(request("quick", 0, quick_call), now);
         for (const auto& item : dispatcher.assign(names(5), now))
         {
-            (void)dispatcher.answered(item.number);
+            (void)dispatcher.answered(item.number, now);
         }
     }
     for (int i = 0; i < 5; ++i)
@@ -104,8 +176,8 @@
     later.add(request("second", 0, quick_call), now);
     const auto old_number = earlier.assign(names(1), now).at(0).number;
     const auto new_number = later.assign(names(1), now).at(0).number;
-    cr_assert(!later.answered(old_number));
-    const auto own = later.answered(new_number);
+    cr_assert(!later.answered(old_number, now));
+    const auto own = later.answered(new_number, now);
     cr_assert(own && own->step.job == job_id("second"));
 }
 
