A worker that never returns leaves the roster

Cause: a row of the roster was removed only after the worker had sent a complete report, or was closed. A worker that died while no instance owned the cell does neither: its row stayed, and each later owner kept all inherited jobs waiting until its leases would have ended, up to 8.3 s after each takeover.

Change: the row of a worker that is not registered, does not answer and has no runs is removed once all leases on it have surely expired. From that moment its tasks may run elsewhere under this owner as well, so a later owner has nothing to ask it.

Result: cell_takeover::a_worker_that_never_returns_leaves_the_roster failed before (0 removals for 1) and passes now; cell*: 134 of 134.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -68,6 +68,8 @@
     std::uint64_t roster_version = 0;
     /// Whether it has sent a complete report in this epoch.
     bool reconciled = false;
+    /// Whether it does not answer and all leases on it have surely expired.
+    bool leases_expired = false;
     /// When its current incarnation was detected, unless it is the first known.
     time_point restarted_at;
     /// Last reading of its clock, and when the reading arrived.
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -47,7 +47,7 @@
         }
         else if (!worker.registered && worker.runs.empty() &&
                  worker.roster_version > 0 &&
-                 (worker.reconciled || worker.closed))
+                 (worker.reconciled || worker.closed || worker.leases_expired))
         {
             out.removals.push_back({id, worker.roster_version});
             worker.enrolled = false;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -93,6 +93,7 @@
     worker.clock.reset();
     worker.lease_end = worker_time{0};
     worker.reconciled = false;
+    worker.leases_expired = false;
     worker.no_starts_until = {};
     worker.next_heartbeat_at = now;
     // An answer that is still on its way comes from the earlier incarnation.
@@ -285,6 +286,7 @@
     const auto lease_expired =
         std::max(lease_expires_at(worker),
                  worker.restarted_at + max_elapsed(m_options.lease));
+    worker.leases_expired = worker.unanswered_calls > 0 && now >= lease_expired;
     if (!unanswered || now < lease_expired)
     {
         return;
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -249,3 +249,34 @@
     cr_assert(simulation.jobs().state_of(job_id("j1")) ==
               cell::job_state::succeeded);
 }
+
+// A worker that died while no instance owned the cell kept its row in the
+// roster for good, and each later owner waited for the end of its leases.
+Test(cell_takeover, a_worker_that_never_returns_leaves_the_roster)
+{
+    cell_simulation simulation(second_epoch);
+    unregistered_worker(simulation, "w1").receives_orders = false;
+    simulation.store_answers = false;
+    simulation.run_for(milliseconds(1'000));
+    cr_assert(simulation.jobs().take_roster_changes(10).removals.empty(),
+              "a later owner has to ask it while its leases may last");
+    simulation.run_for(time_until_leases_end());
+    const auto change = simulation.jobs().take_roster_changes(10);
+    cr_assert_eq(change.removals.size(), 1u);
+    cr_assert_eq(change.removals[0].worker, worker_id("w1"));
+}
+
+// The same for a worker that is registered but does not answer: its row stays,
+// since it may be given work once it answers.
+Test(cell_takeover, a_registered_worker_that_does_not_answer_keeps_its_row)
+{
+    cell_simulation simulation(second_epoch);
+    auto& silent = unregistered_worker(simulation, "w1");
+    silent.receives_orders = false;
+    simulation.jobs().on_worker_registered(silent.entry, simulation.now);
+    simulation.store_answers = false;
+    simulation.run_for(time_until_leases_end() + milliseconds(1'000));
+    const auto change = simulation.jobs().take_roster_changes(10);
+    cr_assert(change.removals.empty());
+    cr_assert(change.writes.empty());
+}
