--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -53,6 +53,8 @@
     int lost_starts = 0;
     /// How many of the next stop orders are lost before they arrive.
     int lost_stops = 0;
+    /// Whether its entry exists.
+    bool registered = true;
     /// Runs that a stop order has named; a late start of one has no effect.
     std::set<cell::run_ref> stopped_runs;
 
@@ -70,14 +72,20 @@
   public:
     explicit cell_simulation(std::uint64_t epoch = 1,
                              cell::scheduler_options options = {})
-        : m_scheduler(epoch, options, now)
+        : m_options(options)
     {
+        m_scheduler.emplace(epoch, m_options, now);
     }
 
     time_point now{std::chrono::hours(1)};
     /// Whether the store takes roster changes and progress; while false, they
     /// stay with the scheduler.
     bool store_answers = true;
+    /// How many of the next writes of changes fail without effect.
+    int failing_writes = 0;
+    /// How many of the next approval requests get no answer from the service.
+    int failing_approvals = 0;
+    milliseconds ticket_lifetime{2'500};
     /// Answers approval requests: whether the worker may run the step.
     std::function<bool(const cell::step_ref&, const worker_id&)> approves =
         [](const cell::step_ref&, const worker_id&)
@@ -96,11 +104,17 @@
     std::vector<cell::pace_order> paces;
     std::vector<cell::approval_request> approval_requests;
     std::map<worker_id, fake_cell_worker> workers;
+    /// Start orders that were lost; they may still arrive late.
+    std::vector<cell::start_order> lost_orders;
+    /// What the store holds.
+    std::map<job_id, cell::job_progress> stored_progress;
+    std::map<worker_id, std::pair<cell::roster_entry, std::uint64_t>>
+        stored_roster;
 
     /// @brief The scheduler under test.
     [[nodiscard]] auto jobs() -> cell::scheduler&
     {
-        return m_scheduler;
+        return *m_scheduler;
     }
 
     /// @brief Adds a worker with 100,000 MB of memory and registers it.
@@ -126,14 +140,53 @@
     /// @brief Tells the scheduler the worker's entry and stores the roster.
     auto register_worker(const fake_cell_worker& worker) -> void
     {
-        m_scheduler.on_worker_registered(worker.entry, now);
+        m_scheduler->on_worker_registered(worker.entry, now);
         store_changes();
     }
 
+    /// @brief Removes the worker's entry.
+    auto unregister_worker(fake_cell_worker& worker) -> void
+    {
+        worker.registered = false;
+        m_scheduler->on_worker_unregistered(worker.entry.id);
+    }
+
+    /// @brief Replaces the owner by one with the next epoch, which knows the
+    /// stored progress, the roster and the registered workers.
+    /// @param accepted  all jobs in the order of their arrival
+    auto take_over(const std::vector<cell::job_spec>& accepted) -> void
+    {
+        m_pending_heartbeats.clear();
+        m_pending_requests.clear();
+        m_scheduler.emplace(m_scheduler->epoch() + 1, m_options, now);
+        for (const auto& job : accepted)
+        {
+            cell::job_progress progress;
+            progress.id = job.id;
+            const auto stored = stored_progress.find(job.id);
+            m_scheduler->restore(
+                job,
+                stored == stored_progress.end() ? progress : stored->second,
+                now);
+        }
+        for (const auto& [id, worker] : workers)
+        {
+            if (worker.registered)
+            {
+                m_scheduler->on_worker_registered(worker.entry, now);
+            }
+        }
+        for (const auto& [id, row] : stored_roster)
+        {
+            m_scheduler->restore_worker(row.first, row.second, now);
+        }
+    }
+
     /// @brief Restarts a worker with the same entry but a later incarnation. Its
     /// runs, unacknowledged ends, lease and known epoch are lost, and the faults
     /// that the test has set are cleared.
-    auto restart_worker(const std::string& name) -> void
+    /// @param announce  whether the scheduler learns of it at once
+    auto restart_worker(const std::string& name, bool announce = true) -> void
     {
         auto& worker = workers.at(worker_id(name));
         const auto entry = worker.entry;
@@ -141,7 +194,10 @@
         worker.entry = entry;
         worker.entry.incarnation += milliseconds(50'000 + m_incarnations++);
         worker.started = now;
-        m_scheduler.on_worker_registered(worker.entry, now);
+        if (announce)
+        {
+            m_scheduler->on_worker_registered(worker.entry, now);
+        }
     }
 
     /// @brief Moves the clock by @p time, with a pass after each @p step.
@@ -162,7 +218,7 @@
     auto run_pass() -> void
     {
         answer_due_heartbeats();
-        auto out = m_scheduler.advance(now, calendar(), authority);
+        auto out = m_scheduler->advance(now, calendar(), authority);
         for (const auto& order : out.stops)
         {
             stops.push_back(order);
@@ -266,7 +322,6 @@
     static constexpr std::size_t max_reported_ends = 500;
     /// Time after which an unanswered heartbeat fails.
     static constexpr milliseconds call_timeout{600};
-    static constexpr milliseconds ticket_lifetime{2'500};
 
     auto find_worker(const worker_id& id) -> fake_cell_worker*
     {
@@ -277,28 +332,30 @@
     auto deliver_start(const cell::start_order& order) -> void
     {
         auto* const worker = find_worker(order.target.worker);
-        if (worker == nullptr || !worker->receives_orders)
+        if (worker == nullptr || !worker->receives_orders ||
+            order.target.incarnation != worker->entry.incarnation)
         {
-            m_scheduler.on_start_answered(
+            m_scheduler->on_start_answered(
                 order, cell::start_outcome::unreachable, std::nullopt, now);
             return;
         }
         if (worker->lost_starts > 0)
         {
             --worker->lost_starts;
-            m_scheduler.on_start_answered(order, cell::start_outcome::unknown,
-                                          std::nullopt, now);
+            lost_orders.push_back(order);
+            m_scheduler->on_start_answered(order, cell::start_outcome::unknown,
+                                           std::nullopt, now);
             return;
         }
         const auto clock = worker->clock(now);
         if (order.target.epoch < worker->highest_epoch)
         {
-            m_scheduler.on_start_answered(order, cell::start_outcome::fenced,
-                                          clock, now);
+            m_scheduler->on_start_answered(order, cell::start_outcome::fenced,
+                                           clock, now);
             return;
         }
         begin_run(*worker, order);
-        m_scheduler.on_start_answered(
+        m_scheduler->on_start_answered(
             order,
             worker->answers_orders ? cell::start_outcome::started
                                    : cell::start_outcome::unknown,
@@ -331,7 +388,8 @@
             --worker->lost_stops;
         }
         const bool arrived =
-            worker != nullptr && worker->receives_orders && !lost;
+            worker != nullptr && worker->receives_orders && !lost &&
+            order.target.incarnation == worker->entry.incarnation;
         if (arrived)
         {
             worker->stopped_runs.insert(order.run);
@@ -341,8 +399,8 @@
             end_run(order.target.worker.str(), order.run,
                     cell::run_end::stopped);
         }
-        m_scheduler.on_stop_answered(order, arrived && worker->answers_orders,
-                                     now);
+        m_scheduler->on_stop_answered(order, arrived && worker->answers_orders,
+                                      now);
     }
 
     auto answer_due_heartbeats() -> void
@@ -370,7 +428,12 @@
             {
                 return false;
             }
-            m_scheduler.on_heartbeat_answered(item.order, std::nullopt, now);
+            m_scheduler->on_heartbeat_answered(item.order, std::nullopt, now);
+            return true;
+        }
+        if (item.order.target.incarnation != worker->entry.incarnation)
+        {
+            m_scheduler->on_heartbeat_answered(item.order, std::nullopt, now);
             return true;
         }
         worker->highest_epoch =
@@ -402,7 +465,7 @@
         {
             report.present.push_back(run.reported);
         }
-        m_scheduler.on_heartbeat_answered(item.order, report, now);
+        m_scheduler->on_heartbeat_answered(item.order, report, now);
         return true;
     }
 
@@ -420,6 +483,12 @@
             answer.step = item.request.step;
             answer.asked = item.request.workers;
             answer.ticket_lifetime = ticket_lifetime;
+            if (failing_approvals > 0)
+            {
+                --failing_approvals;
+                m_scheduler->on_approval_response(answer, now);
+                continue;
+            }
             answer.approved.emplace();
             for (const auto& id : item.request.workers)
             {
@@ -428,7 +497,7 @@
                     answer.approved->push_back({id, "ticket"});
                 }
             }
-            m_scheduler.on_approval_response(answer, now);
+            m_scheduler->on_approval_response(answer, now);
         }
     }
 
@@ -469,15 +538,40 @@
             return;
         }
         constexpr std::size_t max_batch_size = 80;
-        m_scheduler.on_roster_stored(
-            m_scheduler.take_roster_changes(max_batch_size), ++m_version);
-        if (const auto batch = m_scheduler.take_progress(max_batch_size))
+        const auto change = m_scheduler->take_roster_changes(max_batch_size);
+        const auto batch = m_scheduler->take_progress(max_batch_size);
+        if (failing_writes > 0)
         {
-            m_scheduler.on_progress_stored(*batch, now);
+            --failing_writes;
+            m_scheduler->on_roster_write_failed(change);
+            if (batch)
+            {
+                m_scheduler->on_progress_write_failed(*batch);
+            }
+            return;
+        }
+        ++m_version;
+        for (const auto& item : change.writes)
+        {
+            stored_roster[item.worker.entry.id] = {item.worker, m_version};
+        }
+        for (const auto& item : change.removals)
+        {
+            stored_roster.erase(item.worker);
+        }
+        m_scheduler->on_roster_stored(change, m_version);
+        if (batch)
+        {
+            for (const auto& progress : batch->jobs)
+            {
+                stored_progress[progress.id] = progress;
+            }
+            m_scheduler->on_progress_stored(*batch, now);
         }
     }
 
-    cell::scheduler m_scheduler;
+    cell::scheduler_options m_options;
+    std::optional<cell::scheduler> m_scheduler;
     std::vector<pending_heartbeat> m_pending_heartbeats;
     std::vector<pending_request> m_pending_requests;
     int m_incarnations = 0;
