An instance whose approval call failed is not chosen again at once

A call that fails fast (the service is out of the instance's reach, or answers 429) left its instance idle, with the rank of one that had been answered. The step's next attempt 60 ms later met it again, each time.

Such a call now counts as unanswered, and its instance cools down for 250 ms, so that a cell whose calls all fail soon tries again.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -36,6 +36,9 @@
     milliseconds timeout_margin{500};
     /// An instance whose call timed out gets no further calls for this time.
     milliseconds cooldown{1'500};
+    /// The same for an instance that reported a failed call: the service was
+    /// busy or out of its reach.
+    milliseconds failure_cooldown{250};
 };
 
 /// @brief A request and the instance that sends it to the service.
@@ -80,6 +83,12 @@
     auto answered(std::uint64_t number, time_point now)
         -> std::optional<approval_request>;
 
+    /// @brief Removes a request for which the instance got no answer of the
+    /// service, and returns it; nothing if it is unknown or has timed out. The
+    /// instance cools down.
+    auto failed(std::uint64_t number, time_point now)
+        -> std::optional<approval_request>;
+
     /// @brief Removes the requests whose answer is overdue; they count as
     /// failed.
     [[nodiscard]] auto take_timed_out(time_point now)
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -171,14 +171,16 @@
     auto on_request_answered(std::uint64_t number, approval_response answer)
         -> void
     {
-        const auto request = m_approvals.answered(number, steady_now());
+        const auto now = steady_now();
+        const auto request = answer.approved ? m_approvals.answered(number, now)
+                                             : m_approvals.failed(number, now);
         if (!request)
         {
             return;
         }
         answer.step = request->step;
         answer.asked = request->workers;
-        m_scheduler.on_approval_response(answer, steady_now());
+        m_scheduler.on_approval_response(answer, now);
         request_pass();
     }
 
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -152,6 +152,22 @@
     return out;
 }
 
+auto approval_dispatcher::failed(std::uint64_t number, time_point now)
+    -> std::optional<approval_request>
+{
+    const auto found = m_in_flight.find(number);
+    if (found == m_in_flight.end())
+    {
+        return std::nullopt;
+    }
+    auto& instance = m_instances[found->second.instance];
+    ++instance.unanswered;
+    instance.cooldown_until = now + m_options.failure_cooldown;
+    auto out = std::move(found->second.request);
+    m_in_flight.erase(found);
+    return out;
+}
+
 auto approval_dispatcher::take_timed_out(time_point now)
     -> std::vector<assigned_request>
 {
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -429,3 +429,40 @@
         cell.simulation.run_for(milliseconds(300));
     }
 }
+// Guards against an instance that can't reach the service and is chosen again
+// at each attempt, as it is idle again at once.
+Test(cell_approvals, an_instance_whose_call_failed_is_not_chosen_again)
+{
+    approval_dispatcher dispatcher(first_epoch);
+    time_point now{std::chrono::hours(1)};
+    std::set<std::string> chosen;
+    auto item = request("step", 0, quick_call);
+    for (int i = 0; i < 3; ++i)
+    {
+        dispatcher.add(item, now);
+        const auto sent = dispatcher.assign(names(5), now);
+        cr_assert_eq(sent.size(), 1u);
+        cr_assert(chosen.insert(sent.front().instance).second,
+                  "%s again at attempt %d", sent.front().instance.c_str(), i);
+        cr_assert(dispatcher.failed(sent.front().number, now));
+        ++item.unanswered;
+        now += milliseconds(60);
+    }
+}
+
+// Guards against a cell that asks no longer because all calls have failed.
+Test(cell_approvals, after_failed_calls_of_all_instances_one_is_tried_again)
+{
+    approval_dispatcher dispatcher(first_epoch);
+    time_point now{std::chrono::hours(1)};
+    for (int i = 0; i < 3; ++i)
+    {
+        dispatcher.add(request("step", 0, quick_call), now);
+        const auto sent = dispatcher.assign(names(3), now);
+        cr_assert_eq(sent.size(), 1u);
+        (void)dispatcher.failed(sent.front().number, now);
+    }
+    now += milliseconds(300);
+    dispatcher.add(request("step", 0, quick_call), now);
+    cr_assert_eq(dispatcher.assign(names(3), now).size(), 1u);
+}
