A ready step's approval request waits no longer at its early priority

A request made early for a step that isn't ready yet has a lower priority. If the step became ready while the request waited for an instance, it kept this priority and its list of workers: only requests in flight time out, so it waited as long as requests of ready steps kept coming.

The scheduler now asks again when the step's priority has risen, also for a completed reservation. The dispatcher replaces the waiting request of the step, or drops the new one if the step's request is being served.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -67,7 +67,8 @@
     }
 
     /// @brief Queues a request behind those of the same or a lower priority
-    /// value.
+    /// value. A waiting request for the same step is replaced; if the step's
+    /// request is being served, the new one is dropped.
     auto add(approval_request request, time_point now) -> void;
 
     /// @brief Assigns waiting requests to idle instances, first to those whose
--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -145,6 +145,8 @@
     std::unordered_map<worker_record*, ticket> approved;
     std::set<const worker_record*> refused;
     bool in_flight = false;
+    /// Priority of the request in flight.
+    std::uint32_t requested_priority = 0;
     /// Requests without an answer since the last answer.
     std::uint32_t unanswered = 0;
     /// When the request in flight was made.
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include <pimentoshunt/cell/approval_dispatcher.hpp>
 
-#include <algorithm> // max, min, stable_sort
+#include <algorithm> // any_of, max, min, stable_sort
 #include <cmath>     // ceil, exp
 #include <set>       // set
 #include <utility>   // move
@@ -50,8 +50,21 @@
 
 auto approval_dispatcher::add(approval_request request, time_point now) -> void
 {
+    const auto is_same_step = [&](const auto& other)
+    {
+        return other.step == request.step;
+    };
+    if (std::any_of(m_in_flight.begin(), m_in_flight.end(),
+                    [&](const auto& call)
+                    {
+                        return is_same_step(call.second.request);
+                    }))
+    {
+        return;
+    }
+    const auto replaced = std::erase_if(m_waiting, is_same_step);
     decay_quick_load(now);
-    if (!is_slow(request))
+    if (!is_slow(request) && replaced == 0)
     {
         using real_ms = std::chrono::duration<double, std::milli>;
         m_quick_load +=
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -185,8 +185,16 @@
     auto& state = item.step->approvals;
     const auto& terms = item.job->spec->queue.approval;
     const bool has_reservation = item.step->reservation.complete;
-    const bool may_be_slow = m_slow_request_slots_left > 0 || has_reservation;
-    if (state.in_flight || now < state.next_request_at ||
+    // Requests for ready steps precede those for later steps, and requests with
+    // reserved room precede both.
+    const auto queue_priority = 2 * item.job->spec->queue.priority;
+    const auto priority = has_reservation ? std::max(queue_priority, 1u) - 1
+                                          : queue_priority + (early ? 1 : 0);
+    // A request in flight may still wait for an instance.
+    const bool raised = state.in_flight && priority < state.requested_priority;
+    const bool may_be_slow =
+        m_slow_request_slots_left > 0 || has_reservation || raised;
+    if ((state.in_flight && !raised) || now < state.next_request_at ||
         (!may_be_slow && terms.time_per_call >= slow_approval_threshold))
     {
         return;
@@ -198,11 +206,7 @@
     }
     approval_request request;
     request.step = {item.job->spec->id, item.round->number, item.step->number};
-    // Requests for ready steps precede those for later steps, and requests with
-    // reserved room precede both.
-    const auto priority = 2 * item.job->spec->queue.priority;
-    request.priority = has_reservation ? std::max(priority, 1u) - 1
-                                       : priority + (early ? 1 : 0);
+    request.priority = priority;
     request.unanswered = state.unanswered;
     for (const auto* worker : list)
     {
@@ -219,11 +223,13 @@
             return;
         }
         m_slow_request_slots_left -=
-            std::min<std::size_t>(m_slow_request_slots_left, 1);
+            std::min<std::size_t>(m_slow_request_slots_left, raised ? 0 : 1);
     }
+    release_claims(*item.step);
     claim_room(item, list);
+    state.requested_at = raised ? state.requested_at : now;
     state.in_flight = true;
-    state.requested_at = now;
+    state.requested_priority = priority;
     m_outbox.approval_requests.push_back(std::move(request));
 }
 
