An unanswered approval request names its instance under a key of its own

Cause: the log line on a request without an answer wrote the instance under the key that each line has for its own instance, so that the line had it twice.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -661,7 +661,7 @@
             logging::info("approval request was not answered in time")
                 .with("job", lost.request.step.job)
                 .with("step", lost.request.step.step)
-                .with("instance", lost.instance)
+                .with("sent_to", lost.instance)
                 .with("asked", lost.request.workers.size())
                 .with("expected", lost.request.expected);
             approval_response none;
