The liveness test uses each worker once its faults are over

Cause: with a free cell, workers that stay excluded delay nothing, so that the test did not see them.

Change: after the faults each worker must finish a job that takes all of its processors: it must be in use and none of its room may be counted as taken.

--- a/tests/unit-cell-liveness.cpp
+++ b/tests/unit-cell-liveness.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds time_to_finish{60'000};
 /// A worker that gets no sign of its gang's other members ends its member.
 constexpr milliseconds gang_timeout{2'000};
+/// A job that needs a whole worker must finish within this time.
+constexpr milliseconds time_for_whole_worker{15'000};
 constexpr std::uint32_t everything = 100;
 
 /// A number from 0 to 99 that depends on the text and the seed only.
@@ -103,6 +105,10 @@
         }
         m_took = std::chrono::duration_cast<milliseconds>(m_simulation.now -
                                                           healed_at);
+        if (m_violation.empty())
+        {
+            use_each_worker();
+        }
         return m_violation;
     }
 
@@ -133,8 +139,10 @@
     auto add_worker() -> void
     {
         constexpr std::int64_t smallest = 32'000;
-        m_simulation.add_worker("w" + std::to_string(100 + m_workers++),
-                                smallest << between(0, 2));
+        const auto name = "w" + std::to_string(100 + m_workers++);
+        // The rack is a label, by which a job can ask for this worker.
+        m_simulation.add_worker(name, smallest << between(0, 2),
+                                "rack-" + name);
     }
 
     [[nodiscard]] auto spec_of(const job_id& id) const -> const cell::job_spec&
@@ -203,6 +211,33 @@
         m_simulation.jobs().accept(job, m_simulation.now);
     }
 
+    /// Accepts a job for each worker that takes all of its processors: none may
+    /// be excluded, and no room may be counted as taken.
+    auto use_each_worker() -> void
+    {
+        m_simulation.run_for(recovery_time);
+        for (const auto& [id, worker] : m_simulation.workers)
+        {
+            auto job = simple_job("whole-" + id.str(), 1,
+                                  worker.entry.capacity.millicpus);
+            job.steps.front().required_label = worker.entry.rack;
+            job.steps.front().estimate = task_estimate;
+            m_job_indexes[job.id] = m_jobs.size();
+            m_jobs.push_back(job);
+            m_simulation.jobs().accept(job, m_simulation.now);
+        }
+        const auto until = m_simulation.now + time_for_whole_worker;
+        while (m_simulation.now < until && m_violation.empty() &&
+               !all_finished())
+        {
+            pass();
+        }
+        if (m_violation.empty() && !all_finished())
+        {
+            m_violation = "not used:" + unfinished();
+        }
+    }
+
     auto maybe_cancel() -> void
     {
         if (!m_jobs.empty() && chance(3))
@@ -493,10 +528,12 @@
             for (auto& [ref, run] : worker.runs)
             {
                 const auto job = ref.task.step.job.str();
-                const bool fails = percent_of(job, m_seed) < 2 ||
-                                   percent_of(cell::to_string(ref.task) + "#" +
-                                                  std::to_string(ref.number),
-                                              m_seed) < 2;
+                const bool may_fail = !job.starts_with("whole-");
+                const bool fails =
+                    may_fail && (percent_of(job, m_seed) < 2 ||
+                                 percent_of(cell::to_string(ref.task) + "#" +
+                                                std::to_string(ref.number),
+                                            m_seed) < 2);
                 run.end_kind =
                     fails ? cell::run_end::failed : cell::run_end::done;
             }
