An approval that arrives after the time-out is used

The dispatcher forgot a request that had timed out (expected time plus 0.5 s), so that its answer was ignored without a log line. A step whose answers all come late, as with a slow instance or a slow way, starved although the service answered each time.

A timed-out call is kept for 5 s. Its answer counts for the step's approvals, but not as the answer to the request made since; it ends the instance's cooldown, not its rank behind the others. An answer to an unknown request is logged.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -39,6 +39,8 @@
     /// The same for an instance that reported a failed call: the service was
     /// busy or out of its reach.
     milliseconds failure_cooldown{250};
+    /// An answer that arrives this long after the time-out is still used.
+    milliseconds late_answer_limit{5'000};
 };
 
 /// @brief A request and the instance that sends it to the service.
@@ -49,6 +51,14 @@
     approval_request request;
 };
 
+/// @brief A request that an instance has answered.
+struct answered_request
+{
+    approval_request request;
+    /// Whether the request has already been taken as timed out.
+    bool late = false;
+};
+
 /// @brief Queue of approval requests that wait or are being served.
 class approval_dispatcher
 {
@@ -80,9 +90,9 @@
                               time_point now) -> std::vector<assigned_request>;
 
     /// @brief Removes an answered request and returns it; nothing if it is
-    /// unknown or has timed out.
+    /// unknown or timed out too long ago.
     auto answered(std::uint64_t number, time_point now)
-        -> std::optional<approval_request>;
+        -> std::optional<answered_request>;
 
     /// @brief Removes a request for which the instance got no answer of the
     /// service, and returns it; nothing if it is unknown or has timed out. The
@@ -145,6 +155,8 @@
     time_point m_decayed_at;
     std::vector<approval_request> m_waiting;
     std::map<std::uint64_t, in_flight_call> m_in_flight;
+    /// Calls that have timed out and may still be answered.
+    std::map<std::uint64_t, in_flight_call> m_late;
     std::map<std::string, instance_record> m_instances;
     /// Bits of a request number below the epoch: more than an owner can use up.
     static constexpr unsigned request_number_bits = 32;
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -105,6 +105,8 @@
     std::vector<worker_id> asked;
     std::optional<std::vector<approval>> approved;
     milliseconds ticket_lifetime{0};
+    /// Whether the request has already been reported as unanswered.
+    bool late = false;
 };
 
 /// @brief Result of a start order.
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -172,14 +172,27 @@
         -> void
     {
         const auto now = steady_now();
-        const auto request = answer.approved ? m_approvals.answered(number, now)
-                                             : m_approvals.failed(number, now);
-        if (!request)
+        if (!answer.approved)
         {
+            if (const auto request = m_approvals.failed(number, now))
+            {
+                answer.step = request->step;
+                answer.asked = request->workers;
+                m_scheduler.on_approval_response(answer, now);
+                request_pass();
+            }
+            return;
+        }
+        const auto answered = m_approvals.answered(number, now);
+        if (!answered)
+        {
+            logging::info("answer to an unknown approval request")
+                .with("number", number);
             return;
         }
-        answer.step = request->step;
-        answer.asked = request->workers;
+        answer.step = answered->request.step;
+        answer.asked = answered->request.workers;
+        answer.late = answered->late;
         m_scheduler.on_approval_response(answer, now);
         request_pass();
     }
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -150,18 +150,31 @@
 }
 
 auto approval_dispatcher::answered(std::uint64_t number, time_point now)
-    -> std::optional<approval_request>
+    -> std::optional<answered_request>
 {
-    const auto found = m_in_flight.find(number);
-    if (found == m_in_flight.end())
+    answered_request out;
+    auto call = m_in_flight.extract(number);
+    if (call.empty())
+    {
+        call = m_late.extract(number);
+        out.late = true;
+    }
+    if (call.empty())
     {
         return std::nullopt;
     }
-    auto& instance = m_instances[found->second.instance];
-    instance.unanswered = 0;
-    instance.answered_at = now;
-    auto out = std::move(found->second.request);
-    m_in_flight.erase(found);
+    auto& instance = m_instances[call.mapped().instance];
+    if (out.late)
+    {
+        // It is slow rather than silent: it may be used, after the others.
+        instance.cooldown_until = now;
+    }
+    else
+    {
+        instance.unanswered = 0;
+        instance.answered_at = now;
+    }
+    out.request = std::move(call.mapped().request);
     return out;
 }
 
@@ -171,6 +184,7 @@
     const auto found = m_in_flight.find(number);
     if (found == m_in_flight.end())
     {
+        m_late.erase(number);
         return std::nullopt;
     }
     auto& instance = m_instances[found->second.instance];
@@ -184,6 +198,12 @@
 auto approval_dispatcher::take_timed_out(time_point now)
     -> std::vector<assigned_request>
 {
+    std::erase_if(m_late,
+                  [&](const auto& item)
+                  {
+                      return now - item.second.times_out_at >
+                             m_options.late_answer_limit;
+                  });
     std::vector<assigned_request> out;
     for (auto item = m_in_flight.begin(); item != m_in_flight.end();)
     {
@@ -195,9 +215,9 @@
         auto& instance = m_instances[item->second.instance];
         ++instance.unanswered;
         instance.cooldown_until = now + m_options.cooldown;
-        out.push_back({item->first, item->second.instance,
-                       std::move(item->second.request)});
-        item = m_in_flight.erase(item);
+        out.push_back(
+            {item->first, item->second.instance, item->second.request});
+        m_late.insert(m_in_flight.extract(item++));
     }
     return out;
 }
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -242,15 +242,17 @@
         return;
     }
     auto& state = location.step->approvals;
-    release_claims(*location.step);
-    state.in_flight = false;
-    state.next_request_at = now + m_options.request_pause;
+    if (!answer.late)
+    {
+        release_claims(*location.step);
+        state.in_flight = false;
+        state.next_request_at = now + m_options.request_pause;
+        state.unanswered = answer.approved ? 0 : state.unanswered + 1;
+    }
     if (!answer.approved)
     {
-        ++state.unanswered;
         return;
     }
-    state.unanswered = 0;
     std::size_t first_asked = 0;
     std::size_t first_approved = 0;
     for (const auto& id : answer.asked)
@@ -263,6 +265,7 @@
             ++first_asked;
         }
     }
+    const auto valid_until = now + answer.ticket_lifetime;
     for (const auto& item : *answer.approved)
     {
         const auto worker = m_workers.find(item.worker);
@@ -271,9 +274,14 @@
             continue;
         }
         first_approved += state.refused.erase(&worker->second);
-        state.approved[&worker->second] = {item.ticket,
-                                           now + answer.ticket_lifetime,
-                                           worker->second.entry.incarnation};
+        const auto& incarnation = worker->second.entry.incarnation;
+        auto& known = state.approved[&worker->second];
+        const bool is_newer =
+            known.incarnation != incarnation || known.valid_until < valid_until;
+        if (is_newer)
+        {
+            known = {item.ticket, valid_until, incarnation};
+        }
     }
     // A new ticket for an approved worker is certain and tells nothing about
     // the others.
@@ -289,7 +297,8 @@
         .with("job", answer.step.job)
         .with("step", answer.step.step)
         .with("asked", answer.asked.size())
-        .with("approved", answer.approved->size());
+        .with("approved", answer.approved->size())
+        .with("late", answer.late);
 }
 
 } // namespace pimentoshunt::cell
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -178,7 +178,7 @@
     const auto new_number = later.assign(names(1), now).at(0).number;
     cr_assert(!later.answered(old_number, now));
     const auto own = later.answered(new_number, now);
-    cr_assert(own && own->step.job == job_id("second"));
+    cr_assert(own && own->request.step.job == job_id("second"));
 }
 
 Test(cell_approvals, without_quick_ones_slow_calls_use_most_instances)
@@ -517,3 +517,46 @@
     cr_assert_lt(simulation.approval_requests[2].priority,
                  simulation.approval_requests[1].priority);
 }
+
+// Guards against a step that starves as all answers arrive after the time-out:
+// they were ignored although the tickets were valid.
+Test(cell_approvals, an_answer_after_the_time_out_is_used)
+{
+    approval_dispatcher dispatcher(first_epoch);
+    time_point now{std::chrono::hours(1)};
+    dispatcher.add(request("step", 0, quick_call), now);
+    const auto sent = dispatcher.assign(names(1), now);
+    cr_assert_eq(sent.size(), 1u);
+    now += milliseconds(600);
+    cr_assert_eq(dispatcher.take_timed_out(now).size(), 1u);
+    now += milliseconds(200);
+    const auto answer = dispatcher.answered(sent.front().number, now);
+    cr_assert(answer.has_value());
+    cr_assert(answer->late);
+    cr_assert_eq(answer->request.step.job, job_id("step"));
+    cr_assert(!dispatcher.answered(sent.front().number, now));
+}
+
+Test(cell_approvals, a_late_answer_leaves_the_later_request_in_flight)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 4'000);
+    simulation.run_pass();
+    auto job = approved_job("j1", 6);
+    job.queue.approval.time_per_call = std::chrono::milliseconds(1'000);
+    simulation.jobs().accept(job, simulation.now);
+    simulation.run_for(milliseconds(100));
+    cr_assert_eq(simulation.approval_requests.size(), 1u);
+    cell::approval_response late;
+    late.step = simulation.approval_requests[0].step;
+    late.asked = simulation.approval_requests[0].workers;
+    late.approved = {{worker_id("w1"), "late"}};
+    late.ticket_lifetime = milliseconds(2'500);
+    late.late = true;
+    simulation.jobs().on_approval_response(late, simulation.now);
+    simulation.add_worker("w2", 4'000);
+    simulation.run_for(milliseconds(500));
+    cr_assert_eq(simulation.starts.size(), 4u);
+    cr_assert_eq(simulation.starts.front().ticket, "late");
+    cr_assert_eq(simulation.approval_requests.size(), 1u);
+}
