The lifetime of approval tickets counts from their issue

It was counted from the arrival of the answer at the owner.

The lifetime now counts from the earliest time at which the service can have answered: when the call was assigned plus its expected duration. The age of an answer is logged.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -55,6 +55,8 @@
 struct answered_request
 {
     approval_request request;
+    /// Longest time since the service can have issued the tickets.
+    milliseconds age{0};
     /// Whether the request has already been taken as timed out.
     bool late = false;
 };
@@ -122,6 +124,8 @@
     {
         std::string instance;
         approval_request request;
+        /// Earliest time at which the service can answer.
+        time_point due_at;
         time_point times_out_at;
     };
 
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -104,7 +104,10 @@
     step_ref step;
     std::vector<worker_id> asked;
     std::optional<std::vector<approval>> approved;
+    /// Lifetime of the tickets when the service issued them.
     milliseconds ticket_lifetime{0};
+    /// Longest time since the tickets were issued.
+    milliseconds age{0};
     /// Whether the request has already been reported as unanswered.
     bool late = false;
 };
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -192,6 +192,7 @@
         }
         answer.step = answered->request.step;
         answer.asked = answered->request.workers;
+        answer.age = answered->age;
         answer.late = answered->late;
         m_scheduler.on_approval_response(answer, now);
         request_pass();
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -112,8 +112,9 @@
         slow_in_flight += slow ? 1 : 0;
         const auto number = ++m_last_number;
         auto instance = take_instance(idle, *item);
-        m_in_flight[number] = {instance, *item,
-                               now + item->expected + m_options.timeout_margin};
+        const auto due_at = now + item->expected;
+        m_in_flight[number] = {instance, *item, due_at,
+                               due_at + m_options.timeout_margin};
         out.push_back({number, std::move(instance), std::move(*item)});
         item = m_waiting.erase(item);
     }
@@ -174,6 +175,9 @@
         instance.unanswered = 0;
         instance.answered_at = now;
     }
+    const auto due_at = call.mapped().due_at;
+    out.age = std::chrono::ceil<milliseconds>(
+        std::max(now - due_at, time_point::duration::zero()));
     out.request = std::move(call.mapped().request);
     return out;
 }
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -265,7 +265,7 @@
             ++first_asked;
         }
     }
-    const auto valid_until = now + answer.ticket_lifetime;
+    const auto valid_until = now + answer.ticket_lifetime - answer.age;
     for (const auto& item : *answer.approved)
     {
         const auto worker = m_workers.find(item.worker);
@@ -298,6 +298,7 @@
         .with("step", answer.step.step)
         .with("asked", answer.asked.size())
         .with("approved", answer.approved->size())
+        .with("age", answer.age)
         .with("late", answer.late);
 }
 
--- a/tests/unit-cell-approvals.cpp
+++ b/tests/unit-cell-approvals.cpp
@@ -560,3 +560,62 @@
     cr_assert_eq(simulation.starts.front().ticket, "late");
     cr_assert_eq(simulation.approval_requests.size(), 1u);
 }
+
+// Guards against a late answer that replaces a newer ticket.
+Test(cell_approvals, a_late_answer_does_not_replace_a_newer_ticket)
+{
+    cell_simulation simulation;
+    auto& worker = simulation.add_worker("w1", 1'000);
+    simulation.run_pass();
+    simulation.jobs().accept(approved_job("j1", 2), simulation.now);
+    simulation.run_for(milliseconds(200));
+    cr_assert_eq(simulation.starts.size(), 1u);
+    cell::approval_response late;
+    late.step = simulation.approval_requests[0].step;
+    late.asked = simulation.approval_requests[0].workers;
+    late.approved = {{worker_id("w1"), "late"}};
+    late.ticket_lifetime = milliseconds(2'500);
+    late.age = milliseconds(1'000);
+    late.late = true;
+    simulation.jobs().on_approval_response(late, simulation.now);
+    simulation.end_run("w1", worker.runs.begin()->first, cell::run_end::done);
+    simulation.run_for(milliseconds(500));
+    cr_assert_eq(simulation.starts.size(), 2u);
+    cr_assert_eq(simulation.starts.back().ticket, "ticket");
+}
+
+// Guards against tickets that have run out on the way from the service.
+Test(cell_approvals, the_way_of_an_answer_shortens_its_tickets)
+{
+    approval_dispatcher dispatcher(first_epoch);
+    time_point now{std::chrono::hours(1)};
+    dispatcher.add(request("step", 0, quick_call), now);
+    const auto sent = dispatcher.assign(names(1), now);
+    cr_assert_eq(sent.size(), 1u);
+    now += quick_call + milliseconds(400);
+    const auto answer = dispatcher.answered(sent.front().number, now);
+    cr_assert(answer.has_value());
+    cr_assert_eq(answer->age.count(), 400);
+}
+
+// Guards against starts that are rejected as their tickets have run out.
+Test(cell_approvals, a_ticket_that_was_long_on_its_way_starts_nothing)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 4'000);
+    simulation.run_pass();
+    auto job = approved_job("j1", 1);
+    job.queue.approval.time_per_call = std::chrono::milliseconds(5'000);
+    simulation.jobs().accept(job, simulation.now);
+    simulation.run_for(milliseconds(100));
+    cr_assert_eq(simulation.approval_requests.size(), 1u);
+    cell::approval_response answer;
+    answer.step = simulation.approval_requests[0].step;
+    answer.asked = simulation.approval_requests[0].workers;
+    answer.approved = {{worker_id("w1"), "ticket"}};
+    answer.ticket_lifetime = milliseconds(2'500);
+    answer.age = milliseconds(2'450);
+    simulation.jobs().on_approval_response(answer, simulation.now);
+    simulation.run_for(milliseconds(500));
+    cr_assert_eq(simulation.starts.size(), 0u);
+}
