The soak's checker finds accepted jobs that wait beside free workers

Cause: an accepted job was only found if it never ended.

Change: LOST also if a job that is not cancelled has nothing running for 3 s, without a fault in that time and the 10 s before it, while two of its tasks fit and less than half of the capacity is in use. Only workers that started a run not long before count as capacity, and all runs that overlap the 3 s count as in use.

--- a/tests/soak/checker.cpp
+++ b/tests/soak/checker.cpp
@@ -2,7 +2,7 @@
 
 #include "platform.hpp"
 
-#include <algorithm> // any_of, all_of, count_if, find_if
+#include <algorithm> // any_of, all_of, count_if, find_if, max, none_of
 #include <ctime>     // gmtime_r, strftime
 
 namespace pimentoshunt::soak
@@ -18,6 +18,13 @@
 /// The two timeouts bind an instance only if no fault of it or of the store was
 /// active within this time; see is_undisturbed().
 constexpr milliseconds recovery_time{3'000};
+/// An accepted job that could start a task has nothing running for less than
+/// this, if there was no fault in all this time and @ref calm_time before, and
+/// there is room.
+constexpr milliseconds start_timeout{3'000};
+constexpr milliseconds calm_time{10'000};
+/// Distance of the intervals of @ref start_timeout that are checked in a wait.
+constexpr milliseconds wait_check_step{500};
 
 auto job_of(const std::string& task) -> std::string
 {
@@ -55,6 +62,7 @@
         {
             check_reported_success(job);
             check_accepted(job);
+            check_waits(job);
         }
         return std::move(m_violations);
     }
@@ -295,6 +303,162 @@
         }
     }
 
+    /// A time in which a job that had not ended had nothing running.
+    struct idle_time
+    {
+        time_point from;
+        time_point until;
+    };
+
+    auto idle_times(const job_record& job, time_point accepted) const
+        -> std::vector<idle_time>
+    {
+        std::multimap<time_point, time_point> runs;
+        time_point last_seen = accepted;
+        for (const auto& [task, list] : m_runs_by_task)
+        {
+            if (job_of(task) != job.id)
+            {
+                continue;
+            }
+            for (const auto* const run : list)
+            {
+                runs.emplace(run->started, run->outcome.empty()
+                                               ? time_point::max()
+                                               : run->ended);
+            }
+        }
+        for (const auto& lookup : job.lookups)
+        {
+            const bool unfinished =
+                lookup.state == "queued" || lookup.state == "running";
+            last_seen = unfinished ? std::max(last_seen, lookup.at) : last_seen;
+        }
+        std::vector<idle_time> out;
+        auto idle_from = accepted;
+        for (const auto& [started, ended] : runs)
+        {
+            if (started > idle_from)
+            {
+                out.push_back({idle_from, started});
+            }
+            idle_from = std::max(idle_from, ended);
+        }
+        if (last_seen > idle_from)
+        {
+            out.push_back({idle_from, last_seen});
+        }
+        return out;
+    }
+
+    auto is_calm(time_point from, time_point until) const -> bool
+    {
+        return std::none_of(m_record.faults.begin(), m_record.faults.end(),
+                            [&](const fault_record& fault)
+                            {
+                                return fault.from <= until &&
+                                       fault.until + calm_time >= from;
+                            });
+    }
+
+    auto need_of(const run_record& run) const -> resources
+    {
+        const auto job = m_record.jobs.find(job_of(run.task));
+        return job == m_record.jobs.end()
+                   ? resources{}
+                   : job->second.steps[step_number(run.task)].need;
+    }
+
+    /// Whether two tasks of @p need would have fitted in the room that was free
+    /// all the time, with less than half of the capacity in use. Only workers
+    /// count that started a run not long before.
+    auto has_room(const resources& need, time_point from,
+                  time_point until) const -> bool
+    {
+        struct usage
+        {
+            resources capacity;
+            resources used;
+        };
+        std::map<std::string, usage> workers;
+        for (const auto& run : m_record.runs)
+        {
+            if (run.started >= from - calm_time && run.started <= until)
+            {
+                workers[run.worker].capacity = run.capacity;
+            }
+        }
+        for (const auto& run : m_record.runs)
+        {
+            const auto worker = workers.find(run.worker);
+            const bool overlaps = run.started < until &&
+                                  (run.outcome.empty() || run.ended > from);
+            if (worker != workers.end() && overlaps)
+            {
+                worker->second.used += need_of(run);
+            }
+        }
+        usage all;
+        int places = 0;
+        for (const auto& [name, worker] : workers)
+        {
+            all.capacity += worker.capacity;
+            all.used += worker.used;
+            auto used_with_task = worker.used;
+            for (int i = 0; i < 2; ++i)
+            {
+                used_with_task += need;
+                places += used_with_task.fits_in(worker.capacity) ? 1 : 0;
+            }
+        }
+        return places >= 2 && 2 * all.used.millicpus < all.capacity.millicpus &&
+               2 * all.used.memory_mb < all.capacity.memory_mb;
+    }
+
+    /// The first step with a task that had not succeeded by @p at.
+    auto waiting_step(const job_record& job, time_point at) const
+        -> std::optional<std::size_t>
+    {
+        for (std::size_t i = 0; i < job.steps.size(); ++i)
+        {
+            if (!find_unfinished_task(job, i, at).empty())
+            {
+                return i;
+            }
+        }
+        return std::nullopt;
+    }
+
+    auto check_waits(const job_record& job) -> void
+    {
+        const auto accepted = job.accepted_at();
+        if (!accepted || !job.cancels.empty())
+        {
+            return;
+        }
+        for (const auto& idle : idle_times(job, *accepted))
+        {
+            const auto step = waiting_step(job, idle.from);
+            for (auto from = idle.from;
+                 step && from + start_timeout <= idle.until;
+                 from += wait_check_step)
+            {
+                const auto until = from + start_timeout;
+                if (is_calm(from, until) &&
+                    has_room(job.steps[*step].need, from, until))
+                {
+                    add_violation("LOST", job.id, "",
+                                  "step " + std::to_string(*step) +
+                                      " had nothing running from " +
+                                      wall_time(idle.from) + " to " +
+                                      wall_time(idle.until) +
+                                      " beside free workers");
+                    return;
+                }
+            }
+        }
+    }
+
     const soak_record& m_record;
     std::map<std::string, std::vector<const run_record*>> m_runs_by_task;
     std::vector<violation> m_violations;
--- a/tests/soak/unit-soak-checker.cpp
+++ b/tests/soak/unit-soak-checker.cpp
@@ -148,3 +148,62 @@
     record.jobs[id].lookups[0].at = at(280);
     cr_assert(finds_only("MIXED", record));
 }
+
+// A job that waited for its turn beside free workers was only found if it never
+// ended.
+Test(soak_checker, an_accepted_job_that_waits_beside_free_workers_is_found)
+{
+    resources room;
+    room.millicpus = 1'000;
+    room.memory_mb = 1'000;
+    resources need;
+    need.millicpus = 400;
+    need.memory_mb = 100;
+    auto record = valid_record();
+    auto& job = record.jobs[id];
+    for (auto& step : job.steps)
+    {
+        step.need = need;
+    }
+    record.runs = {run(0, 1, 100, 200), run(1, 1, 3'150, 3'250)};
+    for (auto& item : record.runs)
+    {
+        item.capacity = room;
+    }
+    job.lookups[0] = {at(3'300), at(3'301), "cell-0", 200, "succeeded"};
+    cr_assert(check(record).empty(), "2,950 ms without a run");
+
+    record.runs[1] = run(1, 1, 3'250, 3'350);
+    record.runs[1].capacity = room;
+    job.lookups[0] = {at(3'400), at(3'401), "cell-0", 200, "succeeded"};
+    cr_assert(finds_only("LOST", record));
+
+    record.faults.push_back({"frozen", "workers", at(0), at(10)});
+    cr_assert(check(record).empty(), "less than 10 s since a fault");
+    record.faults.clear();
+
+    for (auto& step : job.steps)
+    {
+        step.need.millicpus = 600;
+    }
+    cr_assert(check(record).empty(), "room for one task only");
+    for (auto& step : job.steps)
+    {
+        step.need = need;
+    }
+
+    auto busy = record;
+    const std::string other = "00000000000000bb";
+    job_record second;
+    second.id = other;
+    second.steps.resize(1);
+    second.steps[0].need.millicpus = 500;
+    second.submissions.push_back({at(0), at(1), "cell-0", 200, ""});
+    second.lookups.push_back(
+        {at(3'400), at(3'401), "cell-0", 200, "succeeded"});
+    busy.jobs[other] = second;
+    busy.runs.push_back(run(0, 1, 10, 3'000));
+    busy.runs.back().task = other + ".0.0.0";
+    busy.runs.back().capacity = room;
+    cr_assert(check(busy).empty(), "half of the capacity in use");
+}
