An ejected worker whose probe was stopped is probed again soon

Cause: the trial run of an ejected worker that ended without an outcome (its job cancelled, its lease expired, its worker restarted) was not reported to the health check, which waited for the probe's timeout of 10 s.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -38,6 +38,8 @@
     run_phase phase = run_phase::starting;
     resources taken;
     bool filler = false;
+    /// Whether it is the trial run of an ejected worker.
+    bool probe = false;
     time_point sent_at;
     /// When the worker first confirmed or reported the run.
     std::optional<time_point> first_seen_at;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -321,7 +321,8 @@
     const run_ref ref{
         {{item.job->spec->id, item.round->number, step.number}, index}, number};
     const auto location = find(ref.task);
-    add_run(worker, location, ref, now);
+    auto& run = add_run(worker, location, ref, now);
+    run.probe = m_probed_workers.erase(worker.entry.id) > 0;
     start_order order;
     order.target = target_of(worker);
     order.run = ref;
@@ -337,7 +338,6 @@
     {
         order.ticket = ticket->second.text;
     }
-    m_probed_workers.erase(worker.entry.id);
     m_outbox.starts.push_back(std::move(order));
 }
 
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -63,6 +63,12 @@
                              run_end how, const std::string& checkpoint,
                              time_point now) -> void
 {
+    const auto known = worker.runs.find(run);
+    if (known != worker.runs.end() && known->second.probe &&
+        how != run_end::done && how != run_end::failed)
+    {
+        m_health.record_inconclusive(worker.entry.id, now);
+    }
     erase_run(worker, run);
     const auto location = find(run.task);
     if (location.task == nullptr)
--- a/tests/unit-cell-liveness.cpp
+++ b/tests/unit-cell-liveness.cpp
@@ -743,3 +743,37 @@
     cr_assert_eq(failures, 0u, "%zu of %lu seeds failed", failures,
                  static_cast<unsigned long>(count));
 }
+
+// Guards against an ejected worker that stays out for as long as its probe may
+// take, although the job of the probe was cancelled.
+Test(cell_liveness, a_worker_whose_probe_was_cancelled_is_probed_again)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 4'000, "only");
+    simulation.add_worker("w2", 4'000);
+    simulation.run_for(milliseconds(100));
+    const auto accept = [&](const std::string& id)
+    {
+        auto job = simple_job(id, 1, 1'000);
+        job.steps.front().required_label = "only";
+        simulation.jobs().accept(job, simulation.now);
+        simulation.run_for(milliseconds(100));
+    };
+    for (const auto* const id : {"j1", "j2"})
+    {
+        accept(id);
+        simulation.end_run("w1", simulation.starts.back().run,
+                           cell::run_end::failed);
+        simulation.jobs().cancel(job_id(id), simulation.now);
+        simulation.run_for(milliseconds(100));
+    }
+    accept("j3");
+    cr_assert_eq(simulation.starts.size(), 2u, "the worker is not ejected");
+    simulation.run_for(milliseconds(1'500));
+    cr_assert_eq(simulation.starts.size(), 3u, "the worker is not probed");
+    simulation.jobs().cancel(job_id("j3"), simulation.now);
+    accept("j4");
+    simulation.run_for(milliseconds(2'500));
+    cr_assert_eq(simulation.starts.size(), 4u, "%zu starts",
+                 simulation.starts.size());
+}
