An inherited job keeps the time of its acceptance

What callers saw: a job that was accepted before a change of owner came behind younger jobs of its queue.

Cause: a new owner counted an inherited job as accepted when it read it, so that the job's objective began again at each takeover, and with it its place among waiting steps. Class: time kept only in the memory of a process that is replaced.

Jobs stored without it count as before.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>     // any_of, min
+#include <chrono>        // floor, system_clock
 #include <functional>    // function
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -210,10 +211,11 @@
         m_known_states[job] = state;
     }
 
-    auto submit(const job_spec& job, time_point reply_deadline, reply answer)
-        -> void
+    auto submit(job_spec job, time_point reply_deadline, reply answer) -> void
     {
         const auto began = boot_clock::now();
+        job.accepted_at =
+            std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
         wire::cell_deposit forwarded;
         forwarded.set_job(to_bytes(job));
         auto on_settled =
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -156,6 +156,9 @@
     std::uint32_t occurrences = 0;
     calendar_time first_due{};
     milliseconds interval{0};
+    /// When an instance accepted the job, by its wall clock; the epoch of that
+    /// clock: not known.
+    calendar_time accepted_at{};
 
     /// @brief How often the steps run: once for each occurrence.
     [[nodiscard]] auto rounds() const noexcept -> std::uint32_t
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -278,6 +278,9 @@
     auto apply_early_cancellation(job_record& job, time_point now) -> void;
     auto add_round(job_record& job, std::uint32_t number) -> void;
     auto release_rounds(time_point now, calendar_time calendar) -> void;
+    [[nodiscard]] auto accepted_at(const job_record& job,
+                                   calendar_time calendar, time_point now) const
+        -> time_point;
     auto release_steps(job_record& job, round_record& round, time_point now)
         -> void;
     auto find(const task_ref& task) -> task_location;
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -175,6 +175,7 @@
     out.set_first_due_ms(job.first_due.time_since_epoch().count());
     out.set_interval_ms(job.interval.count());
     out.set_epoch(item.epoch);
+    out.set_accepted_at_ms(job.accepted_at.time_since_epoch().count());
     return out.SerializeAsString();
 }
 
@@ -204,6 +205,7 @@
     out.occurrences = from.occurrences();
     out.first_due = calendar_time(milliseconds(from.first_due_ms()));
     out.interval = milliseconds(from.interval_ms());
+    out.accepted_at = calendar_time(milliseconds(from.accepted_at_ms()));
     return item;
 }
 
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -3,7 +3,7 @@
 
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // find, remove
+#include <algorithm> // clamp, find, min, remove
 #include <utility>   // exchange, move
 
 namespace pimentoshunt::cell
@@ -256,6 +256,21 @@
     }
 }
 
+/// When the job was accepted, also by an earlier owner. The wall clocks of two
+/// instances may differ.
+auto scheduler::accepted_at(const job_record& job, calendar_time calendar,
+                            time_point now) const -> time_point
+{
+    if (!job.inherited || job.spec->accepted_at == calendar_time{})
+    {
+        return job.accepted_at;
+    }
+    const auto age =
+        std::clamp(calendar - job.spec->accepted_at, milliseconds(0),
+                   m_options.final_state_retention);
+    return std::min(job.accepted_at, now - age);
+}
+
 auto scheduler::release_rounds(time_point now, calendar_time calendar) -> void
 {
     for (auto& [arrival, job] : m_active)
@@ -272,8 +287,8 @@
             }
             round.released = true;
             // A due time in the past counts from that time, not from now.
-            round.released_at =
-                round.due ? now - (calendar - *round.due) : job->accepted_at;
+            round.released_at = round.due ? now - (calendar - *round.due)
+                                          : accepted_at(*job, calendar, now);
             release_steps(*job, round, now);
         }
     }
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -378,6 +378,7 @@
     job.steps[0].after = {};
     job.steps[0].keeps_checkpoints = true;
     job.queue.approval.required = true;
+    job.accepted_at = cell::calendar_time(milliseconds(1'700'000'000'123));
     const auto read = cell::read_job(cell::to_bytes(job));
     cr_assert(read.has_value());
     cr_assert_eq(read->id, job.id);
@@ -385,6 +386,7 @@
     cr_assert_eq(read->steps[0].need.millicpus, 1'500);
     cr_assert(read->steps[0].keeps_checkpoints);
     cr_assert(read->queue.approval.required);
+    cr_assert(read->accepted_at == job.accepted_at);
     cr_assert(!cell::read_job("no job").has_value());
     cr_assert(!cell::read_progress("\xff\xff").has_value());
 }
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -280,3 +280,39 @@
     cr_assert(change.removals.empty());
     cr_assert(change.writes.empty());
 }
+
+// Guards against a job whose objective begins again at each takeover: one
+// accepted at 4.9 s was due 32 s too late after the loss of all instances, and
+// later jobs of its queue came first (scenario nokf-trykk-grown trouble-1).
+Test(cell_takeover, an_inherited_job_keeps_the_time_of_its_acceptance)
+{
+    cell_simulation simulation(second_epoch);
+    simulation.add_worker("w1", 1'000);
+    simulation.run_for(milliseconds(200));
+    auto later = simple_job("later", 1, 1'000);
+    later.accepted_at = simulation.calendar() - std::chrono::seconds(1);
+    auto earlier = simple_job("earlier", 1, 1'000);
+    earlier.accepted_at = simulation.calendar() - std::chrono::seconds(30);
+    simulation.jobs().restore(later, no_progress("later"), simulation.now);
+    simulation.jobs().restore(earlier, no_progress("earlier"), simulation.now);
+    simulation.run_for(milliseconds(200));
+    cr_assert_eq(simulation.starts.size(), 1u);
+    cr_assert_eq(simulation.starts[0].run.task.step.job, job_id("earlier"));
+}
+
+// The wall clock of the accepting instance may be ahead of the owner's.
+Test(cell_takeover, a_job_from_a_clock_that_is_ahead_counts_from_the_takeover)
+{
+    cell_simulation simulation(second_epoch);
+    simulation.add_worker("w1", 1'000);
+    simulation.run_for(milliseconds(200));
+    auto ahead = simple_job("ahead", 1, 1'000);
+    ahead.accepted_at = simulation.calendar() + std::chrono::seconds(30);
+    auto unknown = simple_job("unknown", 1, 1'000);
+    simulation.jobs().restore(ahead, no_progress("ahead"), simulation.now);
+    simulation.run_for(milliseconds(200));
+    simulation.jobs().restore(unknown, no_progress("unknown"), simulation.now);
+    simulation.run_for(milliseconds(200));
+    cr_assert_eq(simulation.starts.size(), 1u);
+    cr_assert_eq(simulation.starts[0].run.task.step.job, job_id("ahead"));
+}
