Claims hide no worker from a gang

Cause: a gang that had enough approved workers stopped its search at the first worker without a place. Workers came in the order of their free processors, now of unclaimed ones, so that a full worker may come before one with places.

Change: the search passes over such workers. expected_places::covers has its name.

Measured: found by review, no test; 159 unit tests of the cell pass.

--- a/include/pimentoshunt/cell/policy/expected_places.hpp
+++ b/include/pimentoshunt/cell/policy/expected_places.hpp
@@ -29,7 +29,7 @@
     }
 
     /// @brief Whether there will probably be @p needed places.
-    [[nodiscard]] auto cover(std::size_t needed) const -> bool
+    [[nodiscard]] auto covers(std::size_t needed) const -> bool
     {
         return m_mean - m_deviations * std::sqrt(m_variance) >=
                static_cast<double>(needed);
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -131,7 +131,7 @@
     policy::expected_places expected(m_options.request_deviations);
     std::size_t count = 0;
     while (count < limit &&
-           (!expected.cover(waiting) || count < waiting + spare_workers))
+           (!expected.covers(waiting) || count < waiting + spare_workers))
     {
         expected.add(1,
                      step.approvals.approved.contains(out[count]) ? 1 : rate);
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -289,12 +289,16 @@
     for (auto* const worker : not_requested)
     {
         const auto places = policy::places_on(*worker, *step.spec);
-        if ((places == 0 && enough) || expected.cover(step.spec->count) ||
+        if (places == 0 && enough)
+        {
+            continue;
+        }
+        if (expected.covers(step.spec->count) ||
             out.size() >= m_options.max_workers_per_gang_request)
         {
             break;
         }
-        // A full worker will have room for one task first.
+        // A full worker counts as one place.
         expected.add(std::max(places, 1u), rate);
         out.push_back(worker);
     }
