A repeated approval request goes to the owner itself

Cause: the instance that answered last was preferred to the owner also for a request that had got no answer, so that three instances that fell silent after their answers were met one after the other.

Change: such a request goes to the owner, unless it does worse than the others. Two conversions that the linter refused are explicit.

Test: instances_that_answered_last_and_fall_silent_starve_no_step fails without the change, and passes.

--- a/include/pimentoshunt/cell/approval_dispatcher.hpp
+++ b/include/pimentoshunt/cell/approval_dispatcher.hpp
@@ -139,7 +139,7 @@
     };
 
     /// Takes the instance for @p request from the names of idle ones.
-    auto take_instance(std::vector<std::string>& idle,
+    auto take_instance(std::vector<std::string>& idle, const std::string& owner,
                        const approval_request& request) -> std::string;
     [[nodiscard]] auto is_slow(const approval_request& request) const -> bool
     {
--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include <pimentoshunt/cell/approval_dispatcher.hpp>
 
-#include <algorithm> // any_of, max, min, stable_sort
+#include <algorithm> // any_of, find, max, min, stable_sort
 #include <cmath>     // ceil, exp
 #include <set>       // set
 #include <utility>   // move
@@ -111,7 +111,7 @@
         }
         slow_in_flight += slow ? 1 : 0;
         const auto number = ++m_last_number;
-        auto instance = take_instance(idle, *item);
+        auto instance = take_instance(idle, instances.front(), *item);
         const auto due_at = now + item->expected;
         m_in_flight[number] = {instance, *item, due_at,
                                due_at + m_options.timeout_margin};
@@ -122,6 +122,7 @@
 }
 
 auto approval_dispatcher::take_instance(std::vector<std::string>& idle,
+                                        const std::string& owner,
                                         const approval_request& request)
     -> std::string
 {
@@ -140,11 +141,13 @@
     auto best = idle.begin();
     for (auto item = idle.begin(); item != idle.end(); ++item)
     {
-        // Among equal ones the last one, or the first one after a failure.
-        const bool better = request.unanswered == 0 ? !is_better(*best, *item)
-                                                    : is_better(*item, *best);
-        best = better ? item : best;
+        best = is_better(*best, *item) ? best : item;
     }
+    const auto own = std::find(idle.begin(), idle.end(), owner);
+    const bool prefers_owner =
+        request.unanswered > 0 && own != idle.end() &&
+        m_instances[*own].unanswered <= m_instances[*best].unanswered;
+    best = prefers_owner ? own : best;
     auto out = std::move(*best);
     idle.erase(best);
     return out;
--- a/tests/fakes/faulty_cell.hpp
+++ b/tests/fakes/faulty_cell.hpp
@@ -190,7 +190,7 @@
             cell::step_spec step;
             step.gang = gang && i == 0;
             step.count = step.gang ? between(2, 8) : between(1, 24);
-            step.need.millicpus = 1'000 * between(5, 30);
+            step.need.millicpus = std::int64_t{1'000} * between(5, 30);
             step.need.memory_mb = 100;
             step.estimate = detail::task_estimate;
             if (i > 0)
--- a/tests/unit-cell-approval-dispatcher.cpp
+++ b/tests/unit-cell-approval-dispatcher.cpp
@@ -97,10 +97,10 @@
     constexpr milliseconds bound{3'000};
     const auto instances = names(42);
     // The first name is the owner's own.
-    for (std::size_t first = 1; first + 3 <= instances.size(); ++first)
+    for (auto first = instances.begin() + 1; instances.end() - first >= 3;
+         ++first)
     {
-        const std::set<std::string> silent(instances.begin() + first,
-                                           instances.begin() + first + 3);
+        const std::set<std::string> silent(first, first + 3);
         approval_dispatcher dispatcher(first_epoch);
         const auto took = time_to_answer(
             dispatcher, slow_call, instances,
@@ -109,11 +109,42 @@
                 return silent.contains(name);
             },
             milliseconds(20'000));
-        cr_assert_lt(took, bound, "silent from %zu: %lld ms", first,
+        cr_assert_lt(took, bound, "silent from %s: %lld ms", first->c_str(),
                      static_cast<long long>(took.count()));
     }
 }
 
+// The same after they were the last ones to answer: a repeated request goes to
+// the owner itself.
+Test(cell_approvals,
+     instances_that_answered_last_and_fall_silent_starve_no_step)
+{
+    constexpr milliseconds bound{3'000};
+    const auto instances = names(42);
+    approval_dispatcher dispatcher(first_epoch);
+    const time_point before{std::chrono::hours(1) - std::chrono::seconds(10)};
+    for (int i = 0; i < 3; ++i)
+    {
+        dispatcher.add(request("job" + std::to_string(i), 0, quick_call),
+                       before);
+    }
+    std::set<std::string> silent;
+    for (const auto& sent : dispatcher.assign(instances, before))
+    {
+        silent.insert(sent.instance);
+        cr_assert(dispatcher.answered(sent.number, before + quick_call));
+    }
+    cr_assert_eq(silent.size(), 3u);
+    const auto took = time_to_answer(
+        dispatcher, slow_call, instances,
+        [&](const std::string& name)
+        {
+            return silent.contains(name);
+        },
+        milliseconds(20'000));
+    cr_assert_lt(took, bound, "%lld ms", static_cast<long long>(took.count()));
+}
+
 Test(cell_approvals, quick_requests_come_before_slow_ones)
 {
     approval_dispatcher dispatcher(first_epoch);
