Lines on long waits keep a distance

Cause: at most one step was logged in a pass, which is up to 40 steps a second, each with a visit to all workers.

Change: 100 ms between the lines of two steps.

--- a/src/cell/scheduler_waiting.cpp
+++ b/src/cell/scheduler_waiting.cpp
@@ -1,5 +1,5 @@
-// Waits: logs what a ready step that starts nothing for long waits for. At most
-// one step is logged in a pass, since it visits all workers.
+// Waits: logs what a ready step that starts nothing for long waits for. Steps are
+// logged one at a time, since each visits all workers.
 #include <pimentoshunt/cell/scheduler.hpp>
 
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Minimum time between the lines of two steps.
+constexpr milliseconds pause_between_steps{100};
+
 /// What the workers of a service offer a step.
 struct worker_offer
 {
@@ -39,7 +42,7 @@
     const auto waited = now - step.waiting_since;
     if (step.waiting.empty() || waited < m_options.wait_log_interval ||
         now - step.wait_logged_at < m_options.wait_log_interval ||
-        m_wait_logged_at == now)
+        now - m_wait_logged_at < pause_between_steps)
     {
         return;
     }
