A row of the roster is closed only when its worker's ends are durable

Cause: a worker that misses calls gets a closed row that lists its runs, and a later owner does not wait for its reports. An end that the owner had received but not stored yet was neither among these runs nor in the stored progress, so the later owner started the task again. Here the owner froze 0.1 s after it had begun the task, the store was slow, and the next owner waited for 6 of 8 workers. That the two others had closed rows is inferred from that; the report's first lines are lost.

Change: a row is closed once all ends received from its worker are durable; until then a later owner waits for the worker.

Test: cell_leases::a_row_is_not_closed_before_the_ends_of_its_worker_are_durable failed before (a row is closed) and passes; 350 unit tests pass.

--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -54,8 +54,11 @@
             worker.roster_in_flight = true;
         }
         else if (is_missing && worker.enrolled && worker.reconciled &&
-                 !worker.runs.empty())
+                 !worker.runs.empty() &&
+                 worker.ends_received <= worker.ends_durable)
         {
+            // A later owner does not wait for reports of a closed worker: all
+            // ends that the row does not show must be durable.
             out.writes.push_back(
                 {{worker.entry, true, {}}, worker.roster_version});
             for (const auto& [ref, run] : worker.runs)
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -334,3 +334,24 @@
     cr_assert_eq(simulation.jobs().take_expired(simulation.now, most).size(),
                  1u);
 }
+
+// Guards against a second run: a later owner does not wait for a worker whose
+// row is closed, so that it started a task whose end was neither stored nor
+// among the runs of that row (cell_soak, seed 3).
+Test(cell_leases, a_row_is_not_closed_before_the_ends_of_its_worker_are_durable)
+{
+    cell_simulation simulation;
+    auto& worker = simulation.add_worker("w1", 4'000);
+    simulation.run_pass();
+    simulation.jobs().accept(simple_job("j1", 2, 1'000), simulation.now);
+    simulation.run_for(milliseconds(200));
+    simulation.store_answers = false;
+    simulation.end_run("w1", worker.runs.begin()->first, cell::run_end::done);
+    simulation.run_for(milliseconds(100));
+    worker.receives_orders = false;
+    simulation.run_for(milliseconds(2'000));
+    cr_assert(simulation.jobs().take_roster_changes(10).writes.empty());
+    simulation.store_answers = true;
+    simulation.run_for(milliseconds(100));
+    cr_assert(simulation.jobs().workers().at(worker_id("w1")).closed);
+}
