Logs tell how a call to a worker failed, and what was on the worker

Change: a heartbeat brings a heartbeat_answer with the reason of a failure; the line on an unanswered heartbeat names it, the address and the youngest run. Lost runs are logged with their age and the runs beside them, workers with their address. No decision changes.

--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -65,6 +65,19 @@
     milliseconds wait{0};
 };
 
+/// @brief A worker's answer to a heartbeat, or why there is none.
+struct heartbeat_answer
+{
+    std::optional<run_report> report;
+    /// Whether the worker knows a later owner.
+    bool fenced = false;
+    /// Whether another worker answers at the address: the intended one has
+    /// ended.
+    bool replaced = false;
+    /// Why there is no report; for the log.
+    std::string failure;
+};
+
 /// @brief Limits the speed of a best-effort run.
 struct pace_order
 {
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -631,13 +631,11 @@
         }
         for (const auto& order : out.heartbeats)
         {
-            m_platform.heartbeat(
-                order,
-                [self, order](const std::optional<run_report>& report,
-                              bool fenced)
-                {
-                    self->on_heartbeat_report(order, report, fenced);
-                });
+            m_platform.heartbeat(order,
+                                 [self, order](const heartbeat_answer& answer)
+                                 {
+                                     self->on_heartbeat_answer(order, answer);
+                                 });
         }
         for (const auto& order : out.paces)
         {
@@ -649,20 +647,19 @@
         }
     }
 
-    auto on_heartbeat_report(const heartbeat_order& order,
-                             const std::optional<run_report>& report,
-                             bool fenced) -> void
+    auto on_heartbeat_answer(const heartbeat_order& order,
+                             const heartbeat_answer& answer) -> void
     {
         if (m_ended)
         {
             return;
         }
-        if (fenced)
+        if (answer.fenced)
         {
             m_context.overtaken();
             return;
         }
-        m_scheduler.on_heartbeat_answered(order, report, steady_now());
+        m_scheduler.on_heartbeat_answered(order, answer, steady_now());
         request_pass();
     }
 
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -167,7 +167,7 @@
     commit_handler on_commit, read_handler on_read, feed_handler on_feed,
     std::function<void(start_outcome, std::optional<worker_time>)> on_start,
     std::function<void(bool)> on_stop,
-    std::function<void(std::optional<run_report>, bool)> on_heartbeat,
+    std::function<void(heartbeat_answer)> on_heartbeat,
     std::function<void(approval_response)> on_approval)
 {
     platform.commit(transaction, time, on_commit);
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -190,10 +190,9 @@
     auto on_stop_answered(const stop_order& order, bool answered,
                           time_point now) -> void;
     /// @brief A heartbeat was answered or failed.
-    /// @param report  nothing if no answer was received
     auto on_heartbeat_answered(const heartbeat_order& order,
-                               const std::optional<run_report>& report,
-                               time_point now) -> void;
+                               const heartbeat_answer& answer, time_point now)
+        -> void;
     auto on_approval_response(const approval_response& answer, time_point now)
         -> void;
     /// @brief A batch of progress is durable.
@@ -332,6 +331,9 @@
         -> void;
     auto heartbeat_at_once(worker_record& worker, time_point now) -> void;
     auto mark_unanswered(worker_record& worker, time_point now) -> void;
+    auto log_unanswered(const worker_record& worker,
+                        const heartbeat_answer& answer, time_point now) const
+        -> void;
     auto requeue_copyable(worker_record& worker) -> void;
     auto stop_stalled(worker_record& worker, time_point now) -> void;
     auto stop_outlasting(worker_record& worker, time_point now) -> void;
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -69,6 +69,8 @@
     {
         m_health.record_inconclusive(worker.entry.id, now);
     }
+    const auto age = known == worker.runs.end() ? boot_clock::duration::zero()
+                                                : now - known->second.sent_at;
     erase_run(worker, run);
     const auto location = find(run.task);
     if (location.task == nullptr)
@@ -110,7 +112,9 @@
             .with("run", to_string(run.task))
             .with("number", run.number)
             .with("worker", worker.entry.id)
-            .with("how", to_string(how));
+            .with("how", to_string(how))
+            .with("age", age)
+            .with("other_runs", worker.runs.size());
     }
 }
 
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -62,6 +62,7 @@
         logging::info(draining_now ? "worker started draining"
                                    : "worker registered")
             .with("worker", entry.id)
+            .with("address", entry.address)
             .with("leaves_in", entry.leaves_in)
             .with("millicpus", entry.capacity.millicpus);
     }
@@ -77,6 +78,8 @@
     found->second.registered = false;
     logging::info("worker unregistered")
         .with("worker", worker)
+        .with("address", found->second.entry.address)
+        .with("unanswered_calls", found->second.unanswered_calls)
         .with("runs", found->second.runs.size());
 }
 
@@ -169,7 +172,7 @@
 }
 
 auto scheduler::on_heartbeat_answered(const heartbeat_order& order,
-                                      const std::optional<run_report>& report,
+                                      const heartbeat_answer& answer,
                                       time_point now) -> void
 {
     const auto found = m_workers.find(order.target.worker);
@@ -182,6 +185,7 @@
     {
         return;
     }
+    const auto& report = answer.report;
     const auto sent_at = worker.heartbeat_sent_at;
     worker.heartbeat_in_flight = false;
     if (!report)
@@ -196,10 +200,7 @@
         requeue_copyable(worker);
         if (worker.unanswered_calls == 1)
         {
-            logging::warn("worker did not answer a heartbeat")
-                .with("worker", worker.entry.id)
-                .with("runs", worker.runs.size())
-                .with("last_answer_age", now - worker.answered_at);
+            log_unanswered(worker, answer, now);
         }
         return;
     }
@@ -251,6 +252,32 @@
     heartbeat_at_once(worker, now);
 }
 
+/// Logs what distinguishes a crash from a cut: how the call failed, and which
+/// run began last before.
+auto scheduler::log_unanswered(const worker_record& worker,
+                               const heartbeat_answer& answer,
+                               time_point now) const -> void
+{
+    const detail::run_record* youngest = nullptr;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        if (youngest == nullptr || youngest->sent_at < run.sent_at)
+        {
+            youngest = &run;
+        }
+    }
+    logging::warn("worker did not answer a heartbeat")
+        .with("worker", worker.entry.id)
+        .with("address", worker.entry.address)
+        .with("failure", answer.failure)
+        .with("runs", worker.runs.size())
+        .with("youngest_run",
+              youngest == nullptr ? "" : to_string(youngest->run.task))
+        .with("youngest_age", youngest == nullptr ? boot_clock::duration::zero()
+                                                  : now - youngest->sent_at)
+        .with("last_answer_age", now - worker.answered_at);
+}
+
 /// Tasks that may run twice need not wait for the lease to expire.
 auto scheduler::requeue_copyable(worker_record& worker) -> void
 {
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -428,12 +428,12 @@
             {
                 return false;
             }
-            m_scheduler->on_heartbeat_answered(item.order, std::nullopt, now);
+            m_scheduler->on_heartbeat_answered(item.order, {}, now);
             return true;
         }
         if (item.order.target.incarnation != worker->entry.incarnation)
         {
-            m_scheduler->on_heartbeat_answered(item.order, std::nullopt, now);
+            m_scheduler->on_heartbeat_answered(item.order, {}, now);
             return true;
         }
         worker->highest_epoch =
@@ -465,7 +465,8 @@
         {
             report.present.push_back(run.reported);
         }
-        m_scheduler->on_heartbeat_answered(item.order, report, now);
+        m_scheduler->on_heartbeat_answered(item.order,
+                                           {report, false, false, ""}, now);
         return true;
     }
 
--- a/tests/fakes/fake_cell_pool.hpp
+++ b/tests/fakes/fake_cell_pool.hpp
@@ -288,17 +288,15 @@
             });
     }
 
-    auto
-    heartbeat(const cell::heartbeat_order& order,
-              std::function<void(std::optional<cell::run_report>, bool)> done)
-        -> void
+    auto heartbeat(const cell::heartbeat_order& order,
+                   std::function<void(cell::heartbeat_answer)> done) -> void
     {
         const auto send_report = [this, order, done = std::move(done)]
         {
             answer(
                 [report = m_pool.heartbeat(order), done]
                 {
-                    done(report, !report);
+                    done({report, !report, false, ""});
                 });
         };
         if (delay_reports || order.target.worker == delay_reports_of)
