--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -5,14 +5,14 @@
 
 #include <pimentoshunt/cell/scheduler.hpp>
 
-#include <algorithm>  // find_if, max, min
+#include <algorithm>  // any_of, find_if, max, min
 #include <deque>      // deque
 #include <functional> // function
 #include <map>        // map
 #include <optional>   // optional
 #include <set>        // set
-#include <string>     // string
-#include <utility>    // move
+#include <string>     // string, to_string
+#include <utility>    // exchange, move, pair
 #include <vector>     // vector
 
 namespace pimentoshunt::fakes
@@ -98,6 +98,18 @@
     {
         return std::nullopt;
     };
+    /// Whether the run's worker crashes soon after the run has begun.
+    std::function<bool(const cell::run_ref&)> crashes_worker =
+        [](const cell::run_ref&)
+    {
+        return false;
+    };
+    /// How long after the start of such a run its worker crashes.
+    milliseconds crash_delay{10};
+    /// Whether a worker that crashes comes back under its old id.
+    bool keeps_id = false;
+    /// Workers that have crashed, each with the runs that it had.
+    std::vector<std::pair<worker_id, std::set<cell::run_ref>>> crashes;
     /// All orders and approval requests that the scheduler has issued.
     std::vector<cell::start_order> starts;
     std::vector<cell::stop_order> stops;
@@ -126,7 +138,8 @@
         created.entry.incarnation =
             cell::calendar_time(milliseconds(1'000 + m_incarnations++));
         created.entry.service = cell::service_name("pool");
-        created.entry.address = "10.0.0.1:1";
+        created.entry.address =
+            "10.0.0.1:" + std::to_string(1 + m_incarnations);
         created.entry.labels = {"a", rack};
         created.entry.rack = std::move(rack);
         created.entry.capacity.millicpus = millicpus;
@@ -200,6 +213,40 @@
         }
     }
 
+    /// @brief Ends the worker's process: its runs are gone, calls are refused,
+    /// and after a while it is back at the same address.
+    auto crash_worker(const worker_id& id) -> void
+    {
+        auto& worker = workers.at(id);
+        auto& lost = crashes.emplace_back(id, std::set<cell::run_ref>{});
+        for (const auto& [ref, run] : worker.runs)
+        {
+            lost.second.insert(ref);
+        }
+        const auto entry = worker.entry;
+        m_addresses_of_crashed[id] = entry.address;
+        workers.erase(id);
+        schedule_in(restart_time,
+                    [this, entry]
+                    {
+                        restart_crashed(entry);
+                    });
+        if (!keeps_id)
+        {
+            schedule_in(entry_lifetime,
+                        [this, id]
+                        {
+                            m_scheduler->on_worker_unregistered(id);
+                        });
+        }
+    }
+
+    /// @brief Calls @p action in the pass after @p time has passed.
+    auto schedule_in(milliseconds time, std::function<void()> action) -> void
+    {
+        m_scheduled.emplace(now + time, std::move(action));
+    }
+
     /// @brief Moves the clock by @p time, with a pass after each @p step.
     auto run_for(milliseconds time, milliseconds step = milliseconds(20))
         -> void
@@ -208,6 +255,7 @@
         while (now < until)
         {
             now += step;
+            run_scheduled();
             end_due_runs();
             run_pass();
         }
@@ -322,6 +370,50 @@
     static constexpr std::size_t max_reported_ends = 500;
     /// Time after which an unanswered heartbeat fails.
     static constexpr milliseconds call_timeout{600};
+    /// How long a crashed worker is away, and how long its entry outlives it.
+    static constexpr milliseconds restart_time{3'000};
+    static constexpr milliseconds entry_lifetime{4'000};
+
+    auto run_scheduled() -> void
+    {
+        while (!m_scheduled.empty() && m_scheduled.begin()->first <= now)
+        {
+            const auto action = std::move(m_scheduled.begin()->second);
+            m_scheduled.erase(m_scheduled.begin());
+            action();
+        }
+    }
+
+    auto restart_crashed(cell::worker_entry entry) -> void
+    {
+        if (keeps_id)
+        {
+            m_addresses_of_crashed.erase(entry.id);
+        }
+        else
+        {
+            entry.id = worker_id(entry.id.str() + "+");
+        }
+        fake_cell_worker created;
+        created.entry = entry;
+        created.entry.incarnation += milliseconds(50'000 + m_incarnations++);
+        created.started = now;
+        workers[entry.id] = created;
+        register_worker(created);
+    }
+
+    /// Whether another worker answers at the address of a crashed one.
+    [[nodiscard]] auto is_replaced(const worker_id& id) const -> bool
+    {
+        const auto address = m_addresses_of_crashed.find(id);
+        return address != m_addresses_of_crashed.end() &&
+               std::any_of(workers.begin(), workers.end(),
+                           [&](const auto& item)
+                           {
+                               return item.second.entry.address ==
+                                      address->second;
+                           });
+    }
 
     auto find_worker(const worker_id& id) -> fake_cell_worker*
     {
@@ -377,6 +469,18 @@
             created.ends_at = now + *time;
         }
         worker.runs[order.run] = created;
+        if (crashes_worker(order.run))
+        {
+            schedule_in(crash_delay,
+                        [this, id = worker.entry.id, run = order.run]
+                        {
+                            const auto* const at = find_worker(id);
+                            if (at != nullptr && at->runs.contains(run))
+                            {
+                                crash_worker(id);
+                            }
+                        });
+        }
     }
 
     auto deliver_stop(const cell::stop_order& order) -> void
@@ -420,6 +524,13 @@
     auto answer_heartbeat(const pending_heartbeat& item) -> bool
     {
         auto* const worker = find_worker(item.order.target.worker);
+        if (m_addresses_of_crashed.contains(item.order.target.worker))
+        {
+            cell::heartbeat_answer answer;
+            answer.replaced = is_replaced(item.order.target.worker);
+            m_scheduler->on_heartbeat_answered(item.order, answer, now);
+            return true;
+        }
         const bool lost = worker == nullptr || !worker->receives_orders ||
                           !worker->answers_orders;
         if (lost)
@@ -575,6 +686,8 @@
     std::optional<cell::scheduler> m_scheduler;
     std::vector<pending_heartbeat> m_pending_heartbeats;
     std::vector<pending_request> m_pending_requests;
+    std::multimap<time_point, std::function<void()>> m_scheduled;
+    std::map<worker_id, std::string> m_addresses_of_crashed;
     int m_incarnations = 0;
     std::uint64_t m_version = 0;
 };
