The end of a worker is known once another one answers at its address

What callers saw: the runs that happened to be on a crashed worker began again 5.3 s later, when its lease was over, though the worker was back after 3 s.

Cause: a worker comes back under another id. Its old id answered nothing any more, which counted as silence; the refusal with which the new worker answers calls meant for the old one was dropped. Class: evidence that is thrown away, so that a time-out decides.

Change: such a refusal, or a later entry at the address of a silent worker, ends the runs of the old one at once, its heartbeats and the wait of inherited jobs for it. A worker that answers is never ended by an entry.

Tests: runs_of_a_worker_that_was_replaced_start_at_once failed before; an_answering_worker_is_not_replaced_by_an_entry guards the other side.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -72,6 +72,8 @@
     bool reconciled = false;
     /// Whether it does not answer and all leases on it have surely expired.
     bool leases_expired = false;
+    /// Whether its process has certainly ended, and all runs with it.
+    bool ended = false;
     /// When its current incarnation was detected, unless it is the first known.
     time_point restarted_at;
     /// Last reading of its clock, and when the reading arrived.
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -250,6 +250,8 @@
     stopped,
     /// Its lease expired.
     lease_expired,
+    /// Its worker's process ended without a report of it.
+    worker_ended,
     /// Another member of its gang ended.
     gang_member_ended,
     /// The other members of its gang did not start.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -308,6 +308,9 @@
     auto lease_expires_at(const worker_record& worker) const -> time_point;
     auto begin_incarnation(worker_record& worker, calendar_time incarnation,
                            time_point now) -> void;
+    auto end_replaced_worker(const worker_record& successor, time_point now)
+        -> void;
+    auto on_worker_ended(worker_record& worker, time_point now) -> void;
     auto apply_report(worker_record& worker, const run_report& report,
                       time_point sent_at, time_point now) -> void;
     auto apply_end(worker_record& worker, const reported_end& end,
@@ -417,6 +420,7 @@
     std::map<std::uint64_t, job_record*> m_active;
     std::uint64_t m_arrivals = 0;
     std::map<worker_id, worker_record> m_workers;
+    std::unordered_map<std::string, worker_id> m_latest_at_address;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
     std::uint64_t m_last_batch = 0;
--- a/src/cell/model.cpp
+++ b/src/cell/model.cpp
@@ -76,6 +76,8 @@
         return "stopped";
     case run_end::lease_expired:
         return "lapsed";
+    case run_end::worker_ended:
+        return "lost with its worker";
     case run_end::gang_member_ended:
         return "broken";
     case run_end::gang_incomplete:
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -84,7 +84,7 @@
 {
     for (const auto& [id, worker] : m_workers)
     {
-        if (!worker.reconciled && !worker.closed &&
+        if (!worker.reconciled && !worker.closed && !worker.ended &&
             now < lease_expires_at(worker))
         {
             return true;
@@ -141,9 +141,9 @@
 auto scheduler::is_usable(const worker_record& worker, const job_record& job,
                           const step_record& step, time_point now) const -> bool
 {
-    if (!worker.registered || !worker.enrolled || worker.entry.draining ||
-        !worker.reconciled || worker.unanswered_calls > 0 ||
-        now < worker.no_starts_until ||
+    if (!worker.registered || worker.ended || !worker.enrolled ||
+        worker.entry.draining || !worker.reconciled ||
+        worker.unanswered_calls > 0 || now < worker.no_starts_until ||
         worker.entry.service != job.spec->queue.service)
     {
         return false;
--- a/src/cell/scheduler_waiting.cpp
+++ b/src/cell/scheduler_waiting.cpp
@@ -129,7 +129,7 @@
     const auto is_awaited = [&](const auto& item)
     {
         const auto& worker = item.second;
-        return !worker.reconciled && !worker.closed &&
+        return !worker.reconciled && !worker.closed && !worker.ended &&
                now < lease_expires_at(worker);
     };
     const auto awaited =
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -45,6 +45,7 @@
     const bool added = !m_workers.contains(entry.id);
     auto& worker = find_or_add_worker(entry, now);
     const bool draining_now = entry.draining && !worker.entry.draining;
+    const bool begins = added || entry.incarnation != worker.entry.incarnation;
     if (entry.incarnation != worker.entry.incarnation)
     {
         if (entry.incarnation < worker.entry.incarnation)
@@ -66,6 +67,10 @@
             .with("leaves_in", entry.leaves_in)
             .with("millicpus", entry.capacity.millicpus);
     }
+    if (begins)
+    {
+        end_replaced_worker(worker, now);
+    }
 }
 
 auto scheduler::on_worker_unregistered(const worker_id& worker) -> void
@@ -83,6 +88,58 @@
         .with("runs", found->second.runs.size());
 }
 
+/// A machine runs one worker at a time, so that a silent one has ended once a
+/// later one is registered at its address.
+auto scheduler::end_replaced_worker(const worker_record& successor,
+                                    time_point now) -> void
+{
+    const auto& entry = successor.entry;
+    auto& latest = m_latest_at_address[entry.address];
+    const auto found = m_workers.find(latest);
+    if (found != m_workers.end() && latest != entry.id &&
+        found->second.entry.address == entry.address)
+    {
+        auto& worker = found->second;
+        if (worker.entry.incarnation >= entry.incarnation)
+        {
+            return;
+        }
+        if (worker.unanswered_calls > 0)
+        {
+            on_worker_ended(worker, now);
+        }
+    }
+    latest = entry.id;
+}
+
+/// Ends all runs of a worker whose process has ended: unlike one that is only
+/// silent, it can't run anything until its lease expires.
+auto scheduler::on_worker_ended(worker_record& worker, time_point now) -> void
+{
+    if (worker.ended)
+    {
+        return;
+    }
+    logging::warn("worker has ended: another one answers at its address")
+        .with("worker", worker.entry.id)
+        .with("address", worker.entry.address)
+        .with("draining", worker.entry.draining)
+        .with("runs", worker.runs.size())
+        .with("last_answer_age", now - worker.answered_at);
+    worker.ended = true;
+    worker.leases_expired = true;
+    worker.registered = false;
+    std::vector<run_ref> lost_runs;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        lost_runs.push_back(ref);
+    }
+    for (const auto& ref : lost_runs)
+    {
+        on_run_ended(worker, ref, run_end::worker_ended, "", now);
+    }
+}
+
 auto scheduler::begin_incarnation(worker_record& worker,
                                   calendar_time incarnation, time_point now)
     -> void
@@ -99,6 +156,7 @@
     worker.lease_end = worker_time{0};
     worker.reconciled = false;
     worker.leases_expired = false;
+    worker.ended = false;
     worker.no_starts_until = {};
     worker.next_heartbeat_at = now;
     // An answer that is still on its way comes from the earlier incarnation.
@@ -188,6 +246,10 @@
     const auto& report = answer.report;
     const auto sent_at = worker.heartbeat_sent_at;
     worker.heartbeat_in_flight = false;
+    if (answer.replaced)
+    {
+        on_worker_ended(worker, now);
+    }
     if (!report)
     {
         ++worker.unanswered_calls;
@@ -320,7 +382,8 @@
     const auto lease_expired =
         std::max(lease_expires_at(worker),
                  worker.restarted_at + max_elapsed(m_options.lease));
-    worker.leases_expired = unanswered && now >= lease_expired;
+    worker.leases_expired =
+        worker.ended || (unanswered && now >= lease_expired);
     if (!unanswered || now < lease_expired)
     {
         return;
@@ -347,7 +410,8 @@
 {
     // Most workers have a waiting heartbeat, for which nothing else is
     // computed.
-    if (worker.heartbeat_in_flight || now < worker.next_heartbeat_at)
+    if (worker.heartbeat_in_flight || worker.ended ||
+        now < worker.next_heartbeat_at)
     {
         return;
     }
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -86,3 +86,34 @@
                   "%zu workers crashed", fixture.crashes_of("deadly"));
     cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
 }
+
+// Guards against runs that wait for the lease of a worker which is known to be
+// gone: another one answers at its address.
+Test(cell_crashes, runs_of_a_worker_that_was_replaced_start_at_once)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("j1", 1, 8'000));
+    simulation.run_for(milliseconds(100));
+    simulation.crash_worker(simulation.starts.back().target.worker);
+    simulation.run_for(milliseconds(2'900));
+    cr_assert_eq(simulation.starts.size(), 1u, "nothing shows its end yet");
+    simulation.run_for(milliseconds(300));
+    cr_assert_eq(simulation.starts.size(), 2u);
+}
+
+// A worker whose replacement is only announced may still run its work.
+Test(cell_crashes, an_answering_worker_is_not_replaced_by_an_entry)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("j1", 1, 8'000));
+    simulation.run_for(milliseconds(100));
+    auto entry =
+        simulation.workers.at(simulation.starts.back().target.worker).entry;
+    entry.id = worker_id("other");
+    entry.incarnation += std::chrono::hours(1);
+    simulation.jobs().on_worker_registered(entry, simulation.now);
+    simulation.run_for(milliseconds(1'000));
+    cr_assert_eq(simulation.starts.size(), 1u);
+}
