A task that crashes its workers is given up, after a trial apart from others

Cause: a run that was lost with its worker went back to the queue without a count, a pause or a choice of another place; only ends 'failed' counted. Where copies are allowed, a second worker got the task at the first missed call. Class: a retry without a bound, on a failure that nobody counts, since the one that could report it is gone.

Change: when a worker is known to have ended without having said that it leaves, the tasks that were on it are suspects, and the crash is part of their jobs' stored progress, before they start again. A suspect runs in a trial: on the emptiest worker, where nothing else starts until the trial is over, and alone of its step. A crash in a trial is the suspect's alone; a second crash with one of both in a trial, or the fourth, fails the job. After two crashes a trial covers the age at which they came. The same holds for copies, members of gangs and lasting tasks, which are cleared after 30 s at work.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -5,6 +5,7 @@
 
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
+#include <pimentoshunt/cell/policy/crash_trials.hpp>
 
 #include <cstdint>       // uint64_t
 #include <map>           // map
@@ -38,11 +39,16 @@
     run_phase phase = run_phase::starting;
     resources taken;
     bool filler = false;
-    /// Whether it is the trial run of an ejected worker.
+    /// Whether it is the first run on an ejected worker.
     bool probe = false;
+    /// Whether its task may crash the worker, which gets no further starts until
+    /// the run has lasted @ref trial_time.
+    bool in_trial = false;
+    milliseconds trial_time{0};
     time_point sent_at;
-    /// When the worker first confirmed or reported the run.
+    /// When the worker first confirmed or reported the run, and its clock then.
     std::optional<time_point> first_seen_at;
+    worker_time first_seen_clock{0};
     bool stop_in_flight = false;
     time_point stop_sent_at;
     std::optional<time_point> stop_answered_at;
@@ -96,6 +102,13 @@
     time_point answered_at;
     /// Consecutive calls without an answer.
     std::uint32_t unanswered_calls = 0;
+    /// When the first of them failed; nothing: it answers.
+    std::optional<time_point> silent_since;
+    /// Suspected runs that were given up when their leases expired. If the
+    /// worker turns out to have crashed, it crashed under these.
+    std::map<run_ref, worker_crash> lost_suspects;
+    /// Number of runs in a trial.
+    std::uint32_t trials = 0;
     resources used;
     /// Reserved for gangs that wait for enough room.
     resources reserved;
@@ -132,6 +145,15 @@
     std::set<std::uint64_t> failures;
     /// Worker on which it failed or stalled last.
     worker_id avoid;
+    policy::crash_history crashes;
+    /// Whether a worker fell silent under its last run, for whatever reason.
+    bool lost = false;
+
+    /// @brief Whether the task may crash its worker.
+    [[nodiscard]] auto is_suspect() const noexcept -> bool
+    {
+        return !done && (lost || !crashes.empty());
+    }
 };
 
 /// @brief Answers of the approval service for one step.
@@ -196,6 +218,12 @@
     time_point wait_logged_at;
     approval_record approvals;
     gang_reservation reservation;
+    /// Whether tasks of the step were or are suspects.
+    bool suspected = false;
+    /// Number of its runs in a trial.
+    std::uint32_t trials = 0;
+    /// Whether a suspect has passed its trial since the last one was found.
+    bool trial_passed = false;
     /// Number of runs of this step on each worker.
     std::unordered_map<const worker_record*, std::uint32_t> placed;
 };
@@ -228,6 +256,10 @@
     bool inherited = false;
     bool any_started = false;
     bool dirty = false;
+    /// Whether a crash is not durable yet, and the batch of progress that
+    /// contains it; 0: not taken yet.
+    bool has_unsaved_crash = false;
+    std::uint64_t crash_batch = 0;
     std::vector<round_record> rounds;
 };
 
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -305,6 +305,15 @@
     std::vector<run_ref> runs;
 };
 
+/// @brief A crash of the worker on which a run was.
+struct worker_crash
+{
+    /// Age of the run when its worker fell silent.
+    milliseconds age{0};
+    /// Whether the run was in a trial; see policy/crash_trials.hpp.
+    bool in_trial = false;
+};
+
 /// @brief Durable progress of one round of a job.
 struct round_progress
 {
@@ -313,6 +322,8 @@
     std::map<std::uint32_t, std::vector<std::uint32_t>> done;
     /// Failed runs.
     std::vector<run_ref> failures;
+    /// Runs whose worker crashed.
+    std::map<run_ref, worker_crash> crashes;
     /// Last checkpoints of tasks that are not running.
     std::map<task_ref, std::string> checkpoints;
 };
--- a/include/pimentoshunt/cell/policy/worker_choice.hpp
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -19,6 +19,12 @@
                                   const step_spec& step, const worker_id& avoid)
     -> double;
 
+/// @brief Cost of a trial of a task that may crash the worker; lower is better.
+/// The emptiest worker comes first, as a crash ends all that runs there.
+[[nodiscard]] auto trial_cost(const detail::worker_record& worker,
+                              const step_spec& step, const worker_id& avoid)
+    -> double;
+
 /// @brief How many tasks of @p step fit into the free resources of @p worker,
 /// at most the step's own limits.
 [[nodiscard]] auto places_on(const detail::worker_record& worker,
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -116,6 +116,10 @@
     /// Ends that became durable, so that their workers may forget them.
     std::uint64_t ends_durable = 0;
     /// Reported runs and ends whose job is not known.
+    /// Runs that count as crashes of their workers, and jobs that were given up
+    /// for them.
+    std::uint64_t crashes = 0;
+    std::uint64_t crash_failures = 0;
     std::uint64_t unknown_runs = 0;
     std::uint64_t unknown_ends = 0;
     /// Logged waits of ready steps, and of inherited jobs for reports of
@@ -343,6 +347,29 @@
     auto adjust_filler_pace(worker_record& worker, time_point now) -> void;
     auto pause_starts(worker_record& worker, time_point until) -> void;
 
+    // Tasks that may crash their workers.
+    [[nodiscard]] auto suspects_on(const worker_record& worker) const
+        -> std::map<run_ref, worker_crash>;
+    auto on_worker_silent(worker_record& worker, time_point now) -> void;
+    auto on_worker_answers(worker_record& worker) -> void;
+    auto record_crash(const run_ref& run, const worker_crash& crash,
+                      const worker_record& worker, time_point now) -> void;
+    auto record_crashes(worker_record& worker, time_point now) -> void;
+    auto give_up_crashing(const task_location& location, time_point now)
+        -> void;
+    auto end_trial(worker_record& worker, run_record& run) -> void;
+    auto pass_trial(worker_record& worker, run_record& run) -> void;
+    auto clear_long_running(run_record& run, const task_location& location,
+                            time_point now) -> void;
+    [[nodiscard]] auto is_trial_needed(const step_record& step) const -> bool;
+    auto begin_trial(worker_record& worker, const policy::waiting_step& item,
+                     std::uint32_t index) -> void;
+    auto place_suspects(const policy::waiting_step& item, time_point now)
+        -> void;
+    auto pick_for_trial(const policy::waiting_step& item,
+                        const std::vector<worker_record*>& candidate_workers,
+                        const task_record& task) -> worker_record*;
+
     // Dispatch.
     auto dispatch(time_point now) -> void;
     auto log_starts(const policy::waiting_step& item, std::size_t count,
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -122,6 +122,15 @@
         item.set_task(failure.task.index);
         item.set_number(failure.number);
     }
+    for (const auto& [run, crash] : round.crashes)
+    {
+        auto& item = *out.add_crashes();
+        item.set_step(run.task.step.step);
+        item.set_task(run.task.index);
+        item.set_number(run.number);
+        item.set_age_ms(crash.age.count());
+        item.set_in_trial(crash.in_trial);
+    }
     for (const auto& [task, text] : round.checkpoints)
     {
         auto& item = *out.add_checkpoints();
@@ -145,6 +154,12 @@
         out.failures.push_back(
             {{{job, from.round(), item.step()}, item.task()}, item.number()});
     }
+    for (const auto& item : from.crashes())
+    {
+        const run_ref run{{{job, from.round(), item.step()}, item.task()},
+                          item.number()};
+        out.crashes[run] = {milliseconds(item.age_ms()), item.in_trial()};
+    }
     for (const auto& item : from.checkpoints())
     {
         out.checkpoints[{{job, from.round(), item.step()}, item.task()}] =
@@ -319,6 +334,7 @@
         }
         place->failures.insert(place->failures.end(), round.failures.begin(),
                                round.failures.end());
+        place->crashes.insert(round.crashes.begin(), round.crashes.end());
         for (const auto& [task, text] : round.checkpoints)
         {
             place->checkpoints[task] = text;
--- /dev/null
+++ b/src/cell/scheduler_crashes.cpp
@@ -0,0 +1,296 @@
+// Tasks that may crash their workers: what counts as a crash under a task, trials
+// of suspects, and when a task is given up.
+#include <pimentoshunt/cell/scheduler.hpp>
+
+#include <pimentoshunt/cell/policy/worker_choice.hpp>
+#include <pimentoshunt/logging.hpp>
+
+#include <algorithm> // any_of, sort
+#include <chrono>    // duration_cast
+
+namespace pimentoshunt::cell
+{
+namespace
+{
+
+/// Suspects with most crashes first, tasks that are no suspects last.
+auto trial_order(const detail::task_record& task) -> std::size_t
+{
+    return task.is_suspect() ? 1 + task.crashes.size() : 0;
+}
+
+} // namespace
+
+/// The runs that may have crashed the worker. Nothing has started on it since a
+/// trial began, and what ran there before had done it no harm: with a trial, the
+/// others are beyond suspicion.
+auto scheduler::suspects_on(const worker_record& worker) const
+    -> std::map<run_ref, worker_crash>
+{
+    std::map<run_ref, worker_crash> out;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        if (worker.trials > 0 && !run.in_trial)
+        {
+            continue;
+        }
+        const auto age =
+            worker.silent_since.value_or(run.sent_at) - run.sent_at;
+        out[ref] = {std::chrono::duration_cast<milliseconds>(age),
+                    run.in_trial};
+    }
+    return out;
+}
+
+/// A worker that falls silent may have crashed: the tasks on it are suspects
+/// until it answers. Those that may run twice are started again, the others once
+/// the worker is known to have ended.
+auto scheduler::on_worker_silent(worker_record& worker, time_point now) -> void
+{
+    if (worker.silent_since)
+    {
+        return;
+    }
+    worker.silent_since = now;
+    if (!worker.entry.draining)
+    {
+        for (const auto& [ref, crash] : suspects_on(worker))
+        {
+            const auto location = find(ref.task);
+            if (location.task != nullptr)
+            {
+                location.task->lost = true;
+                location.step->suspected = true;
+                location.step->trial_passed = false;
+            }
+        }
+    }
+    requeue_copyable(worker);
+}
+
+/// A worker that answers again in the same incarnation was only silent.
+auto scheduler::on_worker_answers(worker_record& worker) -> void
+{
+    worker.silent_since.reset();
+    const auto clear = [&](const run_ref& ref)
+    {
+        const auto location = find(ref.task);
+        if (location.task != nullptr)
+        {
+            location.task->lost = false;
+        }
+    };
+    for (const auto& [ref, run] : worker.runs)
+    {
+        clear(ref);
+    }
+    for (const auto& [ref, crash] : worker.lost_suspects)
+    {
+        clear(ref);
+    }
+    worker.lost_suspects.clear();
+}
+
+/// Records that the worker crashed under its suspected runs, unless it was about
+/// to leave.
+auto scheduler::record_crashes(worker_record& worker, time_point now) -> void
+{
+    auto suspects = suspects_on(worker);
+    suspects.insert(worker.lost_suspects.begin(), worker.lost_suspects.end());
+    worker.lost_suspects.clear();
+    if (worker.entry.draining)
+    {
+        return;
+    }
+    for (const auto& [ref, crash] : suspects)
+    {
+        record_crash(ref, crash, worker, now);
+    }
+}
+
+auto scheduler::record_crash(const run_ref& run, const worker_crash& crash,
+                             const worker_record& worker, time_point now)
+    -> void
+{
+    const auto location = find(run.task);
+    if (location.task == nullptr || location.task->done ||
+        is_final(location.job->state) ||
+        !location.task->crashes.emplace(run.number, crash).second)
+    {
+        return;
+    }
+    ++m_counts.crashes;
+    location.step->suspected = true;
+    location.step->trial_passed = false;
+    // A later owner must know of the crash before the task starts again.
+    location.job->has_unsaved_crash = true;
+    location.job->crash_batch = 0;
+    mark_dirty(*location.job);
+    logging::warn("worker crashed under a run")
+        .with("run", to_string(run.task))
+        .with("number", run.number)
+        .with("worker", worker.entry.id)
+        .with("age", crash.age)
+        .with("in_trial", crash.in_trial)
+        .with("crashes", location.task->crashes.size());
+    give_up_crashing(location, now);
+}
+
+auto scheduler::give_up_crashing(const task_location& location, time_point now)
+    -> void
+{
+    if (location.task == nullptr || is_final(location.job->state) ||
+        !policy::should_give_up(location.task->crashes))
+    {
+        return;
+    }
+    ++m_counts.crash_failures;
+    const auto index = location.task - location.step->tasks.data();
+    logging::warn("job failed: a task crashes its workers")
+        .with("job", location.job->spec->id)
+        .with("step", location.step->number)
+        .with("task", static_cast<std::uint64_t>(index))
+        .with("crashes", location.task->crashes.size());
+    finish(*location.job, job_state::failed, now);
+}
+
+auto scheduler::end_trial(worker_record& worker, run_record& run) -> void
+{
+    if (run.in_trial)
+    {
+        run.in_trial = false;
+        --worker.trials;
+        const auto location = find(run.run.task);
+        if (location.step != nullptr)
+        {
+            --location.step->trials;
+        }
+    }
+}
+
+/// The run has done its worker no harm. Its crashes still count.
+auto scheduler::pass_trial(worker_record& worker, run_record& run) -> void
+{
+    if (!run.in_trial)
+    {
+        return;
+    }
+    end_trial(worker, run);
+    const auto location = find(run.run.task);
+    if (location.task != nullptr)
+    {
+        location.task->lost = false;
+        location.step->trial_passed = true;
+    }
+}
+
+/// Over its long life a lasting task sees workers crash for other reasons.
+auto scheduler::clear_long_running(run_record& run,
+                                   const task_location& location,
+                                   time_point now) -> void
+{
+    if (location.task != nullptr && location.step->spec->lasting &&
+        !location.task->crashes.empty() &&
+        now - *run.first_seen_at >= policy::time_to_clear_lasting)
+    {
+        location.task->crashes.clear();
+        mark_dirty(*location.job);
+    }
+}
+
+/// Whether a trial decides on further starts of the step: its tasks are alike,
+/// so that one that crashes its worker is likely to have company.
+auto scheduler::is_trial_needed(const step_record& step) const -> bool
+{
+    return step.suspected && !step.trial_passed &&
+           std::any_of(step.tasks.begin(), step.tasks.end(),
+                       [](const task_record& task)
+                       {
+                           return task.is_suspect();
+                       });
+}
+
+/// The emptiest worker: a crash costs the others least there.
+auto scheduler::pick_for_trial(
+    const policy::waiting_step& item,
+    const std::vector<worker_record*>& candidate_workers,
+    const task_record& task) -> worker_record*
+{
+    worker_record* best = nullptr;
+    double best_cost = 0;
+    for (auto* const worker : candidate_workers)
+    {
+        if (!fits(*worker, *item.step))
+        {
+            continue;
+        }
+        const auto cost =
+            policy::trial_cost(*worker, *item.step->spec, task.avoid);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = worker;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+/// Starts suspects in trials: one task of the step first, the other suspects
+/// once it has passed.
+auto scheduler::place_suspects(const policy::waiting_step& item, time_point now)
+    -> void
+{
+    auto& step = *item.step;
+    const bool single = is_trial_needed(step);
+    if (item.job->has_unsaved_crash || (single && step.trials > 0))
+    {
+        return;
+    }
+    std::vector<std::uint32_t> chosen;
+    for (const auto index : step.waiting)
+    {
+        // While the suspects are still on silent workers, another task takes the
+        // step's trial.
+        if (single || step.tasks[index].is_suspect())
+        {
+            chosen.push_back(index);
+        }
+    }
+    std::stable_sort(chosen.begin(), chosen.end(),
+                     [&](std::uint32_t left, std::uint32_t right)
+                     {
+                         return trial_order(step.tasks[left]) >
+                                trial_order(step.tasks[right]);
+                     });
+    const auto candidate_workers = candidates(item, now);
+    for (const auto index : chosen)
+    {
+        auto& task = step.tasks[index];
+        auto* const worker = pick_for_trial(item, candidate_workers, task);
+        if (worker == nullptr)
+        {
+            return;
+        }
+        start(item, index, *worker, next_number(task), now);
+        begin_trial(*worker, item, index);
+        if (single)
+        {
+            return;
+        }
+    }
+}
+
+/// Puts the last run of the task, which was just started, on trial.
+auto scheduler::begin_trial(worker_record& worker,
+                            const policy::waiting_step& item,
+                            std::uint32_t index) -> void
+{
+    auto& task = item.step->tasks[index];
+    auto& run = worker.runs.at(task.runs.back());
+    run.in_trial = true;
+    run.trial_time = policy::trial_time(task.crashes);
+    ++worker.trials;
+    ++item.step->trials;
+}
+
+} // namespace pimentoshunt::cell
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -5,7 +5,7 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // find, max, sort
+#include <algorithm> // find, max, min, sort
 #include <optional>  // optional
 #include <utility>   // move
 
@@ -165,7 +165,8 @@
     const auto limit = step.spec->most_per_worker;
     const auto placed = step.placed.find(&worker);
     const auto here = placed == step.placed.end() ? 0 : placed->second;
-    return policy::resources_for(*step.spec, 1).fits_in(worker.room()) &&
+    return worker.trials == 0 &&
+           policy::resources_for(*step.spec, 1).fits_in(worker.room()) &&
            (limit == 0 || here < limit);
 }
 
@@ -294,6 +295,14 @@
 auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
     -> void
 {
+    if (item.step->suspected)
+    {
+        place_suspects(item, now);
+        if (is_trial_needed(*item.step))
+        {
+            return;
+        }
+    }
     const auto candidate_workers = candidates(item, now);
     if (candidate_workers.empty())
     {
@@ -304,6 +313,10 @@
     for (const auto index : indexes)
     {
         auto& task = item.step->tasks[index];
+        if (task.is_suspect())
+        {
+            continue;
+        }
         auto* const worker = pick_worker(item, candidate_workers, task);
         if (worker == nullptr)
         {
@@ -375,7 +388,13 @@
             run->second.percent_changed_at = now;
         }
         run->second.first_seen_at = now;
+        run->second.first_seen_clock = clock.value_or(worker_time{0});
         worker.next_heartbeat_at = std::min(worker.next_heartbeat_at, now);
+        if (run->second.in_trial)
+        {
+            // A waiting heartbeat may be answered long after the trial.
+            heartbeat_at_once(worker, now);
+        }
         return;
     }
     logging::info("start order failed")
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -44,6 +44,10 @@
         step.reservation = {};
         return;
     }
+    if (step.suspected && item.job->has_unsaved_crash)
+    {
+        return;
+    }
     const auto chosen_before = release_reservation(step);
     const auto candidate_workers = candidates(item, now);
     const auto places =
@@ -62,6 +66,12 @@
                            time_point now) -> void
 {
     auto& step = *item.step;
+    const bool suspected =
+        step.suspected && std::any_of(step.tasks.begin(), step.tasks.end(),
+                                      [](const task_record& task)
+                                      {
+                                          return task.is_suspect();
+                                      });
     std::uint64_t number = 0;
     std::string checkpoint;
     for (const auto& task : step.tasks)
@@ -76,6 +86,11 @@
     {
         step.tasks[i].checkpoint = checkpoint;
         start(item, i, *places[i], number, now);
+        // With a suspect among them all members are on trial: they end together.
+        if (suspected)
+        {
+            begin_trial(*places[i], item, i);
+        }
     }
 }
 
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -161,6 +161,15 @@
                 location.task->failures.insert(run.number);
             }
         }
+        for (const auto& [run, crash] : stored.crashes)
+        {
+            const auto location = find(run.task);
+            if (location.task != nullptr)
+            {
+                location.task->crashes.emplace(run.number, crash);
+                location.step->suspected = true;
+            }
+        }
         for (const auto& [task, checkpoint] : stored.checkpoints)
         {
             const auto location = find(task);
@@ -182,6 +191,13 @@
         m_finished.push_back(job.id);
     }
     apply_early_cancellation(*record, now);
+    for (const auto& stored : progress.rounds)
+    {
+        for (const auto& [run, crash] : stored.crashes)
+        {
+            give_up_crashing(find(run.task), now);
+        }
+    }
     return true;
 }
 
--- a/src/cell/scheduler_progress.cpp
+++ b/src/cell/scheduler_progress.cpp
@@ -47,6 +47,10 @@
                 {
                     stored.failures.push_back({ref, number});
                 }
+                for (const auto& [number, crash] : task.crashes)
+                {
+                    stored.crashes[{ref, number}] = crash;
+                }
                 if (!task.checkpoint.empty() && task.runs.empty())
                 {
                     stored.checkpoints[ref] = task.checkpoint;
@@ -80,7 +84,12 @@
         {
             continue;
         }
-        found->second.dirty = false;
+        auto& job = found->second;
+        job.dirty = false;
+        if (job.has_unsaved_crash && job.crash_batch == 0)
+        {
+            job.crash_batch = batch.number;
+        }
         batch.jobs.push_back(progress_of(found->second));
     }
     m_dirty.erase(m_dirty.begin(),
@@ -127,7 +136,17 @@
     for (const auto& stored : batch.jobs)
     {
         const auto found = m_jobs.find(stored.id);
-        if (found != m_jobs.end() && !is_final(found->second.published_state))
+        if (found == m_jobs.end())
+        {
+            continue;
+        }
+        auto& job = found->second;
+        if (job.crash_batch != 0 && batch.number >= job.crash_batch)
+        {
+            job.has_unsaved_crash = false;
+            job.crash_batch = 0;
+        }
+        if (!is_final(found->second.published_state))
         {
             found->second.published_state = stored.state;
             // The retention begins when callers can see the end.
@@ -186,6 +205,7 @@
         const auto found = m_jobs.find(stored.id);
         if (found != m_jobs.end())
         {
+            found->second.crash_batch = 0;
             mark_dirty(found->second);
         }
     }
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -9,11 +9,22 @@
     auto& worker = find_or_add_worker(enrolled.entry, now);
     worker.roster_version = version;
     worker.enrolled = !enrolled.closed;
-    if (!enrolled.closed ||
-        worker.entry.incarnation != enrolled.entry.incarnation)
+    if (!enrolled.closed)
     {
         return;
     }
+    if (worker.entry.incarnation != enrolled.entry.incarnation)
+    {
+        // It restarted while its runs were not known to have ended.
+        for (const auto& ref : enrolled.runs)
+        {
+            if (!enrolled.entry.draining)
+            {
+                record_crash(ref, {}, worker, now);
+            }
+        }
+        return;
+    }
     worker.closed = true;
     for (const auto& ref : enrolled.runs)
     {
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -44,6 +44,7 @@
     {
         return;
     }
+    end_trial(worker, found->second);
     worker.used -= found->second.taken;
     worker.runs.erase(found);
     const auto location = find(run.task);
@@ -71,6 +72,12 @@
     }
     const auto age = known == worker.runs.end() ? boot_clock::duration::zero()
                                                 : now - known->second.sent_at;
+    const bool outlived_worker =
+        how != run_end::lease_expired && how != run_end::worker_ended;
+    if (known != worker.runs.end() && outlived_worker)
+    {
+        pass_trial(worker, known->second);
+    }
     erase_run(worker, run);
     const auto location = find(run.task);
     if (location.task == nullptr)
@@ -231,7 +238,6 @@
     {
         auto& run = add_run(worker, location, seen.run, now);
         run.phase = run_phase::running;
-        run.first_seen_at = now;
         known = worker.runs.find(seen.run);
         const bool is_expected = location.task != nullptr &&
                                  !location.task->done &&
@@ -259,7 +265,13 @@
     if (!run.first_seen_at)
     {
         run.first_seen_at = now;
+        run.first_seen_clock = *worker.clock;
+    }
+    if (run.in_trial && *worker.clock - run.first_seen_clock >= run.trial_time)
+    {
+        pass_trial(worker, run);
     }
+    clear_long_running(run, location, now);
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -129,6 +129,7 @@
     worker.ended = true;
     worker.leases_expired = true;
     worker.registered = false;
+    record_crashes(worker, now);
     std::vector<run_ref> lost_runs;
     for (const auto& [ref, run] : worker.runs)
     {
@@ -147,6 +148,8 @@
     logging::info("worker restarted")
         .with("worker", worker.entry.id)
         .with("runs", worker.runs.size());
+    record_crashes(worker, now);
+    worker.silent_since.reset();
     worker.entry.incarnation = incarnation;
     worker.restarted_at = now;
     worker.ends_received = 0;
@@ -253,13 +256,13 @@
     if (!report)
     {
         ++worker.unanswered_calls;
+        on_worker_silent(worker, now);
         const bool holds_up_work = !worker.reconciled || !worker.runs.empty();
         worker.next_heartbeat_at =
             now + (holds_up_work
                        ? unanswered_pause
                        : std::min(unanswered_pause * worker.unanswered_calls,
                                   max_unanswered_pause));
-        requeue_copyable(worker);
         if (worker.unanswered_calls == 1)
         {
             log_unanswered(worker, answer, now);
@@ -268,6 +271,7 @@
     }
     worker.unanswered_calls = 0;
     worker.answered_at = now;
+    const bool was_silent = worker.silent_since.has_value();
     if (report->incarnation != calendar_time{} &&
         report->incarnation != worker.entry.incarnation)
     {
@@ -277,6 +281,10 @@
         }
         begin_incarnation(worker, report->incarnation, now);
     }
+    if (was_silent)
+    {
+        on_worker_answers(worker);
+    }
     if (!worker.clock)
     {
         // An earlier owner may have granted a full lease just before this
@@ -399,6 +407,10 @@
             .with("worker", worker.entry.id)
             .with("runs", lost_runs.size());
     }
+    if (!worker.entry.draining && !lost_runs.empty())
+    {
+        worker.lost_suspects = suspects_on(worker);
+    }
     for (const auto& ref : lost_runs)
     {
         on_run_ended(worker, ref, run_end::lease_expired, "", now);
@@ -472,6 +484,10 @@
         {
             order.wait = std::min(order.wait, m_options.leaving_heartbeat_wait);
         }
+        if (worker.trials > 0)
+        {
+            order.wait = std::min(order.wait, policy::first_trial);
+        }
     }
     worker.heartbeat_in_flight = true;
     worker.heartbeat_sent_at = now;
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -146,6 +146,9 @@
                      counts.unknown_runs);
         m_meters.add("runs_total", {"event", "unknown end"},
                      counts.unknown_ends);
+        m_meters.add("runs_total", {"event", "worker crashed"}, counts.crashes);
+        m_meters.add("jobs_given_up_total", {"for", "crashes"},
+                     counts.crash_failures);
         m_meters.add("long_waits_total", {"of", "step"}, counts.long_waits);
     }
 
--- a/src/cell/worker_choice.cpp
+++ b/src/cell/worker_choice.cpp
@@ -41,6 +41,22 @@
     return count;
 }
 
+/// Cost of a worker that lacks the data, or on which the task failed before.
+auto distance_cost(const worker_record& worker, const step_spec& step,
+                   const worker_id& avoid) -> double
+{
+    double cost = 0;
+    if (!step.data_rack.empty() && step.data_rack != worker.entry.rack)
+    {
+        cost += far_from_data;
+    }
+    if (!avoid.empty() && avoid == worker.entry.id)
+    {
+        cost += failed_here;
+    }
+    return cost;
+}
+
 auto fill_workers(const std::vector<worker_record*>& candidate_workers,
                   const step_spec& step) -> std::vector<worker_record*>
 {
@@ -113,16 +129,18 @@
     // Best fit: the processors left after placement should be of little use to
     // other tasks.
     const auto left = worker.room().millicpus - step.need.millicpus;
-    double cost = static_cast<double>(left) / static_cast<double>(whole);
-    if (!step.data_rack.empty() && step.data_rack != worker.entry.rack)
-    {
-        cost += far_from_data;
-    }
-    if (!avoid.empty() && avoid == worker.entry.id)
-    {
-        cost += failed_here;
-    }
-    return cost;
+    const auto cost = static_cast<double>(left) / static_cast<double>(whole);
+    return cost + distance_cost(worker, step, avoid);
+}
+
+auto trial_cost(const worker_record& worker, const step_spec& step,
+                const worker_id& avoid) -> double
+{
+    const auto whole =
+        std::max<std::int64_t>(worker.entry.capacity.millicpus, 1);
+    const auto cost =
+        static_cast<double>(worker.used.millicpus) / static_cast<double>(whole);
+    return cost + distance_cost(worker, step, avoid);
 }
 
 auto choose_gang_places(const std::vector<worker_record*>& candidate_workers,
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -5,7 +5,7 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm> // count_if
+#include <algorithm> // any_of, count_if, find_if
 #include <string>    // string, to_string
 
 using namespace pimentoshunt;
@@ -18,6 +18,9 @@
 
 /// Workers under which a task may crash before it is given up.
 constexpr std::size_t most_crashes = 3;
+/// The same when owners change all the time: after the third crash it may be
+/// started twice more.
+constexpr std::size_t most_crashes_of_owners = 5;
 
 /// A cell of eight workers, in which the jobs whose ids begin with "deadly" crash
 /// the workers that start them.
@@ -50,6 +53,17 @@
         simulation.jobs().accept(job, simulation.now);
     }
 
+    auto end_all_runs(cell::run_end how) -> void
+    {
+        for (auto& [id, worker] : simulation.workers)
+        {
+            while (!worker.runs.empty())
+            {
+                simulation.end_run(id.str(), worker.runs.begin()->first, how);
+            }
+        }
+    }
+
     [[nodiscard]] auto state_of(const std::string& job) -> job_state
     {
         return simulation.jobs().state_of(job_id(job)).value();
@@ -117,3 +131,247 @@
     simulation.run_for(milliseconds(1'000));
     cr_assert_eq(simulation.starts.size(), 1u);
 }
+
+// Guards against copies of a task that take a second worker before anything is
+// known of the first, and a third one.
+Test(cell_crashes, a_task_that_may_run_twice_crashes_no_more_workers)
+{
+    crash_fixture fixture;
+    auto job = simple_job("deadly", 4, 1'000);
+    job.steps.front().copies_allowed = true;
+    fixture.accept(job);
+    fixture.simulation.run_for(std::chrono::seconds(30));
+    cr_assert_leq(fixture.simulation.crashes.size(), most_crashes,
+                  "%zu workers crashed", fixture.simulation.crashes.size());
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
+
+Test(cell_crashes, a_lasting_task_that_crashes_its_workers_is_given_up)
+{
+    crash_fixture fixture;
+    auto job = simple_job("deadly", 4, 1'000);
+    job.steps.front().lasting = true;
+    fixture.accept(job);
+    fixture.simulation.run_for(std::chrono::seconds(30));
+    cr_assert_leq(fixture.crashes_of("deadly"), most_crashes);
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
+
+Test(cell_crashes, a_gang_that_crashes_its_workers_is_given_up)
+{
+    crash_fixture fixture;
+    auto job = simple_job("deadly", 4, 5'000);
+    job.steps.front().gang = true;
+    fixture.simulation.crashes_worker = [](const cell::run_ref& run)
+    {
+        return run.task.index == 2;
+    };
+    fixture.accept(job);
+    for (int i = 0; i < 400; ++i)
+    {
+        const auto before = fixture.simulation.crashes.size();
+        fixture.simulation.run_for(milliseconds(100));
+        if (fixture.simulation.crashes.size() > before)
+        {
+            fixture.end_all_runs(cell::run_end::gang_member_ended);
+        }
+    }
+    cr_assert_leq(fixture.crashes_of("deadly", 2), most_crashes);
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
+
+// The crash comes late: others have started beside the task meanwhile.
+Test(cell_crashes, a_task_that_crashes_its_workers_late_is_given_up)
+{
+    crash_fixture fixture;
+    fixture.simulation.crash_delay = milliseconds(2'500);
+    fixture.accept(simple_job("deadly", 1, 1'000));
+    for (int i = 0; i < 100; ++i)
+    {
+        fixture.accept(simple_job("j" + std::to_string(i), 2, 1'000));
+        fixture.simulation.run_for(milliseconds(300));
+    }
+    fixture.simulation.run_for(std::chrono::seconds(10));
+    cr_assert_leq(fixture.crashes_of("deadly"), most_crashes,
+                  "%zu workers crashed", fixture.crashes_of("deadly"));
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+    for (int i = 0; i < 100; ++i)
+    {
+        cr_assert_eq(fixture.state_of("j" + std::to_string(i)),
+                     job_state::succeeded);
+    }
+}
+
+// Guards against jobs that are given up for the crashes of others: twelve
+// tasks were on the worker, and one is at fault.
+Test(cell_crashes, tasks_beside_one_that_crashes_its_workers_are_not_given_up)
+{
+    crash_fixture fixture;
+    for (int i = 0; i < 40; ++i)
+    {
+        fixture.accept(simple_job("j" + std::to_string(i), 1, 1'000));
+    }
+    fixture.simulation.run_for(milliseconds(100));
+    for (int i = 0; i < 4; ++i)
+    {
+        fixture.accept(simple_job("deadly" + std::to_string(i), 2, 1'000));
+        fixture.simulation.run_for(milliseconds(200));
+    }
+    fixture.simulation.run_for(std::chrono::seconds(30));
+    for (int i = 0; i < 40; ++i)
+    {
+        cr_assert_eq(fixture.state_of("j" + std::to_string(i)),
+                     job_state::succeeded, "j%d", i);
+    }
+    for (int i = 0; i < 4; ++i)
+    {
+        const auto job = "deadly" + std::to_string(i);
+        cr_assert_eq(fixture.state_of(job), job_state::failed);
+        cr_assert_leq(fixture.crashes_of(job), most_crashes);
+    }
+}
+
+// Guards against starts beside a suspect, which a crash would take with it.
+Test(cell_crashes, nothing_starts_beside_a_trial)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("deadly", 1, 1'000));
+    simulation.run_for(milliseconds(3'000));
+    cr_assert_eq(simulation.crashes.size(), 1u);
+    for (int i = 0; i < 200; ++i)
+    {
+        fixture.accept(simple_job("j" + std::to_string(i), 1, 100));
+        simulation.run_for(milliseconds(20));
+    }
+    cr_assert_eq(simulation.crashes.size(), 2u);
+    for (const auto& run : simulation.crashes.back().second)
+    {
+        const auto started =
+            std::find_if(simulation.starts.begin(), simulation.starts.end(),
+                         [&](const cell::start_order& order)
+                         {
+                             return order.run == run;
+                         });
+        const auto trial =
+            std::find_if(simulation.starts.rbegin(), simulation.starts.rend(),
+                         [](const cell::start_order& order)
+                         {
+                             return order.run.task.step.job.str() == "deadly";
+                         });
+        cr_assert(started <= trial.base() - 1,
+                  "%s started after the trial began",
+                  cell::to_string(run.task).c_str());
+    }
+}
+
+// Guards against a count that is lost with the owner.
+Test(cell_crashes, a_later_owner_knows_of_the_crashes)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    const auto job = simple_job("deadly", 1, 1'000);
+    fixture.accept(job);
+    for (int i = 0; i < 20; ++i)
+    {
+        simulation.run_for(milliseconds(1'500));
+        simulation.take_over({job});
+    }
+    cr_assert_leq(fixture.crashes_of("deadly"), most_crashes_of_owners,
+                  "%zu workers crashed", fixture.crashes_of("deadly"));
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
+
+// Guards against a start whose crash a later owner would not know of: the store
+// does not take the one before.
+Test(cell_crashes, a_suspect_waits_until_its_crash_is_durable)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("deadly", 1, 1'000));
+    simulation.run_for(milliseconds(100));
+    simulation.store_answers = false;
+    simulation.run_for(milliseconds(20'000));
+    cr_assert_eq(simulation.crashes.size(), 1u);
+    simulation.store_answers = true;
+    simulation.run_for(milliseconds(1'000));
+    cr_assert_eq(simulation.crashes.size(), 2u);
+}
+
+// Guards against a crash that counts only under a new id.
+Test(cell_crashes, a_worker_that_keeps_its_id_has_crashed_too)
+{
+    crash_fixture fixture;
+    fixture.simulation.keeps_id = true;
+    fixture.accept(simple_job("deadly", 1, 1'000));
+    fixture.simulation.run_for(std::chrono::seconds(40));
+    cr_assert_leq(fixture.crashes_of("deadly"), most_crashes,
+                  "%zu workers crashed", fixture.crashes_of("deadly"));
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
+
+// Guards against work that is given up for workers that were only silent.
+Test(cell_crashes, a_task_on_silent_workers_is_not_given_up)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    const cell::task_ref task{{job_id("j1"), 0, 0}, 0};
+    auto job = simple_job("j1", 1, 1'000);
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return std::nullopt;
+    };
+    fixture.accept(job);
+    for (int i = 0; i < 6; ++i)
+    {
+        simulation.run_for(milliseconds(300));
+        cr_assert_eq(simulation.live_runs(task), 1u);
+        const auto silent = simulation.starts.back().target.worker;
+        simulation.workers.at(silent).receives_orders = false;
+        simulation.run_for(milliseconds(7'000));
+        simulation.workers.at(silent).receives_orders = true;
+    }
+    simulation.run_for(milliseconds(300));
+    cr_assert_eq(simulation.live_runs(task), 1u);
+    cr_assert_eq(fixture.state_of("j1"), job_state::running);
+}
+
+// The same for workers that had said that they would leave.
+Test(cell_crashes, a_task_on_leaving_workers_is_not_given_up)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return std::nullopt;
+    };
+    fixture.accept(simple_job("j1", 1, 1'000));
+    for (int i = 0; i < 6; ++i)
+    {
+        simulation.run_for(milliseconds(300));
+        auto& leaving =
+            simulation.workers.at(simulation.starts.back().target.worker);
+        leaving.entry.draining = true;
+        simulation.register_worker(leaving);
+        simulation.run_for(milliseconds(300));
+        leaving.entry.draining = false;
+        simulation.crash_worker(worker_id(leaving.entry.id));
+        simulation.run_for(milliseconds(6'000));
+    }
+    cr_assert_eq(fixture.state_of("j1"), job_state::running);
+}
+
+// Guards against a step that waits for good for a trial.
+Test(cell_crashes, all_lost_tasks_of_a_step_run_again)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("j1", 16, 2'000));
+    simulation.run_for(milliseconds(400));
+    for (const auto* const name : {"w1", "w2", "w3"})
+    {
+        simulation.crash_worker(worker_id(name));
+    }
+    simulation.run_for(milliseconds(10'000));
+    cr_assert_eq(fixture.state_of("j1"), job_state::succeeded);
+}
