An owner forgets workers that are gone

What callers saw: with tasks that crash their workers for long, an owner listed 343 workers where 48 were alive; each pass visits them all.

Cause: a worker may come back under another id, and the record of the old one was kept for ever, as approvals and placements refer to it by address. Class: a table that only grows.

Change: a worker without an entry, runs, unsaved ends or a row in the roster is forgotten after 15 s, and removed from the records of unfinished jobs; finished jobs drop theirs at once.

Test: ended_workers_are_forgotten failed before (more than 30 workers beside the 8 that are alive).

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -66,6 +66,8 @@
     worker_entry entry;
     /// Whether its entry exists; without it no runs are started.
     bool registered = false;
+    /// When its entry was found to be missing, if it is.
+    time_point unregistered_at;
     /// Whether the durable roster has an open row for it: a later owner will
     /// ask this worker for all its runs.
     bool enrolled = false;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -491,7 +491,8 @@
     {
         if (row.removed)
         {
-            m_scheduler.on_worker_unregistered(worker_id(row.at.key));
+            m_scheduler.on_worker_unregistered(worker_id(row.at.key),
+                                               steady_now());
             return;
         }
         if (const auto entry = m_platform.read_worker(row))
@@ -522,7 +523,7 @@
         }
         for (const auto& id : gone)
         {
-            m_scheduler.on_worker_unregistered(id);
+            m_scheduler.on_worker_unregistered(id, steady_now());
         }
     }
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -95,6 +95,9 @@
     /// A step that has waited this long since its last start is logged, and
     /// again at intervals of the same length.
     milliseconds wait_log_interval{3'000};
+    /// How long a worker without an entry, runs or a row in the roster is
+    /// remembered.
+    milliseconds gone_worker_retention{15'000};
 };
 
 /// @brief What the owner may do at one moment.
@@ -156,7 +159,8 @@
     auto on_worker_registered(const worker_entry& entry, time_point now)
         -> void;
     /// @brief A worker's entry was removed.
-    auto on_worker_unregistered(const worker_id& worker) -> void;
+    auto on_worker_unregistered(const worker_id& worker, time_point now)
+        -> void;
 
     /// @brief Adds a worker that an earlier owner may have given work.
     /// @param version  of its row in the roster
@@ -347,6 +351,9 @@
     auto adjust_filler_pace(worker_record& worker, time_point now) -> void;
     auto pause_starts(worker_record& worker, time_point until) -> void;
 
+    auto forget_gone_workers(time_point now) -> void;
+    auto remove_from_steps(worker_record& worker) -> void;
+
     // Tasks that may crash their workers.
     [[nodiscard]] auto suspects_on(const worker_record& worker) const
         -> std::map<run_ref, worker_crash>;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -61,6 +61,7 @@
             end_expired_runs(worker, now);
             stop_outlasting(worker, now);
         }
+        forget_gone_workers(now);
     }
     for (const auto& id : m_health.take_due_probes(now))
     {
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -246,6 +246,9 @@
         {
             release_reservation(step);
             release_claims(step);
+            // What refers to workers ends with the job.
+            step.approvals = {};
+            step.placed.clear();
         }
     }
     m_active.erase(job.arrival);
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -121,6 +121,60 @@
     }
 }
 
+/// Each life of a worker may have an id of its own, so that the records of
+/// earlier ones would only ever grow in number.
+auto scheduler::forget_gone_workers(time_point now) -> void
+{
+    for (auto next = m_workers.begin(); next != m_workers.end();)
+    {
+        const auto current = next++;
+        auto& [id, worker] = *current;
+        const bool is_gone =
+            !worker.registered && worker.runs.empty() &&
+            worker.roster_version == 0 && !worker.enrolled &&
+            !worker.roster_in_flight &&
+            worker.ends_received <= worker.ends_durable &&
+            now - worker.unregistered_at >= m_options.gone_worker_retention;
+        if (!is_gone)
+        {
+            continue;
+        }
+        remove_from_steps(worker);
+        m_health.remove(id);
+        m_probed_workers.erase(id);
+        const auto latest = m_latest_at_address.find(worker.entry.address);
+        if (latest != m_latest_at_address.end() && latest->second == id)
+        {
+            m_latest_at_address.erase(latest);
+        }
+        m_workers.erase(current);
+    }
+}
+
+/// Removes the worker from the records of unfinished jobs, which refer to it by
+/// address.
+auto scheduler::remove_from_steps(worker_record& worker) -> void
+{
+    const auto is_worker = [&](const auto& item)
+    {
+        return item.first == &worker;
+    };
+    for (auto& [arrival, job] : m_active)
+    {
+        for (auto& round : job->rounds)
+        {
+            for (auto& step : round.steps)
+            {
+                step.approvals.approved.erase(&worker);
+                step.approvals.refused.erase(&worker);
+                std::erase_if(step.approvals.claims, is_worker);
+                std::erase_if(step.reservation.reserved, is_worker);
+                step.placed.erase(&worker);
+            }
+        }
+    }
+}
+
 auto scheduler::set_roster_version(const worker_id& worker,
                                    std::uint64_t version) -> void
 {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -73,7 +73,8 @@
     }
 }
 
-auto scheduler::on_worker_unregistered(const worker_id& worker) -> void
+auto scheduler::on_worker_unregistered(const worker_id& worker, time_point now)
+    -> void
 {
     const auto found = m_workers.find(worker);
     if (found == m_workers.end() || !found->second.registered)
@@ -81,6 +82,7 @@
         return;
     }
     found->second.registered = false;
+    found->second.unregistered_at = now;
     logging::info("worker unregistered")
         .with("worker", worker)
         .with("address", found->second.entry.address)
@@ -129,6 +131,7 @@
     worker.ended = true;
     worker.leases_expired = true;
     worker.registered = false;
+    worker.unregistered_at = now;
     record_crashes(worker, now);
     std::vector<run_ref> lost_runs;
     for (const auto& [ref, run] : worker.runs)
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -161,7 +161,7 @@
     auto unregister_worker(fake_cell_worker& worker) -> void
     {
         worker.registered = false;
-        m_scheduler->on_worker_unregistered(worker.entry.id);
+        m_scheduler->on_worker_unregistered(worker.entry.id, now);
     }
 
     /// @brief Replaces the owner by one with the next epoch, which knows the
@@ -236,7 +236,7 @@
             schedule_in(entry_lifetime,
                         [this, id]
                         {
-                            m_scheduler->on_worker_unregistered(id);
+                            m_scheduler->on_worker_unregistered(id, now);
                         });
         }
     }
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -375,3 +375,26 @@
     simulation.run_for(milliseconds(10'000));
     cr_assert_eq(fixture.state_of("j1"), job_state::succeeded);
 }
+
+// Guards against records of workers that are gone: an owner listed 343 where 48
+// were alive.
+Test(cell_crashes, ended_workers_are_forgotten)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    for (int i = 0; i < 30; ++i)
+    {
+        const auto name = std::to_string(i);
+        auto job = simple_job("deadly" + name, 1, 1'000);
+        job.queue.approval.required = true;
+        job.queue.approval.ticket_lifetime = simulation.ticket_lifetime;
+        fixture.accept(job);
+        fixture.accept(simple_job("j" + name, 4, 500));
+        simulation.run_for(milliseconds(1'000));
+    }
+    simulation.run_for(std::chrono::seconds(30));
+    cr_assert_gt(simulation.crashes.size(), 30u);
+    cr_assert_eq(simulation.jobs().workers().size(), 8u, "%zu workers",
+                 simulation.jobs().workers().size());
+    cr_assert_eq(simulation.stored_roster.size(), 8u);
+}
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -29,7 +29,7 @@
     cr_assert_eq(simulation.running(), 1u);
     simulation.workers.at(worker_id("w1")).receives_orders = false;
     simulation.workers.at(worker_id("w1")).runs.clear();
-    simulation.jobs().on_worker_unregistered(worker_id("w1"));
+    simulation.jobs().on_worker_unregistered(worker_id("w1"), simulation.now);
     simulation.add_worker("w2", 4'000);
     simulation.run_for(longest_wait);
     cr_assert_eq(simulation.live_runs({{job_id("j1"), 0, 0}, 0}), 1u);
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -430,7 +430,7 @@
     cr_assert(has_row("w1"));
     run_ready(control);
     store.lost_answers = 1;
-    simulation.jobs().on_worker_unregistered(worker_id("w1"));
+    simulation.jobs().on_worker_unregistered(worker_id("w1"), simulation.now);
     write_until(
         [&]
         {
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -221,7 +221,7 @@
     cell_simulation simulation;
     simulation.add_worker("w1", 4'000);
     simulation.run_for(milliseconds(200));
-    simulation.jobs().on_worker_unregistered(worker_id("w1"));
+    simulation.jobs().on_worker_unregistered(worker_id("w1"), simulation.now);
     const auto change = simulation.jobs().take_roster_changes(10);
     cr_assert_eq(change.removals.size(), 1u);
     cr_assert(change.writes.empty());
