A crash counts against a run that the worker is known to have begun

Cause: a start order without an answer may reach a worker that has crashed for another task. Class: a guess that is treated as an observation.

Change: a crash is confirmed if its run was; the roster's rows say so of the runs they list. Two confirmed crashes, one of them in a trial, or four of any kind fail the job. Runs that had outlived a trial when the worker fell silent are no suspects while a younger one was there, so that fewer tasks are held up.

Tests: a_start_without_an_answer_proves_no_crash fails with the rule taken out; old_runs_are_no_suspects_beside_a_young_one.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -46,6 +46,8 @@
     bool in_trial = false;
     milliseconds trial_time{0};
     time_point sent_at;
+    /// Whether the worker is known to have begun the run.
+    bool confirmed = false;
     /// When the worker first confirmed or reported the run, and its clock then.
     std::optional<time_point> first_seen_at;
     worker_time first_seen_clock{0};
@@ -148,13 +150,13 @@
     /// Worker on which it failed or stalled last.
     worker_id avoid;
     policy::crash_history crashes;
-    /// Whether a worker fell silent under its last run, for whatever reason.
+    /// Whether a worker fell silent under its last run, which may be the cause.
     bool lost = false;
 
     /// @brief Whether the task may crash its worker.
-    [[nodiscard]] auto is_suspect() const noexcept -> bool
+    [[nodiscard]] auto is_suspect() const -> bool
     {
-        return !done && (lost || !crashes.empty());
+        return !done && (lost || policy::is_suspect(crashes));
     }
 };
 
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -302,7 +302,13 @@
     /// Whether the worker gets no further work, so that only @ref runs may run
     /// there.
     bool closed = false;
-    std::vector<run_ref> runs;
+    struct run
+    {
+        run_ref ref;
+        /// Whether the worker is known to have begun it.
+        bool confirmed = false;
+    };
+    std::vector<run> runs;
 };
 
 /// @brief A crash of the worker on which a run was.
@@ -310,6 +316,11 @@
 {
     /// Age of the run when its worker fell silent.
     milliseconds age{0};
+    /// Whether the worker is known to have begun the run; otherwise the crash
+    /// may have come before.
+    bool confirmed = false;
+    /// Whether no other run on the worker is more suspect, as a young one is.
+    bool likely = false;
     /// Whether the run was in a trial; see policy/crash_trials.hpp.
     bool in_trial = false;
 };
--- a/include/pimentoshunt/cell/policy/crash_trials.hpp
+++ b/include/pimentoshunt/cell/policy/crash_trials.hpp
@@ -8,7 +8,7 @@
 
 #include <pimentoshunt/cell/model.hpp>
 
-#include <algorithm> // any_of, clamp, max
+#include <algorithm> // clamp, max
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
 #include <map>       // map
@@ -20,7 +20,8 @@
 inline constexpr milliseconds first_trial{500};
 /// Longest trial.
 inline constexpr milliseconds longest_trial{10'000};
-/// Crashes after which a task is given up, if one of them was in a trial.
+/// Crashes under confirmed runs after which a task is given up, if one of these
+/// was in a trial.
 inline constexpr std::size_t crashes_with_trial = 2;
 /// Crashes after which a task is given up in any case.
 inline constexpr std::size_t most_crashes = 4;
@@ -30,16 +31,26 @@
 /// Crashes of workers under one task, by the number of the run.
 using crash_history = std::map<std::uint64_t, worker_crash>;
 
-/// @brief Whether the task causes the crashes, and is given up.
+/// @brief Whether the task may crash its worker, so that it runs in a trial.
+[[nodiscard]] inline auto is_suspect(const crash_history& crashes) -> bool
+{
+    return crashes.size() > 1 ||
+           (!crashes.empty() && crashes.begin()->second.likely);
+}
+
+/// @brief Whether the task causes the crashes, and is given up. A run that its
+/// worker may not have begun proves little.
 [[nodiscard]] inline auto should_give_up(const crash_history& crashes) -> bool
 {
-    const bool crashed_in_trial = std::any_of(crashes.begin(), crashes.end(),
-                                              [](const auto& item)
-                                              {
-                                                  return item.second.in_trial;
-                                              });
+    std::size_t confirmed = 0;
+    bool in_trial = false;
+    for (const auto& [number, crash] : crashes)
+    {
+        confirmed += crash.confirmed ? 1 : 0;
+        in_trial = in_trial || (crash.confirmed && crash.in_trial);
+    }
     return crashes.size() >= most_crashes ||
-           (crashes.size() >= crashes_with_trial && crashed_in_trial);
+           (confirmed >= crashes_with_trial && in_trial);
 }
 
 /// @brief Duration of the next trial. After several crashes it covers the age at
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -130,6 +130,8 @@
         item.set_number(run.number);
         item.set_age_ms(crash.age.count());
         item.set_in_trial(crash.in_trial);
+        item.set_confirmed(crash.confirmed);
+        item.set_likely(crash.likely);
     }
     for (const auto& [task, text] : round.checkpoints)
     {
@@ -158,7 +160,8 @@
     {
         const run_ref run{{{job, from.round(), item.step()}, item.task()},
                           item.number()};
-        out.crashes[run] = {milliseconds(item.age_ms()), item.in_trial()};
+        out.crashes[run] = {milliseconds(item.age_ms()), item.confirmed(),
+                            item.likely(), item.in_trial()};
     }
     for (const auto& item : from.checkpoints())
     {
@@ -274,11 +277,12 @@
     for (const auto& run : worker.runs)
     {
         auto& item = *out.add_runs();
-        item.set_job(run.task.step.job.str());
-        item.set_round(run.task.step.round);
-        item.set_step(run.task.step.step);
-        item.set_task(run.task.index);
-        item.set_number(run.number);
+        item.set_job(run.ref.task.step.job.str());
+        item.set_round(run.ref.task.step.round);
+        item.set_step(run.ref.task.step.step);
+        item.set_task(run.ref.task.index);
+        item.set_number(run.ref.number);
+        item.set_confirmed(run.confirmed);
     }
     return out.SerializeAsString();
 }
@@ -305,8 +309,9 @@
     for (const auto& item : from.runs())
     {
         out.runs.push_back(
-            {{{job_id(item.job()), item.round(), item.step()}, item.task()},
-             item.number()});
+            {{{{job_id(item.job()), item.round(), item.step()}, item.task()},
+              item.number()},
+             item.confirmed()});
     }
     return out;
 }
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -28,16 +28,23 @@
     -> std::map<run_ref, worker_crash>
 {
     std::map<run_ref, worker_crash> out;
+    bool any_young = false;
     for (const auto& [ref, run] : worker.runs)
     {
         if (worker.trials > 0 && !run.in_trial)
         {
             continue;
         }
-        const auto age =
-            worker.silent_since.value_or(run.sent_at) - run.sent_at;
-        out[ref] = {std::chrono::duration_cast<milliseconds>(age),
-                    run.in_trial};
+        const auto age = std::chrono::duration_cast<milliseconds>(
+            worker.silent_since.value_or(run.sent_at) - run.sent_at);
+        any_young = any_young || age <= policy::first_trial;
+        out[ref] = {age, run.confirmed, false, run.in_trial};
+    }
+    for (auto& [ref, crash] : out)
+    {
+        // Others have outlived a trial already.
+        crash.likely =
+            crash.in_trial || !any_young || crash.age <= policy::first_trial;
     }
     return out;
 }
@@ -57,7 +64,7 @@
         for (const auto& [ref, crash] : suspects_on(worker))
         {
             const auto location = find(ref.task);
-            if (location.task != nullptr)
+            if (location.task != nullptr && crash.likely)
             {
                 location.task->lost = true;
                 location.step->suspected = true;
@@ -131,6 +138,8 @@
         .with("number", run.number)
         .with("worker", worker.entry.id)
         .with("age", crash.age)
+        .with("confirmed", crash.confirmed)
+        .with("likely", crash.likely)
         .with("in_trial", crash.in_trial)
         .with("crashes", location.task->crashes.size());
     give_up_crashing(location, now);
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -388,6 +388,7 @@
             run->second.phase = run_phase::running;
             run->second.percent_changed_at = now;
         }
+        run->second.confirmed = true;
         run->second.first_seen_at = now;
         run->second.first_seen_clock = clock.value_or(worker_time{0});
         worker.next_heartbeat_at = std::min(worker.next_heartbeat_at, now);
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -16,19 +16,22 @@
     if (worker.entry.incarnation != enrolled.entry.incarnation)
     {
         // It restarted while its runs were not known to have ended.
-        for (const auto& ref : enrolled.runs)
+        for (const auto& item : enrolled.runs)
         {
             if (!enrolled.entry.draining)
             {
-                record_crash(ref, {}, worker, now);
+                record_crash(item.ref,
+                             {milliseconds(0), item.confirmed, true, false},
+                             worker, now);
             }
         }
         return;
     }
     worker.closed = true;
-    for (const auto& ref : enrolled.runs)
+    for (const auto& item : enrolled.runs)
     {
-        auto& run = add_run(worker, find(ref.task), ref, now);
+        auto& run = add_run(worker, find(item.ref.task), item.ref, now);
+        run.confirmed = item.confirmed;
         request_stop(worker, run, now);
     }
 }
@@ -74,7 +77,7 @@
                 {{worker.entry, true, {}}, worker.roster_version});
             for (const auto& [ref, run] : worker.runs)
             {
-                out.writes.back().worker.runs.push_back(ref);
+                out.writes.back().worker.runs.push_back({ref, run.confirmed});
             }
             // No run may start that the row does not list.
             worker.enrolled = false;
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -264,6 +264,7 @@
     auto& run = known->second;
     if (!run.first_seen_at)
     {
+        run.confirmed = true;
         run.first_seen_at = now;
         run.first_seen_clock = *worker.clock;
     }
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -398,3 +398,73 @@
                  simulation.jobs().workers().size());
     cr_assert_eq(simulation.stored_roster.size(), 8u);
 }
+
+// Guards against a job that is given up for a crash before its run had begun
+// (scenario nokf-trykk with owners killed meanwhile, rule LOST): the call failed,
+// so that the worker may not have begun it.
+Test(cell_crashes, a_start_without_an_answer_proves_no_crash)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return std::nullopt;
+    };
+    fixture.accept(simple_job("j1", 1, 1'000));
+    simulation.run_for(milliseconds(300));
+    simulation.crash_worker(simulation.starts.back().target.worker);
+    for (auto& [id, worker] : simulation.workers)
+    {
+        worker.lost_starts = 1;
+    }
+    while (simulation.starts.size() < 2)
+    {
+        simulation.run_for(milliseconds(20));
+    }
+    simulation.crash_worker(simulation.starts.back().target.worker);
+    for (auto& [id, worker] : simulation.workers)
+    {
+        worker.lost_starts = 0;
+    }
+    simulation.run_for(milliseconds(4'000));
+    cr_assert_eq(simulation.starts.size(), 3u);
+    cr_assert_eq(fixture.state_of("j1"), job_state::running);
+}
+
+// What has outlived a trial is not held up for a crash that came as soon as
+// another task began.
+Test(cell_crashes, old_runs_are_no_suspects_beside_a_young_one)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return std::nullopt;
+    };
+    // Both tasks of the step on one worker, and then the other job beside them.
+    for (const auto* const name : {"w2", "w3", "w4", "w5", "w6", "w7", "w8"})
+    {
+        simulation.workers.at(worker_id(name)).entry.draining = true;
+        simulation.register_worker(simulation.workers.at(worker_id(name)));
+    }
+    fixture.accept(simple_job("j1", 2, 1'000));
+    simulation.run_for(milliseconds(1'000));
+    fixture.accept(simple_job("deadly", 1, 1'000));
+    simulation.run_for(milliseconds(100));
+    cr_assert_eq(simulation.crashes.size(), 1u);
+    const auto before = simulation.starts.size();
+    for (const auto* const name : {"w2", "w3"})
+    {
+        simulation.workers.at(worker_id(name)).entry.draining = false;
+        simulation.register_worker(simulation.workers.at(worker_id(name)));
+    }
+    simulation.run_for(milliseconds(3'040));
+    const auto old_starts = std::count_if(
+        simulation.starts.begin() + static_cast<std::ptrdiff_t>(before),
+        simulation.starts.end(),
+        [](const cell::start_order& order)
+        {
+            return order.run.task.step.job.str() == "j1";
+        });
+    cr_assert_eq(old_starts, 2, "%ld starts", static_cast<long>(old_starts));
+}
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -207,7 +207,7 @@
     simulation.jobs().restore(simple_job("j1", 2, 1'000), no_progress("j1"),
                               simulation.now);
     const cell::run_ref run{{{job_id("j1"), 0, 0}, 0}, 1};
-    simulation.jobs().restore_worker({gone.entry, true, {run}}, 1,
+    simulation.jobs().restore_worker({gone.entry, true, {{run, true}}}, 1,
                                      simulation.now);
     simulation.run_for(milliseconds(500));
     cr_assert_eq(simulation.starts.size(), 1u);
