A restarted worker gets nothing before its new entry

What callers would see: LIMIT. A worker may come back under its id with another capacity or kind. Its report, which shows the restart, comes before its entry in the feed; until then it got starts by the capacity of its earlier life.

Cause: the entry of one incarnation was used for the next.

Change: a new incarnation that a report shows counts as unregistered until an entry of it is read.

Tests: a_restarted_worker_gets_nothing_before_its_new_entry failed before (8 runs where 2 have room). Five more tests of a capacity that shrinks and grows pass on the code as it was: no starts while too much runs, what is being stopped counts, gangs give up places, a later owner reads the entry first, and a task that fits nowhere starts when a worker grows.

--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -153,6 +153,11 @@
         .with("runs", worker.runs.size());
     record_crashes(worker, now);
     worker.silent_since.reset();
+    // Its capacity and kind may have changed: only a new entry shows them. An
+    // entry without the time of its start never does.
+    worker.registered =
+        worker.registered && worker.entry.incarnation == calendar_time{};
+    worker.unregistered_at = now;
     worker.entry.incarnation = incarnation;
     worker.restarted_at = now;
     worker.ends_received = 0;
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -104,6 +104,8 @@
     {
         return false;
     };
+    /// Whether a restarted worker refuses orders for its earlier incarnation.
+    bool refuses_other_incarnations = true;
     /// How long after the start of such a run its worker crashes.
     milliseconds crash_delay{10};
     /// Whether a worker that crashes comes back under its old id.
@@ -415,6 +417,14 @@
                            });
     }
 
+    [[nodiscard]] auto is_for_another(const cell::order_target& target,
+                                      const fake_cell_worker& worker) const
+        -> bool
+    {
+        return refuses_other_incarnations &&
+               target.incarnation != worker.entry.incarnation;
+    }
+
     auto find_worker(const worker_id& id) -> fake_cell_worker*
     {
         const auto found = workers.find(id);
@@ -425,7 +435,7 @@
     {
         auto* const worker = find_worker(order.target.worker);
         if (worker == nullptr || !worker->receives_orders ||
-            order.target.incarnation != worker->entry.incarnation)
+            is_for_another(order.target, *worker))
         {
             m_scheduler->on_start_answered(
                 order, cell::start_outcome::unreachable, std::nullopt, now);
@@ -491,9 +501,8 @@
         {
             --worker->lost_stops;
         }
-        const bool arrived =
-            worker != nullptr && worker->receives_orders && !lost &&
-            order.target.incarnation == worker->entry.incarnation;
+        const bool arrived = worker != nullptr && worker->receives_orders &&
+                             !lost && !is_for_another(order.target, *worker);
         if (arrived)
         {
             worker->stopped_runs.insert(order.run);
@@ -542,7 +551,7 @@
             m_scheduler->on_heartbeat_answered(item.order, {}, now);
             return true;
         }
-        if (item.order.target.incarnation != worker->entry.incarnation)
+        if (is_for_another(item.order.target, *worker))
         {
             m_scheduler->on_heartbeat_answered(item.order, {}, now);
             return true;
