The ends in an outdated answer of a worker count

Cause: suspected, not shown. A waiting heartbeat is replaced when an order shows that its answer would come too late; the answer of the replaced one was dropped with the ends in it. A worker that leaves can't list them again.

Change: the ends in such an answer are taken in; they carry numbers, so that they count once. The rest of an outdated answer is still ignored.

Test: an_answer_to_an_outdated_heartbeat_still_brings_its_ends failed before.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -340,6 +340,9 @@
     auto end_expired_runs(worker_record& worker, time_point now) -> void;
     auto plan_heartbeat(worker_record& worker, time_point now, bool may_extend)
         -> void;
+    auto apply_outdated_answer(worker_record& worker,
+                               const heartbeat_answer& answer, time_point now)
+        -> void;
     auto heartbeat_at_once(worker_record& worker, time_point now) -> void;
     auto mark_unanswered(worker_record& worker, time_point now) -> void;
     auto log_unanswered(const worker_record& worker,
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -252,6 +252,7 @@
     auto& worker = found->second;
     if (order.number != worker.heartbeat_number)
     {
+        apply_outdated_answer(worker, answer, now);
         return;
     }
     const auto& report = answer.report;
@@ -311,6 +312,23 @@
     apply_report(worker, *report, sent_at, now);
 }
 
+/// The ends in an outdated answer hold: the worker may leave before it can list
+/// them again.
+auto scheduler::apply_outdated_answer(worker_record& worker,
+                                      const heartbeat_answer& answer,
+                                      time_point now) -> void
+{
+    if (!answer.report ||
+        answer.report->incarnation != worker.entry.incarnation)
+    {
+        return;
+    }
+    for (const auto& end : answer.report->ended)
+    {
+        apply_end(worker, end, now);
+    }
+}
+
 /// Replaces a waiting heartbeat, which would be answered too late, by one that
 /// is answered immediately.
 auto scheduler::heartbeat_at_once(worker_record& worker, time_point now) -> void
--- a/tests/unit-cell-leases.cpp
+++ b/tests/unit-cell-leases.cpp
@@ -355,3 +355,31 @@
     simulation.run_for(milliseconds(100));
     cr_assert(simulation.jobs().workers().at(worker_id("w1")).closed);
 }
+
+// Guards against an end that is dropped with the answer to an outdated heartbeat:
+// the worker listed it, left, and the task ran again (rule TWICE).
+Test(cell_leases, an_answer_to_an_outdated_heartbeat_still_brings_its_ends)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 4'000);
+    simulation.add_worker("w2", 4'000);
+    simulation.run_pass();
+    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+    simulation.run_for(milliseconds(200));
+    const auto order = simulation.starts.front();
+    const auto& worker = simulation.workers.at(order.target.worker);
+    cell::heartbeat_order outdated;
+    outdated.target = order.target;
+    outdated.number = 0;
+    cell::heartbeat_answer answer;
+    answer.report.emplace();
+    answer.report->incarnation = worker.entry.incarnation;
+    answer.report->clock = worker.clock(simulation.now);
+    answer.report->ended.push_back({1, order.run, cell::run_end::done, ""});
+    simulation.jobs().on_heartbeat_answered(outdated, answer, simulation.now);
+    simulation.workers.erase(order.target.worker);
+    simulation.run_for(longest_wait);
+    cr_assert_eq(simulation.starts.size(), 1u);
+    cr_assert_eq(simulation.jobs().state_of(job_id("j1")),
+                 cell::job_state::succeeded);
+}
