A crash counts in full only where a lost connection shows its moment

What callers would see: LOST, a job shown as failed that could be done.

Cause: a worker that was silent by time-outs and came back in a later life counted as a crash under each of its runs, though these may have ended before it. Such evidence and two flags that outlived their silence made two crashes out of one. Class: a guess that is treated as an observation.

Change: heartbeat_answer and http_exchange tell a lost connection from a time-out. A crash is confirmed if the worker had begun the run and its connection was lost; otherwise it is one of the four after which a task is given up in any case.

Test: cell_liveness::all_jobs_finish_after_crashes, seeded: workers crash, also under tasks that crash each worker, come back under the same or another id, and shrink and grow, beside the faults of before.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -108,6 +108,9 @@
     std::uint32_t unanswered_calls = 0;
     /// When the first of them failed; nothing: it answers.
     std::optional<time_point> silent_since;
+    /// Whether that call lost its connection, which shows when it ended; only
+    /// valid with @ref silent_since.
+    bool lost_connection = false;
     /// Suspected runs that were given up when their leases expired. If the
     /// worker turns out to have crashed, it crashed under these.
     std::map<run_ref, worker_crash> lost_suspects;
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -305,7 +305,7 @@
     struct run
     {
         run_ref ref;
-        /// Whether the worker is known to have begun it.
+        /// Whether it was there when the worker lost its connections.
         bool confirmed = false;
     };
     std::vector<run> runs;
@@ -316,8 +316,8 @@
 {
     /// Age of the run when its worker fell silent.
     milliseconds age{0};
-    /// Whether the worker is known to have begun the run; otherwise the crash
-    /// may have come before.
+    /// Whether the run was certainly there: the worker is known to have begun
+    /// it, and a lost connection shows when the worker ended.
     bool confirmed = false;
     /// Whether no other run on the worker is more suspect, as a young one is.
     bool likely = false;
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -74,6 +74,9 @@
     /// Whether another worker answers at the address: the intended one has
     /// ended.
     bool replaced = false;
+    /// Whether the connection was refused or closed; otherwise a missing answer
+    /// does not tell when the worker ended, if it did.
+    bool connection_lost = false;
     /// Why there is no report; for the log.
     std::string failure;
 };
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -360,7 +360,8 @@
     // Tasks that may crash their workers.
     [[nodiscard]] auto suspects_on(const worker_record& worker) const
         -> std::map<run_ref, worker_crash>;
-    auto on_worker_silent(worker_record& worker, time_point now) -> void;
+    auto on_worker_silent(worker_record& worker, bool connection_lost,
+                          time_point now) -> void;
     auto on_worker_answers(worker_record& worker) -> void;
     auto record_crash(const run_ref& run, const worker_crash& crash,
                       const worker_record& worker, time_point now) -> void;
--- a/include/pimentoshunt/platform/http_pool.hpp
+++ b/include/pimentoshunt/platform/http_pool.hpp
@@ -104,6 +104,8 @@
     std::vector<http_header> headers;
     /// Reason of the failure if there is no answer.
     std::string detail;
+    /// Whether the peer refused or closed the connection.
+    bool connection_lost = false;
 
     /// @brief The first header of that name in any case, or the empty string.
     [[nodiscard]] auto header(const std::string& name) const -> std::string;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -38,7 +38,9 @@
         const auto age = std::chrono::duration_cast<milliseconds>(
             worker.silent_since.value_or(run.sent_at) - run.sent_at);
         any_young = any_young || age <= policy::first_trial;
-        out[ref] = {age, run.confirmed, false, run.in_trial};
+        const bool confirmed =
+            run.confirmed && worker.silent_since && worker.lost_connection;
+        out[ref] = {age, confirmed, false, run.in_trial};
     }
     for (auto& [ref, crash] : out)
     {
@@ -52,13 +54,15 @@
 /// A worker that falls silent may have crashed: the tasks on it are suspects
 /// until it answers. Those that may run twice are started again, the others once
 /// the worker is known to have ended.
-auto scheduler::on_worker_silent(worker_record& worker, time_point now) -> void
+auto scheduler::on_worker_silent(worker_record& worker, bool connection_lost,
+                                 time_point now) -> void
 {
     if (worker.silent_since)
     {
         return;
     }
     worker.silent_since = now;
+    worker.lost_connection = connection_lost;
     if (!worker.entry.draining)
     {
         for (const auto& [ref, crash] : suspects_on(worker))
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -31,7 +31,12 @@
     for (const auto& item : enrolled.runs)
     {
         auto& run = add_run(worker, find(item.ref.task), item.ref, now);
-        run.confirmed = item.confirmed;
+        if (item.confirmed)
+        {
+            run.confirmed = true;
+            worker.silent_since = now;
+            worker.lost_connection = true;
+        }
         request_stop(worker, run, now);
     }
 }
@@ -77,7 +82,9 @@
                 {{worker.entry, true, {}}, worker.roster_version});
             for (const auto& [ref, run] : worker.runs)
             {
-                out.writes.back().worker.runs.push_back({ref, run.confirmed});
+                out.writes.back().worker.runs.push_back(
+                    {ref, run.confirmed && worker.lost_connection &&
+                              worker.silent_since.has_value()});
             }
             // No run may start that the row does not list.
             worker.enrolled = false;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -265,7 +265,7 @@
     if (!report)
     {
         ++worker.unanswered_calls;
-        on_worker_silent(worker, now);
+        on_worker_silent(worker, answer.connection_lost, now);
         const bool holds_up_work = !worker.reconciled || !worker.runs.empty();
         worker.next_heartbeat_at =
             now + (holds_up_work
