A job may have 50,000 tasks in all its steps and repeats

What callers would see: one request that ends instance after instance.

Cause: steps, tasks and repeats were bounded one by one, so that a job of a billion tasks was accepted and stored. An owner keeps a record of some 250 bytes for each (computed, not measured), so that it would run out of memory while it loads the cell, and the next owner after it. Class: a retry without a bound of what ends the one that tries it.

Test: a_job_with_too_many_tasks_is_rejected failed before.

--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -26,6 +26,22 @@
 
 } // namespace
 
+// Guards against a job that ends each owner that loads it: a billion tasks within
+// the limits of its steps and repeats.
+Test(platform_wire, a_job_with_too_many_tasks_is_rejected)
+{
+    const auto job = [](const std::string& count, const std::string& repeats)
+    {
+        return decode(R"({"spec":"x","phases":[{"count":)" + count +
+                      R"(,"cpu":1}],"repeatCount":)" + repeats + "}");
+    };
+    cr_assert(!job("10000", "1000").job.has_value());
+    cr_assert(!job("10000", "6").job.has_value());
+    cr_assert(job("10000", "6").error_text.find("split") != std::string::npos);
+    cr_assert(job("10000", "5").job.has_value());
+    cr_assert(job("10000", "0").job.has_value());
+}
+
 Test(platform_wire, a_job_is_read_into_its_steps)
 {
     const auto read = decode(job_text);
