A trial is passed only by a run that has worked

What callers would see: a deadly task takes one worker more than it need. Found by reading the change again.

Cause: any end but the loss of the worker passed a trial, also that of a run whose start never arrived; the other tasks of the step then started at once.

The line on a step that waits names its trial.

Test: a_trial_that_never_began_is_not_passed failed before.

--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -72,9 +72,8 @@
     }
     const auto age = known == worker.runs.end() ? boot_clock::duration::zero()
                                                 : now - known->second.sent_at;
-    const bool outlived_worker =
-        how != run_end::lease_expired && how != run_end::worker_ended;
-    if (known != worker.runs.end() && outlived_worker)
+    const bool has_worked = how == run_end::done || how == run_end::failed;
+    if (known != worker.runs.end() && has_worked)
     {
         pass_trial(worker, known->second);
     }
--- a/src/cell/scheduler_waiting.cpp
+++ b/src/cell/scheduler_waiting.cpp
@@ -22,6 +22,7 @@
     std::size_t usable = 0;
     std::size_t ejected = 0;
     std::size_t paused = 0;
+    std::size_t in_trial = 0;
     /// Usable workers without an answer of the approval service for the step.
     std::size_t not_asked = 0;
     /// Usable workers with a valid ticket, and those of them with room.
@@ -60,6 +61,7 @@
     {
         offer.ejected += m_health.ejected(id) ? 1 : 0;
         offer.paused += now < worker.no_starts_until ? 1 : 0;
+        offer.in_trial += worker.trials > 0 ? 1 : 0;
         if (!is_usable(worker, *item.job, step, now))
         {
             continue;
@@ -102,6 +104,9 @@
         .with("usable", offer.usable)
         .with("ejected", offer.ejected)
         .with("paused", offer.paused)
+        .with("in_trial", offer.in_trial)
+        .with("needs_trial", is_trial_needed(step))
+        .with("unsaved_crash", item.job->has_unsaved_crash)
         .with("approved", approvals.approved.size())
         .with("refused", approvals.refused.size())
         .with("not_asked", offer.not_asked)
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -468,3 +468,20 @@
         });
     cr_assert_eq(old_starts, 2, "%ld starts", static_cast<long>(old_starts));
 }
+
+// Guards against a trial that counts as passed although the run never began.
+Test(cell_crashes, a_trial_that_never_began_is_not_passed)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    fixture.accept(simple_job("deadly", 4, 1'000));
+    simulation.run_for(milliseconds(100));
+    for (auto& [id, worker] : simulation.workers)
+    {
+        worker.lost_starts = 1;
+    }
+    simulation.run_for(milliseconds(20'000));
+    cr_assert_leq(simulation.crashes.size(), most_crashes, "%zu crashes",
+                  simulation.crashes.size());
+    cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
+}
