--- a/tests/unit-platform-gateway.cpp
+++ b/tests/unit-platform-gateway.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Interpretation of the store's answers to transactions.
+/// Interpretation of the answers of the store and of workers.
 #include "platform/gateway.hpp"
 
 #include <criterion/criterion.h>
@@ -9,6 +9,7 @@
 
 using namespace pimentoshunt;
 using adapter::commit_result_of;
+using adapter::heartbeat_answer_of;
 using cell::commit_state;
 
 namespace
@@ -65,3 +66,22 @@
                   "%d", status);
     }
 }
+
+// A worker that has ended is known by the refusal of the one that answers in its
+// place; other failures show nothing of the kind.
+Test(platform_gateway, only_a_refusal_by_another_worker_shows_a_replaced_one)
+{
+    cr_assert(heartbeat_answer_of(answered(421, "{}")).replaced);
+    for (const int status : {200, 400, 404, 409, 429, 500, 503})
+    {
+        const auto read = heartbeat_answer_of(answered(status, "{}"));
+        cr_assert(!read.replaced, "%d", status);
+        cr_assert(!read.connection_lost, "%d", status);
+    }
+    net::http_exchange lost;
+    lost.state = net::exchange_state::unknown;
+    lost.connection_lost = true;
+    cr_assert(heartbeat_answer_of(lost).connection_lost);
+    cr_assert(!heartbeat_answer_of(lost).replaced);
+    cr_assert(!heartbeat_answer_of(net::http_exchange{}).connection_lost);
+}
