A run that began just before a trial is not beyond suspicion

Cause: a crash during a trial was laid to the task on trial alone, since nothing starts beside it; but it might begin beside what had just started. Class: a conclusion from an assumption that the placement did not keep.

Trials prefer workers on which nothing has begun just now.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -379,7 +379,8 @@
         -> void;
     auto pick_for_trial(const policy::waiting_step& item,
                         const std::vector<worker_record*>& candidate_workers,
-                        const task_record& task) -> worker_record*;
+                        const task_record& task, time_point now)
+        -> worker_record*;
 
     // Dispatch.
     auto dispatch(time_point now) -> void;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -19,34 +19,55 @@
     return task.is_suspect() ? 1 + task.crashes.size() : 0;
 }
 
+/// Whether a run began so recently that it could be taken for the cause of a
+/// crash.
+auto has_young_runs(const detail::worker_record& worker, time_point now) -> bool
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(),
+                       [&](const auto& item)
+                       {
+                           return now - item.second.sent_at <=
+                                  policy::first_trial;
+                       });
+}
+
 } // namespace
 
 /// The runs that may have crashed the worker. Nothing has started on it since a
-/// trial began, and what ran there before had done it no harm: with a trial, the
-/// others are beyond suspicion.
+/// trial began; what had outlived a trial before is then beyond suspicion. A run
+/// that began just before is not, and leaves no certainty about the one on trial.
 auto scheduler::suspects_on(const worker_record& worker) const
     -> std::map<run_ref, worker_crash>
 {
-    std::map<run_ref, worker_crash> out;
+    const auto age_of = [&](const run_record& run)
+    {
+        return std::chrono::duration_cast<milliseconds>(
+            worker.silent_since.value_or(run.sent_at) - run.sent_at);
+    };
     bool any_young = false;
+    bool any_young_bystander = false;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        const bool young = age_of(run) <= policy::first_trial;
+        any_young = any_young || young;
+        any_young_bystander = any_young_bystander || (young && !run.in_trial);
+    }
+    std::map<run_ref, worker_crash> out;
     for (const auto& [ref, run] : worker.runs)
     {
-        if (worker.trials > 0 && !run.in_trial)
+        const auto age = age_of(run);
+        const bool young = age <= policy::first_trial;
+        if (worker.trials > 0 && !run.in_trial && !young)
         {
             continue;
         }
-        const auto age = std::chrono::duration_cast<milliseconds>(
-            worker.silent_since.value_or(run.sent_at) - run.sent_at);
-        any_young = any_young || age <= policy::first_trial;
-        const bool confirmed =
+        worker_crash crash;
+        crash.age = age;
+        crash.confirmed =
             run.confirmed && worker.silent_since && worker.lost_connection;
-        out[ref] = {age, confirmed, false, run.in_trial};
-    }
-    for (auto& [ref, crash] : out)
-    {
-        // Others have outlived a trial already.
-        crash.likely =
-            crash.in_trial || !any_young || crash.age <= policy::first_trial;
+        crash.likely = run.in_trial || young || !any_young;
+        crash.in_trial = run.in_trial && !any_young_bystander;
+        out[ref] = crash;
     }
     return out;
 }
@@ -223,12 +244,14 @@
                        });
 }
 
-/// The emptiest worker: a crash costs the others least there.
+/// The emptiest worker, as a crash costs the others least there, and before all
+/// one where nothing has begun just now, so that a crash tells most.
 auto scheduler::pick_for_trial(
     const policy::waiting_step& item,
     const std::vector<worker_record*>& candidate_workers,
-    const task_record& task) -> worker_record*
+    const task_record& task, time_point now) -> worker_record*
 {
+    constexpr double young_runs = 1.0;
     worker_record* best = nullptr;
     double best_cost = 0;
     for (auto* const worker : candidate_workers)
@@ -238,7 +261,8 @@
             continue;
         }
         const auto cost =
-            policy::trial_cost(*worker, *item.step->spec, task.avoid);
+            policy::trial_cost(*worker, *item.step->spec, task.avoid) +
+            (has_young_runs(*worker, now) ? young_runs : 0);
         if (best == nullptr || cost < best_cost)
         {
             best = worker;
@@ -279,7 +303,7 @@
     for (const auto index : chosen)
     {
         auto& task = step.tasks[index];
-        auto* const worker = pick_for_trial(item, candidate_workers, task);
+        auto* const worker = pick_for_trial(item, candidate_workers, task, now);
         if (worker == nullptr)
         {
             return;
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -485,3 +485,34 @@
                   simulation.crashes.size());
     cr_assert_eq(fixture.state_of("deadly"), job_state::failed);
 }
+
+// Guards against a task that is beyond suspicion because it began just before a
+// trial on its worker, again and again (scenario lml-greatlakes, a third of the
+// quick jobs, rule BUDGET).
+Test(cell_crashes, a_run_that_began_just_before_a_trial_is_a_suspect)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    for (const auto* const name : {"w2", "w3", "w4", "w5", "w6", "w7", "w8"})
+    {
+        simulation.workers.at(worker_id(name)).entry.draining = true;
+        simulation.register_worker(simulation.workers.at(worker_id(name)));
+    }
+    auto tried = simple_job("deadly1", 1, 1'000);
+    tried.queue.priority = 1;
+    fixture.accept(tried);
+    simulation.run_for(milliseconds(2'000));
+    fixture.accept(simple_job("deadly2", 1, 1'000));
+    simulation.run_for(milliseconds(1'500));
+    cr_assert_eq(simulation.crashes.size(), 2u);
+    cr_assert_eq(simulation.crashes.back().second.size(), 2u,
+                 "both were on the worker");
+    simulation.run_for(milliseconds(3'500));
+    for (const auto* const name : {"deadly1", "deadly2"})
+    {
+        const auto& stored = simulation.stored_progress.at(job_id(name));
+        const auto expected = name == std::string("deadly1") ? 2u : 1u;
+        cr_assert_geq(stored.rounds.front().crashes.size(), expected, "%s",
+                      name);
+    }
+}
