Beside a trial only its contemporaries are suspects

Cause: each crash in a trial made suspects of all that had begun within the half second before, so that trials took most workers (37 of 42 usable ones).

Change: beside a trial only what began within 100 ms before it is a suspect, and spoils the evidence against the one on trial. What began earlier had done no harm by then.

--- a/include/pimentoshunt/cell/policy/crash_trials.hpp
+++ b/include/pimentoshunt/cell/policy/crash_trials.hpp
@@ -18,6 +18,8 @@
 
 /// Duration of the trial after the first crash.
 inline constexpr milliseconds first_trial{500};
+/// A crash does not tell a trial from a run that began no longer before it.
+inline constexpr milliseconds contemporary{100};
 /// Longest trial.
 inline constexpr milliseconds longest_trial{10'000};
 /// Crashes under confirmed runs after which a task is given up, if one of these
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -5,8 +5,9 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // any_of, sort
+#include <algorithm> // any_of, max, stable_sort
 #include <chrono>    // duration_cast
+#include <optional>  // optional
 
 namespace pimentoshunt::cell
 {
@@ -21,21 +22,22 @@
 
 /// Whether a run began so recently that it could be taken for the cause of a
 /// crash.
-auto has_young_runs(const detail::worker_record& worker, time_point now) -> bool
+auto has_new_runs(const detail::worker_record& worker, time_point now) -> bool
 {
     return std::any_of(worker.runs.begin(), worker.runs.end(),
                        [&](const auto& item)
                        {
                            return now - item.second.sent_at <=
-                                  policy::first_trial;
+                                  policy::contemporary;
                        });
 }
 
 } // namespace
 
 /// The runs that may have crashed the worker. Nothing has started on it since a
-/// trial began; what had outlived a trial before is then beyond suspicion. A run
-/// that began just before is not, and leaves no certainty about the one on trial.
+/// trial began; what was there before had done no harm, and is then beyond
+/// suspicion. A run that began just before is not, and leaves no certainty about
+/// the one on trial.
 auto scheduler::suspects_on(const worker_record& worker) const
     -> std::map<run_ref, worker_crash>
 {
@@ -45,28 +47,38 @@
             worker.silent_since.value_or(run.sent_at) - run.sent_at);
     };
     bool any_young = false;
-    bool any_young_bystander = false;
+    std::optional<time_point> trial_began_at;
+    time_point last_bystander;
     for (const auto& [ref, run] : worker.runs)
     {
-        const bool young = age_of(run) <= policy::first_trial;
-        any_young = any_young || young;
-        any_young_bystander = any_young_bystander || (young && !run.in_trial);
+        any_young = any_young || age_of(run) <= policy::first_trial;
+        if (run.in_trial)
+        {
+            trial_began_at = run.sent_at;
+        }
+        else
+        {
+            last_bystander = std::max(last_bystander, run.sent_at);
+        }
     }
     std::map<run_ref, worker_crash> out;
     for (const auto& [ref, run] : worker.runs)
     {
-        const auto age = age_of(run);
-        const bool young = age <= policy::first_trial;
-        if (worker.trials > 0 && !run.in_trial && !young)
+        const bool preceded_trial =
+            trial_began_at &&
+            *trial_began_at - run.sent_at > policy::contemporary;
+        if (!run.in_trial && preceded_trial)
         {
             continue;
         }
         worker_crash crash;
-        crash.age = age;
+        crash.age = age_of(run);
         crash.confirmed =
             run.confirmed && worker.silent_since && worker.lost_connection;
-        crash.likely = run.in_trial || young || !any_young;
-        crash.in_trial = run.in_trial && !any_young_bystander;
+        crash.likely =
+            trial_began_at || !any_young || crash.age <= policy::first_trial;
+        crash.in_trial =
+            run.in_trial && run.sent_at - last_bystander > policy::contemporary;
         out[ref] = crash;
     }
     return out;
@@ -251,7 +263,7 @@
     const std::vector<worker_record*>& candidate_workers,
     const task_record& task, time_point now) -> worker_record*
 {
-    constexpr double young_runs = 1.0;
+    constexpr double new_runs = 1.0;
     worker_record* best = nullptr;
     double best_cost = 0;
     for (auto* const worker : candidate_workers)
@@ -262,7 +274,7 @@
         }
         const auto cost =
             policy::trial_cost(*worker, *item.step->spec, task.avoid) +
-            (has_young_runs(*worker, now) ? young_runs : 0);
+            (has_new_runs(*worker, now) ? new_runs : 0);
         if (best == nullptr || cost < best_cost)
         {
             best = worker;
