A later owner copies the tasks of a worker that was found silent

What callers would see: a task that may run twice waits up to the end of the lease after a change of owner.

Cause: with the evidence of a closed row an owner took over that the worker was silent, so that its own first missed call changed nothing.

Change: only whether the runs had begun is taken from the row.

--- a/include/pimentoshunt/cell/policy/crash_trials.hpp
+++ b/include/pimentoshunt/cell/policy/crash_trials.hpp
@@ -1,9 +1,9 @@
 /// @file
-/// Decisions on tasks that may crash their workers. All tasks that were on a
-/// crashed worker are suspects; each is started again in a *trial*, on a worker
-/// where nothing else starts until the trial is over. A crash during a trial
-/// shows which task causes crashes. Used by the scheduler on the control thread;
-/// no I/O.
+/// Decisions on tasks that may crash their workers. Tasks that had just begun on a
+/// worker when it crashed are suspects (all, if none had); each is started again in
+/// a *trial*, on a worker where nothing else starts until the trial is over. A
+/// crash during a trial shows which task causes crashes. Used by the scheduler on
+/// the control thread; no I/O.
 #pragma once
 
 #include <pimentoshunt/cell/model.hpp>
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -31,12 +31,7 @@
     for (const auto& item : enrolled.runs)
     {
         auto& run = add_run(worker, find(item.ref.task), item.ref, now);
-        if (item.confirmed)
-        {
-            run.confirmed = true;
-            worker.silent_since = now;
-            worker.lost_connection = true;
-        }
+        run.confirmed = item.confirmed;
         request_stop(worker, run, now);
     }
 }
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -348,3 +348,25 @@
     simulation.run_for(milliseconds(1'000));
     cr_assert_eq(simulation.jobs().take_roster_changes(10).removals.size(), 1u);
 }
+
+// Guards against a copy that waits for the lease of a worker which an earlier owner
+// found silent.
+Test(cell_takeover, a_task_that_may_run_twice_is_copied_by_a_later_owner)
+{
+    cell_simulation simulation(2);
+    fakes::fake_cell_worker gone;
+    gone.entry.id = worker_id("w1");
+    gone.entry.incarnation = cell::calendar_time(milliseconds(500));
+    gone.entry.service = cell::service_name("pool");
+    gone.receives_orders = false;
+    simulation.workers[gone.entry.id] = gone;
+    simulation.add_worker("w2", 8'000);
+    auto job = simple_job("j1", 1, 1'000);
+    job.steps.front().copies_allowed = true;
+    simulation.jobs().restore(job, no_progress("j1"), simulation.now);
+    const cell::run_ref run{{{job_id("j1"), 0, 0}, 0}, 1};
+    simulation.jobs().restore_worker({gone.entry, true, {{run, true}}}, 1,
+                                     simulation.now);
+    simulation.run_for(milliseconds(2'000));
+    cr_assert_eq(simulation.starts.size(), 1u);
+}
