--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/crash_trials.hpp>
 
+#include <algorithm>     // any_of
 #include <cstdint>       // uint64_t
 #include <map>           // map
 #include <memory>        // shared_ptr
@@ -233,6 +234,16 @@
     bool trial_passed = false;
     /// Number of runs of this step on each worker.
     std::unordered_map<const worker_record*, std::uint32_t> placed;
+
+    /// @brief Whether a task of the step may crash its worker.
+    [[nodiscard]] auto has_suspects() const -> bool
+    {
+        return suspected && std::any_of(tasks.begin(), tasks.end(),
+                                        [](const task_record& task)
+                                        {
+                                            return task.is_suspect();
+                                        });
+    }
 };
 
 /// @brief A round of a job.
--- a/include/pimentoshunt/cell/policy/worker_choice.hpp
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -7,8 +7,9 @@
 
 #include <pimentoshunt/cell/detail/records.hpp>
 
-#include <cstdint> // uint32_t
-#include <vector>  // vector
+#include <concepts> // predicate, regular_invocable
+#include <cstdint>  // uint32_t
+#include <vector>   // vector
 
 namespace pimentoshunt::cell::policy
 {
@@ -25,6 +26,32 @@
                               const step_spec& step, const worker_id& avoid)
     -> double;
 
+/// @brief The allowed worker with the lowest cost, the first of equals; nullptr if
+/// none is allowed.
+template<std::predicate<const detail::worker_record&> Allowed,
+         std::regular_invocable<const detail::worker_record&> Cost>
+[[nodiscard]] auto cheapest(const std::vector<detail::worker_record*>& workers,
+                            Allowed is_allowed, Cost cost_of)
+    -> detail::worker_record*
+{
+    detail::worker_record* best = nullptr;
+    double best_cost = 0;
+    for (auto* const worker : workers)
+    {
+        if (!is_allowed(*worker))
+        {
+            continue;
+        }
+        const double cost = cost_of(*worker);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = worker;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
 /// @brief How many tasks of @p step fit into the free resources of @p worker,
 /// at most the step's own limits.
 [[nodiscard]] auto places_on(const detail::worker_record& worker,
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -329,6 +329,8 @@
                          time_point sent_at, time_point now) -> void;
     auto on_run_ended(worker_record& worker, const run_ref& run, run_end how,
                       const std::string& checkpoint, time_point now) -> void;
+    auto end_all_runs(worker_record& worker, run_end how, time_point now)
+        -> void;
     auto add_run(worker_record& worker, const task_location& location,
                  const run_ref& run, time_point now) -> run_record&;
     auto erase_run(worker_record& worker, const run_ref& run) -> void;
@@ -366,8 +368,7 @@
     auto record_crash(const run_ref& run, const worker_crash& crash,
                       const worker_record& worker, time_point now) -> void;
     auto record_crashes(worker_record& worker, time_point now) -> void;
-    auto give_up_crashing(const task_location& location, time_point now)
-        -> void;
+    auto give_up_crashing(const task_ref& task, time_point now) -> void;
     auto end_trial(worker_record& worker, run_record& run) -> void;
     auto pass_trial(worker_record& worker, run_record& run) -> void;
     auto clear_long_running(run_record& run, const task_location& location,
@@ -377,10 +378,6 @@
                      std::uint32_t index) -> void;
     auto place_suspects(const policy::waiting_step& item, time_point now)
         -> void;
-    auto pick_for_trial(const policy::waiting_step& item,
-                        const std::vector<worker_record*>& candidate_workers,
-                        const task_record& task, time_point now)
-        -> worker_record*;
 
     // Dispatch.
     auto dispatch(time_point now) -> void;
@@ -426,9 +423,6 @@
         -> std::vector<worker_record*>;
     auto candidates(const policy::waiting_step& item, time_point now)
         -> std::vector<worker_record*>;
-    auto pick_worker(const policy::waiting_step& item,
-                     const std::vector<worker_record*>& candidate_workers,
-                     const task_record& task) -> worker_record*;
     auto start(const policy::waiting_step& item, std::uint32_t index,
                worker_record& worker, std::uint64_t number, time_point now)
         -> void;
@@ -459,6 +453,7 @@
     std::map<std::uint64_t, job_record*> m_active;
     std::uint64_t m_arrivals = 0;
     std::map<worker_id, worker_record> m_workers;
+    /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -1,5 +1,5 @@
-// Tasks that may crash their workers: what counts as a crash under a task, trials
-// of suspects, and when a task is given up.
+// Workers that end unannounced, and tasks that may be the cause: what counts as a
+// crash under a task, trials of suspects, and when a task is given up.
 #include <pimentoshunt/cell/scheduler.hpp>
 
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
@@ -34,6 +34,52 @@
 
 } // namespace
 
+/// A machine runs one worker at a time, so that a silent one has ended once a
+/// later one is registered at its address.
+auto scheduler::end_replaced_worker(const worker_record& successor,
+                                    time_point now) -> void
+{
+    const auto& entry = successor.entry;
+    auto& latest = m_latest_at_address[entry.address];
+    const auto found = m_workers.find(latest);
+    if (found != m_workers.end() && latest != entry.id &&
+        found->second.entry.address == entry.address)
+    {
+        auto& worker = found->second;
+        if (worker.entry.incarnation >= entry.incarnation)
+        {
+            return;
+        }
+        if (worker.unanswered_calls > 0)
+        {
+            on_worker_ended(worker, now);
+        }
+    }
+    latest = entry.id;
+}
+
+/// Ends all runs of a worker whose process has ended: unlike one that is only
+/// silent, it can't run anything until its lease expires.
+auto scheduler::on_worker_ended(worker_record& worker, time_point now) -> void
+{
+    if (worker.ended)
+    {
+        return;
+    }
+    logging::warn("worker has ended: another one answers at its address")
+        .with("worker", worker.entry.id)
+        .with("address", worker.entry.address)
+        .with("draining", worker.entry.draining)
+        .with("runs", worker.runs.size())
+        .with("last_answer_age", now - worker.answered_at);
+    worker.ended = true;
+    worker.leases_expired = true;
+    worker.registered = false;
+    worker.unregistered_at = now;
+    record_crashes(worker, now);
+    end_all_runs(worker, run_end::worker_ended, now);
+}
+
 /// The runs that may have crashed the worker. Nothing has started on it since a
 /// trial began; what was there before had done no harm, and is then beyond
 /// suspicion. A run that began just before is not, and leaves no certainty about
@@ -179,23 +225,21 @@
         .with("likely", crash.likely)
         .with("in_trial", crash.in_trial)
         .with("crashes", location.task->crashes.size());
-    give_up_crashing(location, now);
+    give_up_crashing(run.task, now);
 }
 
-auto scheduler::give_up_crashing(const task_location& location, time_point now)
-    -> void
+auto scheduler::give_up_crashing(const task_ref& task, time_point now) -> void
 {
+    const auto location = find(task);
     if (location.task == nullptr || is_final(location.job->state) ||
         !policy::should_give_up(location.task->crashes))
     {
         return;
     }
     ++m_counts.crash_failures;
-    const auto index = location.task - location.step->tasks.data();
     logging::warn("job failed: a task crashes its workers")
         .with("job", location.job->spec->id)
-        .with("step", location.step->number)
-        .with("task", static_cast<std::uint64_t>(index))
+        .with("task", to_string(task))
         .with("crashes", location.task->crashes.size());
     finish(*location.job, job_state::failed, now);
 }
@@ -248,40 +292,7 @@
 /// so that one that crashes its worker is likely to have company.
 auto scheduler::is_trial_needed(const step_record& step) const -> bool
 {
-    return step.suspected && !step.trial_passed &&
-           std::any_of(step.tasks.begin(), step.tasks.end(),
-                       [](const task_record& task)
-                       {
-                           return task.is_suspect();
-                       });
-}
-
-/// The emptiest worker, as a crash costs the others least there, and before all
-/// one where nothing has begun just now, so that a crash tells most.
-auto scheduler::pick_for_trial(
-    const policy::waiting_step& item,
-    const std::vector<worker_record*>& candidate_workers,
-    const task_record& task, time_point now) -> worker_record*
-{
-    constexpr double new_runs = 1.0;
-    worker_record* best = nullptr;
-    double best_cost = 0;
-    for (auto* const worker : candidate_workers)
-    {
-        if (!fits(*worker, *item.step))
-        {
-            continue;
-        }
-        const auto cost =
-            policy::trial_cost(*worker, *item.step->spec, task.avoid) +
-            (has_new_runs(*worker, now) ? new_runs : 0);
-        if (best == nullptr || cost < best_cost)
-        {
-            best = worker;
-            best_cost = cost;
-        }
-    }
-    return best;
+    return !step.trial_passed && step.has_suspects();
 }
 
 /// Starts suspects in trials: one task of the step first, the other suspects
@@ -305,6 +316,10 @@
             chosen.push_back(index);
         }
     }
+    if (chosen.empty())
+    {
+        return;
+    }
     std::stable_sort(chosen.begin(), chosen.end(),
                      [&](std::uint32_t left, std::uint32_t right)
                      {
@@ -315,7 +330,20 @@
     for (const auto index : chosen)
     {
         auto& task = step.tasks[index];
-        auto* const worker = pick_for_trial(item, candidate_workers, task, now);
+        // The emptiest worker, as a crash costs the others least there, and before
+        // all one where nothing has begun just now, so that a crash tells most.
+        auto* const worker = policy::cheapest(
+            candidate_workers,
+            [&](const worker_record& at)
+            {
+                return fits(at, step);
+            },
+            [&](const worker_record& at)
+            {
+                constexpr double new_runs = 1.0;
+                return policy::trial_cost(at, *step.spec, task.avoid) +
+                       (has_new_runs(at, now) ? new_runs : 0);
+            });
         if (worker == nullptr)
         {
             return;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -269,30 +269,6 @@
     request_early_approvals(now);
 }
 
-auto scheduler::pick_worker(
-    const policy::waiting_step& item,
-    const std::vector<worker_record*>& candidate_workers,
-    const task_record& task) -> worker_record*
-{
-    worker_record* best = nullptr;
-    double best_cost = 0;
-    for (auto* const worker : candidate_workers)
-    {
-        if (!fits(*worker, *item.step))
-        {
-            continue;
-        }
-        const auto cost =
-            policy::placement_cost(*worker, *item.step->spec, task.avoid);
-        if (best == nullptr || cost < best_cost)
-        {
-            best = worker;
-            best_cost = cost;
-        }
-    }
-    return best;
-}
-
 auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
     -> void
 {
@@ -318,7 +294,16 @@
         {
             continue;
         }
-        auto* const worker = pick_worker(item, candidate_workers, task);
+        auto* const worker = policy::cheapest(
+            candidate_workers,
+            [&](const worker_record& at)
+            {
+                return fits(at, *item.step);
+            },
+            [&](const worker_record& at)
+            {
+                return policy::placement_cost(at, *item.step->spec, task.avoid);
+            });
         if (worker == nullptr)
         {
             return;
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -66,12 +66,7 @@
                            time_point now) -> void
 {
     auto& step = *item.step;
-    const bool suspected =
-        step.suspected && std::any_of(step.tasks.begin(), step.tasks.end(),
-                                      [](const task_record& task)
-                                      {
-                                          return task.is_suspect();
-                                      });
+    const bool suspected = step.has_suspects();
     std::uint64_t number = 0;
     std::string checkpoint;
     for (const auto& task : step.tasks)
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -195,7 +195,7 @@
     {
         for (const auto& [run, crash] : stored.crashes)
         {
-            give_up_crashing(find(run.task), now);
+            give_up_crashing(run.task, now);
         }
     }
     return true;
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -16,14 +16,15 @@
     if (worker.entry.incarnation != enrolled.entry.incarnation)
     {
         // It restarted while its runs were not known to have ended.
+        if (enrolled.entry.draining)
+        {
+            return;
+        }
         for (const auto& item : enrolled.runs)
         {
-            if (!enrolled.entry.draining)
-            {
-                record_crash(item.ref,
-                             {milliseconds(0), item.confirmed, true, false},
-                             worker, now);
-            }
+            record_crash(item.ref,
+                         {milliseconds(0), item.confirmed, true, false}, worker,
+                         now);
         }
         return;
     }
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -124,6 +124,20 @@
     }
 }
 
+auto scheduler::end_all_runs(worker_record& worker, run_end how, time_point now)
+    -> void
+{
+    std::vector<run_ref> ending;
+    for (const auto& [ref, run] : worker.runs)
+    {
+        ending.push_back(ref);
+    }
+    for (const auto& ref : ending)
+    {
+        on_run_ended(worker, ref, how, "", now);
+    }
+}
+
 auto scheduler::request_stop(worker_record& worker, run_record& run,
                              time_point now) -> void
 {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -90,60 +90,6 @@
         .with("runs", found->second.runs.size());
 }
 
-/// A machine runs one worker at a time, so that a silent one has ended once a
-/// later one is registered at its address.
-auto scheduler::end_replaced_worker(const worker_record& successor,
-                                    time_point now) -> void
-{
-    const auto& entry = successor.entry;
-    auto& latest = m_latest_at_address[entry.address];
-    const auto found = m_workers.find(latest);
-    if (found != m_workers.end() && latest != entry.id &&
-        found->second.entry.address == entry.address)
-    {
-        auto& worker = found->second;
-        if (worker.entry.incarnation >= entry.incarnation)
-        {
-            return;
-        }
-        if (worker.unanswered_calls > 0)
-        {
-            on_worker_ended(worker, now);
-        }
-    }
-    latest = entry.id;
-}
-
-/// Ends all runs of a worker whose process has ended: unlike one that is only
-/// silent, it can't run anything until its lease expires.
-auto scheduler::on_worker_ended(worker_record& worker, time_point now) -> void
-{
-    if (worker.ended)
-    {
-        return;
-    }
-    logging::warn("worker has ended: another one answers at its address")
-        .with("worker", worker.entry.id)
-        .with("address", worker.entry.address)
-        .with("draining", worker.entry.draining)
-        .with("runs", worker.runs.size())
-        .with("last_answer_age", now - worker.answered_at);
-    worker.ended = true;
-    worker.leases_expired = true;
-    worker.registered = false;
-    worker.unregistered_at = now;
-    record_crashes(worker, now);
-    std::vector<run_ref> lost_runs;
-    for (const auto& [ref, run] : worker.runs)
-    {
-        lost_runs.push_back(ref);
-    }
-    for (const auto& ref : lost_runs)
-    {
-        on_run_ended(worker, ref, run_end::worker_ended, "", now);
-    }
-}
-
 auto scheduler::begin_incarnation(worker_record& worker,
                                   calendar_time incarnation, time_point now)
     -> void
@@ -280,7 +226,6 @@
     }
     worker.unanswered_calls = 0;
     worker.answered_at = now;
-    const bool was_silent = worker.silent_since.has_value();
     if (report->incarnation != calendar_time{} &&
         report->incarnation != worker.entry.incarnation)
     {
@@ -290,7 +235,7 @@
         }
         begin_incarnation(worker, report->incarnation, now);
     }
-    if (was_silent)
+    if (worker.silent_since)
     {
         on_worker_answers(worker);
     }
@@ -422,25 +367,18 @@
     {
         return;
     }
-    std::vector<run_ref> lost_runs;
-    for (const auto& [ref, run] : worker.runs)
-    {
-        lost_runs.push_back(ref);
-    }
-    if (!lost_runs.empty())
+    if (worker.runs.empty())
     {
-        logging::warn("lease of an unanswering worker expired")
-            .with("worker", worker.entry.id)
-            .with("runs", lost_runs.size());
+        return;
     }
-    if (!worker.entry.draining && !lost_runs.empty())
+    logging::warn("lease of an unanswering worker expired")
+        .with("worker", worker.entry.id)
+        .with("runs", worker.runs.size());
+    if (!worker.entry.draining)
     {
         worker.lost_suspects = suspects_on(worker);
     }
-    for (const auto& ref : lost_runs)
-    {
-        on_run_ended(worker, ref, run_end::lease_expired, "", now);
-    }
+    end_all_runs(worker, run_end::lease_expired, now);
 }
 
 auto scheduler::plan_heartbeat(worker_record& worker, time_point now,
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -5,8 +5,9 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm> // any_of, count_if, find_if
-#include <string>    // string, to_string
+#include <algorithm>        // any_of, count_if, find_if
+#include <initializer_list> // initializer_list
+#include <string>           // string, to_string
 
 using namespace pimentoshunt;
 using cell::job_state;
@@ -53,6 +54,26 @@
         simulation.jobs().accept(job, simulation.now);
     }
 
+    auto set_draining(std::initializer_list<const char*> names, bool draining)
+        -> void
+    {
+        for (const auto* const name : names)
+        {
+            auto& worker = simulation.workers.at(worker_id(name));
+            worker.entry.draining = draining;
+            simulation.register_worker(worker);
+        }
+    }
+
+    /// Sets how many of the next starts each worker loses.
+    auto set_lost_starts(int count) -> void
+    {
+        for (auto& [id, worker] : simulation.workers)
+        {
+            worker.lost_starts = count;
+        }
+    }
+
     auto end_all_runs(cell::run_end how) -> void
     {
         for (auto& [id, worker] : simulation.workers)
@@ -413,19 +434,13 @@
     fixture.accept(simple_job("j1", 1, 1'000));
     simulation.run_for(milliseconds(300));
     simulation.crash_worker(simulation.starts.back().target.worker);
-    for (auto& [id, worker] : simulation.workers)
-    {
-        worker.lost_starts = 1;
-    }
+    fixture.set_lost_starts(1);
     while (simulation.starts.size() < 2)
     {
         simulation.run_for(milliseconds(20));
     }
     simulation.crash_worker(simulation.starts.back().target.worker);
-    for (auto& [id, worker] : simulation.workers)
-    {
-        worker.lost_starts = 0;
-    }
+    fixture.set_lost_starts(0);
     simulation.run_for(milliseconds(4'000));
     cr_assert_eq(simulation.starts.size(), 3u);
     cr_assert_eq(fixture.state_of("j1"), job_state::running);
@@ -442,22 +457,14 @@
         return std::nullopt;
     };
     // Both tasks of the step on one worker, and then the other job beside them.
-    for (const auto* const name : {"w2", "w3", "w4", "w5", "w6", "w7", "w8"})
-    {
-        simulation.workers.at(worker_id(name)).entry.draining = true;
-        simulation.register_worker(simulation.workers.at(worker_id(name)));
-    }
+    fixture.set_draining({"w2", "w3", "w4", "w5", "w6", "w7", "w8"}, true);
     fixture.accept(simple_job("j1", 2, 1'000));
     simulation.run_for(milliseconds(1'000));
     fixture.accept(simple_job("deadly", 1, 1'000));
     simulation.run_for(milliseconds(100));
     cr_assert_eq(simulation.crashes.size(), 1u);
     const auto before = simulation.starts.size();
-    for (const auto* const name : {"w2", "w3"})
-    {
-        simulation.workers.at(worker_id(name)).entry.draining = false;
-        simulation.register_worker(simulation.workers.at(worker_id(name)));
-    }
+    fixture.set_draining({"w2", "w3"}, false);
     simulation.run_for(milliseconds(3'040));
     const auto old_starts = std::count_if(
         simulation.starts.begin() + static_cast<std::ptrdiff_t>(before),
@@ -476,10 +483,7 @@
     auto& simulation = fixture.simulation;
     fixture.accept(simple_job("deadly", 4, 1'000));
     simulation.run_for(milliseconds(100));
-    for (auto& [id, worker] : simulation.workers)
-    {
-        worker.lost_starts = 1;
-    }
+    fixture.set_lost_starts(1);
     simulation.run_for(milliseconds(20'000));
     cr_assert_leq(simulation.crashes.size(), most_crashes, "%zu crashes",
                   simulation.crashes.size());
@@ -493,11 +497,7 @@
 {
     crash_fixture fixture;
     auto& simulation = fixture.simulation;
-    for (const auto* const name : {"w2", "w3", "w4", "w5", "w6", "w7", "w8"})
-    {
-        simulation.workers.at(worker_id(name)).entry.draining = true;
-        simulation.register_worker(simulation.workers.at(worker_id(name)));
-    }
+    fixture.set_draining({"w2", "w3", "w4", "w5", "w6", "w7", "w8"}, true);
     auto tried = simple_job("deadly1", 1, 1'000);
     tried.queue.priority = 1;
     fixture.accept(tried);
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -29,6 +29,18 @@
     return placed;
 }
 
+/// A worker that gets no orders and that the scheduler does not know.
+auto silent_worker(cell_simulation& simulation, const std::string& name)
+    -> fakes::fake_cell_worker&
+{
+    fakes::fake_cell_worker made;
+    made.entry.id = worker_id(name);
+    made.entry.incarnation = cell::calendar_time(milliseconds(500));
+    made.entry.service = cell::service_name("pool");
+    made.receives_orders = false;
+    return simulation.workers[made.entry.id] = made;
+}
+
 auto no_progress(const std::string& id) -> cell::job_progress
 {
     cell::job_progress out;
@@ -197,12 +209,7 @@
 Test(cell_takeover, a_closed_worker_blocks_only_what_may_run_there)
 {
     cell_simulation simulation(second_epoch);
-    fakes::fake_cell_worker gone;
-    gone.entry.id = worker_id("w1");
-    gone.entry.incarnation = cell::calendar_time(milliseconds(500));
-    gone.entry.service = cell::service_name("pool");
-    gone.receives_orders = false;
-    simulation.workers[gone.entry.id] = gone;
+    auto& gone = silent_worker(simulation, "w1");
     simulation.add_worker("w2", 8'000);
     simulation.jobs().restore(simple_job("j1", 2, 1'000), no_progress("j1"),
                               simulation.now);
@@ -353,13 +360,8 @@
 // found silent.
 Test(cell_takeover, a_task_that_may_run_twice_is_copied_by_a_later_owner)
 {
-    cell_simulation simulation(2);
-    fakes::fake_cell_worker gone;
-    gone.entry.id = worker_id("w1");
-    gone.entry.incarnation = cell::calendar_time(milliseconds(500));
-    gone.entry.service = cell::service_name("pool");
-    gone.receives_orders = false;
-    simulation.workers[gone.entry.id] = gone;
+    cell_simulation simulation(second_epoch);
+    auto& gone = silent_worker(simulation, "w1");
     simulation.add_worker("w2", 8'000);
     auto job = simple_job("j1", 1, 1'000);
     job.steps.front().copies_allowed = true;
