A trial lasts no longer than the crashes seen need

Cause: the length of a trial was fixed, though these tasks crash their workers within 130 ms. Change: the ages of the latest crashes in a trial set how young a suspect is and how long its trial lasts, between 100 and 500 ms; a line tells of each passed trial.

The new tests were not run on the code before.

--- a/include/pimentoshunt/cell/policy/crash_trials.hpp
+++ b/include/pimentoshunt/cell/policy/crash_trials.hpp
@@ -8,16 +8,19 @@
 
 #include <pimentoshunt/cell/model.hpp>
 
-#include <algorithm> // clamp, max
+#include <algorithm> // clamp, max, max_element
 #include <cstddef>   // size_t
 #include <cstdint>   // uint64_t
+#include <deque>     // deque
 #include <map>       // map
 
 namespace pimentoshunt::cell::policy
 {
 
-/// Duration of the trial after the first crash.
+/// Duration of the trial after the first crash, while little is known of others.
 inline constexpr milliseconds first_trial{500};
+/// Shortest trial, however early the workers crash.
+inline constexpr milliseconds shortest_trial{100};
 /// A crash does not tell a trial from a run that began no longer before it.
 inline constexpr milliseconds contemporary{100};
 /// Longest trial.
@@ -55,21 +58,60 @@
            (confirmed >= crashes_with_trial && in_trial);
 }
 
+/// @brief How soon after their start tasks crash their workers, learned from the
+/// latest crashes in a trial. With many such tasks, trials that last no longer
+/// than needed keep the workers usable.
+class crash_age_estimate
+{
+  public:
+    /// @param age  of the run on trial when its worker crashed
+    auto record(milliseconds age) -> void
+    {
+        m_ages.push_back(age);
+        if (m_ages.size() > ages_kept)
+        {
+            m_ages.pop_front();
+        }
+    }
+
+    /// @brief Age up to which a run may be the cause of a crash; a younger run is
+    /// suspected first.
+    [[nodiscard]] auto suspicious_age() const -> milliseconds
+    {
+        if (m_ages.size() < least_ages)
+        {
+            return first_trial;
+        }
+        const auto longest = *std::max_element(m_ages.begin(), m_ages.end());
+        return std::clamp(safety_factor * longest, shortest_trial, first_trial);
+    }
+
+  private:
+    static constexpr std::size_t least_ages = 4;
+    static constexpr std::size_t ages_kept = 16;
+    static constexpr int safety_factor = 2;
+
+    std::deque<milliseconds> m_ages;
+};
+
 /// @brief Duration of the next trial. After several crashes it covers the age at
 /// which the workers crashed.
-[[nodiscard]] inline auto trial_time(const crash_history& crashes)
+/// @param suspicious_age  as in crash_age_estimate
+[[nodiscard]] inline auto trial_time(const crash_history& crashes,
+                                     milliseconds suspicious_age)
     -> milliseconds
 {
     if (crashes.size() < 2)
     {
-        return first_trial;
+        return suspicious_age;
     }
     milliseconds longest_age{0};
     for (const auto& [number, crash] : crashes)
     {
         longest_age = std::max(longest_age, crash.age);
     }
-    return std::clamp(longest_age + first_trial, first_trial, longest_trial);
+    return std::clamp(longest_age + suspicious_age, suspicious_age,
+                      longest_trial);
 }
 
 } // namespace pimentoshunt::cell::policy
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -370,7 +370,8 @@
     auto record_crashes(worker_record& worker, time_point now) -> void;
     auto give_up_crashing(const task_ref& task, time_point now) -> void;
     auto end_trial(worker_record& worker, run_record& run) -> void;
-    auto pass_trial(worker_record& worker, run_record& run) -> void;
+    auto pass_trial(worker_record& worker, run_record& run, time_point now)
+        -> void;
     auto clear_long_running(run_record& run, const task_location& location,
                             time_point now) -> void;
     [[nodiscard]] auto is_trial_needed(const step_record& step) const -> bool;
@@ -455,6 +456,7 @@
     std::map<worker_id, worker_record> m_workers;
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
+    policy::crash_age_estimate m_crash_ages;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
     std::uint64_t m_last_batch = 0;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -92,12 +92,13 @@
         return std::chrono::duration_cast<milliseconds>(
             worker.silent_since.value_or(run.sent_at) - run.sent_at);
     };
+    const auto suspicious_age = m_crash_ages.suspicious_age();
     bool any_young = false;
     std::optional<time_point> trial_began_at;
     time_point last_bystander;
     for (const auto& [ref, run] : worker.runs)
     {
-        any_young = any_young || age_of(run) <= policy::first_trial;
+        any_young = any_young || age_of(run) <= suspicious_age;
         if (run.in_trial)
         {
             trial_began_at = run.sent_at;
@@ -122,7 +123,7 @@
         crash.confirmed =
             run.confirmed && worker.silent_since && worker.lost_connection;
         crash.likely =
-            trial_began_at || !any_young || crash.age <= policy::first_trial;
+            trial_began_at || !any_young || crash.age <= suspicious_age;
         crash.in_trial =
             run.in_trial && run.sent_at - last_bystander > policy::contemporary;
         out[ref] = crash;
@@ -210,6 +211,10 @@
         return;
     }
     ++m_counts.crashes;
+    if (crash.confirmed && crash.in_trial)
+    {
+        m_crash_ages.record(crash.age);
+    }
     location.step->suspected = true;
     location.step->trial_passed = false;
     // A later owner must know of the crash before the task starts again.
@@ -259,12 +264,19 @@
 }
 
 /// The run has done its worker no harm. Its crashes still count.
-auto scheduler::pass_trial(worker_record& worker, run_record& run) -> void
+auto scheduler::pass_trial(worker_record& worker, run_record& run,
+                           time_point now) -> void
 {
     if (!run.in_trial)
     {
         return;
     }
+    logging::info("trial passed")
+        .with("run", to_string(run.run.task))
+        .with("number", run.run.number)
+        .with("worker", worker.entry.id)
+        .with("age", now - run.sent_at)
+        .with("trial_time", run.trial_time);
     end_trial(worker, run);
     const auto location = find(run.run.task);
     if (location.task != nullptr)
@@ -365,7 +377,8 @@
     auto& task = item.step->tasks[index];
     auto& run = worker.runs.at(task.runs.back());
     run.in_trial = true;
-    run.trial_time = policy::trial_time(task.crashes);
+    run.trial_time =
+        policy::trial_time(task.crashes, m_crash_ages.suspicious_age());
     ++worker.trials;
     ++item.step->trials;
 }
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -75,7 +75,7 @@
     const bool has_worked = how == run_end::done || how == run_end::failed;
     if (known != worker.runs.end() && has_worked)
     {
-        pass_trial(worker, known->second);
+        pass_trial(worker, known->second, now);
     }
     erase_run(worker, run);
     const auto location = find(run.task);
@@ -283,7 +283,7 @@
     }
     if (run.in_trial && *worker.clock - run.first_seen_clock >= run.trial_time)
     {
-        pass_trial(worker, run);
+        pass_trial(worker, run, now);
     }
     clear_long_running(run, location, now);
     if (run.phase == run_phase::starting)
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -412,9 +412,14 @@
                     !worker.immediate_heartbeat;
     worker.immediate_heartbeat = false;
     bool has_filler = false;
+    auto longest_wait = m_options.heartbeat_wait;
     for (const auto& [ref, run] : worker.runs)
     {
         has_filler = has_filler || run.filler;
+        if (run.in_trial)
+        {
+            longest_wait = std::min(longest_wait, run.trial_time);
+        }
     }
     // The lease of an unanswering worker is not renewed, so that it expires.
     const bool unanswered = worker.unanswered_calls > 0;
@@ -442,16 +447,13 @@
     }
     if (may_wait && !worker.runs.empty())
     {
-        order.wait = has_filler ? m_options.paced_heartbeat_wait
-                                : m_options.heartbeat_wait;
+        order.wait =
+            has_filler ? std::min(longest_wait, m_options.paced_heartbeat_wait)
+                       : longest_wait;
         if (worker.entry.draining)
         {
             order.wait = std::min(order.wait, m_options.leaving_heartbeat_wait);
         }
-        if (worker.trials > 0)
-        {
-            order.wait = std::min(order.wait, policy::first_trial);
-        }
     }
     worker.heartbeat_in_flight = true;
     worker.heartbeat_sent_at = now;
--- a/tests/unit-cell-crashes.cpp
+++ b/tests/unit-cell-crashes.cpp
@@ -516,3 +516,60 @@
                       name);
     }
 }
+
+// Guards against a cell that is held up by trials long after the tasks that crash
+// their workers stopped coming (scenario lml-greatlakes, a third of the quick
+// jobs, rule LOST): a trial lasts no longer than such tasks need.
+Test(cell_crashes, trials_are_short_where_workers_crash_early)
+{
+    crash_fixture fixture;
+    auto& simulation = fixture.simulation;
+    for (int i = 0; i < 6; ++i)
+    {
+        fixture.accept(simple_job("deadly" + std::to_string(i), 1, 1'000));
+        simulation.run_for(std::chrono::seconds(10));
+    }
+    fixture.accept(simple_job("j1", 1, 1'000));
+    simulation.run_for(milliseconds(100));
+    const auto before = simulation.starts.size();
+    simulation.crash_worker(simulation.starts.back().target.worker);
+    while (simulation.starts.size() == before)
+    {
+        simulation.run_for(milliseconds(20));
+    }
+    const auto tried_at = simulation.now;
+    const auto tried = simulation.starts.back().target.worker;
+    for (auto& [id, worker] : simulation.workers)
+    {
+        worker.entry.draining = id != tried;
+        simulation.register_worker(worker);
+    }
+    fixture.accept(simple_job("j2", 1, 1'000));
+    while (simulation.starts.size() == before + 1)
+    {
+        simulation.run_for(milliseconds(20));
+    }
+    cr_assert_leq(simulation.now - tried_at, 2 * cell::policy::shortest_trial);
+}
+
+Test(cell_crashes, a_trial_covers_the_ages_of_the_latest_crashes)
+{
+    cell::policy::crash_age_estimate ages;
+    for (int i = 0; i < 3; ++i)
+    {
+        ages.record(milliseconds(10));
+    }
+    cr_assert_eq(ages.suspicious_age(), cell::policy::first_trial,
+                 "three crashes tell too little");
+    ages.record(milliseconds(10));
+    cr_assert_eq(ages.suspicious_age(), cell::policy::shortest_trial);
+    ages.record(milliseconds(150));
+    cr_assert_eq(ages.suspicious_age(), milliseconds(300));
+    ages.record(milliseconds(2'000));
+    cr_assert_eq(ages.suspicious_age(), cell::policy::first_trial);
+    for (int i = 0; i < 16; ++i)
+    {
+        ages.record(milliseconds(10));
+    }
+    cr_assert_eq(ages.suspicious_age(), cell::policy::shortest_trial);
+}
