A test counts requests that arrived instead of those that wait

Cause: it waited for a queue to grow from which requests leave all the time. It now waits for the number of requests that wait or have started, which never falls, and checks that the request has not started.

--- a/tests/integration/integration-at-most-once.cpp
+++ b/tests/integration/integration-at-most-once.cpp
@@ -3,10 +3,12 @@
 /// instances are killed or paused, the table is down, or replies are lost.
 #include "cell_run.hpp"
 
-#include <future>  // future
-#include <string>  // string
-#include <utility> // move
-#include <vector>  // vector
+#include <algorithm> // count_if
+#include <cstddef>   // size_t
+#include <future>    // future
+#include <string>    // string
+#include <utility>   // move
+#include <vector>    // vector
 
 using namespace pimentoshunt;
 using namespace pimentoshunt::testing;
@@ -422,13 +424,32 @@
     busy.max_run_time = milliseconds(700);
     run.begin(busy);
     const auto& claiming_instance = run.test_cell().instances().front();
+    // Requests leave the queues all the time: only the number of those that were
+    // queued or have started never falls.
+    const auto has_arrived = [&](std::size_t requests)
+    {
+        const auto events = run.events();
+        auto arrived = static_cast<std::size_t>(
+            std::count_if(events.begin(), events.end(),
+                          [](const auto& event)
+                          {
+                              return event.kind == observed_kind::start;
+                          }));
+        for (const auto& instance : run.test_cell().instances())
+        {
+            arrived +=
+                static_cast<std::size_t>(queue_length(instance, "prompt"));
+        }
+        return arrived >= requests;
+    };
+    const auto busy_requests = static_cast<std::size_t>(busy.callers);
     cr_assert(wait_until(
         [&]
         {
-            return queue_length(claiming_instance, "prompt") >= 1;
+            return has_arrived(busy_requests) &&
+                   queue_length(claiming_instance, "prompt") >= 1;
         },
         settle_timeout));
-    const auto queued_before = queue_length(claiming_instance, "prompt");
     // The request claims its key only after it has left the queue.
     auto spec = make_keyed_call("first", "unsent");
     spec.workload = "prompt";
@@ -438,9 +459,10 @@
     cr_assert(wait_until(
         [&]
         {
-            return queue_length(claiming_instance, "prompt") > queued_before;
+            return has_arrived(busy_requests + 1);
         },
         settle_timeout));
+    cr_assert(run.count_starts("first") == 0, "it has left the queue");
     link.add({exchange_fault::drop_reply, 200, 0, "idem/"});
     const auto result = first.get();
     run.add_call_record(result);
