--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -183,8 +183,6 @@
     std::uint32_t requested_priority = 0;
     /// Requests without an answer since the last answer.
     std::uint32_t unanswered = 0;
-    /// Answers since the step last started a task.
-    std::uint32_t unused_answers = 0;
     /// When the request in flight was made.
     time_point requested_at;
     time_point next_request_at;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -195,8 +195,6 @@
         answer.age = answered->age;
         answer.late = answered->late;
         m_scheduler.on_approval_response(answer, now);
-        // The instance is idle now and need not wait for the next pass.
-        send_approval_requests(approval_instances(now), now);
         request_pass();
     }
 
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -16,9 +16,6 @@
 /// Workers requested beyond the needed ones: some fill up before the answer
 /// arrives.
 constexpr std::size_t spare_workers = 2;
-/// How often the number of requested workers is doubled at most, after answers
-/// that led to no start.
-constexpr std::uint32_t max_doublings = 4;
 /// Share of workers that a queue is assumed to approve until answers are known,
 /// and lower bound of the estimate.
 constexpr double initial_rate = 0.5;
@@ -131,14 +128,10 @@
     const auto waiting = step.waiting.size();
     const auto rate = approval_rate(item.job->spec->queue.name);
     const auto limit = std::min(m_options.max_workers_per_request, out.size());
-    // Others took the workers of the last answers before they arrived: the more
-    // tickets there are, the more likely one of them serves.
-    const auto wanted =
-        (waiting + spare_workers)
-        << std::min(step.approvals.unused_answers, max_doublings);
     policy::expected_places expected(m_options.request_deviations);
     std::size_t count = 0;
-    while (count < limit && (!expected.covers(waiting) || count < wanted))
+    while (count < limit &&
+           (!expected.covers(waiting) || count < waiting + spare_workers))
     {
         expected.add(1,
                      step.approvals.approved.contains(out[count]) ? 1 : rate);
@@ -255,7 +248,6 @@
         state.in_flight = false;
         state.next_request_at = now + m_options.request_pause;
         state.unanswered = answer.approved ? 0 : state.unanswered + 1;
-        state.unused_answers += answer.approved ? 1 : 0;
     }
     if (!answer.approved)
     {
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -257,7 +257,6 @@
         {
             log_starts(item, before - item.step->waiting.size(), now);
             item.step->waiting_since = now;
-            item.step->approvals.unused_answers = 0;
         }
         if (!item.step->waiting.empty() &&
             item.job->spec->queue.approval.required)
