A lease on a restarted worker is not measured on its earlier clock

Cause: the answer to a start order gives the worker's clock, and that clock begins anew with each incarnation. It was taken for the known incarnation's as long as no entry or report had shown the restart, while the end of the lease stayed a time by the earlier clock: lease_expires_at counted the difference, the whole uptime, as lease that may be left. Besides, after a restart was noticed the bound was the lease that is asked for (5 s), though the worker takes the end of a misdirected lease, far in the future by its new clock, and grants the longest one (maxHoldMs): too short.

Change: a reading is of the known incarnation only if it names it, or, where an answer names none, if it is not below the last reading plus the time since, less the 2% by which a clock may be slow. Any other reading is not used. The worker is asked for a report at once, gets no starts and no lease until then, and its leases are bounded by the longest one from that moment. That makes no use of the worker's clock, so that it holds whichever incarnation answered.

Same cause nearby: the refusal of another worker at the address (421) also carries a clock, of that other worker; it is no reading any more.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -85,8 +85,12 @@
     bool leases_expired = false;
     /// Whether its process has certainly ended, and all runs with it.
     bool ended = false;
-    /// When its current incarnation was detected, unless it is the first known.
-    time_point restarted_at;
+    /// Whether an answer may have come from an incarnation that is not known
+    /// yet. Only a report shows which one it is.
+    bool incarnation_uncertain = false;
+    /// Latest time at which a lease may end that a later incarnation has granted
+    /// to an order for an earlier one: the two clocks have nothing in common.
+    time_point misdirected_lease_ends_at;
     /// Last reading of its clock, and when the reading arrived.
     std::optional<worker_time> clock;
     time_point clock_at;
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -242,6 +242,14 @@
     milliseconds leaves_in{0};
 };
 
+/// @brief What a worker says of itself in the answer to an order.
+struct worker_reading
+{
+    worker_time clock{0};
+    /// Its incarnation; the epoch of the clock: the answer does not name it.
+    calendar_time incarnation{};
+};
+
 /// @brief How a run ended on its worker.
 enum class run_end
 {
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -621,14 +621,14 @@
         }
         for (const auto& order : out.starts)
         {
-            m_platform.start(order,
-                             [self, order](start_outcome outcome,
-                                           std::optional<worker_time> clock)
-                             {
-                                 self->m_scheduler.on_start_answered(
-                                     order, outcome, clock, steady_now());
-                                 self->request_pass();
-                             });
+            m_platform.start(
+                order,
+                [self, order](start_outcome outcome, const auto& reading)
+                {
+                    self->m_scheduler.on_start_answered(order, outcome, reading,
+                                                        steady_now());
+                    self->request_pass();
+                });
         }
         for (const auto& order : out.heartbeats)
         {
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -165,7 +165,7 @@
     const approval_request& question, const net::server_request& request,
     const configuration& in_force, const stored_row& row,
     commit_handler on_commit, read_handler on_read, feed_handler on_feed,
-    std::function<void(start_outcome, std::optional<worker_time>)> on_start,
+    std::function<void(start_outcome, std::optional<worker_reading>)> on_start,
     std::function<void(bool)> on_stop,
     std::function<void(heartbeat_answer)> on_heartbeat,
     std::function<void(approval_response)> on_approval)
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -30,6 +30,8 @@
     /// Lease of the runs on a worker. Longer than a takeover takes, and short
     /// enough to run work elsewhere soon after a worker was cut off.
     milliseconds lease{5'000};
+    /// Longest lease that a worker grants: it shortens longer ones.
+    milliseconds longest_lease{10'000};
     /// Lease on a draining worker, which may leave at any time.
     milliseconds leaving_lease{1'800};
     /// Share by which a worker's clock may run slower than the owner's.
@@ -190,8 +192,8 @@
     /// @brief A start order was answered or failed.
     /// @param clock  the worker's clock, if the answer contained it
     auto on_start_answered(const start_order& order, start_outcome outcome,
-                           std::optional<worker_time> clock, time_point now)
-        -> void;
+                           const std::optional<worker_reading>& reading,
+                           time_point now) -> void;
     /// @brief A stop order was answered or failed.
     /// @param answered  whether the worker has confirmed that the run has ended
     ///                  or will never start
@@ -314,6 +316,15 @@
         -> worker_time;
     auto max_elapsed(milliseconds by_worker) const -> milliseconds;
     auto lease_expires_at(const worker_record& worker) const -> time_point;
+    /// Whether a reading in the answer to a call can be of the incarnation that
+    /// is known.
+    [[nodiscard]] auto is_known_incarnation(const worker_record& worker,
+                                            const worker_reading& reading,
+                                            time_point sent_at) const -> bool;
+    auto suspect_restart(worker_record& worker, const worker_reading& reading,
+                         time_point now) -> void;
+    auto bound_misdirected_leases(worker_record& worker, time_point now)
+        -> void;
     auto begin_incarnation(worker_record& worker, calendar_time incarnation,
                            time_point now) -> void;
     auto end_replaced_worker(const worker_record& successor, time_point now)
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -144,7 +144,8 @@
 {
     if (!worker.registered || worker.ended || !worker.enrolled ||
         worker.entry.draining || !worker.reconciled ||
-        worker.unanswered_calls > 0 || now < worker.no_starts_until ||
+        worker.incarnation_uncertain || worker.unanswered_calls > 0 ||
+        now < worker.no_starts_until ||
         worker.entry.service != job.spec->queue.service)
     {
         return false;
@@ -342,7 +343,7 @@
 
 auto scheduler::on_start_answered(const start_order& order,
                                   start_outcome outcome,
-                                  std::optional<worker_time> clock,
+                                  const std::optional<worker_reading>& reading,
                                   time_point now) -> void
 {
     const auto found = m_workers.find(order.target.worker);
@@ -351,16 +352,23 @@
         return;
     }
     auto& worker = found->second;
-    if (clock && order.target.incarnation == worker.entry.incarnation)
-    {
-        worker.clock = clock;
-        worker.clock_at = now;
-    }
     const auto run = worker.runs.find(order.run);
     if (run == worker.runs.end())
     {
         return;
     }
+    if (reading && order.target.incarnation == worker.entry.incarnation)
+    {
+        if (is_known_incarnation(worker, *reading, run->second.sent_at))
+        {
+            worker.clock = reading->clock;
+            worker.clock_at = now;
+        }
+        else
+        {
+            suspect_restart(worker, *reading, now);
+        }
+    }
     const auto location = find(order.run.task);
     if (outcome == start_outcome::started)
     {
@@ -375,7 +383,8 @@
         }
         run->second.confirmed = true;
         run->second.first_seen_at = now;
-        run->second.first_seen_clock = clock.value_or(worker_time{0});
+        run->second.first_seen_clock =
+            reading ? reading->clock : worker_time{0};
         worker.next_heartbeat_at = std::min(worker.next_heartbeat_at, now);
         if (run->second.in_trial)
         {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds lease_end_slack{200};
 /// Delay before the next heartbeat after one without an answer.
 constexpr milliseconds unanswered_pause{100};
+/// Largest error of a reading of a worker's clock, which counts whole
+/// milliseconds, in the comparison with an earlier one.
+constexpr milliseconds clock_resolution{2};
 /// Upper bound of the growing delay for a worker that holds up no work.
 constexpr milliseconds max_unanswered_pause{1'000};
 
@@ -105,7 +108,8 @@
         worker.registered && worker.entry.incarnation == calendar_time{};
     worker.unregistered_at = now;
     worker.entry.incarnation = incarnation;
-    worker.restarted_at = now;
+    worker.incarnation_uncertain = false;
+    bound_misdirected_leases(worker, now);
     worker.ends_received = 0;
     worker.ends_durable = 0;
     worker.ends_acknowledged = 0;
@@ -159,6 +163,57 @@
            (worker.entry.draining ? m_options.leaving_lease : m_options.lease);
 }
 
+/// The clock of one incarnation never goes back and is slow only by a bounded
+/// share, so that a reading below that is of another one. A later incarnation
+/// that has been up for longer than the time since the last reading is not
+/// recognised, but its entry arrives long before.
+auto scheduler::is_known_incarnation(const worker_record& worker,
+                                     const worker_reading& reading,
+                                     time_point sent_at) const -> bool
+{
+    if (reading.incarnation != calendar_time{})
+    {
+        return reading.incarnation == worker.entry.incarnation;
+    }
+    if (!worker.clock || sent_at < worker.clock_at)
+    {
+        // Calls on different connections are answered in any order.
+        return true;
+    }
+    const std::chrono::duration<double, std::milli> elapsed =
+        sent_at - worker.clock_at;
+    const auto least = std::chrono::duration_cast<milliseconds>(
+        elapsed * (1 - m_options.clock_slowness));
+    return reading.clock >= *worker.clock + least - clock_resolution;
+}
+
+/// The reading may be of an incarnation that has begun unnoticed: asks for a
+/// report, which shows it, and starts nothing on the worker until then.
+auto scheduler::suspect_restart(worker_record& worker,
+                                const worker_reading& reading, time_point now)
+    -> void
+{
+    logging::warn("worker may have restarted: asking it for a report")
+        .with("worker", worker.entry.id)
+        .with("clock", reading.clock)
+        .with("last_clock", worker.clock.value_or(worker_time{0}))
+        .with("last_clock_age", now - worker.clock_at)
+        .with("runs", worker.runs.size());
+    bound_misdirected_leases(worker, now);
+    worker.incarnation_uncertain = true;
+    heartbeat_at_once(worker, now);
+}
+
+/// Orders sent so far may have reached a later incarnation. On its clock, which
+/// began anew, the lease that they ask for may end in the far future, so that
+/// only the longest lease is a bound.
+auto scheduler::bound_misdirected_leases(worker_record& worker, time_point now)
+    -> void
+{
+    worker.misdirected_lease_ends_at =
+        now + max_elapsed(m_options.longest_lease);
+}
+
 /// Longest time by the owner's clock that the given time by a worker's clock
 /// can take, with a safety margin.
 auto scheduler::max_elapsed(milliseconds by_worker) const -> milliseconds
@@ -179,11 +234,14 @@
         const auto unnoticed_time = m_options.earlier_owner_ended
                                         ? milliseconds(0)
                                         : m_options.earlier_owner_limit;
-        return m_started_at + unnoticed_time + max_elapsed(m_options.lease);
+        return std::max(m_started_at + unnoticed_time +
+                            max_elapsed(m_options.lease),
+                        worker.misdirected_lease_ends_at);
     }
     const auto left =
         std::max(worker.lease_end - *worker.clock, worker_time{0});
-    return worker.clock_at + max_elapsed(left);
+    return std::max(worker.clock_at + max_elapsed(left),
+                    worker.misdirected_lease_ends_at);
 }
 
 auto scheduler::on_heartbeat_answered(const heartbeat_order& order,
@@ -226,15 +284,19 @@
     }
     worker.unanswered_calls = 0;
     worker.answered_at = now;
-    if (report->incarnation != calendar_time{} &&
-        report->incarnation != worker.entry.incarnation)
+    if (!is_known_incarnation(worker, {report->clock, report->incarnation},
+                              sent_at))
     {
-        if (report->incarnation < worker.entry.incarnation)
+        const bool is_named = report->incarnation != calendar_time{};
+        if (is_named && report->incarnation < worker.entry.incarnation)
         {
             return;
         }
-        begin_incarnation(worker, report->incarnation, now);
+        begin_incarnation(
+            worker, is_named ? report->incarnation : worker.entry.incarnation,
+            now);
     }
+    worker.incarnation_uncertain = false;
     if (worker.silent_since)
     {
         on_worker_answers(worker);
@@ -356,11 +418,7 @@
 auto scheduler::end_expired_runs(worker_record& worker, time_point now) -> void
 {
     const bool unanswered = worker.unanswered_calls > 0 || !worker.reconciled;
-    // A start order may have reached a new incarnation that has not answered
-    // yet.
-    const auto lease_expired =
-        std::max(lease_expires_at(worker),
-                 worker.restarted_at + max_elapsed(m_options.lease));
+    const auto lease_expired = lease_expires_at(worker);
     worker.leases_expired =
         worker.ended || (unanswered && now >= lease_expired);
     if (!unanswered || now < lease_expired)
@@ -400,7 +458,8 @@
     // Only an answer shows that the worker can be used again.
     const bool must_answer = worker.registered && worker.unanswered_calls > 0;
     const bool needed = must_reconcile || must_answer || has_unsaved_ends ||
-                        has_unacknowledged_ends || !worker.runs.empty();
+                        has_unacknowledged_ends || !worker.runs.empty() ||
+                        (worker.registered && worker.incarnation_uncertain);
     if (!needed)
     {
         return;
@@ -422,8 +481,12 @@
         }
     }
     // The lease of an unanswering worker is not renewed, so that it expires.
-    const bool unanswered = worker.unanswered_calls > 0;
-    if (may_extend && worker.clock && !worker.runs.empty() && !unanswered)
+    // Another incarnation would take the end of the lease for a time by its own
+    // clock.
+    const bool may_have_restarted =
+        worker.unanswered_calls > 0 || worker.incarnation_uncertain;
+    if (may_extend && worker.clock && !worker.runs.empty() &&
+        !may_have_restarted)
     {
         order.lease_end = lease_end_for(worker, now);
         worker.lease_end = std::max(worker.lease_end, *order.lease_end);
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -61,6 +61,7 @@
     out.incarnation = new_incarnation();
     constexpr double millicpus_each = 1'000;
     out.ownership.millicpus = std::lround(config.processors * millicpus_each);
+    out.scheduler.longest_lease = config.longest_lease;
     out.scheduler.lease = std::min(out.scheduler.lease, config.longest_lease);
     return out;
 }
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -106,6 +106,8 @@
     };
     /// Whether a restarted worker refuses orders for its earlier incarnation.
     bool refuses_other_incarnations = true;
+    /// Whether the answer to a start order names the worker's incarnation.
+    bool names_incarnation = false;
     /// How long after the start of such a run its worker crashes.
     milliseconds crash_delay{10};
     /// Whether a worker that crashes comes back under its old id.
@@ -432,6 +434,13 @@
                target.incarnation != worker.entry.incarnation;
     }
 
+    [[nodiscard]] auto reading_of(const fake_cell_worker& worker) const
+        -> cell::worker_reading
+    {
+        return {worker.clock(now), names_incarnation ? worker.entry.incarnation
+                                                     : cell::calendar_time{}};
+    }
+
     auto find_worker(const worker_id& id) -> fake_cell_worker*
     {
         const auto found = workers.find(id);
@@ -456,11 +465,11 @@
                                            std::nullopt, now);
             return;
         }
-        const auto clock = worker->clock(now);
+        const auto reading = reading_of(*worker);
         if (order.target.epoch < worker->highest_epoch)
         {
             m_scheduler->on_start_answered(order, cell::start_outcome::fenced,
-                                           clock, now);
+                                           reading, now);
             return;
         }
         begin_run(*worker, order);
@@ -468,14 +477,15 @@
             order,
             worker->answers_orders ? cell::start_outcome::started
                                    : cell::start_outcome::unknown,
-            worker->answers_orders ? std::optional(clock) : std::nullopt, now);
+            worker->answers_orders ? std::optional(reading) : std::nullopt,
+            now);
     }
 
     auto begin_run(fake_cell_worker& worker, const cell::start_order& order)
         -> void
     {
         worker.highest_epoch = order.target.epoch;
-        worker.lease_end = std::max(worker.lease_end, order.lease_end);
+        extend_lease(worker, order.lease_end);
         fake_cell_worker::run created;
         created.reported.run = order.run;
         created.reported.checkpoint = order.checkpoint;
@@ -500,6 +510,15 @@
         }
     }
 
+    /// Shortens a lease that is longer than the worker grants.
+    auto extend_lease(fake_cell_worker& worker,
+                      cell::worker_time requested_end) const -> void
+    {
+        const auto longest = worker.clock(now) + m_options.longest_lease;
+        worker.lease_end =
+            std::max(worker.lease_end, std::min(requested_end, longest));
+    }
+
     auto deliver_stop(const cell::stop_order& order) -> void
     {
         auto* const worker = find_worker(order.target.worker);
@@ -568,8 +587,7 @@
             std::max(worker->highest_epoch, item.order.target.epoch);
         if (item.order.lease_end)
         {
-            worker->lease_end =
-                std::max(worker->lease_end, *item.order.lease_end);
+            extend_lease(*worker, *item.order.lease_end);
         }
         std::erase_if(worker->ended,
                       [&](const cell::reported_end& end)
--- a/tests/fakes/fake_cell_pool.hpp
+++ b/tests/fakes/fake_cell_pool.hpp
@@ -265,16 +265,17 @@
     auto
     start(const cell::start_order& order,
           const std::function<void(cell::start_outcome,
-                                   std::optional<cell::worker_time>)>& done)
+                                   std::optional<cell::worker_reading>)>& done)
         -> void
     {
         const auto outcome = m_pool.start(order);
-        const auto clock =
-            m_pool.workers.at(order.target.worker).clock(boot_clock::now());
+        const cell::worker_reading reading{
+            m_pool.workers.at(order.target.worker).clock(boot_clock::now()),
+            {}};
         answer(
             [=]
             {
-                done(outcome, clock);
+                done(outcome, reading);
             });
     }
 
--- a/tests/unit-platform-gateway.cpp
+++ b/tests/unit-platform-gateway.cpp
@@ -10,6 +10,7 @@
 using namespace pimentoshunt;
 using adapter::commit_result_of;
 using adapter::heartbeat_answer_of;
+using adapter::reading_of;
 using cell::commit_state;
 
 namespace
@@ -85,3 +86,21 @@
     cr_assert(!heartbeat_answer_of(lost).replaced);
     cr_assert(!heartbeat_answer_of(net::http_exchange{}).connection_lost);
 }
+
+// Guards against the clock of another worker, at the address of one that has
+// ended, as the time by which its leases count.
+Test(platform_gateway, a_refusal_by_another_worker_is_no_reading)
+{
+    const std::string body = R"({"clockMs":12,"born":34})";
+    for (const int status : {200, 409, 429, 503})
+    {
+        const auto read = reading_of(answered(status, body));
+        cr_assert(read.has_value(), "%d", status);
+        cr_assert_eq(read->clock.count(), 12);
+        cr_assert_eq(read->incarnation.time_since_epoch().count(), 34);
+    }
+    cr_assert(!reading_of(answered(421, body)));
+    cr_assert(!reading_of(net::http_exchange{}));
+    const auto unnamed = reading_of(answered(200, R"({"clockMs":12})"));
+    cr_assert(unnamed->incarnation == cell::calendar_time{});
+}
