Only a worker's own report begins a new incarnation of it

Cause: a run was taken to belong to the incarnation that was known when its start was answered. A worker accepts orders by its id, so that the later incarnation accepts an order for the earlier one. When the entry of the later one was read, every run that had been confirmed counted as lost with the earlier one, and was started elsewhere.

Change: an entry that names another incarnation is a claim. It makes the owner ask the worker for a report at once; meanwhile its runs stay as they are and nothing is started there. Only the report begins an incarnation. It ends the runs that the known incarnation had surely begun, except those that it lists. A run that was confirmed by an answer of doubtful origin ends as any run does that a report lacks.

Same cause nearby: a heartbeat told a worker the number of the last durable end of an earlier incarnation, and the later one forgot its own ends up to that number, which counted as absent and ran again. Ends are acknowledged only where there is one to acknowledge and the worker has answered its last call.

The fake workers of the tests refused orders for an earlier incarnation, which real ones can't; they accept them now, and can answer late.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -49,6 +49,9 @@
     time_point sent_at;
     /// Whether the worker is known to have begun the run.
     bool confirmed = false;
+    /// Whether it is certain that the known incarnation of the worker has begun
+    /// the run, and not a later one.
+    bool in_known_incarnation = false;
     /// When the worker first confirmed or reported the run, and its clock then.
     std::optional<time_point> first_seen_at;
     worker_time first_seen_clock{0};
@@ -66,7 +69,11 @@
 /// @brief A worker, across all its incarnations.
 struct worker_record
 {
+    /// Its last entry that counts, with the incarnation that reports name.
     worker_entry entry;
+    /// Its last entry if that is of another incarnation than @ref entry: a claim
+    /// that the worker's next report confirms or contradicts.
+    std::optional<worker_entry> unconfirmed_entry;
     /// Whether its entry exists; without it no runs are started.
     bool registered = false;
     /// When its entry was found to be missing, if it is.
--- a/include/pimentoshunt/cell/orders.hpp
+++ b/include/pimentoshunt/cell/orders.hpp
@@ -59,7 +59,8 @@
     /// New end of the lease, by the worker's clock; nothing: the lease is not
     /// renewed.
     std::optional<worker_time> lease_end;
-    /// Ends up to this number are durable; the worker may forget them.
+    /// Ends up to this number are durable; the worker may forget them. 0: none
+    /// besides those that it has been told of.
     std::uint64_t ends_durable = 0;
     /// How long the worker may wait for the next end before it answers.
     milliseconds wait{0};
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -325,8 +325,17 @@
                          time_point now) -> void;
     auto bound_misdirected_leases(worker_record& worker, time_point now)
         -> void;
-    auto begin_incarnation(worker_record& worker, calendar_time incarnation,
+    auto apply_entry(worker_record& worker, const worker_entry& entry) -> void;
+    auto verify_entry(worker_record& worker, const worker_entry& entry,
+                      time_point now) -> void;
+    auto resolve_entry(worker_record& worker, time_point now) -> void;
+    auto begin_incarnation(worker_record& worker, const run_report& report,
                            time_point now) -> void;
+    auto reset_incarnation(worker_record& worker, time_point now) -> void;
+    auto end_runs_of_earlier_incarnation(worker_record& worker,
+                                         const std::set<run_ref>& reported,
+                                         worker_time reported_clock,
+                                         time_point now) -> void;
     auto end_replaced_worker(const worker_record& successor, time_point now)
         -> void;
     auto on_worker_ended(worker_record& worker, time_point now) -> void;
@@ -371,14 +380,17 @@
     auto remove_from_steps(worker_record& worker) -> void;
 
     // Tasks that may crash their workers.
-    [[nodiscard]] auto suspects_on(const worker_record& worker) const
+    /// @param unharmed  runs that the worker has besides
+    [[nodiscard]] auto suspects_on(const worker_record& worker,
+                                   const std::set<run_ref>& unharmed = {}) const
         -> std::map<run_ref, worker_crash>;
     auto on_worker_silent(worker_record& worker, bool connection_lost,
                           time_point now) -> void;
     auto on_worker_answers(worker_record& worker) -> void;
     auto record_crash(const run_ref& run, const worker_crash& crash,
                       const worker_record& worker, time_point now) -> void;
-    auto record_crashes(worker_record& worker, time_point now) -> void;
+    auto record_crashes(worker_record& worker, time_point now,
+                        const std::set<run_ref>& unharmed = {}) -> void;
     auto give_up_crashing(const task_ref& task, time_point now) -> void;
     auto end_trial(worker_record& worker, run_record& run) -> void;
     auto pass_trial(worker_record& worker, run_record& run, time_point now)
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -84,7 +84,8 @@
 /// trial began; what was there before had done no harm, and is then beyond
 /// suspicion. A run that began just before is not, and leaves no certainty about
 /// the one on trial.
-auto scheduler::suspects_on(const worker_record& worker) const
+auto scheduler::suspects_on(const worker_record& worker,
+                            const std::set<run_ref>& unharmed) const
     -> std::map<run_ref, worker_crash>
 {
     const auto age_of = [&](const run_record& run)
@@ -98,6 +99,10 @@
     time_point last_bystander;
     for (const auto& [ref, run] : worker.runs)
     {
+        if (unharmed.contains(ref))
+        {
+            continue;
+        }
         any_young = any_young || age_of(run) <= suspicious_age;
         if (run.in_trial)
         {
@@ -114,7 +119,7 @@
         const bool preceded_trial =
             trial_began_at &&
             *trial_began_at - run.sent_at > policy::contemporary;
-        if (!run.in_trial && preceded_trial)
+        if (unharmed.contains(ref) || (!run.in_trial && preceded_trial))
         {
             continue;
         }
@@ -184,9 +189,10 @@
 
 /// Records that the worker crashed under its suspected runs, unless it was about
 /// to leave.
-auto scheduler::record_crashes(worker_record& worker, time_point now) -> void
+auto scheduler::record_crashes(worker_record& worker, time_point now,
+                               const std::set<run_ref>& unharmed) -> void
 {
-    auto suspects = suspects_on(worker);
+    auto suspects = suspects_on(worker, unharmed);
     suspects.insert(worker.lost_suspects.begin(), worker.lost_suspects.end());
     worker.lost_suspects.clear();
     if (worker.entry.draining)
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -357,17 +357,19 @@
     {
         return;
     }
-    if (reading && order.target.incarnation == worker.entry.incarnation)
+    const bool is_current =
+        order.target.incarnation == worker.entry.incarnation;
+    const bool is_from_known =
+        is_current && (!reading || is_known_incarnation(worker, *reading,
+                                                        run->second.sent_at));
+    if (reading && is_from_known)
     {
-        if (is_known_incarnation(worker, *reading, run->second.sent_at))
-        {
-            worker.clock = reading->clock;
-            worker.clock_at = now;
-        }
-        else
-        {
-            suspect_restart(worker, *reading, now);
-        }
+        worker.clock = reading->clock;
+        worker.clock_at = now;
+    }
+    else if (reading && is_current)
+    {
+        suspect_restart(worker, *reading, now);
     }
     const auto location = find(order.run.task);
     if (outcome == start_outcome::started)
@@ -382,6 +384,7 @@
             run->second.percent_changed_at = now;
         }
         run->second.confirmed = true;
+        run->second.in_known_incarnation = is_from_known;
         run->second.first_seen_at = now;
         run->second.first_seen_clock =
             reading ? reading->clock : worker_time{0};
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -136,9 +136,9 @@
         const auto current = next++;
         auto& [id, worker] = *current;
         const bool is_gone =
-            !worker.registered && worker.runs.empty() &&
-            worker.roster_version == 0 && !worker.enrolled &&
-            !worker.roster_in_flight &&
+            !worker.registered && !worker.unconfirmed_entry &&
+            worker.runs.empty() && worker.roster_version == 0 &&
+            !worker.enrolled && !worker.roster_in_flight &&
             worker.ends_received <= worker.ends_durable &&
             now - worker.unregistered_at >= m_options.gone_worker_retention;
         if (!is_gone)
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -275,6 +275,7 @@
         }
     }
     auto& run = known->second;
+    run.in_known_incarnation = true;
     if (!run.first_seen_at)
     {
         run.confirmed = true;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -47,21 +47,31 @@
 {
     const bool added = !m_workers.contains(entry.id);
     auto& worker = find_or_add_worker(entry, now);
-    const bool draining_now = entry.draining && !worker.entry.draining;
-    const bool begins = added || entry.incarnation != worker.entry.incarnation;
-    if (entry.incarnation != worker.entry.incarnation)
+    // What an entry says of a restart is only a claim once a worker has answered
+    // or may have runs of an earlier owner.
+    const bool is_claim = worker.clock || worker.roster_version > 0;
+    const bool restarted = entry.incarnation != worker.entry.incarnation;
+    if (restarted && is_claim && !worker.ended)
     {
-        if (entry.incarnation < worker.entry.incarnation)
-        {
-            return;
-        }
-        begin_incarnation(worker, entry.incarnation, now);
+        verify_entry(worker, entry, now);
+        return;
     }
-    const auto incarnation = worker.entry.incarnation;
-    worker.entry = entry;
-    worker.entry.incarnation = incarnation;
-    worker.registered = true;
-    if (added || draining_now)
+    if (restarted)
+    {
+        reset_incarnation(worker, now);
+    }
+    apply_entry(worker, entry);
+    if (added || restarted)
+    {
+        end_replaced_worker(worker, now);
+    }
+}
+
+auto scheduler::apply_entry(worker_record& worker, const worker_entry& entry)
+    -> void
+{
+    const bool draining_now = entry.draining && !worker.entry.draining;
+    if (!worker.registered || draining_now)
     {
         logging::info(draining_now ? "worker started draining"
                                    : "worker registered")
@@ -70,17 +80,67 @@
             .with("leaves_in", entry.leaves_in)
             .with("millicpus", entry.capacity.millicpus);
     }
-    if (begins)
+    worker.entry = entry;
+    worker.registered = true;
+    worker.unconfirmed_entry.reset();
+}
+
+/// The worker itself shows which incarnation is up. Until it answers, its runs
+/// are as they were, and nothing is started there.
+auto scheduler::verify_entry(worker_record& worker, const worker_entry& entry,
+                             time_point now) -> void
+{
+    const bool is_new =
+        !worker.unconfirmed_entry ||
+        worker.unconfirmed_entry->incarnation != entry.incarnation;
+    worker.unconfirmed_entry = entry;
+    if (!is_new)
+    {
+        return;
+    }
+    logging::info("entry names another incarnation: asking the worker")
+        .with("worker", entry.id)
+        .with("address", entry.address)
+        .with("known", worker.entry.incarnation.time_since_epoch().count())
+        .with("named", entry.incarnation.time_since_epoch().count())
+        .with("runs", worker.runs.size());
+    worker.incarnation_uncertain = true;
+    heartbeat_at_once(worker, now);
+}
+
+/// Applies the entry that waits for a report, unless the report contradicts it.
+auto scheduler::resolve_entry(worker_record& worker, time_point now) -> void
+{
+    worker.incarnation_uncertain = false;
+    if (!worker.unconfirmed_entry)
+    {
+        return;
+    }
+    const auto entry = *worker.unconfirmed_entry;
+    worker.unconfirmed_entry.reset();
+    if (entry.incarnation == worker.entry.incarnation)
     {
+        apply_entry(worker, entry);
         end_replaced_worker(worker, now);
+        return;
     }
+    logging::warn("worker contradicts its entry; ignoring the entry")
+        .with("worker", entry.id)
+        .with("address", entry.address)
+        .with("reported", worker.entry.incarnation.time_since_epoch().count())
+        .with("named", entry.incarnation.time_since_epoch().count());
 }
 
 auto scheduler::on_worker_unregistered(const worker_id& worker, time_point now)
     -> void
 {
     const auto found = m_workers.find(worker);
-    if (found == m_workers.end() || !found->second.registered)
+    if (found == m_workers.end())
+    {
+        return;
+    }
+    found->second.unconfirmed_entry.reset();
+    if (!found->second.registered)
     {
         return;
     }
@@ -93,23 +153,48 @@
         .with("runs", found->second.runs.size());
 }
 
+/// The worker reports another incarnation than the one that was known.
 auto scheduler::begin_incarnation(worker_record& worker,
-                                  calendar_time incarnation, time_point now)
+                                  const run_report& report, time_point now)
     -> void
 {
     logging::info("worker restarted")
         .with("worker", worker.entry.id)
-        .with("runs", worker.runs.size());
-    record_crashes(worker, now);
-    worker.silent_since.reset();
+        .with("known", worker.entry.incarnation.time_since_epoch().count())
+        .with("reported", report.incarnation.time_since_epoch().count())
+        .with("clock", report.clock)
+        .with("runs", worker.runs.size())
+        .with("reported_runs", report.present.size())
+        .with("reported_ends", report.ended.size());
+    std::set<run_ref> reported;
+    for (const auto& run : report.present)
+    {
+        reported.insert(run.run);
+    }
+    for (const auto& end : report.ended)
+    {
+        reported.insert(end.run);
+    }
+    record_crashes(worker, now, reported);
     // Its capacity and kind may have changed: only a new entry shows them. An
     // entry without the time of its start never does.
     worker.registered =
         worker.registered && worker.entry.incarnation == calendar_time{};
     worker.unregistered_at = now;
-    worker.entry.incarnation = incarnation;
-    worker.incarnation_uncertain = false;
+    if (report.incarnation != calendar_time{})
+    {
+        worker.entry.incarnation = report.incarnation;
+    }
+    reset_incarnation(worker, now);
     bound_misdirected_leases(worker, now);
+    end_runs_of_earlier_incarnation(worker, reported, report.clock, now);
+}
+
+/// Forgets what is only valid for one incarnation.
+auto scheduler::reset_incarnation(worker_record& worker, time_point now) -> void
+{
+    worker.silent_since.reset();
+    worker.incarnation_uncertain = false;
     worker.ends_received = 0;
     worker.ends_durable = 0;
     worker.ends_acknowledged = 0;
@@ -131,24 +216,40 @@
                           return item.first == worker.entry.id;
                       });
     }
-    // Runs that had started ended with the earlier incarnation. A start order
-    // without an answer may still reach the new one, which does not know of the
-    // stop.
-    std::vector<run_ref> lost_runs;
+}
+
+/// Runs that had started ended with the earlier incarnation, except those that
+/// the later one reports. A start order that is unanswered, or was answered by
+/// an incarnation that was not known, may have reached the later one, which does
+/// not know of any stop.
+auto scheduler::end_runs_of_earlier_incarnation(
+    worker_record& worker, const std::set<run_ref>& reported,
+    worker_time reported_clock, time_point now) -> void
+{
+    std::vector<run_ref> lost;
     for (auto& [ref, run] : worker.runs)
     {
-        if (run.first_seen_at)
+        if (reported.contains(ref))
         {
-            lost_runs.push_back(ref);
+            if (run.in_known_incarnation)
+            {
+                run.first_seen_at = now;
+                run.first_seen_clock = reported_clock;
+            }
         }
-        else if (run.phase == detail::run_phase::stopping)
+        else if (run.in_known_incarnation)
+        {
+            lost.push_back(ref);
+            continue;
+        }
+        if (run.phase == detail::run_phase::stopping)
         {
             run.stop_in_flight = false;
             run.stop_answered_at.reset();
             request_stop(worker, run, now);
         }
     }
-    for (const auto& ref : lost_runs)
+    for (const auto& ref : lost)
     {
         on_run_ended(worker, ref, run_end::lease_expired, "", now);
     }
@@ -284,19 +385,13 @@
     }
     worker.unanswered_calls = 0;
     worker.answered_at = now;
-    if (!is_known_incarnation(worker, {report->clock, report->incarnation},
-                              sent_at))
+    const bool restarted = !is_known_incarnation(
+        worker, {report->clock, report->incarnation}, sent_at);
+    if (restarted)
     {
-        const bool is_named = report->incarnation != calendar_time{};
-        if (is_named && report->incarnation < worker.entry.incarnation)
-        {
-            return;
-        }
-        begin_incarnation(
-            worker, is_named ? report->incarnation : worker.entry.incarnation,
-            now);
+        begin_incarnation(worker, *report, now);
     }
-    worker.incarnation_uncertain = false;
+    resolve_entry(worker, now);
     if (worker.silent_since)
     {
         on_worker_answers(worker);
@@ -312,8 +407,11 @@
     worker.clock_at = now;
     // Only a complete report shows all runs that an earlier owner has started.
     worker.reconciled = worker.reconciled || report->all_ends_listed;
-    worker.ends_acknowledged =
-        std::max(worker.ends_acknowledged, order.ends_durable);
+    if (!restarted)
+    {
+        worker.ends_acknowledged =
+            std::max(worker.ends_acknowledged, order.ends_durable);
+    }
     worker.next_heartbeat_at =
         worker.reconciled ? now : now + m_options.heartbeat_retry;
     apply_report(worker, *report, sent_at, now);
@@ -459,16 +557,23 @@
     const bool must_answer = worker.registered && worker.unanswered_calls > 0;
     const bool needed = must_reconcile || must_answer || has_unsaved_ends ||
                         has_unacknowledged_ends || !worker.runs.empty() ||
-                        (worker.registered && worker.incarnation_uncertain);
+                        (worker.incarnation_uncertain &&
+                         (worker.registered || worker.unconfirmed_entry));
     if (!needed)
     {
         return;
     }
     heartbeat_order order;
     order.target = target_of(worker);
-    order.ends_durable = worker.ends_durable;
-    bool may_wait = worker.reconciled && worker.unanswered_calls == 0 &&
-                    !worker.immediate_heartbeat;
+    // Another incarnation would take the end of a lease for a time by its own
+    // clock, and forget its own ends for those of the earlier one.
+    const bool may_have_restarted =
+        worker.unanswered_calls > 0 || worker.incarnation_uncertain;
+    order.ends_durable = has_unacknowledged_ends && !may_have_restarted
+                             ? worker.ends_durable
+                             : 0;
+    bool may_wait =
+        worker.reconciled && !may_have_restarted && !worker.immediate_heartbeat;
     worker.immediate_heartbeat = false;
     bool has_filler = false;
     auto longest_wait = m_options.heartbeat_wait;
@@ -481,10 +586,6 @@
         }
     }
     // The lease of an unanswering worker is not renewed, so that it expires.
-    // Another incarnation would take the end of the lease for a time by its own
-    // clock.
-    const bool may_have_restarted =
-        worker.unanswered_calls > 0 || worker.incarnation_uncertain;
     if (may_extend && worker.clock && !worker.runs.empty() &&
         !may_have_restarted)
     {
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -49,6 +49,8 @@
     bool answers_orders = true;
     /// Whether orders reach the worker, answered or not.
     bool receives_orders = true;
+    /// How long it takes to answer a call, as a worker does that has just begun.
+    milliseconds answer_delay{0};
     /// How many of the next start orders are lost before they arrive.
     int lost_starts = 0;
     /// How many of the next stop orders are lost before they arrive.
@@ -104,8 +106,6 @@
     {
         return false;
     };
-    /// Whether a restarted worker refuses orders for its earlier incarnation.
-    bool refuses_other_incarnations = true;
     /// Whether the answer to a start order names the worker's incarnation.
     bool names_incarnation = false;
     /// How long after the start of such a run its worker crashes.
@@ -426,14 +426,6 @@
                            });
     }
 
-    [[nodiscard]] auto is_for_another(const cell::order_target& target,
-                                      const fake_cell_worker& worker) const
-        -> bool
-    {
-        return refuses_other_incarnations &&
-               target.incarnation != worker.entry.incarnation;
-    }
-
     [[nodiscard]] auto reading_of(const fake_cell_worker& worker) const
         -> cell::worker_reading
     {
@@ -447,11 +439,33 @@
         return found == workers.end() ? nullptr : &found->second;
     }
 
+    /// The worker that the order reaches: the intended one, at its address.
+    auto find_worker(const cell::order_target& target) -> fake_cell_worker*
+    {
+        auto* const worker = find_worker(target.worker);
+        return worker != nullptr && worker->entry.address == target.address
+                   ? worker
+                   : nullptr;
+    }
+
+    /// Whether another worker than the intended one answers at the address.
+    [[nodiscard]] auto
+    is_answered_by_another(const cell::order_target& target) const -> bool
+    {
+        return std::any_of(workers.begin(), workers.end(),
+                           [&](const auto& item)
+                           {
+                               return item.first != target.worker &&
+                                      item.second.entry.address ==
+                                          target.address &&
+                                      item.second.receives_orders;
+                           });
+    }
+
     auto deliver_start(const cell::start_order& order) -> void
     {
-        auto* const worker = find_worker(order.target.worker);
-        if (worker == nullptr || !worker->receives_orders ||
-            is_for_another(order.target, *worker))
+        auto* const worker = find_worker(order.target);
+        if (worker == nullptr || !worker->receives_orders)
         {
             m_scheduler->on_start_answered(
                 order, cell::start_outcome::unreachable, std::nullopt, now);
@@ -473,12 +487,28 @@
             return;
         }
         begin_run(*worker, order);
-        m_scheduler->on_start_answered(
-            order,
-            worker->answers_orders ? cell::start_outcome::started
-                                   : cell::start_outcome::unknown,
-            worker->answers_orders ? std::optional(reading) : std::nullopt,
-            now);
+        const bool answered = worker->answers_orders;
+        schedule_or_run(
+            worker->answer_delay,
+            [this, order, reading, answered]
+            {
+                m_scheduler->on_start_answered(
+                    order,
+                    answered ? cell::start_outcome::started
+                             : cell::start_outcome::unknown,
+                    answered ? std::optional(reading) : std::nullopt, now);
+            });
+    }
+
+    auto schedule_or_run(milliseconds delay, std::function<void()> action)
+        -> void
+    {
+        if (delay > milliseconds(0))
+        {
+            schedule_in(delay, std::move(action));
+            return;
+        }
+        action();
     }
 
     auto begin_run(fake_cell_worker& worker, const cell::start_order& order)
@@ -521,14 +551,14 @@
 
     auto deliver_stop(const cell::stop_order& order) -> void
     {
-        auto* const worker = find_worker(order.target.worker);
+        auto* const worker = find_worker(order.target);
         const bool lost = worker != nullptr && worker->lost_stops > 0;
         if (lost)
         {
             --worker->lost_stops;
         }
-        const bool arrived = worker != nullptr && worker->receives_orders &&
-                             !lost && !is_for_another(order.target, *worker);
+        const bool arrived =
+            worker != nullptr && worker->receives_orders && !lost;
         if (arrived)
         {
             worker->stopped_runs.insert(order.run);
@@ -558,7 +588,7 @@
     /// @return whether the heartbeat has been answered or has failed
     auto answer_heartbeat(const pending_heartbeat& item) -> bool
     {
-        auto* const worker = find_worker(item.order.target.worker);
+        auto* const worker = find_worker(item.order.target);
         if (m_addresses_of_crashed.contains(item.order.target.worker))
         {
             cell::heartbeat_answer answer;
@@ -567,6 +597,13 @@
             m_scheduler->on_heartbeat_answered(item.order, answer, now);
             return true;
         }
+        if (worker == nullptr && is_answered_by_another(item.order.target))
+        {
+            cell::heartbeat_answer answer;
+            answer.replaced = true;
+            m_scheduler->on_heartbeat_answered(item.order, answer, now);
+            return true;
+        }
         const bool lost = worker == nullptr || !worker->receives_orders ||
                           !worker->answers_orders;
         if (lost)
@@ -578,10 +615,9 @@
             m_scheduler->on_heartbeat_answered(item.order, {}, now);
             return true;
         }
-        if (is_for_another(item.order.target, *worker))
+        if (now < item.sent_at + worker->answer_delay)
         {
-            m_scheduler->on_heartbeat_answered(item.order, {}, now);
-            return true;
+            return false;
         }
         worker->highest_epoch =
             std::max(worker->highest_epoch, item.order.target.epoch);
--- a/tests/unit-cell-capacity.cpp
+++ b/tests/unit-cell-capacity.cpp
@@ -125,7 +125,6 @@
     simulation.run_for(milliseconds(100));
     simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
     simulation.run_for(milliseconds(300));
-    simulation.refuses_other_incarnations = false;
     worker.entry.capacity.millicpus = 2'000;
     simulation.restart_worker("w1", false);
     simulation.run_for(milliseconds(1'000));
--- a/tests/unit-cell-incarnations.cpp
+++ b/tests/unit-cell-incarnations.cpp
@@ -28,15 +28,15 @@
 /// one lost call.
 constexpr milliseconds longest_wait{6'000 + 120 + 200 + 1'200};
 
-/// A cell whose worker w1 has been idle for some time. Calls name only the id of
-/// a worker, so that a later incarnation accepts them.
+/// A cell whose worker w1 has been idle for some time.
 struct idle_cell
 {
-    cell_simulation simulation{1, short_leases()};
+    cell_simulation simulation;
 
-    explicit idle_cell(milliseconds idle_time = std::chrono::minutes(1))
+    explicit idle_cell(milliseconds idle_time = std::chrono::minutes(1),
+                       const cell::scheduler_options& options = short_leases())
+        : simulation(1, options)
     {
-        simulation.refuses_other_incarnations = false;
         simulation.add_worker("w1", 4'000);
         simulation.run_for(idle_time);
     }
@@ -47,9 +47,10 @@
     }
 
     /// w1 starts again and gets the only task before its entry is known.
-    auto restart_and_start() -> void
+    auto restart_and_start(milliseconds answer_delay = milliseconds(0)) -> void
     {
         simulation.restart_worker("w1", false);
+        w1().answer_delay = answer_delay;
         simulation.run_for(milliseconds(20));
         simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
         simulation.run_pass();
@@ -84,3 +85,92 @@
                      named);
     }
 }
+
+// Guards against a task that runs twice (rule TWICE): the entry of the new
+// incarnation is read after it has accepted the run, which was taken for one of
+// the earlier incarnation.
+Test(cell_incarnations, a_run_that_a_new_incarnation_has_accepted_goes_on)
+{
+    for (const auto delay : {0, 40, 90, 140, 300})
+    {
+        for (const auto entry_after : {20, 60, 200, 450, 1'000})
+        {
+            idle_cell cell;
+            auto& simulation = cell.simulation;
+            cell.restart_and_start(milliseconds(delay));
+            simulation.add_worker("w2", 4'000);
+            simulation.run_for(milliseconds(entry_after));
+            simulation.register_worker(cell.w1());
+            for (int i = 0; i < 50; ++i)
+            {
+                simulation.run_for(milliseconds(20));
+                cr_assert_eq(simulation.live_runs(only_task), 1u,
+                             "answers after %d ms, entry after %d ms", delay,
+                             entry_after);
+            }
+            cr_assert_eq(simulation.starts.size(), 1u);
+            cr_assert_eq(simulation.stops.size(), 0u);
+        }
+    }
+}
+
+// Guards against an end that is lost: the worker would forget it if the number
+// of the last end of the earlier incarnation were acknowledged.
+Test(cell_incarnations, ends_of_a_new_incarnation_are_not_acknowledged_unseen)
+{
+    idle_cell cell(milliseconds(200));
+    auto& simulation = cell.simulation;
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return milliseconds(20);
+    };
+    simulation.jobs().accept(simple_job("j0", 3, 1'000), simulation.now);
+    simulation.run_for(std::chrono::minutes(1));
+    cr_assert_eq(simulation.starts.size(), 3u);
+    cell.restart_and_start();
+    simulation.end_run("w1", simulation.starts.back().run, cell::run_end::done);
+    simulation.add_worker("w2", 4'000);
+    simulation.run_for(milliseconds(2'000));
+    cr_assert_eq(simulation.starts.size(), 4u, "%zu starts",
+                 simulation.starts.size());
+    cr_assert(simulation.jobs().state_of(job_id("j1")) ==
+              cell::job_state::succeeded);
+    cr_assert(cell.w1().ended.empty(), "the end was not acknowledged");
+}
+
+// Guards against runs that are given up for an entry of another writer: only the
+// worker itself can tell that it has restarted.
+Test(cell_incarnations, an_entry_alone_ends_no_runs)
+{
+    idle_cell cell(milliseconds(200));
+    auto& simulation = cell.simulation;
+    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+    simulation.run_for(milliseconds(200));
+    simulation.add_worker("w2", 4'000);
+    for (const auto offset : {std::chrono::hours(1), std::chrono::hours(-1)})
+    {
+        auto claimed = cell.w1().entry;
+        claimed.incarnation += offset;
+        simulation.jobs().on_worker_registered(claimed, simulation.now);
+        simulation.run_for(milliseconds(1'000));
+        cr_assert_eq(simulation.starts.size(), 1u);
+        cr_assert_eq(simulation.live_runs(only_task), 1u);
+    }
+}
+
+// Guards against a worker whose answers are ignored for good, since the clock of
+// its machine was set back before it restarted.
+Test(cell_incarnations, a_new_incarnation_may_have_an_earlier_time)
+{
+    idle_cell cell(milliseconds(200));
+    auto& simulation = cell.simulation;
+    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+    simulation.run_for(milliseconds(200));
+    simulation.restart_worker("w1", false);
+    cell.w1().entry.incarnation -= std::chrono::hours(1);
+    simulation.run_for(milliseconds(1'000));
+    simulation.register_worker(cell.w1());
+    simulation.run_for(milliseconds(1'000));
+    cr_assert_eq(simulation.starts.size(), 2u);
+    cr_assert_eq(simulation.live_runs(only_task), 1u);
+}
