Entries that can't be of a worker are refused with a reason

An entry was used as a worker's if it had a state, a service, an address with a colon in it, and a capacity and labels of the right types. With a port of 0, -1 or 99999, a host that is no address, a capacity of 2^63-1, or a time of start that is no whole number, another writer's text became a worker that was called, chosen and failed, and sums of such capacities overflowed.

Anything else is logged with its id, the row's version and the reason, counted (worker_entries_ignored_total{for="malformed"}), and the last valid entry of that worker counts on.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -32,7 +32,7 @@
 #include <optional>   // optional
 #include <set>        // set
 #include <string>     // string
-#include <utility>    // move
+#include <utility>    // exchange, move
 #include <vector>     // vector
 
 namespace pimentoshunt::cell
@@ -495,15 +495,19 @@
                                                steady_now());
             return;
         }
-        if (const auto entry = m_platform.read_worker(row))
+        const auto read = m_platform.read_worker(row);
+        if (read.entry)
         {
-            m_scheduler.on_worker_registered(*entry, steady_now());
-        }
-        else
-        {
-            logging::warn("worker entry is malformed; ignoring it")
-                .with("key", row.at.key);
+            m_scheduler.on_worker_registered(*read.entry, steady_now());
+            return;
         }
+        // An earlier valid entry of the worker still counts.
+        ++m_malformed_entries;
+        logging::warn("worker entry is malformed; ignoring it")
+            .with("key", row.at.key)
+            .with("row_version", row.version)
+            .with("bytes", row.value.size())
+            .with("fault", read.error_text);
     }
 
     auto remove_unlisted_workers(const std::vector<stored_row>& rows) -> void
@@ -599,7 +603,8 @@
     /// Skips the callback if no counter has changed, as after most passes.
     auto report_counts() -> void
     {
-        const auto counts = m_scheduler.take_counts();
+        auto counts = m_scheduler.take_counts();
+        counts.malformed_entries = std::exchange(m_malformed_entries, 0);
         if (counts != scheduler_counts{})
         {
             m_context.counted(counts);
@@ -742,6 +747,8 @@
     bool m_overtaken = false;
     bool m_pass_requested = false;
     bool m_ended = false;
+    /// Entries that named no worker, since the counters were reported last.
+    std::uint64_t m_malformed_entries = 0;
 };
 
 } // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -150,6 +150,14 @@
     std::string error_text;
 };
 
+/// @brief A worker's entry as the store has it.
+struct decoded_worker
+{
+    std::optional<worker_entry> entry;
+    /// What is wrong, if there is no entry that names a worker.
+    std::string error_text;
+};
+
 using commit_handler = std::function<void(commit_result)>;
 using read_handler = std::function<void(read_result)>;
 using feed_handler = std::function<void(feed_result)>;
@@ -183,7 +191,7 @@
         } -> std::convertible_to<std::optional<configuration>>;
     {
         platform.read_worker(row)
-        } -> std::convertible_to<std::optional<worker_entry>>;
+        } -> std::convertible_to<decoded_worker>;
     {
         platform.read_caller(request, in_force)
         } -> std::convertible_to<caller_request>;
