A later owner knows of a lease that a restarted worker has prolonged

The worker is cut off and the owner replaced. The new owner waits for the leases that owners ask for, 5 s, and starts the task again while the first run goes on.

Cause: only the owner that sent the order could know of the longer lease.

Change: such a worker gets no more runs until that lease is over or its runs have ended, and its durable row says so ("longest_lease", a new field) and lists them. A later owner waits for these runs alone; with an open row it would hold up every job of before. The row of a worker that restarted is also written anew with its present incarnation: it named the first one for good. Where row and entry name different incarnations at a takeover, the earlier owner may not have known, and the longest lease counts too.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -88,6 +88,8 @@
     bool closed = false;
     bool roster_in_flight = false;
     std::uint64_t roster_version = 0;
+    /// Incarnation that its row in the durable roster names.
+    calendar_time stored_incarnation{};
     /// Whether it has sent a complete report in this epoch.
     bool reconciled = false;
     /// Whether it does not answer and all leases on it have surely expired.
@@ -100,6 +102,8 @@
     /// Latest time at which a lease may end that a later incarnation has granted
     /// to an order for an earlier one: the two clocks have nothing in common.
     time_point misdirected_lease_ends_at;
+    /// Whether that time is yet to come for runs that it may have.
+    bool longest_lease = false;
     /// Last reading of its clock, and when the reading arrived.
     std::optional<worker_time> clock;
     time_point clock_at;
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -317,6 +317,9 @@
         bool confirmed = false;
     };
     std::vector<run> runs;
+    /// Whether its runs may have the longest lease that it grants: an order that
+    /// was meant for an earlier incarnation may have asked for one.
+    bool longest_lease = false;
 };
 
 /// @brief A crash of the worker on which a run was.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -327,8 +327,10 @@
                                             time_point sent_at) const -> bool;
     auto suspect_restart(worker_record& worker, const worker_reading& reading,
                          time_point now) -> void;
-    auto bound_misdirected_leases(worker_record& worker, time_point now)
+    /// @param until  when the last such order may have been accepted
+    auto bound_misdirected_leases(worker_record& worker, time_point until)
         -> void;
+    [[nodiscard]] auto earlier_owner_ends_at() const -> time_point;
     auto apply_entry(worker_record& worker, const worker_entry& entry) -> void;
     auto verify_entry(worker_record& worker, const worker_entry& entry,
                       time_point now) -> void;
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -274,6 +274,7 @@
     out.set_rack(entry.rack);
     write_need(entry.capacity, *out.mutable_capacity());
     out.set_closed(worker.closed);
+    out.set_longest_lease(worker.longest_lease);
     for (const auto& run : worker.runs)
     {
         auto& item = *out.add_runs();
@@ -306,6 +307,7 @@
     entry.rack = from.rack();
     entry.capacity = read_need(from.capacity());
     out.closed = from.closed();
+    out.longest_lease = from.longest_lease();
     for (const auto& item : from.runs())
     {
         out.runs.push_back(
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -9,6 +9,7 @@
     auto& worker = find_or_add_worker(enrolled.entry, now);
     worker.roster_version = version;
     worker.enrolled = !enrolled.closed;
+    worker.stored_incarnation = enrolled.entry.incarnation;
     if (const auto listed = worker.entry;
         listed.incarnation != enrolled.entry.incarnation ||
         listed.address != enrolled.entry.address)
@@ -33,6 +34,11 @@
                                           false};
         request_stop(worker, run, now);
     }
+    if (enrolled.longest_lease)
+    {
+        // The earlier owner knew of the restart before it wrote the row.
+        bound_misdirected_leases(worker, m_started_at);
+    }
 }
 
 auto scheduler::take_roster_changes(std::size_t limit) -> roster_change
@@ -52,10 +58,16 @@
             worker.reconciled && worker.unanswered_calls == 0;
         const bool is_missing =
             !worker.registered || worker.unanswered_calls > 0;
-        if (worker.registered && !worker.enrolled && is_reachable)
+        // With an open row a later owner would wait for as long as the longest
+        // lease before it starts any job of before.
+        const bool is_outdated =
+            !worker.enrolled ||
+            worker.stored_incarnation != worker.entry.incarnation;
+        if (worker.registered && is_outdated && is_reachable &&
+            !worker.longest_lease)
         {
             out.writes.push_back(
-                {{worker.entry, false, {}}, worker.roster_version});
+                {{worker.entry, false, {}, false}, worker.roster_version});
             worker.roster_in_flight = true;
         }
         else if (!worker.registered && worker.runs.empty() &&
@@ -66,14 +78,15 @@
             worker.enrolled = false;
             worker.roster_in_flight = true;
         }
-        else if (is_missing && worker.enrolled && worker.reconciled &&
-                 !worker.runs.empty() &&
+        else if ((is_missing || worker.longest_lease) && worker.enrolled &&
+                 worker.reconciled && !worker.runs.empty() &&
                  worker.ends_received <= worker.ends_durable)
         {
             // A later owner does not wait for reports of a closed worker: all
             // ends that the row does not show must be durable.
             out.writes.push_back(
-                {{worker.entry, true, {}}, worker.roster_version});
+                {{worker.entry, true, {}, worker.longest_lease},
+                 worker.roster_version});
             for (const auto& [ref, run] : worker.runs)
             {
                 out.writes.back().worker.runs.push_back(
@@ -98,6 +111,7 @@
         worker.roster_version = version;
         worker.enrolled = !item.worker.closed;
         worker.closed = item.worker.closed;
+        worker.stored_incarnation = item.worker.entry.incarnation;
     }
     for (const auto& item : change.removals)
     {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -112,6 +112,11 @@
         .with("named", entry.incarnation.time_since_epoch().count())
         .with("runs", worker.runs.size());
     worker.incarnation_uncertain = true;
+    if (!worker.clock)
+    {
+        // An earlier owner may not have known of the restart.
+        bound_misdirected_leases(worker, earlier_owner_ends_at());
+    }
     heartbeat_at_once(worker, now);
 }
 
@@ -194,8 +199,8 @@
         worker.entry.incarnation = report.incarnation;
     }
     reset_incarnation(worker, now);
-    bound_misdirected_leases(worker, now);
     end_runs_of_earlier_incarnation(worker, reported, report.clock, now);
+    bound_misdirected_leases(worker, now);
 }
 
 /// Forgets what is only valid for one incarnation.
@@ -316,11 +321,22 @@
 /// Orders sent so far may have reached a later incarnation. On its clock, which
 /// began anew, the lease that they ask for may end in the far future, so that
 /// only the longest lease is a bound.
-auto scheduler::bound_misdirected_leases(worker_record& worker, time_point now)
-    -> void
+auto scheduler::bound_misdirected_leases(worker_record& worker,
+                                         time_point until) -> void
 {
     worker.misdirected_lease_ends_at =
-        now + max_elapsed(m_options.longest_lease);
+        std::max(worker.misdirected_lease_ends_at,
+                 until + max_elapsed(m_options.longest_lease));
+    worker.longest_lease = !worker.runs.empty();
+}
+
+/// Until then an earlier owner may have acted without noticing that it was
+/// replaced.
+auto scheduler::earlier_owner_ends_at() const -> time_point
+{
+    return m_options.earlier_owner_ended
+               ? m_started_at
+               : m_started_at + m_options.earlier_owner_limit;
 }
 
 /// Longest time by the owner's clock that the given time by a worker's clock
@@ -338,13 +354,8 @@
 {
     if (!worker.clock)
     {
-        // Runs on the worker have a lease of an earlier owner, which may have
-        // renewed it until it noticed that it was replaced.
-        const auto unnoticed_time = m_options.earlier_owner_ended
-                                        ? milliseconds(0)
-                                        : m_options.earlier_owner_limit;
-        return std::max(m_started_at + unnoticed_time +
-                            max_elapsed(m_options.lease),
+        // Runs on the worker have a lease of an earlier owner.
+        return std::max(earlier_owner_ends_at() + max_elapsed(m_options.lease),
                         worker.misdirected_lease_ends_at);
     }
     const auto left =
@@ -529,6 +540,8 @@
 {
     const bool unanswered = worker.unanswered_calls > 0 || !worker.reconciled;
     const auto lease_expired = lease_expires_at(worker);
+    worker.longest_lease = worker.longest_lease && !worker.runs.empty() &&
+                           now < worker.misdirected_lease_ends_at;
     worker.leases_expired =
         worker.ended || (unanswered && now >= lease_expired);
     if (!unanswered || now < lease_expired)
--- a/tests/unit-cell-incarnations.cpp
+++ b/tests/unit-cell-incarnations.cpp
@@ -285,3 +285,32 @@
     cr_assert_eq(simulation.starts.size(), 2u);
     cr_assert_eq(simulation.live_runs(only_task), 1u);
 }
+
+// Guards against a second run while the first goes on (rule TWICE): the earlier
+// owner has asked for a lease by the clock of an earlier incarnation, so that the
+// worker has granted its longest one, and is cut off at the takeover.
+Test(cell_incarnations, a_new_owner_waits_for_a_misdirected_lease)
+{
+    for (const bool announced : {false, true})
+    {
+        idle_cell tested(std::chrono::minutes(1), cell::scheduler_options{});
+        auto& simulation = tested.simulation;
+        tested.restart_and_start();
+        if (announced)
+        {
+            simulation.run_for(milliseconds(200));
+            simulation.register_worker(tested.w1());
+            simulation.run_for(milliseconds(200));
+        }
+        tested.w1().receives_orders = false;
+        simulation.add_worker("w2", 4'000);
+        simulation.take_over({simple_job("j1", 1, 1'000)});
+        for (int i = 0; i < 800; ++i)
+        {
+            simulation.run_for(milliseconds(20));
+            cr_assert_leq(simulation.live_runs(only_task), 1u, "after %d ms",
+                          20 * i);
+        }
+        cr_assert_eq(simulation.live_runs(only_task), 1u);
+    }
+}
