--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -178,6 +178,23 @@
     cr_assert(!decode_configuration("{}").has_value());
 }
 
+namespace
+{
+
+/// The text with each @ replaced.
+auto with_number(const std::string& text, const std::string& number)
+    -> std::string
+{
+    std::string out;
+    for (const char letter : text)
+    {
+        letter == '@' ? out.append(number) : out.append(1, letter);
+    }
+    return out;
+}
+
+} // namespace
+
 // Guards against undefined conversions and overflows by values far out of range
 // in a worker's answer.
 Test(platform_wire, numbers_out_of_range_are_limited)
@@ -187,10 +204,10 @@
           "-9223372036854775808", "1e300", "0.5", "\"7\"", "null", "[]"})
     {
         const auto read = decode_report(
-            R"({"clockMs":)" + odd + R"(,"born":)" + odd +
-            R"(,"running":[["5c0e7a21d94b36f8.0.1.17",)" + odd + ",\"\"," +
-            odd + "," + odd + R"(]],"endedRuns":[[)" + odd +
-            R"(,"5c0e7a21d94b36f8.0.1.9",)" + odd + R"(,"done",""]]})");
+            with_number(R"({"clockMs":@,"born":@,"running":)"
+                        R"([["5c0e7a21d94b36f8.0.1.17",@,"",@,@]],"endedRuns":)"
+                        R"([[@,"5c0e7a21d94b36f8.0.1.9",@,"done",""]]})",
+                        odd));
         // A number that is no JSON number makes the whole text malformed.
         if (!read)
         {
@@ -216,8 +233,8 @@
     {
         for (const std::string name : {"cpu", "memMb", "gpu"})
         {
-            const auto read = decode(R"({"phases":[{"count":1,")" + name +
-                                     "\":" + odd + "}]}");
+            const auto read = decode(with_number(
+                R"({"phases":[{"count":1,")" + name + R"(":@}]})", odd));
             cr_assert(!read.job.has_value(), "%s", odd.c_str());
             cr_assert(!read.error_text.empty());
         }
