The soak leaves odd entries under the ids of live workers

Every 0.5 to 2 s another writer replaces the entry of a worker, with deep nesting, a port or capacity out of range, a far time of start, or another worker's address; the worker writes its own within 1.5 s. The generator is apart from that of the other faults, whose order a seed keeps.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -1,5 +1,7 @@
 #include "faults.hpp"
 
+#include "platform_wire.hpp"
+
 #include <pimentoshunt/cell/tables.hpp>
 
 #include <algorithm>  // any_of
@@ -26,7 +28,8 @@
   public:
     fault_driver(platform& stand_in, instance_hosts& instances,
                  std::uint64_t seed)
-        : m_platform(stand_in), m_instances(instances), m_random(seed)
+        : m_platform(stand_in), m_instances(instances), m_random(seed),
+          m_entry_random(seed)
     {
     }
 
@@ -41,6 +44,11 @@
             {
                 begin_next_fault();
             }
+            if (boot_clock::now() >= m_next_odd_entry_at &&
+                boot_clock::now() < until)
+            {
+                write_odd_entry();
+            }
             std::this_thread::sleep_for(poll_interval);
         }
         return std::move(m_record);
@@ -99,6 +107,18 @@
         }
     }
 
+    /// Some of the entries are read by an owner that has just taken over.
+    auto write_odd_entry() -> void
+    {
+        const auto now = boot_clock::now();
+        m_next_odd_entry_at =
+            now + milliseconds(500 + m_entry_random() % 1'500);
+        const auto number = m_entry_random() % m_platform.worker_count();
+        m_platform.write_odd_entry(number, m_entry_random() % odd_entry_kinds);
+        m_record.push_back(
+            {"odd entry", "worker " + std::to_string(number), now, now});
+    }
+
     auto begin_owner_fault() -> void
     {
         // A slow store prolongs the loading of the next owner while this one
@@ -404,10 +424,13 @@
     platform& m_platform;
     instance_hosts& m_instances;
     std::mt19937_64 m_random;
+    /// Apart from the other faults, whose order a seed keeps.
+    std::mt19937_64 m_entry_random;
     std::vector<active_fault> m_active;
     std::vector<fault_record> m_record;
     store_faults m_store_faults;
     time_point m_next_fault_at;
+    time_point m_next_odd_entry_at;
     /// Remaining faults of a series on consecutive owners.
     std::size_t m_series_left = 0;
 };
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -164,6 +164,21 @@
         });
 }
 
+auto platform::write_odd_entry(std::size_t number, std::size_t kind) -> void
+{
+    run_on_platform_thread(
+        [&]
+        {
+            const auto& facts = m_workers.at(number).model->facts();
+            const auto& other =
+                m_workers.at((number + 1) % m_workers.size()).model->facts();
+            m_store.apply({{},
+                           {{worker_key(facts.id),
+                             write_odd_worker(facts, kind, other.address)}},
+                           {}});
+        });
+}
+
 auto platform::trim_history() -> void
 {
     run_on_platform_thread(
--- a/tests/soak/platform.hpp
+++ b/tests/soak/platform.hpp
@@ -80,6 +80,9 @@
 
     auto set(const store_faults& faults) -> void;
     auto set(std::size_t worker, const worker_faults& faults) -> void;
+    /// @brief Replaces a worker's entry by an odd one of the given kind, until the
+    /// worker writes its own again.
+    auto write_odd_entry(std::size_t worker, std::size_t kind) -> void;
     /// @brief Drops the store's whole history, so that followers have to read
     /// all rows again.
     auto trim_history() -> void;
--- a/tests/soak/platform_wire.cpp
+++ b/tests/soak/platform_wire.cpp
@@ -9,7 +9,9 @@
 #include <openssl/evp.h> // EVP_EncodeBlock, EVP_DecodeBlock
 
 #include <algorithm> // min
+#include <chrono>    // hours
 #include <cstdlib>   // strtoull
+#include <limits>    // numeric_limits
 #include <map>       // map
 
 namespace pimentoshunt::soak
@@ -232,6 +234,39 @@
                                         {"sequence", sequence}});
 }
 
+auto write_odd_worker(worker_facts from, std::size_t kind,
+                      const std::string& other_address) -> std::string
+{
+    constexpr std::size_t depth = 20'000;
+    constexpr auto day_ms = std::chrono::milliseconds(std::chrono::hours(24));
+    constexpr auto largest = std::numeric_limits<std::int64_t>::max();
+    const std::string host = "127.0.0.1:";
+    switch (kind)
+    {
+    case 0:
+        return std::string(depth, '[') + std::string(depth, ']');
+    case 1:
+        from.address = host + "99999";
+        break;
+    case 2:
+        from.born_ms = largest;
+        break;
+    case 3:
+        from.capacity = {0, largest, largest, largest};
+        break;
+    case 4:
+        from.address = other_address;
+        from.born_ms += day_ms.count();
+        break;
+    default:
+        // A port at which nothing listens.
+        from.address = host + "1";
+        from.born_ms -= day_ms.count();
+        break;
+    }
+    return write_worker(from, 1, milliseconds(1));
+}
+
 auto read_store_call(const net::server_request& request)
     -> std::optional<store_call>
 {
--- a/tests/soak/platform_wire.hpp
+++ b/tests/soak/platform_wire.hpp
@@ -131,6 +131,15 @@
                                 std::uint64_t sequence, milliseconds clock)
     -> std::string;
 
+/// Number of different odd entries.
+inline constexpr std::size_t odd_entry_kinds = 6;
+/// @brief An entry as another writer may leave it under a worker's id: with deep
+/// nesting, numbers or ports out of range, or another worker's address.
+/// @param kind  below @ref odd_entry_kinds
+[[nodiscard]] auto write_odd_worker(worker_facts from, std::size_t kind,
+                                    const std::string& other_address)
+    -> std::string;
+
 /// @brief Decodes a call to the store; nothing if it is invalid.
 [[nodiscard]] auto read_store_call(const net::server_request& request)
     -> std::optional<store_call>;
