--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -242,6 +242,11 @@
     milliseconds leaves_in{0};
 };
 
+/// @brief Whether two entries of a worker name the same incarnation at the same
+/// address.
+[[nodiscard]] auto names_same_process(const worker_entry& left,
+                                      const worker_entry& right) -> bool;
+
 /// @brief What a worker says of itself in the answer to an order.
 struct worker_reading
 {
--- a/src/cell/model.cpp
+++ b/src/cell/model.cpp
@@ -92,4 +92,11 @@
            std::to_string(task.step.step) + "." + std::to_string(task.index);
 }
 
+auto names_same_process(const worker_entry& left, const worker_entry& right)
+    -> bool
+{
+    return left.incarnation == right.incarnation &&
+           left.address == right.address;
+}
+
 } // namespace pimentoshunt::cell
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -11,8 +11,7 @@
     worker.enrolled = !enrolled.closed;
     worker.stored_incarnation = enrolled.entry.incarnation;
     if (const auto listed = worker.entry;
-        listed.incarnation != enrolled.entry.incarnation ||
-        listed.address != enrolled.entry.address)
+        !names_same_process(listed, enrolled.entry))
     {
         // The row names the process that may have runs, and the entry perhaps
         // another one.
