The fields that each pass reads stand together again in a worker's record

Cause, as far as it is shown: the record of a worker had grown by an entry between the fields that each pass visits for all 1,100 workers, each pass compared the incarnation of the row, and each supervision computed the end of each lease.

Change: the unconfirmed entry is allocated only when there is one, rare fields stand at the end, a flag tells that a row is outdated, and the end of a lease is computed for workers that don't answer.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -10,7 +10,7 @@
 #include <algorithm>     // any_of
 #include <cstdint>       // uint64_t
 #include <map>           // map
-#include <memory>        // shared_ptr
+#include <memory>        // shared_ptr, unique_ptr
 #include <optional>      // optional
 #include <set>           // set
 #include <string>        // string
@@ -72,10 +72,6 @@
     /// Its last entry that counts, with the incarnation and the address of its
     /// last report.
     worker_entry entry;
-    /// Its last entry if that names another incarnation or address than @ref
-    /// entry: a claim, perhaps of another writer, that the worker's next report
-    /// confirms or contradicts.
-    std::optional<worker_entry> unconfirmed_entry;
     /// Whether its entry exists; without it no runs are started.
     bool registered = false;
     /// When its entry was found to be missing, if it is.
@@ -88,8 +84,6 @@
     bool closed = false;
     bool roster_in_flight = false;
     std::uint64_t roster_version = 0;
-    /// Incarnation that its row in the durable roster names.
-    calendar_time stored_incarnation{};
     /// Whether it has sent a complete report in this epoch.
     bool reconciled = false;
     /// Whether it does not answer and all leases on it have surely expired.
@@ -99,11 +93,11 @@
     /// Whether an answer may have come from an incarnation that is not known
     /// yet. Only a report shows which one it is.
     bool incarnation_uncertain = false;
-    /// Latest time at which a lease may end that a later incarnation has granted
-    /// to an order for an earlier one: the two clocks have nothing in common.
-    time_point misdirected_lease_ends_at;
-    /// Whether that time is yet to come for runs that it may have.
+    /// Whether @ref misdirected_lease_ends_at is yet to come for runs that it may
+    /// have.
     bool longest_lease = false;
+    /// Whether its row in the durable roster names another incarnation.
+    bool is_row_outdated = false;
     /// Last reading of its clock, and when the reading arrived.
     std::optional<worker_time> clock;
     time_point clock_at;
@@ -144,6 +138,15 @@
     /// No runs are started earlier, after a refusal.
     time_point no_starts_until;
     time_point pace_raised_at;
+    /// Latest time at which a lease may end that a later incarnation has granted
+    /// to an order for an earlier one: the two clocks have nothing in common.
+    time_point misdirected_lease_ends_at;
+    /// Incarnation that its row in the durable roster names.
+    calendar_time stored_incarnation{};
+    /// Its last entry if that names another incarnation or address than @ref
+    /// entry: a claim, perhaps of another writer, that the worker's next report
+    /// confirms or contradicts.
+    std::unique_ptr<worker_entry> unconfirmed_entry;
 
     /// @brief Resources that a further task may take; negative where a gang has
     /// reserved more than is free.
--- a/src/cell/scheduler_incarnations.cpp
+++ b/src/cell/scheduler_incarnations.cpp
@@ -5,7 +5,9 @@
 #include <pimentoshunt/logging.hpp>
 
 #include <algorithm> // max
+#include <memory>    // make_unique
 #include <set>       // set
+#include <utility>   // exchange
 #include <vector>    // vector
 
 namespace pimentoshunt::cell
@@ -57,6 +59,7 @@
             .with("millicpus", entry.capacity.millicpus);
     }
     worker.entry = entry;
+    worker.is_row_outdated = worker.stored_incarnation != entry.incarnation;
     worker.registered = true;
     worker.unconfirmed_entry.reset();
 }
@@ -68,7 +71,7 @@
 {
     const bool is_new = !worker.unconfirmed_entry ||
                         !names_same_process(*worker.unconfirmed_entry, entry);
-    worker.unconfirmed_entry = entry;
+    worker.unconfirmed_entry = std::make_unique<worker_entry>(entry);
     if (!is_new)
     {
         return;
@@ -97,8 +100,8 @@
     {
         return;
     }
-    const auto entry = *worker.unconfirmed_entry;
-    worker.unconfirmed_entry.reset();
+    const auto claimed = std::exchange(worker.unconfirmed_entry, nullptr);
+    const auto& entry = *claimed;
     if (names_same_process(entry, worker.entry))
     {
         apply_entry(worker, entry);
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -59,11 +59,8 @@
             !worker.registered || worker.unanswered_calls > 0;
         // With an open row a later owner would wait for as long as the longest
         // lease before it starts any job of before.
-        const bool is_outdated =
-            !worker.enrolled ||
-            worker.stored_incarnation != worker.entry.incarnation;
-        if (worker.registered && is_outdated && is_reachable &&
-            !worker.longest_lease)
+        if (worker.registered && (!worker.enrolled || worker.is_row_outdated) &&
+            is_reachable && !worker.longest_lease)
         {
             out.writes.push_back(
                 {{worker.entry, false, {}, false}, worker.roster_version});
@@ -111,6 +108,8 @@
         worker.enrolled = !item.worker.closed;
         worker.closed = item.worker.closed;
         worker.stored_incarnation = item.worker.entry.incarnation;
+        worker.is_row_outdated =
+            worker.stored_incarnation != worker.entry.incarnation;
     }
     for (const auto& item : change.removals)
     {
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -279,12 +279,14 @@
 auto scheduler::end_expired_runs(worker_record& worker, time_point now) -> void
 {
     const bool unanswered = worker.unanswered_calls > 0 || !worker.reconciled;
-    const auto lease_expired = lease_expires_at(worker);
-    worker.longest_lease = worker.longest_lease && !worker.runs.empty() &&
-                           now < worker.misdirected_lease_ends_at;
-    worker.leases_expired =
-        worker.ended || (unanswered && now >= lease_expired);
-    if (!unanswered || now < lease_expired)
+    if (worker.longest_lease)
+    {
+        worker.longest_lease =
+            !worker.runs.empty() && now < worker.misdirected_lease_ends_at;
+    }
+    const bool lease_expired = unanswered && now >= lease_expires_at(worker);
+    worker.leases_expired = worker.ended || lease_expired;
+    if (!lease_expired)
     {
         return;
     }
