--- a/tests/unit-cell-incarnations.cpp
+++ b/tests/unit-cell-incarnations.cpp
@@ -46,6 +46,13 @@
         return simulation.workers.at(worker_id("w1"));
     }
 
+    /// Accepts the only task, which w1 starts.
+    auto start_only_task() -> void
+    {
+        simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+        simulation.run_for(milliseconds(200));
+    }
+
     /// w1 starts again and gets the only task before its entry is known.
     auto restart_and_start(milliseconds answer_delay = milliseconds(0)) -> void
     {
@@ -144,8 +151,7 @@
 {
     idle_cell cell(milliseconds(200));
     auto& simulation = cell.simulation;
-    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
-    simulation.run_for(milliseconds(200));
+    cell.start_only_task();
     simulation.add_worker("w2", 4'000);
     for (const auto offset : {std::chrono::hours(1), std::chrono::hours(-1)})
     {
@@ -164,8 +170,7 @@
 {
     idle_cell cell(milliseconds(200));
     auto& simulation = cell.simulation;
-    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
-    simulation.run_for(milliseconds(200));
+    cell.start_only_task();
     simulation.restart_worker("w1", false);
     cell.w1().entry.incarnation -= std::chrono::hours(1);
     simulation.run_for(milliseconds(1'000));
@@ -254,8 +259,7 @@
 {
     idle_cell cell(milliseconds(200));
     auto& simulation = cell.simulation;
-    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
-    simulation.run_for(milliseconds(200));
+    cell.start_only_task();
     simulation.add_worker("w2", 4'000);
     cell.w1().receives_orders = false;
     simulation.run_for(milliseconds(1'500));
@@ -275,8 +279,7 @@
 {
     idle_cell cell(milliseconds(200));
     auto& simulation = cell.simulation;
-    simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
-    simulation.run_for(milliseconds(200));
+    cell.start_only_task();
     simulation.restart_worker("w1", false);
     cell.w1().entry.address = "10.0.0.7:7";
     simulation.run_for(milliseconds(700));
