An owner logs why inherited jobs wait, until when, and what it leaves waiting

Cause: the line about inherited jobs named the first awaited worker by name only. Whether that worker had left, drained, never had a row in the roster or was slow could not be told, nor when the wait ended, nor that an owner ended within it.

Change: the line names the worker that is awaited longest, with its row, entry and missed calls and the time left; the end of the wait and an ownership that ends within it are logged. No change of behaviour.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -103,6 +103,10 @@
     /// @brief Ends the ownership; no order is sent afterwards.
     auto end() -> void
     {
+        if (!m_ended)
+        {
+            m_scheduler.log_end(steady_now());
+        }
         m_ended = true;
         m_tick_timer.cancel();
         m_pass_timer.cancel();
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -237,6 +237,8 @@
     /// @brief A batch of progress was not written; its jobs will be written
     /// again.
     auto on_progress_write_failed(const progress_batch& batch) -> void;
+    /// @brief Logs what the inherited jobs wait for as the ownership ends.
+    auto log_end(time_point now) const -> void;
     /// @brief Returns and resets the counters.
     auto take_counts() -> scheduler_counts;
     /// @brief Removes finished jobs whose retention has ended, and returns
@@ -416,7 +418,9 @@
     auto log_stored(const progress_batch& batch) const -> void;
     auto log_long_wait(const policy::waiting_step& item, time_point now)
         -> void;
-    auto log_blocked_jobs(time_point now) -> void;
+    auto log_blocked_jobs(bool blocked, time_point now) -> void;
+    auto log_awaited_workers(const std::string& message, time_point now) const
+        -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
     auto is_usable(const worker_record& worker, const job_record& job,
                    const step_record& step, time_point now) const -> bool;
@@ -457,7 +461,9 @@
                worker_record& worker, std::uint64_t number, time_point now)
         -> void;
     auto next_number(const task_record& task) const -> std::uint64_t;
-    auto earlier_runs_possible(time_point now) const -> bool;
+    [[nodiscard]] auto is_report_awaited(const worker_record& worker,
+                                         time_point now) const -> bool;
+    [[nodiscard]] auto earlier_runs_possible(time_point now) const -> bool;
 
     // Approvals.
     auto request_approval(const policy::waiting_step& item, bool early,
@@ -500,7 +506,8 @@
     std::size_t m_slow_request_slots_left = 0;
     /// When it was last logged that a step waits.
     time_point m_wait_logged_at;
-    /// When it was last logged that inherited jobs wait for reports.
+    /// Whether inherited jobs wait for reports, and when that was last logged.
+    bool m_jobs_blocked = false;
     time_point m_blocked_logged_at;
     /// Steps with a gang that reserves room.
     std::set<step_record*> m_reserving_steps;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -5,7 +5,7 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // find, max, min, sort
+#include <algorithm> // any_of, find, max, min, sort
 #include <optional>  // optional
 #include <utility>   // move
 
@@ -79,19 +79,22 @@
     return std::exchange(m_outbox, {});
 }
 
-/// Whether a worker that has not reported yet may still run work of an earlier
+/// Whether the worker has not reported yet and may still run work of an earlier
 /// owner.
+auto scheduler::is_report_awaited(const worker_record& worker,
+                                  time_point now) const -> bool
+{
+    return !worker.reconciled && !worker.closed && !worker.ended &&
+           now < lease_expires_at(worker);
+}
+
 auto scheduler::earlier_runs_possible(time_point now) const -> bool
 {
-    for (const auto& [id, worker] : m_workers)
-    {
-        if (!worker.reconciled && !worker.closed && !worker.ended &&
-            now < lease_expires_at(worker))
-        {
-            return true;
-        }
-    }
-    return false;
+    return std::any_of(m_workers.begin(), m_workers.end(),
+                       [&](const auto& item)
+                       {
+                           return is_report_awaited(item.second, now);
+                       });
 }
 
 auto scheduler::ready_steps(time_point now) -> std::vector<policy::waiting_step>
@@ -105,10 +108,7 @@
         if (job->inherited && !blocked)
         {
             blocked = earlier_runs_possible(now);
-            if (*blocked)
-            {
-                log_blocked_jobs(now);
-            }
+            log_blocked_jobs(*blocked, now);
         }
         if (job->inherited && *blocked)
         {
--- a/src/cell/scheduler_waiting.cpp
+++ b/src/cell/scheduler_waiting.cpp
@@ -5,8 +5,9 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // count_if, find_if
-#include <string>    // string
+#include <cstddef> // size_t
+#include <string>  // string
+#include <utility> // exchange
 
 namespace pimentoshunt::cell
 {
@@ -123,30 +124,71 @@
         .with("reservations", m_reserving_steps.size());
 }
 
-auto scheduler::log_blocked_jobs(time_point now) -> void
+auto scheduler::log_blocked_jobs(bool blocked, time_point now) -> void
 {
+    const bool was_blocked = std::exchange(m_jobs_blocked, blocked);
+    if (!blocked)
+    {
+        if (was_blocked)
+        {
+            logging::info("inherited jobs no longer wait for reports")
+                .with("epoch", m_epoch)
+                .with("owned_for", now - m_started_at);
+        }
+        return;
+    }
     if (now - m_blocked_logged_at < m_options.wait_log_interval)
     {
         return;
     }
     m_blocked_logged_at = now;
     ++m_counts.long_waits;
-    const auto is_awaited = [&](const auto& item)
+    log_awaited_workers("inherited jobs wait for reports of workers", now);
+}
+
+auto scheduler::log_end(time_point now) const -> void
+{
+    if (m_jobs_blocked)
+    {
+        log_awaited_workers(
+            "ownership ends while inherited jobs wait for reports", now);
+    }
+}
+
+/// Logs how many workers are awaited, and of the one that is awaited longest what
+/// distinguishes a worker that has left from one that is slow or new.
+auto scheduler::log_awaited_workers(const std::string& message,
+                                    time_point now) const -> void
+{
+    std::size_t awaited = 0;
+    const worker_record* last = nullptr;
+    for (const auto& [id, worker] : m_workers)
     {
-        const auto& worker = item.second;
-        return !worker.reconciled && !worker.closed && !worker.ended &&
-               now < lease_expires_at(worker);
-    };
-    const auto awaited =
-        std::count_if(m_workers.begin(), m_workers.end(), is_awaited);
-    const auto first =
-        std::find_if(m_workers.begin(), m_workers.end(), is_awaited);
-    logging::info("inherited jobs wait for reports of workers")
+        if (!is_report_awaited(worker, now))
+        {
+            continue;
+        }
+        ++awaited;
+        if (last == nullptr ||
+            lease_expires_at(*last) < lease_expires_at(worker))
+        {
+            last = &worker;
+        }
+    }
+    if (last == nullptr)
+    {
+        return;
+    }
+    logging::info(message)
         .with("epoch", m_epoch)
         .with("owned_for", now - m_started_at)
-        .with("awaited", static_cast<std::size_t>(awaited))
-        .with("first",
-              first == m_workers.end() ? std::string() : first->first.str());
+        .with("awaited", awaited)
+        .with("last", last->entry.id)
+        .with("wait_left", lease_expires_at(*last) - now)
+        .with("in_roster", last->roster_version > 0)
+        .with("registered", last->registered)
+        .with("draining", last->entry.draining)
+        .with("unanswered_calls", last->unanswered_calls);
 }
 
 } // namespace pimentoshunt::cell
