--- /dev/null
+++ b/tests/unit-cell-owner-series.cpp
@@ -0,0 +1,318 @@
+/// @file
+/// What a series of owners, each too short to wait for the leases of silent
+/// workers, may start of the jobs that it inherits.
+#include "fakes/cell_simulation.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm> // any_of, max
+#include <cstdint>   // uint32_t
+#include <map>       // map
+#include <string>    // string, to_string
+#include <vector>    // vector
+
+using namespace pimentoshunt;
+using fakes::cell_simulation;
+using fakes::simple_job;
+
+namespace
+{
+
+/// How long each owner holds the cell: less than a lease.
+constexpr milliseconds tenure{2'000};
+/// A task that lasts counts as lost when it has had no run for this long
+/// although workers had room: 6 s after its last run, for 3 s.
+constexpr milliseconds longest_absence{9'000};
+
+/// Each owner releases the cell before the next one begins.
+auto released_by_earlier_owner() -> cell::scheduler_options
+{
+    cell::scheduler_options out;
+    out.earlier_owner_ended = true;
+    return out;
+}
+
+/// A cell whose owners follow one another.
+struct owner_series
+{
+    cell_simulation simulation{1, released_by_earlier_owner()};
+    std::vector<cell::job_spec> jobs;
+    /// When the workers that drain leave.
+    std::map<std::string, time_point> leaves_at;
+
+    auto accept(const cell::job_spec& job) -> void
+    {
+        jobs.push_back(job);
+        simulation.jobs().accept(job, simulation.now);
+    }
+
+    auto take_over() -> void
+    {
+        simulation.take_over(jobs);
+    }
+
+    /// The worker ends without having said that it leaves.
+    auto lose(const std::string& name) -> void
+    {
+        simulation.workers.at(worker_id(name)).receives_orders = false;
+        simulation.workers.at(worker_id(name)).runs.clear();
+    }
+
+    /// The worker announces that it leaves in @p time.
+    auto drain(const std::string& name, milliseconds time) -> void
+    {
+        auto& worker = simulation.workers.at(worker_id(name));
+        worker.entry.draining = true;
+        worker.entry.leaves_in = time;
+        leaves_at[name] = simulation.now + time;
+        simulation.register_worker(worker);
+        simulation.schedule_in(time,
+                               [this, name]
+                               {
+                                   lose(name);
+                                   simulation.unregister_worker(
+                                       simulation.workers.at(worker_id(name)));
+                               });
+    }
+
+    /// The workers that leave within @p gap do so, and their entries are removed,
+    /// while no instance owns the cell.
+    auto leave_unobserved(milliseconds gap) -> void
+    {
+        for (const auto& [name, at] : leaves_at)
+        {
+            if (at <= simulation.now + gap)
+            {
+                lose(name);
+                simulation.workers.at(worker_id(name)).registered = false;
+            }
+        }
+    }
+
+    /// Runs the cell until the job has no waiting task, with a new owner every
+    /// @ref tenure.
+    /// @return the time that it took, or @p limit
+    auto time_until_started(const cell::job_spec& job, milliseconds limit)
+        -> milliseconds
+    {
+        constexpr milliseconds step{100};
+        milliseconds took{0};
+        milliseconds held{0};
+        while (took < limit && !is_started(job))
+        {
+            if (held >= tenure)
+            {
+                take_over();
+                held = milliseconds(0);
+            }
+            simulation.run_for(step);
+            took += step;
+            held += step;
+        }
+        return took;
+    }
+
+    [[nodiscard]] auto is_started(const cell::job_spec& job) const -> bool
+    {
+        for (std::uint32_t i = 0; i < job.steps.front().count; ++i)
+        {
+            if (simulation.live_runs({{job.id, 0, 0}, i}) == 0)
+            {
+                return false;
+            }
+        }
+        return true;
+    }
+};
+
+auto lasting_job(const std::string& id, std::uint32_t tasks) -> cell::job_spec
+{
+    auto out = simple_job(id, tasks, 1'000);
+    out.steps.front().lasting = true;
+    out.steps.front().keeps_checkpoints = true;
+    return out;
+}
+
+/// Runs a service of five tasks while a worker announces every @p between_leaves
+/// that it leaves, first after @p phase, and owners follow one another.
+/// @return the longest time for which a task had no run
+auto longest_absence_with(milliseconds between_leaves, milliseconds phase)
+    -> milliseconds
+{
+    constexpr std::uint32_t tasks = 5;
+    constexpr int first_workers = 12;
+    constexpr milliseconds notice{2'500};
+    constexpr milliseconds duration{16'000};
+    constexpr milliseconds step{100};
+    constexpr milliseconds gap_between_owners{200};
+    owner_series series;
+    int workers = 0;
+    const auto add_worker = [&]
+    {
+        series.simulation.add_worker("w" + std::to_string(100 + workers++),
+                                     2'000);
+    };
+    while (workers < first_workers)
+    {
+        add_worker();
+    }
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", tasks);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    std::map<std::uint32_t, milliseconds> absent_for;
+    milliseconds longest{0};
+    int left = 0;
+    for (milliseconds at{0}; at < duration; at += step)
+    {
+        if (at % between_leaves == phase)
+        {
+            series.drain("w" + std::to_string(100 + left++), notice);
+            add_worker();
+        }
+        if (at % tenure == milliseconds(0) && at > milliseconds(0))
+        {
+            series.leave_unobserved(gap_between_owners);
+            series.take_over();
+        }
+        series.simulation.run_for(step);
+        for (std::uint32_t i = 0; i < tasks; ++i)
+        {
+            const auto runs = series.simulation.live_runs({{job.id, 0, 0}, i});
+            cr_assert_leq(runs, 1u);
+            auto& absent = absent_for[i];
+            absent = runs == 0 ? absent + step : milliseconds(0);
+            longest = std::max(longest, absent);
+        }
+    }
+    return longest;
+}
+
+} // namespace
+
+// Guards against a wait for the leases of a silent worker that each owner begins
+// anew (scenario wischwerk-zh, rule LOST).
+Test(cell_owner_series, owners_share_the_wait_for_a_silent_worker)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.add_worker("w2", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    series.lose("w1");
+    series.take_over();
+    const auto took = series.time_until_started(job, longest_absence);
+    cr_assert_lt(took.count(), longest_absence.count(), "%ld ms",
+                 static_cast<long>(took.count()));
+}
+
+// Guards against inherited jobs that wait for the report of a worker which had
+// said to an earlier owner that it leaves.
+Test(cell_owner_series, a_worker_that_left_between_two_owners_blocks_no_job)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    cr_assert(series.is_started(job));
+    series.drain("w1", milliseconds(2'000));
+    series.simulation.run_for(milliseconds(1'900));
+    cr_assert(!series.is_started(job));
+    series.simulation.add_worker("w2", 4'000);
+    series.take_over();
+    series.lose("w1");
+    series.simulation.run_for(milliseconds(500));
+    cr_assert(series.is_started(job));
+}
+
+// The same for a worker that fell silent while it had no runs.
+Test(cell_owner_series, a_silent_worker_without_runs_blocks_no_job)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    series.lose("w1");
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(1'500));
+    series.take_over();
+    series.simulation.add_worker("w2", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    cr_assert(series.is_started(job));
+}
+
+// Guards against inherited jobs that wait for the report of a worker which has just
+// registered: without a row in the roster no owner can have given it work.
+Test(cell_owner_series, a_worker_that_no_owner_has_used_blocks_no_job)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = simple_job("j1", 1, 1'000);
+    series.accept(job);
+    series.take_over();
+    series.simulation.add_worker("w2", 4'000).receives_orders = false;
+    series.simulation.run_for(milliseconds(500));
+    cr_assert(series.is_started(job));
+}
+
+// A worker that leaves finishes what it can: a new owner does not stop its runs.
+Test(cell_owner_series, a_new_owner_leaves_the_runs_of_a_draining_worker)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = simple_job("j1", 2, 1'000);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.drain("w1", milliseconds(3'000));
+    series.simulation.run_for(milliseconds(500));
+    series.take_over();
+    series.simulation.run_for(milliseconds(500));
+    cr_assert(series.is_started(job));
+    cr_assert(series.simulation.stops.empty());
+    cr_assert_eq(series.simulation.starts.size(), 2u);
+}
+
+// Guards against a valid run that a new owner stops for an earlier run of its
+// task, which the roster row of a silent worker still lists.
+Test(cell_owner_series, a_run_is_kept_beside_the_row_of_an_earlier_one)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.add_worker("w2", 4'000);
+    series.lose("w1");
+    series.simulation.run_for(longest_absence);
+    cr_assert(series.is_started(job));
+    const auto starts = series.simulation.starts.size();
+    series.take_over();
+    series.simulation.run_for(longest_absence);
+    cr_assert(series.is_started(job));
+    cr_assert_eq(series.simulation.starts.size(), starts);
+    cr_assert(series.simulation.workers.at(worker_id("w2")).ended.empty());
+}
+
+// Workers leave and owners change all the time, in all phases to each other: the
+// tasks of a service must run nearly all of it.
+Test(cell_owner_series, a_service_runs_while_workers_leave_and_owners_change)
+{
+    constexpr milliseconds between_leaves{700};
+    constexpr milliseconds phase_step{100};
+    milliseconds longest{0};
+    for (milliseconds phase{0}; phase < between_leaves; phase += phase_step)
+    {
+        longest =
+            std::max(longest, longest_absence_with(between_leaves, phase));
+    }
+    cr_assert_leq(longest.count(), 1'000, "%ld ms without a run",
+                  static_cast<long>(longest.count()));
+}
