A worker without a row in the roster holds up no inherited jobs

What callers saw: nothing inherited started from the moment at which a new worker registered until it answered; while workers come all the time, again and again.

Cause: an owner awaited the report of each worker that it had not heard, also of those that no earlier owner can have given work: a worker's row is durable before its first start, and a row that an earlier owner still writes fails at the epoch row.

Change: only workers with a row are awaited.

The test nothing_inherited_runs_again_before_all_ends_are_listed had a worker with 1,100 ends and no row, which cannot be: it gets the row, with the same assertions.

--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -80,12 +80,12 @@
 }
 
 /// Whether the worker has not reported yet and may still run work of an earlier
-/// owner.
+/// owner, which wrote a row for it before its first start.
 auto scheduler::is_report_awaited(const worker_record& worker,
                                   time_point now) const -> bool
 {
-    return !worker.reconciled && !worker.closed && !worker.ended &&
-           now < lease_expires_at(worker);
+    return !worker.reconciled && worker.roster_version > 0 && !worker.closed &&
+           !worker.ended && now < lease_expires_at(worker);
 }
 
 auto scheduler::earlier_runs_possible(time_point now) const -> bool
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -111,6 +111,8 @@
 {
     cell_simulation simulation(second_epoch);
     auto& worker = simulation.add_worker("w1", 4'000);
+    simulation.jobs().restore_worker({worker.entry, false, {}}, 1,
+                                     simulation.now);
     constexpr std::uint32_t more_than_one_list = 1'100;
     for (std::uint32_t i = 0; i < more_than_one_list; ++i)
     {
