A valid run is not stopped for the row of an earlier one

What callers saw: a task that had started again after its worker was lost was stopped by the next owner and started a third time; of a service, a further gap without a run.

Cause: the closed row of a silent worker kept listing runs that had ended since, and the next owner counted them as alive: the task then had two runs, and the one that its worker reported was stopped as unexpected.

Change: a closed row is written again when a run that it lists has ended and the end is durable, also when it ended with the lease. A run that only such a row names is over when its worker, which then refuses starts of earlier owners, does not list it, and when a later run of its task is reported, unless copies are allowed. A failed write of a closed row over a closed row leaves it closed.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -8,6 +8,7 @@
 #include <pimentoshunt/cell/policy/crash_trials.hpp>
 
 #include <algorithm>     // any_of
+#include <cstddef>       // size_t
 #include <cstdint>       // uint64_t
 #include <map>           // map
 #include <memory>        // shared_ptr, unique_ptr
@@ -52,6 +53,9 @@
     /// Whether it is certain that the known incarnation of the worker has begun
     /// the run, and not a later one.
     bool in_known_incarnation = false;
+    /// Whether an earlier owner started it and only the worker's row in the
+    /// durable roster names it.
+    bool restored = false;
     /// When the worker first confirmed or reported the run, and its clock then.
     std::optional<time_point> first_seen_at;
     worker_time first_seen_clock{0};
@@ -143,6 +147,8 @@
     time_point misdirected_lease_ends_at;
     /// Incarnation that its row in the durable roster names.
     calendar_time stored_incarnation{};
+    /// Number of runs that its closed row lists; nothing: not known.
+    std::optional<std::size_t> stored_runs;
     /// Its last entry if that names another incarnation or address than @ref
     /// entry: a claim, perhaps of another writer, that the worker's next report
     /// confirms or contradicts.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -384,6 +384,14 @@
     auto adjust_filler_pace(worker_record& worker, time_point now) -> void;
     auto pause_starts(worker_record& worker, time_point until) -> void;
 
+    auto end_superseded_runs(const task_location& location,
+                             const run_ref& later, time_point now) -> void;
+    auto restore_runs(worker_record& worker, const roster_entry& enrolled,
+                      time_point now) -> void;
+    [[nodiscard]] auto outdated_row(const worker_record& worker) const
+        -> std::optional<roster_entry>;
+    [[nodiscard]] auto closed_row(const worker_record& worker) const
+        -> roster_entry;
     auto forget_gone_workers(time_point now) -> void;
     auto remove_from_steps(worker_record& worker) -> void;
 
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -1,6 +1,9 @@
 // Roster: the durable list of workers that a later owner has to ask for runs.
 #include <pimentoshunt/cell/scheduler.hpp>
 
+#include <algorithm> // max, min
+#include <utility>   // move
+
 namespace pimentoshunt::cell
 {
 auto scheduler::restore_worker(const roster_entry& enrolled,
@@ -8,8 +11,10 @@
 {
     auto& worker = find_or_add_worker(enrolled.entry, now);
     worker.roster_version = version;
-    worker.enrolled = !enrolled.closed;
+    worker.closed = enrolled.closed;
     worker.stored_incarnation = enrolled.entry.incarnation;
+    worker.stored_runs = enrolled.runs.size();
+    worker.enrolled = !enrolled.closed;
     if (const auto listed = worker.entry;
         !names_same_process(listed, enrolled.entry))
     {
@@ -22,22 +27,77 @@
     {
         return;
     }
-    worker.closed = true;
+    restore_runs(worker, enrolled, now);
+    if (enrolled.longest_lease)
+    {
+        // The earlier owner knew of the restart before it wrote the row.
+        bound_misdirected_leases(worker, m_started_at);
+    }
+}
+
+auto scheduler::restore_runs(worker_record& worker,
+                             const roster_entry& enrolled, time_point now)
+    -> void
+{
     for (const auto& item : enrolled.runs)
     {
         auto& run = add_run(worker, find(item.ref.task), item.ref, now);
         run.confirmed = item.confirmed;
         run.in_known_incarnation = item.confirmed;
+        run.restored = true;
         // Counts if the worker turns out to have restarted.
         worker.lost_suspects[item.ref] = {milliseconds(0), item.confirmed, true,
                                           false};
         request_stop(worker, run, now);
     }
-    if (enrolled.longest_lease)
+}
+
+/// The row that the durable roster should have for the worker; nothing if it
+/// has that row.
+auto scheduler::outdated_row(const worker_record& worker) const
+    -> std::optional<roster_entry>
+{
+    const bool is_leaving = !worker.registered || worker.unanswered_calls > 0 ||
+                            worker.longest_lease;
+    if (!is_leaving)
     {
-        // The earlier owner knew of the restart before it wrote the row.
-        bound_misdirected_leases(worker, m_started_at);
+        // With an open row a later owner would wait for as long as the longest
+        // lease before it starts any job of before.
+        const bool must_open =
+            worker.reconciled && (!worker.enrolled || worker.is_row_outdated);
+        return must_open
+                   ? std::optional(roster_entry{worker.entry, false, {}, false})
+                   : std::nullopt;
     }
+    if (worker.roster_version == 0)
+    {
+        return std::nullopt;
+    }
+    // A later owner does not wait for reports of a closed worker: all ends that
+    // the row does not show must be durable.
+    const bool are_runs_known =
+        worker.reconciled || (worker.closed && worker.leases_expired);
+    const bool is_list_outdated =
+        worker.closed
+            ? worker.stored_runs != worker.runs.size() || worker.is_row_outdated
+            : !worker.runs.empty();
+    if (are_runs_known && is_list_outdated &&
+        worker.ends_received <= worker.ends_durable)
+    {
+        return closed_row(worker);
+    }
+    return std::nullopt;
+}
+
+auto scheduler::closed_row(const worker_record& worker) const -> roster_entry
+{
+    roster_entry out{worker.entry, true, {}, worker.longest_lease};
+    for (const auto& [ref, run] : worker.runs)
+    {
+        out.runs.push_back({ref, run.confirmed && worker.lost_connection &&
+                                     worker.silent_since.has_value()});
+    }
+    return out;
 }
 
 auto scheduler::take_roster_changes(std::size_t limit) -> roster_change
@@ -53,45 +113,20 @@
         {
             continue;
         }
-        const bool is_reachable =
-            worker.reconciled && worker.unanswered_calls == 0;
-        const bool is_missing =
-            !worker.registered || worker.unanswered_calls > 0;
-        // With an open row a later owner would wait for as long as the longest
-        // lease before it starts any job of before.
-        if (worker.registered && (!worker.enrolled || worker.is_row_outdated) &&
-            is_reachable && !worker.longest_lease)
-        {
-            out.writes.push_back(
-                {{worker.entry, false, {}, false}, worker.roster_version});
-            worker.roster_in_flight = true;
-        }
-        else if (!worker.registered && worker.runs.empty() &&
-                 worker.roster_version > 0 &&
-                 (worker.reconciled || worker.closed || worker.leases_expired))
+        if (!worker.registered && worker.runs.empty() &&
+            worker.roster_version > 0 &&
+            (worker.reconciled || worker.closed || worker.leases_expired))
         {
             out.removals.push_back({id, worker.roster_version});
             worker.enrolled = false;
             worker.roster_in_flight = true;
         }
-        else if ((is_missing || worker.longest_lease) && worker.enrolled &&
-                 worker.reconciled && !worker.runs.empty() &&
-                 worker.ends_received <= worker.ends_durable)
+        else if (auto row = outdated_row(worker))
         {
-            // A later owner does not wait for reports of a closed worker: all
-            // ends that the row does not show must be durable.
-            out.writes.push_back(
-                {{worker.entry, true, {}, worker.longest_lease},
-                 worker.roster_version});
-            for (const auto& [ref, run] : worker.runs)
-            {
-                out.writes.back().worker.runs.push_back(
-                    {ref, run.confirmed && worker.lost_connection &&
-                              worker.silent_since.has_value()});
-            }
             // No run may start that the row does not list.
-            worker.enrolled = false;
+            worker.enrolled = worker.enrolled && !row->closed;
             worker.roster_in_flight = true;
+            out.writes.push_back({std::move(*row), worker.roster_version});
         }
     }
     return out;
@@ -107,6 +142,7 @@
         worker.roster_version = version;
         worker.enrolled = !item.worker.closed;
         worker.closed = item.worker.closed;
+        worker.stored_runs = item.worker.runs.size();
         worker.stored_incarnation = item.worker.entry.incarnation;
         worker.is_row_outdated =
             worker.stored_incarnation != worker.entry.incarnation;
@@ -129,7 +165,8 @@
         // The failed write may still take effect and close the row, so that it
         // must be written again.
         worker.enrolled = false;
-        worker.closed = false;
+        worker.closed = worker.closed && item.worker.closed;
+        worker.stored_runs.reset();
     }
     for (const auto& item : change.removals)
     {
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -251,6 +251,7 @@
     {
         auto& run = add_run(worker, location, seen.run, now);
         run.phase = run_phase::running;
+        end_superseded_runs(location, seen.run, now);
         known = worker.runs.find(seen.run);
         const bool is_expected = location.task != nullptr &&
                                  !location.task->done &&
@@ -304,6 +305,31 @@
     }
 }
 
+/// A task starts again only once its earlier runs have ended, so that those which
+/// only the row of a worker names are over.
+auto scheduler::end_superseded_runs(const task_location& location,
+                                    const run_ref& later, time_point now)
+    -> void
+{
+    if (location.task == nullptr || location.step->spec->copies_allowed)
+    {
+        return;
+    }
+    const auto known = location.task->runs;
+    for (const auto& ref : known)
+    {
+        for (auto& [id, worker] : m_workers)
+        {
+            const auto run = worker.runs.find(ref);
+            if (ref.number < later.number && run != worker.runs.end() &&
+                run->second.restored && !worker.clock)
+            {
+                on_run_ended(worker, ref, run_end::stopped, "", now);
+            }
+        }
+    }
+}
+
 auto scheduler::end_absent_runs(worker_record& worker, const run_report& report,
                                 time_point sent_at, time_point now) -> void
 {
@@ -329,7 +355,8 @@
             run.first_seen_at && *run.first_seen_at < sent_at;
         const bool stop_was_answered =
             run.stop_answered_at && *run.stop_answered_at < sent_at;
-        if (was_present || stop_was_answered)
+        // A worker that has answered this owner refuses starts of earlier ones.
+        if (was_present || stop_was_answered || run.restored)
         {
             absent.push_back(ref);
         }
