The row of a worker that leaves or is silent is closed as soon as its runs are known

Cause: a worker that drains gets no starts, yet its row in the roster stayed open until its entry was gone, as did that of a silent worker without runs. A worker that left around a change of the owner was then awaited by the next one for as long as a lease, and no inherited job started anything meanwhile.

Change: an owner that has the report of a worker which drains or falls silent closes its row with the runs that it has, none included; a later owner waits for these at most. A new owner adopts such runs on a worker that still drains instead of stopping them.

Why it works: a worker drains for seconds, an owner has its report a tenth of a second after it has loaded the cell, and the row is written at once.

--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -39,12 +39,19 @@
                              const roster_entry& enrolled, time_point now)
     -> void
 {
+    const bool is_leaving = worker.registered && worker.entry.draining;
     for (const auto& item : enrolled.runs)
     {
         auto& run = add_run(worker, find(item.ref.task), item.ref, now);
         run.confirmed = item.confirmed;
         run.in_known_incarnation = item.confirmed;
         run.restored = true;
+        if (is_leaving)
+        {
+            // What ends in time need not be stopped.
+            run.phase = detail::run_phase::running;
+            continue;
+        }
         // Counts if the worker turns out to have restarted.
         worker.lost_suspects[item.ref] = {milliseconds(0), item.confirmed, true,
                                           false};
@@ -58,7 +65,7 @@
     -> std::optional<roster_entry>
 {
     const bool is_leaving = !worker.registered || worker.unanswered_calls > 0 ||
-                            worker.longest_lease;
+                            worker.entry.draining || worker.longest_lease;
     if (!is_leaving)
     {
         // With an open row a later owner would wait for as long as the longest
@@ -77,10 +84,9 @@
     // the row does not show must be durable.
     const bool are_runs_known =
         worker.reconciled || (worker.closed && worker.leases_expired);
-    const bool is_list_outdated =
-        worker.closed
-            ? worker.stored_runs != worker.runs.size() || worker.is_row_outdated
-            : !worker.runs.empty();
+    const bool is_list_outdated = !worker.closed ||
+                                  worker.stored_runs != worker.runs.size() ||
+                                  worker.is_row_outdated;
     if (are_runs_known && is_list_outdated &&
         worker.ends_received <= worker.ends_durable)
     {
