Owners share the wait for the leases of a silent worker

What callers saw: as before; with owners of 2 s each, no inherited job started anything for as long as the series lasted once a worker with an open row had gone without notice.

Cause: each owner waited for the longest lease that an earlier one may have granted, counted from its own start. What others had waited before was lost with each of them, so that the wait had no bound but the life of an owner. The same held for runs that a closed row lists.

Change: an owner that has not reached a worker writes every 400 ms into its row for how long no owner can have extended a lease there. The next owner counts from its own start less that time; no clocks are compared. The writer extends no lease on the worker, nor starts anything, until the row is durable without it; as roster writes depend on the epoch row, a replaced owner cannot get that far. The lease row carries the first epoch of the unbroken series of owners that keep to this, so that a row is not relied on after an owner of an earlier version of the program.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -149,6 +149,10 @@
     calendar_time stored_incarnation{};
     /// Number of runs that its closed row lists; nothing: not known.
     std::optional<std::size_t> stored_runs;
+    /// Until then another owner may have extended a lease on it.
+    time_point earlier_orders_end;
+    /// Longest time without such an extension that its row may show.
+    milliseconds stored_no_orders_for{0};
     /// Its last entry if that names another incarnation or address than @ref
     /// entry: a claim, perhaps of another writer, that the worker's next report
     /// confirms or contradicts.
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -595,6 +595,7 @@
         const auto content = m_ownership.claim();
         m_options.scheduler.earlier_owner_ended =
             m_ownership.earlier_owner_ended();
+        m_options.scheduler.silence_kept_since = content.silence_kept_since;
         row_transaction transaction;
         transaction.conditions.push_back({lease_row(), m_ownership.version()});
         transaction.writes.push_back({lease_row(), to_bytes(content)});
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -325,6 +325,12 @@
     /// Whether its runs may have the longest lease that it grants: an order that
     /// was meant for an earlier incarnation may have asked for one.
     bool longest_lease = false;
+    /// For how long before the row was written no owner can have extended a
+    /// lease on the worker, at least; zero: not known. The writer extends none
+    /// until the row says zero again.
+    milliseconds no_orders_for{0};
+    /// Epoch of the writer of @ref no_orders_for.
+    std::uint64_t no_orders_epoch = 0;
 };
 
 /// @brief A crash of the worker on which a run was.
--- a/include/pimentoshunt/cell/ownership.hpp
+++ b/include/pimentoshunt/cell/ownership.hpp
@@ -29,6 +29,10 @@
     bool unsettled = false;
     /// Consecutive owners before this one that held the cell only briefly.
     std::uint32_t brief_owners = 0;
+    /// The first of the successive owners up to this one that extend no lease on
+    /// a worker whose row shows a silence; 0: an earlier version of the program,
+    /// which does not know of it. See @ref roster_entry::no_orders_for.
+    std::uint64_t silence_kept_since = 0;
 };
 
 /// @brief The lease row as read from the store; version 0: it does not exist.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -100,6 +100,11 @@
     /// How long a worker without an entry, runs or a row in the roster is
     /// remembered.
     milliseconds gone_worker_retention{15'000};
+    /// Silences that rows of earlier epochs show are not relied on.
+    std::uint64_t silence_kept_since = 1;
+    /// Interval at which the row of a silent worker is updated with the time of
+    /// its silence, which a later owner need not wait for again.
+    milliseconds silence_write_interval{400};
 };
 
 /// @brief What the owner may do at one moment.
@@ -388,6 +393,8 @@
                              const run_ref& later, time_point now) -> void;
     auto restore_runs(worker_record& worker, const roster_entry& enrolled,
                       time_point now) -> void;
+    [[nodiscard]] auto silence_of(const worker_record& worker,
+                                  time_point now) const -> milliseconds;
     [[nodiscard]] auto outdated_row(const worker_record& worker) const
         -> std::optional<roster_entry>;
     [[nodiscard]] auto closed_row(const worker_record& worker) const
--- a/src/cell/ownership.cpp
+++ b/src/cell/ownership.cpp
@@ -18,6 +18,7 @@
     out.set_renewals(content.renewals);
     out.set_unsettled(content.unsettled);
     out.set_brief_owners(content.brief_owners);
+    out.set_silence_kept_since(content.silence_kept_since);
     return out.SerializeAsString();
 }
 
@@ -37,6 +38,7 @@
     out.renewals = from.renewals();
     out.unsettled = from.unsettled();
     out.brief_owners = from.brief_owners();
+    out.silence_kept_since = from.silence_kept_since();
     return out;
 }
 
@@ -163,6 +165,8 @@
     const bool brief =
         m_row.version > 0 && before.renewals < m_options.brief_renewals;
     out.brief_owners = brief ? before.brief_owners + 1 : 0;
+    out.silence_kept_since =
+        before.silence_kept_since > 0 ? before.silence_kept_since : out.epoch;
     return out;
 }
 
@@ -173,6 +177,7 @@
     out.unsettled = m_row.content.unsettled &&
                     m_confirmed_at - m_taken_over_at < m_options.settled_after;
     out.brief_owners = m_row.content.brief_owners;
+    out.silence_kept_since = m_row.content.silence_kept_since;
     return out;
 }
 
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -275,6 +275,8 @@
     write_need(entry.capacity, *out.mutable_capacity());
     out.set_closed(worker.closed);
     out.set_longest_lease(worker.longest_lease);
+    out.set_no_orders_ms(worker.no_orders_for.count());
+    out.set_no_orders_epoch(worker.no_orders_epoch);
     for (const auto& run : worker.runs)
     {
         auto& item = *out.add_runs();
@@ -308,6 +310,9 @@
     entry.capacity = read_need(from.capacity());
     out.closed = from.closed();
     out.longest_lease = from.longest_lease();
+    out.no_orders_for =
+        milliseconds(std::max<std::int64_t>(from.no_orders_ms(), 0));
+    out.no_orders_epoch = from.no_orders_epoch();
     for (const auto& item : from.runs())
     {
         out.runs.push_back(
--- a/src/cell/scheduler_incarnations.cpp
+++ b/src/cell/scheduler_incarnations.cpp
@@ -87,7 +87,7 @@
     if (!worker.clock)
     {
         // An earlier owner may not have known of the restart.
-        bound_misdirected_leases(worker, earlier_owner_ends_at());
+        bound_misdirected_leases(worker, worker.earlier_orders_end);
     }
     heartbeat_at_once(worker, now);
 }
@@ -161,6 +161,10 @@
     worker.ends_received = 0;
     worker.ends_durable = 0;
     worker.ends_acknowledged = 0;
+    if (worker.clock)
+    {
+        worker.earlier_orders_end = now;
+    }
     worker.clock.reset();
     worker.lease_end = worker_time{0};
     worker.reconciled = false;
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -14,7 +14,14 @@
     worker.closed = enrolled.closed;
     worker.stored_incarnation = enrolled.entry.incarnation;
     worker.stored_runs = enrolled.runs.size();
-    worker.enrolled = !enrolled.closed;
+    worker.stored_no_orders_for = enrolled.no_orders_for;
+    worker.enrolled = !enrolled.closed && enrolled.no_orders_for.count() == 0;
+    if (enrolled.no_orders_for.count() > 0 &&
+        enrolled.no_orders_epoch >= m_options.silence_kept_since)
+    {
+        // The row was written before this ownership began.
+        worker.earlier_orders_end = m_started_at - enrolled.no_orders_for;
+    }
     if (const auto listed = worker.entry;
         !names_same_process(listed, enrolled.entry))
     {
@@ -31,7 +38,8 @@
     if (enrolled.longest_lease)
     {
         // The earlier owner knew of the restart before it wrote the row.
-        bound_misdirected_leases(worker, m_started_at);
+        bound_misdirected_leases(
+            worker, std::min(m_started_at, worker.earlier_orders_end));
     }
 }
 
@@ -59,6 +67,20 @@
     }
 }
 
+/// Time for which no owner can have extended a lease on a silent worker that this
+/// owner has not reached either: the next one need not wait for it again.
+auto scheduler::silence_of(const worker_record& worker, time_point now) const
+    -> milliseconds
+{
+    if (worker.clock || worker.ended || worker.unanswered_calls == 0)
+    {
+        return milliseconds(0);
+    }
+    return std::max(std::chrono::duration_cast<milliseconds>(
+                        now - worker.earlier_orders_end),
+                    milliseconds(0));
+}
+
 /// The row that the durable roster should have for the worker; nothing if it
 /// has that row.
 auto scheduler::outdated_row(const worker_record& worker) const
@@ -84,20 +106,34 @@
     // the row does not show must be durable.
     const bool are_runs_known =
         worker.reconciled || (worker.closed && worker.leases_expired);
-    const bool is_list_outdated = !worker.closed ||
-                                  worker.stored_runs != worker.runs.size() ||
-                                  worker.is_row_outdated;
+    const bool is_list_outdated =
+        !worker.closed || worker.stored_runs != worker.runs.size() ||
+        worker.is_row_outdated ||
+        (worker.clock && worker.stored_no_orders_for.count() > 0);
     if (are_runs_known && is_list_outdated &&
         worker.ends_received <= worker.ends_durable)
     {
         return closed_row(worker);
     }
+    const auto silence = silence_of(worker, m_supervised_at);
+    const bool is_list_empty = worker.closed && worker.runs.empty();
+    if (!is_list_empty &&
+        silence >=
+            worker.stored_no_orders_for + m_options.silence_write_interval &&
+        worker.stored_no_orders_for < max_elapsed(m_options.longest_lease))
+    {
+        auto out = closed_row(worker);
+        out.closed = worker.closed;
+        return out;
+    }
     return std::nullopt;
 }
 
 auto scheduler::closed_row(const worker_record& worker) const -> roster_entry
 {
     roster_entry out{worker.entry, true, {}, worker.longest_lease};
+    out.no_orders_for = silence_of(worker, m_supervised_at);
+    out.no_orders_epoch = m_epoch;
     for (const auto& [ref, run] : worker.runs)
     {
         out.runs.push_back({ref, run.confirmed && worker.lost_connection &&
@@ -129,8 +165,13 @@
         }
         else if (auto row = outdated_row(worker))
         {
-            // No run may start that the row does not list.
-            worker.enrolled = worker.enrolled && !row->closed;
+            // No run may start that a closed row does not list, and no lease be
+            // extended while the row says that none is.
+            const bool is_open =
+                !row->closed && row->no_orders_for.count() == 0;
+            worker.enrolled = worker.enrolled && is_open;
+            worker.stored_no_orders_for =
+                std::max(worker.stored_no_orders_for, row->no_orders_for);
             worker.roster_in_flight = true;
             out.writes.push_back({std::move(*row), worker.roster_version});
         }
@@ -146,7 +187,9 @@
         auto& worker = m_workers.at(item.worker.entry.id);
         worker.roster_in_flight = false;
         worker.roster_version = version;
-        worker.enrolled = !item.worker.closed;
+        worker.stored_no_orders_for = item.worker.no_orders_for;
+        worker.enrolled =
+            !item.worker.closed && item.worker.no_orders_for.count() == 0;
         worker.closed = item.worker.closed;
         worker.stored_runs = item.worker.runs.size();
         worker.stored_incarnation = item.worker.entry.incarnation;
@@ -158,6 +201,7 @@
         auto& worker = m_workers.at(item.worker);
         worker.roster_in_flight = false;
         worker.roster_version = 0;
+        worker.stored_no_orders_for = milliseconds(0);
         worker.enrolled = false;
     }
 }
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -34,6 +34,7 @@
     {
         worker.entry = entry;
         worker.next_heartbeat_at = now;
+        worker.earlier_orders_end = earlier_owner_ends_at();
         m_health.add(entry.id);
     }
     return worker;
@@ -95,7 +96,8 @@
     if (!worker.clock)
     {
         // Runs on the worker have a lease of an earlier owner.
-        return std::max(earlier_owner_ends_at() + max_elapsed(m_options.lease),
+        return std::max(worker.earlier_orders_end +
+                            max_elapsed(m_options.lease),
                         worker.misdirected_lease_ends_at);
     }
     const auto left =
@@ -357,8 +359,9 @@
         }
     }
     // The lease of an unanswering worker is not renewed, so that it expires.
+    // Nor is that of a worker whose row says that no lease was extended.
     if (may_extend && worker.clock && !worker.runs.empty() &&
-        !may_have_restarted)
+        !may_have_restarted && worker.stored_no_orders_for.count() == 0)
     {
         order.lease_end = lease_end_for(worker, now);
         worker.lease_end = std::max(worker.lease_end, *order.lease_end);
--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -209,6 +209,75 @@
                  static_cast<long>(took.count()));
 }
 
+// The same for a task whose run the row of a lost worker lists.
+Test(cell_owner_series, owners_share_the_wait_for_a_listed_run)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.add_worker("w2", 4'000);
+    series.lose("w1");
+    series.simulation.run_for(milliseconds(1'000));
+    const auto& row = series.simulation.stored_roster.at(worker_id("w1"));
+    cr_assert(row.first.closed);
+    cr_assert_eq(row.first.runs.size(), 1u);
+    series.take_over();
+    const auto took = series.time_until_started(job, longest_absence);
+    cr_assert_lt(took.count(), longest_absence.count(), "%ld ms",
+                 static_cast<long>(took.count()));
+}
+
+// A lease must not outlast what the row of a silent worker promises the next owner:
+// once the worker answers, it is extended only after the row has been changed.
+Test(cell_owner_series, a_lease_is_extended_only_after_the_row_shows_no_silence)
+{
+    for (const bool store_answers : {true, false})
+    {
+        owner_series series;
+        auto& worker = series.simulation.add_worker("w1", 4'000);
+        series.simulation.run_for(milliseconds(500));
+        const auto job = lasting_job("j1", 1);
+        series.accept(job);
+        series.simulation.run_for(milliseconds(500));
+        worker.receives_orders = false;
+        series.take_over();
+        series.simulation.run_for(milliseconds(1'500));
+        const auto& row = series.simulation.stored_roster.at(worker_id("w1"));
+        cr_assert_gt(row.first.no_orders_for.count(), 0);
+        const auto lease_end = worker.lease_end;
+        series.simulation.store_answers = store_answers;
+        worker.receives_orders = true;
+        series.simulation.run_for(milliseconds(1'000));
+        cr_assert(series.is_started(job));
+        cr_assert_eq(worker.lease_end > lease_end, store_answers);
+        cr_assert_eq(row.first.no_orders_for.count() == 0, store_answers);
+    }
+}
+
+// An owner of an earlier version of the program does not keep what a row promises.
+Test(cell_owner_series, a_silence_of_a_broken_series_is_not_relied_on)
+{
+    auto options = released_by_earlier_owner();
+    options.silence_kept_since = 3;
+    cell_simulation simulation(3, options);
+    auto& worker = simulation.add_worker("w1", 4'000);
+    worker.receives_orders = false;
+    simulation.add_worker("w2", 4'000);
+    cell::roster_entry row;
+    row.entry = worker.entry;
+    row.no_orders_for = longest_absence;
+    row.no_orders_epoch = 2;
+    simulation.jobs().restore_worker(row, 1, simulation.now);
+    cell::job_progress none;
+    none.id = job_id("j1");
+    simulation.jobs().restore(simple_job("j1", 1, 1'000), none, simulation.now);
+    simulation.run_for(milliseconds(4'000));
+    cr_assert(simulation.starts.empty());
+}
+
 // Guards against inherited jobs that wait for the report of a worker which had
 // said to an earlier owner that it leaves.
 Test(cell_owner_series, a_worker_that_left_between_two_owners_blocks_no_job)
--- a/tests/unit-cell-ownership.cpp
+++ b/tests/unit-cell-ownership.cpp
@@ -343,3 +343,19 @@
         {11, {3, "other", "10.0.0.2:1", 1, true, 200, false, 4}}, fixture.now);
     cr_assert_eq(fixture.self.claim().brief_owners, 0u);
 }
+
+// An owner of an earlier version of the program writes no such epoch.
+Test(cell_ownership, a_series_of_owners_that_keep_silences_has_no_gap)
+{
+    follower_fixture fixture;
+    auto content =
+        cell::lease_content{3, "other", "10.0.0.2:1", 1, true, 200, false, 0};
+    fixture.self.on_row_read({10, content}, fixture.now);
+    cr_assert_eq(fixture.self.claim().silence_kept_since, 4u);
+    content.silence_kept_since = 2;
+    fixture.self.on_row_read({11, cell::read_lease(cell::to_bytes(content))},
+                             fixture.now);
+    cr_assert_eq(fixture.self.claim().silence_kept_since, 2u);
+    fixture.self.confirmed(12, fixture.self.claim(), fixture.now);
+    cr_assert_eq(fixture.self.renewal(false).silence_kept_since, 2u);
+}
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -447,3 +447,15 @@
         });
     cr_assert(has_row("w2"));
 }
+
+Test(cell_store, a_roster_row_keeps_the_silence_of_its_worker)
+{
+    cell::roster_entry row;
+    row.entry.id = worker_id("w1");
+    row.no_orders_for = milliseconds(2'300);
+    row.no_orders_epoch = 7;
+    const auto read = cell::read_worker(cell::to_bytes(row));
+    cr_assert(read.has_value());
+    cr_assert_eq(read->no_orders_for.count(), 2'300);
+    cr_assert_eq(read->no_orders_epoch, 7u);
+}
