A heartbeat that waits extends the lease of a simulated worker once

The simulation extended the lease at each pass while a heartbeat waited for an end, and so also on the next incarnation of a worker that restarted meanwhile, without a bound. A worker takes the end of a lease when the order arrives.

The orders and leases of the product are as before.

--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -293,7 +293,7 @@
         }
         for (const auto& order : out.heartbeats)
         {
-            m_pending_heartbeats.push_back({order, now});
+            m_pending_heartbeats.push_back({order, now, false});
         }
         for (const auto& request : out.approval_requests)
         {
@@ -369,6 +369,8 @@
     {
         cell::heartbeat_order order;
         time_point sent_at;
+        /// Whether the worker has extended its lease for the order.
+        bool lease_extended = false;
     };
     struct pending_request
     {
@@ -586,7 +588,7 @@
 
     /// Answers when ends are to be reported or the heartbeat's wait is over.
     /// @return whether the heartbeat has been answered or has failed
-    auto answer_heartbeat(const pending_heartbeat& item) -> bool
+    auto answer_heartbeat(pending_heartbeat& item) -> bool
     {
         auto* const worker = find_worker(item.order.target);
         if (m_addresses_of_crashed.contains(item.order.target.worker))
@@ -621,8 +623,9 @@
         }
         worker->highest_epoch =
             std::max(worker->highest_epoch, item.order.target.epoch);
-        if (item.order.lease_end)
+        if (item.order.lease_end && !item.lease_extended)
         {
+            item.lease_extended = true;
             extend_lease(*worker, *item.order.lease_end);
         }
         std::erase_if(worker->ended,
