The model test also runs under owners that follow one another

Most owners live shorter than a lease; in two of three seeds each one has been released by the one before.

--- a/tests/fakes/faulty_cell.hpp
+++ b/tests/fakes/faulty_cell.hpp
@@ -60,8 +60,13 @@
   public:
     /// @param crashes  whether workers crash, by themselves and under some
     ///                 tasks, and change their capacity
-    explicit faulty_cell(std::uint64_t seed, bool crashes = false)
-        : m_seed(seed), m_random(seed), m_crashes(crashes)
+    /// @param brief_owners  whether owners follow one another all the time, most
+    ///                      of them too short to wait for a lease
+    explicit faulty_cell(std::uint64_t seed, bool crashes = false,
+                         bool brief_owners = false)
+        : m_seed(seed), m_random(seed),
+          m_simulation(1, options_for(brief_owners && seed % 3 != 0)),
+          m_brief_owners(brief_owners), m_crashes(crashes)
     {
         m_simulation.keeps_id = seed % 2 == 0;
         m_simulation.crashes_worker = [this](const cell::run_ref& run)
@@ -96,6 +101,7 @@
             maybe_accept();
             maybe_cancel();
             maybe_fault();
+            maybe_change_owner();
             pass();
         }
         heal();
@@ -466,6 +472,24 @@
         }
     }
 
+    /// @param released  whether each owner releases the cell to the next one
+    static auto options_for(bool released) -> cell::scheduler_options
+    {
+        cell::scheduler_options out;
+        out.earlier_owner_ended = released;
+        return out;
+    }
+
+    auto maybe_change_owner() -> void
+    {
+        if (m_brief_owners && m_simulation.now >= m_next_owner_at)
+        {
+            change_owner();
+            m_next_owner_at =
+                m_simulation.now + milliseconds(between(200, 4'000));
+        }
+    }
+
     auto change_owner() -> void
     {
         m_simulation.take_over(m_jobs);
@@ -810,6 +834,8 @@
     std::set<job_id> m_cancelled;
     std::vector<planned> m_planned;
     std::map<cell::step_ref, std::optional<time_point>> m_waits;
+    bool m_brief_owners;
+    time_point m_next_owner_at;
     bool m_crashes;
     std::size_t m_crashes_seen = 0;
     std::map<cell::task_ref, std::size_t> m_crash_counts;
--- a/tests/unit-cell-liveness.cpp
+++ b/tests/unit-cell-liveness.cpp
@@ -27,7 +27,7 @@
 
 /// Runs the cell with each seed.
 /// @return number of seeds with a violation
-auto failed_seeds(bool crashes) -> std::size_t
+auto failed_seeds(bool crashes, bool brief_owners = false) -> std::size_t
 {
     const auto first = from_environment("LIVENESS_FIRST_SEED", 1);
     const auto count = from_environment("LIVENESS_SEEDS", 30);
@@ -35,7 +35,7 @@
     milliseconds longest{0};
     for (auto seed = first; seed < first + count; ++seed)
     {
-        faulty_cell tested(seed, crashes);
+        faulty_cell tested(seed, crashes, brief_owners);
         const auto violation = tested.run();
         longest = std::max(longest, tested.took());
         if (!violation.empty())
@@ -67,6 +67,18 @@
     cr_assert_eq(failed_seeds(true), 0u);
 }
 
+// The same while owners follow one another, most of them shorter than a lease.
+Test(cell_liveness, all_jobs_finish_after_brief_owners)
+{
+    cr_assert_eq(failed_seeds(false, true), 0u);
+}
+
+// The same with workers that crash.
+Test(cell_liveness, all_jobs_finish_after_brief_owners_and_crashes)
+{
+    cr_assert_eq(failed_seeds(true, true), 0u);
+}
+
 // Guards against an ejected worker that stays out for as long as its probe may
 // take, although the job of the probe was cancelled.
 Test(cell_liveness, a_worker_whose_probe_was_cancelled_is_probed_again)
