Tests of clients that send a request without end to an instance

Callers see nothing while an instance outgrows its machine: the buffer of a connection has no largest size, and the limits of the HTTP parser cover neither the trailers behind a chunked body nor the extension of a chunk.

A small crowd, eight connections that send up to 24 MiB each, runs against a real process. The process must live, stay below 48 MiB and the limits of a request for each connection (51 MiB), keep its descriptors, and answer one ordinary request at each address.

--- a/tests/soak/instance_host.hpp
+++ b/tests/soak/instance_host.hpp
@@ -43,6 +43,10 @@
     {
         return m_caller_port;
     }
+    [[nodiscard]] auto status_port() const -> int
+    {
+        return m_status_port;
+    }
     [[nodiscard]] auto process() -> testing::process&
     {
         return m_process;
