A request without end is refused once it exceeds the largest header

Callers who send trailers or a chunk extension beyond the largest header get 431, and the connection closes. Before, the instance kept every byte until the header timeout.

The read buffer of a connection had no largest size, and the parser's limits don't cover these parts. The buffer now holds the largest header and 4 KiB, so the parser still reports a long header (431) and body (413) first. Each such refusal is logged.

A caller that still writes loses the answer when a socket with unread input is closed. After a refusal, input is read and dropped for up to a second and up to 1 MiB, in blocks of 4 KiB.

--- a/include/pimentoshunt/net/http_server.hpp
+++ b/include/pimentoshunt/net/http_server.hpp
@@ -42,7 +42,8 @@
 /// @brief Limits of a server.
 struct server_limits
 {
-    /// Largest header; a request with a larger one gets 431.
+    /// Largest header; a request with a larger one gets 431. The same holds for
+    /// the trailers and for each chunk extension of a chunked body.
     std::size_t header_bytes = 16'384;
     /// Largest body; a request with a larger one gets 413.
     std::size_t body_bytes = 262'144;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 /// HTTP server on Boost.Beast: one session object for each connection.
 #include <pimentoshunt/net/http_server.hpp>
 
+#include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/net/address.hpp>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -10,11 +11,13 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <atomic>   // atomic
-#include <charconv> // from_chars
-#include <optional> // optional
-#include <set>      // set
-#include <utility>  // move
+#include <algorithm> // max
+#include <atomic>    // atomic
+#include <charconv>  // from_chars
+#include <optional>  // optional
+#include <set>       // set
+#include <sstream>   // ostringstream
+#include <utility>   // move
 
 namespace pimentoshunt::net
 {
@@ -29,6 +32,15 @@
 constexpr int address_in_use = 110;
 /// Sending a response fails when the peer does not read for this time.
 constexpr milliseconds write_timeout{5'000};
+/// The read buffer is larger than the largest header, so that the parser
+/// notices an excess before the buffer is full.
+constexpr std::size_t buffer_slack = 4'096;
+/// After a refusal, input is read and dropped for this time and up to this size.
+/// Closing a connection with unread input resets it, and the peer may lose the
+/// refusal.
+constexpr milliseconds linger_time{1'000};
+constexpr std::size_t linger_bytes = 1u << 20;
+constexpr std::size_t linger_block = 4'096;
 
 auto read_deadline(boost::string_view text) -> milliseconds
 {
@@ -88,6 +100,7 @@
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_close_after_responses{false};
     std::atomic<std::size_t> m_in_flight{0};
+    /// Sessions that wait for input.
     std::set<session*> m_idle_sessions;
     std::size_t m_open_sessions = 0;
 };
@@ -117,6 +130,9 @@
         m_parser->body_limit(m_owner->m_limits.body_bytes);
         m_parser->header_limit(
             static_cast<std::uint32_t>(m_owner->m_limits.header_bytes));
+        // Pipelined input may exceed a limit that was lowered since.
+        m_buffer.max_size(std::max(
+            m_owner->m_limits.header_bytes + buffer_slack, m_buffer.size()));
         m_stream.expires_after(m_first_request
                                    ? m_owner->m_limits.header_timeout
                                    : m_owner->m_limits.idle_timeout);
@@ -140,13 +156,18 @@
     {
         if (fault == http::error::body_limit)
         {
-            send_response({413, R"({"error":"the body is too large"})"}, false);
+            refuse({413, R"({"error":"the body is too large"})"});
             return;
         }
         if (fault == http::error::header_limit)
         {
-            send_response({431, R"({"error":"the header is too large"})"},
-                          false);
+            refuse({431, R"({"error":"the header is too large"})"});
+            return;
+        }
+        if (fault == http::error::buffer_overflow)
+        {
+            refuse({431, R"({"error":"the trailers or a chunk extension )"
+                         R"(are too large"})"});
             return;
         }
         if (fault)
@@ -191,6 +212,23 @@
                          });
     }
 
+    /// Answers a request that was not read to its end, and closes the
+    /// connection.
+    auto refuse(server_response out) -> void
+    {
+        beast::error_code ignored;
+        std::ostringstream peer;
+        peer << m_stream.socket().remote_endpoint(ignored);
+        logging::info("refused a request that exceeds a limit")
+            .with("status", out.status)
+            .with("peer", peer.str());
+        m_refused = true;
+        m_parser.reset();
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        send_response(std::move(out), false);
+    }
+
     auto send_response(server_response out, bool keep) -> void
     {
         m_response = {};
@@ -213,12 +251,34 @@
                 if (fault || !self->m_response.keep_alive())
                 {
                     self->shut_down();
+                    if (!fault && self->m_refused)
+                    {
+                        self->m_owner->m_idle_sessions.insert(self.get());
+                        self->m_stream.expires_after(linger_time);
+                        self->drop_input();
+                    }
                     return;
                 }
                 self->receive();
             });
     }
 
+    /// Reads until the peer closes the connection or a bound is reached.
+    auto drop_input() -> void
+    {
+        m_stream.async_read_some(
+            m_buffer.prepare(linger_block),
+            [self = shared_from_this()](beast::error_code fault,
+                                        std::size_t count)
+            {
+                self->m_dropped_bytes += count;
+                if (!fault && self->m_dropped_bytes < linger_bytes)
+                {
+                    self->drop_input();
+                }
+            });
+    }
+
     auto shut_down() -> void
     {
         beast::error_code ignored;
@@ -231,6 +291,8 @@
     std::optional<http::request_parser<http::string_body>> m_parser;
     http::response<http::string_body> m_response;
     bool m_first_request = true;
+    bool m_refused = false;
+    std::size_t m_dropped_bytes = 0;
 };
 
 auto http_server::state::listen(const std::string& address) -> result<void>
--- /dev/null
+++ b/tests/unit-net-http-server.cpp
@@ -0,0 +1,147 @@
+/// @file
+/// Limits of http_server on what one connection may hold before its request is
+/// complete, and whether callers see the refusal.
+#include <pimentoshunt/net/http_server.hpp>
+
+#include "support/port_allocator.hpp"
+#include "support/raw_http.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include <criterion/criterion.h>
+
+#include <string> // string
+#include <thread> // thread
+
+using namespace pimentoshunt;
+
+namespace
+{
+
+constexpr std::size_t header_bytes = 2'048;
+constexpr std::size_t body_bytes = 8'192;
+constexpr milliseconds answer_timeout{10'000};
+
+/// A server that answers each request with its body; its connections run on a
+/// thread.
+class echo_server
+{
+  public:
+    echo_server()
+        : m_server(m_context, m_context.get_executor(), make_limits(),
+                   [](net::server_request request,
+                      const net::http_server::reply& answer)
+                   {
+                       answer({200, std::move(request.body), "text/plain"});
+                   })
+    {
+        const bool listens = handle(
+            [&]() -> result<bool>
+            {
+                BOOST_LEAF_CHECK(
+                    m_server.listen("127.0.0.1:" + std::to_string(m_port)));
+                return true;
+            },
+            [](const error&)
+            {
+                return false;
+            });
+        cr_assert(listens);
+        m_thread = std::thread(
+            [this]
+            {
+                m_context.run();
+            });
+    }
+
+    ~echo_server()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    echo_server(const echo_server&) = delete;
+    auto operator=(const echo_server&) -> echo_server& = delete;
+
+    [[nodiscard]] auto exchange(const std::string& bytes,
+                                const std::string& stop_text = {}) const
+        -> testing::raw_answer
+    {
+        return testing::raw_exchange(m_port, bytes, answer_timeout, stop_text);
+    }
+
+  private:
+    static auto make_limits() -> net::server_limits
+    {
+        net::server_limits limits;
+        limits.header_bytes = header_bytes;
+        limits.body_bytes = body_bytes;
+        return limits;
+    }
+
+    boost::asio::io_context m_context;
+    net::http_server m_server;
+    int m_port = testing::free_port();
+    std::thread m_thread;
+};
+
+const std::string chunked_header =
+    "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Header lines of at least @p size bytes.
+auto lines(std::size_t size) -> std::string
+{
+    std::string out;
+    while (out.size() < size)
+    {
+        out += "X-Filler: " + std::string(100, 'a') + "\r\n";
+    }
+    return out;
+}
+
+} // namespace
+
+Test(net_http_server, trailers_and_extensions_within_the_limit_are_accepted)
+{
+    const echo_server server;
+    const auto answer =
+        server.exchange(chunked_header + "4;x=" + std::string(1'000, 'e') +
+                            "\r\nbody\r\n0\r\n" + lines(1'000) + "\r\n",
+                        "body");
+    cr_assert_eq(answer.status(), 200);
+    cr_assert(answer.has("body"));
+}
+
+Test(net_http_server, larger_trailers_are_refused)
+{
+    const echo_server server;
+    const auto answer = server.exchange(chunked_header + "4\r\nbody\r\n0\r\n" +
+                                        lines(10 * header_bytes));
+    cr_assert_eq(answer.status(), 431);
+    cr_assert(answer.closed);
+}
+
+Test(net_http_server, a_larger_chunk_extension_is_refused)
+{
+    const echo_server server;
+    const auto answer = server.exchange(chunked_header + "4;" +
+                                        std::string(10 * header_bytes, 'e'));
+    cr_assert_eq(answer.status(), 431);
+    cr_assert(answer.closed);
+}
+
+Test(net_http_server, a_caller_that_still_writes_sees_the_refusal)
+{
+    const echo_server server;
+    constexpr std::size_t size = 512u << 10;
+    const auto larger_body = server.exchange(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+        std::to_string(size) + "\r\n\r\n" + std::string(size, 'b'));
+    cr_assert_eq(larger_body.status(), 413);
+    const auto larger_header =
+        server.exchange("GET / HTTP/1.1\r\n" + lines(size));
+    cr_assert_eq(larger_header.status(), 431);
+    const auto larger_trailers =
+        server.exchange(chunked_header + "0\r\n" + lines(size));
+    cr_assert_eq(larger_trailers.status(), 431);
+}
