An answer without end fails its call once it exceeds the largest header

Answers of workers, of the platform and of other services are input too. With trailers or a chunk extension without end, the client kept every byte until the call's timeout: 64.8 MiB more after 64 MiB sent by a raw server on one connection.

The read buffer of a connection now holds the largest header, 8 KiB as before, and 4 KiB. A call whose answer exceeds a limit fails with "the answer is too large" and the reason, and leaves a log line. It is no longer repeated over a new connection, and its peer no longer counts as lost: a long header or body was reported as a closed connection, which made tasks of that worker suspects of a crash.

--- a/include/pimentoshunt/net/http_client.hpp
+++ b/include/pimentoshunt/net/http_client.hpp
@@ -32,6 +32,9 @@
     milliseconds max_idle{8'000};
     /// Largest response body.
     std::size_t max_response_bytes = 4u << 20;
+    /// Largest header of a response; also bounds the trailers and each chunk
+    /// extension of a chunked body.
+    std::size_t max_header_bytes = 8'192;
 };
 
 /// @brief Keep-alive connections to any number of peers.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 /// each peer, and one retry over a new connection for repeatable calls.
 #include <pimentoshunt/net/http_client.hpp>
 
+#include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/net/address.hpp>
 #include <pimentoshunt/net/timeout_estimator.hpp>
 
@@ -14,6 +15,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>     // max, min
 #include <deque>         // deque
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
@@ -33,6 +35,9 @@
 /// The kernel closes a connection whose sent data is unacknowledged for this
 /// time (TCP_USER_TIMEOUT).
 constexpr milliseconds unacknowledged_limit{2'000};
+/// The read buffer is larger than the largest header, so that the parser
+/// notices an excess before the buffer is full.
+constexpr std::size_t buffer_slack = 4'096;
 
 struct connection
 {
@@ -69,6 +74,13 @@
     return out;
 }
 
+auto exceeds_limit(beast::error_code fault) -> bool
+{
+    return fault == http::error::body_limit ||
+           fault == http::error::header_limit ||
+           fault == http::error::buffer_overflow;
+}
+
 auto convert(http::response<http::string_body>& source) -> http_exchange
 {
     http_exchange out;
@@ -249,6 +261,9 @@
     {
         item->parser.emplace();
         item->parser->body_limit(m_limits.max_response_bytes);
+        item->parser->header_limit(
+            static_cast<std::uint32_t>(m_limits.max_header_bytes));
+        item->conn->buffer.max_size(m_limits.max_header_bytes + buffer_slack);
         http::async_read(item->conn->stream, item->conn->buffer, *item->parser,
                          [self = shared_from_this(),
                           item](beast::error_code fault, std::size_t)
@@ -288,9 +303,20 @@
     }
 
     /// Retries a call that failed on a reused connection, which the peer may
-    /// have closed before; fails any other call with an unknown outcome.
+    /// have closed before; fails any other call with an unknown outcome. A peer
+    /// whose answer is too large is not lost.
     auto on_io_error(const exchange_ptr& item, beast::error_code fault) -> void
     {
+        if (exceeds_limit(fault))
+        {
+            logging::info("dropped an answer that exceeds a limit")
+                .with("peer", item->address)
+                .with("path", item->call.path)
+                .with("fault", fault.message());
+            fail(item, exchange_state::unknown,
+                 "the answer is too large: " + fault.message());
+            return;
+        }
         const bool stale = item->conn->used && item->call.repeatable &&
                            fault != beast::error::timeout && !item->retried;
         if (stale && boot_clock::now() < item->until)
