Test of many requests inside the limits that are never completed

Each connection may hold a body of 256 KiB until its timeout, and 1,000 connections of one server more than the smallest machine has. 500 connections send all but 8 KiB of such a body and wait. The bound is 48 MiB for the instance, 16 MiB for what all connections hold, and a read buffer for each (73 MiB).

--- a/tests/integration/integration-cell-limits.cpp
+++ b/tests/integration/integration-cell-limits.cpp
@@ -29,6 +29,10 @@
 constexpr std::size_t body_bytes = 262'144;
 /// Buffers of a connection beyond its request.
 constexpr std::size_t connection_slack = 65'536;
+/// Part of a connection's read buffer beyond the largest header.
+constexpr std::size_t buffer_slack = 4'096;
+/// What all connections of a server may hold, as the settings have it.
+constexpr std::size_t connection_memory_mb = 16;
 /// An instance without callers.
 constexpr std::size_t base_bytes = 48 * mebibyte;
 constexpr std::size_t base_descriptors = 96;
@@ -191,6 +195,23 @@
     static_cast<void>(instance.withstand(crowd));
 }
 
+// Each request is inside the limits, but is never completed.
+Test(cell_limits, many_incomplete_bodies)
+{
+    limited_instance instance;
+    crowd_options crowd;
+    crowd.port = instance.host().caller_port();
+    crowd.connections = 500;
+    crowd.start = "POST /brief/crowd HTTP/1.1\r\nHost: " + soak::queue_host +
+                  "\r\nContent-Length: " + std::to_string(body_bytes) +
+                  "\r\n\r\n";
+    crowd.repeated = std::string(4'096, 'b');
+    crowd.bytes_each = body_bytes - 2 * crowd.repeated.size();
+    constexpr auto held = connection_memory_mb * mebibyte;
+    static_cast<void>(instance.withstand(
+        crowd, held / crowd.connections + header_bytes + buffer_slack));
+}
+
 Test(cell_limits, header_lines_without_end)
 {
     limited_instance instance;
