A cancelled run on a worker that drains is stopped by a new owner

Cause: since the rows of draining workers are closed, a new owner adopts the runs that they list without a look at their jobs, and a listed run is not checked again when its worker reports it.

Change: a run is adopted only if its task is wanted; others are stopped as before.

Result: cell_owner_series::a_cancelled_run_on_a_draining_worker_is_stopped failed before (no stop).

--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -54,7 +54,11 @@
         run.confirmed = item.confirmed;
         run.in_known_incarnation = item.confirmed;
         run.restored = true;
-        if (is_leaving)
+        const auto location = find(item.ref.task);
+        const bool is_wanted = location.task != nullptr &&
+                               !location.task->done &&
+                               !is_final(location.job->state);
+        if (is_leaving && is_wanted)
         {
             // What ends in time need not be stopped.
             run.phase = detail::run_phase::running;
--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -348,6 +348,34 @@
     cr_assert_eq(series.simulation.starts.size(), 2u);
 }
 
+// Guards against a run of a cancelled job that a new owner adopts on a worker that
+// drains, and never stops.
+Test(cell_owner_series, a_cancelled_run_on_a_draining_worker_is_stopped)
+{
+    owner_series series;
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = simple_job("j1", 1, 1'000);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.drain("w1", milliseconds(4'000));
+    series.simulation.run_for(milliseconds(500));
+    const auto row = series.simulation.stored_roster.at(worker_id("w1"));
+    cr_assert(row.first.closed && row.first.runs.size() == 1);
+    cell_simulation next(2, released_by_earlier_owner());
+    next.now = series.simulation.now;
+    next.workers = series.simulation.workers;
+    cell::job_progress none;
+    none.id = job.id;
+    next.jobs().restore(job, none, next.now);
+    next.jobs().cancel(job.id, next.now);
+    next.jobs().on_worker_registered(row.first.entry, next.now);
+    next.jobs().restore_worker(row.first, row.second, next.now);
+    next.run_for(milliseconds(500));
+    cr_assert_eq(next.stops.size(), 1u);
+    cr_assert_eq(next.running(), 0u);
+}
+
 // Guards against a valid run that a new owner stops for an earlier run of its
 // task, which the roster row of a silent worker still lists.
 Test(cell_owner_series, a_run_is_kept_beside_the_row_of_an_earlier_one)
