A worker's row stays until its ends are durable

Cause: the row of a worker whose entry was gone was removed once it had no runs, even if an end that it had reported was not durable yet. As a worker without a row is no longer awaited, a next owner could start that task again if the worker's entry came back before its report.

Change: the row is removed only when all received ends are durable, as it is closed.

Result: cell_owner_series::a_row_stays_until_the_ends_of_its_worker_are_durable failed before.

--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -161,6 +161,7 @@
         }
         if (!worker.registered && worker.runs.empty() &&
             worker.roster_version > 0 &&
+            worker.ends_received <= worker.ends_durable &&
             (worker.reconciled || worker.closed || worker.leases_expired))
         {
             out.removals.push_back({id, worker.roster_version});
--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -376,6 +376,29 @@
     cr_assert_eq(next.running(), 0u);
 }
 
+// Guards against a task that runs twice: with its row, a worker would take the only
+// trace of an end that is not durable yet.
+Test(cell_owner_series, a_row_stays_until_the_ends_of_its_worker_are_durable)
+{
+    owner_series series;
+    auto& worker = series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = simple_job("j1", 1, 1'000);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.store_answers = false;
+    series.simulation.end_run("w1", series.simulation.starts.front().run,
+                              cell::run_end::done);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.unregister_worker(worker);
+    auto& jobs = series.simulation.jobs();
+    cr_assert(jobs.take_roster_changes(10).removals.empty());
+    const auto batch = jobs.take_progress(10);
+    cr_assert(batch.has_value());
+    jobs.on_progress_stored(*batch, series.simulation.now);
+    cr_assert_eq(jobs.take_roster_changes(10).removals.size(), 1u);
+}
+
 // Guards against a valid run that a new owner stops for an earlier run of its
 // task, which the roster row of a silent worker still lists.
 Test(cell_owner_series, a_run_is_kept_beside_the_row_of_an_earlier_one)
