A takeover looks for earlier runs of a task only where there are some

Each run that a new owner hears of was looked up at all workers, though nearly every task has this one run: at 1,100 workers with 8 runs each some ten million look-ups at each takeover, by the review's estimate. The run itself and later ones are passed over first.

--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -318,11 +318,15 @@
     const auto known = location.task->runs;
     for (const auto& ref : known)
     {
+        if (ref.number >= later.number)
+        {
+            continue;
+        }
         for (auto& [id, worker] : m_workers)
         {
             const auto run = worker.runs.find(ref);
-            if (ref.number < later.number && run != worker.runs.end() &&
-                run->second.restored && !worker.clock)
+            if (run != worker.runs.end() && run->second.restored &&
+                !worker.clock)
             {
                 on_run_ended(worker, ref, run_end::stopped, "", now);
             }
