A server bounds what all its connections hold together

Each connection may hold a body of 256 KiB, and a server has up to 1,000, more than the 260 MB of the smallest machine; unread answers added to that. No bound applied to the sum.

A server now counts the bytes of requests and unsent answers. Beyond connection_memory_mb, a new setting with 64 as default, it gives up the connection that holds most: an incomplete request gets 503 with Retry-After, an unsent answer is dropped, and a line is logged. Ordinary requests are small, so refusing the newest would have hurt them first. Answers that wait for the network thread may take a quarter more. A message held alone is let through. The memory of an answer is freed once it is sent, no longer with the next one.

--- a/include/pimentoshunt/cell/settings.hpp
+++ b/include/pimentoshunt/cell/settings.hpp
@@ -7,8 +7,9 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/json/fault.hpp>
 
-#include <string> // string
-#include <vector> // vector
+#include <cstddef> // size_t
+#include <string>  // string
+#include <vector>  // vector
 
 namespace pimentoshunt::cell
 {
@@ -36,6 +37,9 @@
     milliseconds longest_lease{10'000};
     /// Time within which the process must have stopped.
     milliseconds stop_grace{6'000};
+    /// Most that the connections of the callers' address hold in requests and
+    /// unsent answers, and also those of the status address, in MiB.
+    std::size_t connection_memory_mb = 64;
     std::string log_level = "info";
 };
 
--- a/include/pimentoshunt/net/http_server.hpp
+++ b/include/pimentoshunt/net/http_server.hpp
@@ -53,6 +53,12 @@
     milliseconds idle_timeout{15'000};
     /// Most open connections; further ones are closed immediately.
     std::size_t connections = 1'000;
+    /// Most bytes that all connections together hold in requests and unsent
+    /// answers. Beyond it the connection that holds most is given up: an
+    /// incomplete request gets 503, an unsent answer is dropped. Answers that
+    /// wait for the traffic thread may take a quarter in addition. A message
+    /// that is held alone is always let through.
+    std::size_t held_bytes = 64u << 20;
 };
 
 /// @brief Receives requests on the traffic context. The handler runs on the
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -66,6 +66,14 @@
     return out;
 }
 
+auto limits_of(const settings& config) -> net::server_limits
+{
+    constexpr std::size_t mebibyte = 1u << 20;
+    net::server_limits out;
+    out.held_bytes = config.connection_memory_mb * mebibyte;
+    return out;
+}
+
 /// Owns the threads, listeners and signal handlers of the process.
 class process
 {
@@ -76,13 +84,15 @@
           m_client(m_network, m_control.get_executor(), {}),
           m_platform(m_client, m_meters, addresses_of(m_config)),
           m_instance(m_platform, m_control, make_options()),
-          m_caller_server(m_network, m_control.get_executor(), {},
+          m_caller_server(m_network, m_control.get_executor(),
+                          limits_of(m_config),
                           [this](const net::server_request& request,
                                  net::http_server::reply answer)
                           {
                               m_instance.serve(request, std::move(answer));
                           }),
-          m_status_server(m_network, m_control.get_executor(), {},
+          m_status_server(m_network, m_control.get_executor(),
+                          limits_of(m_config),
                           [this](const net::server_request& request,
                                  const net::http_server::reply& answer)
                           {
@@ -122,9 +132,9 @@
     auto make_options() -> instance_options
     {
         auto out = options_of(m_config);
-        out.on_configuration = [this](const configuration& in_force)
+        out.on_configuration = [this, limits = limits_of(m_config)](
+                                   const configuration& in_force) mutable
         {
-            net::server_limits limits;
             limits.header_bytes = in_force.max_header_bytes;
             limits.body_bytes = in_force.max_body_bytes;
             limits.header_timeout = in_force.header_timeout;
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -17,6 +17,7 @@
 /// Longest accepted settings text, in bytes.
 constexpr std::size_t max_bytes = 1u << 20;
 constexpr double max_processors = 4'096;
+constexpr std::int64_t max_connection_memory_mb = 65'536;
 constexpr milliseconds min_lease{500};
 constexpr milliseconds max_duration = std::chrono::minutes(10);
 
@@ -110,6 +111,9 @@
         read.longest_lease = reader.duration("longest_lease", min_lease,
                                              max_duration, read.longest_lease);
         read.stop_grace = read_seconds(reader, "stop_grace_s", read.stop_grace);
+        read.connection_memory_mb = static_cast<std::size_t>(reader.integer(
+            "connection_memory_mb", {1, max_connection_memory_mb, "MiB"},
+            static_cast<std::int64_t>(read.connection_memory_mb)));
         read.log_level =
             pimentoshunt::detail::read_log_level(reader, read.log_level);
         reader.reject_unknown();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,7 +11,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
-#include <algorithm> // max
+#include <algorithm> // max, max_element
 #include <atomic>    // atomic
 #include <charconv>  // from_chars
 #include <optional>  // optional
@@ -32,6 +32,9 @@
 constexpr int address_in_use = 110;
 /// Sending a response fails when the peer does not read for this time.
 constexpr milliseconds write_timeout{5'000};
+/// Answers that wait for the traffic thread may take this part of what
+/// connections hold, and take it in addition.
+constexpr std::size_t queued_share = 4;
 /// The read buffer is larger than the largest header, so that the parser
 /// notices an excess before the buffer is full.
 constexpr std::size_t buffer_slack = 4'096;
@@ -42,6 +45,12 @@
 constexpr std::size_t linger_bytes = 1u << 20;
 constexpr std::size_t linger_block = 4'096;
 
+/// Assigning an empty string would keep the memory.
+auto release(std::string& text) -> void
+{
+    std::string().swap(text);
+}
+
 auto read_deadline(boost::string_view text) -> milliseconds
 {
     long value = 0;
@@ -60,7 +69,8 @@
     state(asio::io_context& traffic, asio::any_io_executor control,
           server_limits limits, handler serve)
         : m_traffic(traffic), m_control(std::move(control)), m_limits(limits),
-          m_serve(std::move(serve)), m_acceptor(traffic)
+          m_serve(std::move(serve)), m_acceptor(traffic),
+          m_queue_limit(limits.held_bytes / queued_share)
     {
     }
 
@@ -70,6 +80,7 @@
     auto set_limits(const server_limits& limits) -> void
     {
         m_limits = limits;
+        m_queue_limit = limits.held_bytes / queued_share;
     }
 
     auto close_after_responses() -> void
@@ -78,6 +89,17 @@
     }
 
     auto close() -> void;
+    /// Counts an answer that waits for the traffic thread; called on the control
+    /// executor.
+    /// @return false if too many wait and the answer must be dropped
+    auto try_queue(std::size_t bytes) -> bool
+    {
+        const auto queued = m_queued_bytes += bytes;
+        return queued <= m_queue_limit || queued == bytes;
+    }
+
+    /// Gives up sessions until the others hold no more than the limit.
+    auto shed_holders() -> void;
 
     [[nodiscard]] auto context() -> asio::io_context&
     {
@@ -100,9 +122,16 @@
     tcp::acceptor m_acceptor;
     std::atomic<bool> m_close_after_responses{false};
     std::atomic<std::size_t> m_in_flight{0};
+    /// Answers that wait for the traffic thread.
+    std::atomic<std::size_t> m_queued_bytes{0};
+    std::atomic<std::size_t> m_queue_limit;
     /// Sessions that wait for input.
     std::set<session*> m_idle_sessions;
+    /// Sessions that wait for the rest of a request or send an answer.
+    std::set<session*> m_holders;
     std::size_t m_open_sessions = 0;
+    /// Bytes that all sessions hold.
+    std::size_t m_held_bytes = 0;
 };
 
 /// One connection, kept alive by its pending asynchronous operation.
@@ -126,6 +155,10 @@
 
     auto receive() -> void
     {
+        if (m_buffer.size() == 0)
+        {
+            m_buffer.shrink_to_fit();
+        }
         m_parser.emplace();
         m_parser->body_limit(m_owner->m_limits.body_bytes);
         m_parser->header_limit(
@@ -136,24 +169,110 @@
         m_stream.expires_after(m_first_request
                                    ? m_owner->m_limits.header_timeout
                                    : m_owner->m_limits.idle_timeout);
+        m_parser->eager(true);
         m_owner->m_idle_sessions.insert(this);
-        http::async_read(
+        receive_some();
+    }
+
+    auto cancel() -> void
+    {
+        m_stream.cancel();
+    }
+
+    [[nodiscard]] auto held_bytes() const -> std::size_t
+    {
+        return m_held_bytes;
+    }
+
+    /// Ends the pending read or write, whose handler then frees the memory.
+    auto give_up() -> void
+    {
+        logging::info("connections hold too much; giving up the largest")
+            .with("bytes", m_held_bytes)
+            .with("peer", peer());
+        m_given_up = true;
+        hold(0);
+        m_owner->m_holders.erase(this);
+        cancel_until_noticed();
+    }
+
+  private:
+    [[nodiscard]] auto peer() const -> std::string
+    {
+        beast::error_code ignored;
+        std::ostringstream out;
+        out << m_stream.socket().remote_endpoint(ignored);
+        return out.str();
+    }
+
+    /// A single cancellation has no effect between two steps of a read or write.
+    auto cancel_until_noticed() -> void
+    {
+        m_stream.cancel();
+        asio::post(m_owner->m_traffic,
+                   [self = shared_from_this()]
+                   {
+                       if (self->m_given_up)
+                       {
+                           self->cancel_until_noticed();
+                       }
+                   });
+    }
+
+    /// Updates what this session holds.
+    auto hold(std::size_t bytes) -> void
+    {
+        m_owner->m_held_bytes += bytes;
+        m_owner->m_held_bytes -= m_held_bytes;
+        m_held_bytes = bytes;
+    }
+
+    /// Updates what this session holds while it reads or writes; it is given up
+    /// if that is too much.
+    auto hold_closable(std::size_t bytes) -> void
+    {
+        hold(bytes);
+        m_owner->m_holders.insert(this);
+        m_owner->shed_holders();
+    }
+
+    auto receive_some() -> void
+    {
+        http::async_read_some(
             m_stream, m_buffer, *m_parser,
             [self = shared_from_this()](beast::error_code fault, std::size_t)
             {
-                self->m_owner->m_idle_sessions.erase(self.get());
-                self->on_received(fault);
+                self->on_received_some(fault);
             });
     }
 
-    auto cancel() -> void
+    auto on_received_some(beast::error_code fault) -> void
     {
-        m_stream.cancel();
+        const bool incomplete = !fault && !m_parser->is_done();
+        if (incomplete && !m_given_up)
+        {
+            hold_closable(m_buffer.capacity() +
+                          m_parser->get().body().capacity());
+        }
+        if (incomplete && !m_given_up)
+        {
+            receive_some();
+            return;
+        }
+        m_owner->m_idle_sessions.erase(this);
+        m_owner->m_holders.erase(this);
+        on_received(fault);
     }
 
-  private:
     auto on_received(beast::error_code fault) -> void
     {
+        if (m_given_up)
+        {
+            constexpr std::chrono::seconds pause{1};
+            refuse({503, R"({"error":"too many requests are being received"})",
+                    "application/json", pause});
+            return;
+        }
         if (fault == http::error::body_limit)
         {
             refuse({413, R"({"error":"the body is too large"})"});
@@ -174,6 +293,7 @@
         {
             // The peer closed the connection, timed out, or sent a malformed
             // request.
+            hold(0);
             shut_down();
             return;
         }
@@ -186,6 +306,8 @@
         request.host = std::string(message[http::field::host]);
         request.deadline = read_deadline(message["Deadline-Ms"]);
         request.body = std::move(message.body());
+        m_parser.reset();
+        hold(m_buffer.capacity() + request.body.capacity());
         m_stream.expires_never();
         ++m_owner->m_in_flight;
         asio::post(m_owner->m_control,
@@ -199,30 +321,49 @@
     /// Runs on the control executor.
     auto dispatch(server_request request, bool keep) -> void
     {
-        m_owner->m_serve(std::move(request),
-                         [self = shared_from_this(), keep](server_response out)
-                         {
-                             asio::post(
-                                 self->m_owner->m_traffic,
-                                 [self, keep, out = std::move(out)]() mutable
-                                 {
-                                     --self->m_owner->m_in_flight;
-                                     self->send_response(std::move(out), keep);
-                                 });
-                         });
+        m_owner->m_serve(
+            std::move(request),
+            [self = shared_from_this(), keep](server_response out)
+            {
+                const auto bytes = out.body.size();
+                const bool dropped = !self->m_owner->try_queue(bytes);
+                if (dropped)
+                {
+                    release(out.body);
+                }
+                asio::post(
+                    self->m_owner->m_traffic,
+                    [self, keep, dropped, bytes, out = std::move(out)]() mutable
+                    {
+                        self->m_owner->m_queued_bytes -= bytes;
+                        --self->m_owner->m_in_flight;
+                        if (dropped)
+                        {
+                            self->drop_answer();
+                            return;
+                        }
+                        self->send_response(std::move(out), keep);
+                    });
+            });
+    }
+
+    auto drop_answer() -> void
+    {
+        logging::info("too many answers wait to be sent; dropping one")
+            .with("peer", peer());
+        hold(0);
+        shut_down();
     }
 
     /// Answers a request that was not read to its end, and closes the
     /// connection.
     auto refuse(server_response out) -> void
     {
-        beast::error_code ignored;
-        std::ostringstream peer;
-        peer << m_stream.socket().remote_endpoint(ignored);
         logging::info("refused a request that exceeds a limit")
             .with("status", out.status)
-            .with("peer", peer.str());
+            .with("peer", peer());
         m_refused = true;
+        m_given_up = false;
         m_parser.reset();
         m_buffer.clear();
         m_buffer.shrink_to_fit();
@@ -243,12 +384,24 @@
         m_response.body() = std::move(out.body);
         m_response.keep_alive(keep && !m_owner->m_close_after_responses);
         m_response.prepare_payload();
+        hold_closable(m_buffer.capacity() + m_response.body().capacity());
+        if (m_given_up)
+        {
+            m_given_up = false;
+            shut_down();
+            return;
+        }
         m_stream.expires_after(write_timeout);
         http::async_write(
             m_stream, m_response,
             [self = shared_from_this()](beast::error_code fault, std::size_t)
             {
-                if (fault || !self->m_response.keep_alive())
+                self->m_owner->m_holders.erase(self.get());
+                self->hold(0);
+                self->m_given_up = false;
+                const bool keep = self->m_response.keep_alive();
+                release(self->m_response.body());
+                if (fault || !keep)
                 {
                     self->shut_down();
                     if (!fault && self->m_refused)
@@ -292,6 +445,9 @@
     http::response<http::string_body> m_response;
     bool m_first_request = true;
     bool m_refused = false;
+    /// Whether the pending read or write was ended to free memory.
+    bool m_given_up = false;
+    std::size_t m_held_bytes = 0;
     std::size_t m_dropped_bytes = 0;
 };
 
@@ -357,6 +513,25 @@
     }
 }
 
+auto http_server::state::shed_holders() -> void
+{
+    while (m_held_bytes > m_limits.held_bytes)
+    {
+        const auto largest = std::max_element(
+            m_holders.begin(), m_holders.end(),
+            [](const session* left, const session* right)
+            {
+                return left->held_bytes() < right->held_bytes();
+            });
+        if (largest == m_holders.end() ||
+            (*largest)->held_bytes() == m_held_bytes)
+        {
+            return;
+        }
+        (*largest)->give_up();
+    }
+}
+
 http_server::http_server(asio::io_context& traffic,
                          asio::any_io_executor control, server_limits limits,
                          handler serve)
--- a/tests/integration/integration-cell-limits.cpp
+++ b/tests/integration/integration-cell-limits.cpp
@@ -61,7 +61,7 @@
     limited_instance()
         : m_folder(make_folder()), m_platform(workers, 1),
           m_host(0, {product_path(), m_folder, m_platform.store_port(),
-                     m_platform.approval_port()})
+                     m_platform.approval_port(), connection_memory_mb})
     {
         m_host.start();
         cr_assert(wait_until(
--- a/tests/soak/instance_host.cpp
+++ b/tests/soak/instance_host.cpp
@@ -43,6 +43,7 @@
         {"approval_address", loopback_address(options.approval_port)},
         {"longest_lease_ms", 6'000},
         {"stop_grace_s", 6},
+        {"connection_memory_mb", options.connection_memory_mb},
         {"log_level", "info"}};
     std::ofstream(m_settings_file) << boost::json::serialize(settings);
 }
--- a/tests/soak/instance_host.hpp
+++ b/tests/soak/instance_host.hpp
@@ -21,6 +21,8 @@
     std::string folder;
     int store_port = 0;
     int approval_port = 0;
+    /// Setting of the same name.
+    std::size_t connection_memory_mb = 64;
 };
 
 /// @brief An instance; its ports, settings and link stay the same over restarts
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -77,7 +77,8 @@
     }
     [[nodiscard]] auto poll_entry() const -> pollfd
     {
-        const int wanted = is_sending() ? POLLIN | POLLOUT : POLLIN;
+        const int wanted = (m_options.reads_answers ? POLLIN : 0) |
+                           (is_sending() ? POLLOUT : 0);
         return {m_open ? m_descriptor : -1, static_cast<short>(wanted), 0};
     }
 
--- a/tests/support/crowd.hpp
+++ b/tests/support/crowd.hpp
@@ -37,6 +37,8 @@
     std::string repeated;
     /// A connection stops sending after this many bytes, but stays open.
     std::size_t bytes_each = 24u << 20;
+    /// Whether connections read what they are sent.
+    bool reads_answers = true;
     /// The crowd ends when no byte could be sent for this time.
     milliseconds idle_limit{2'000};
     /// The crowd ends after this time at the latest.
--- a/tests/unit-cell-settings.cpp
+++ b/tests/unit-cell-settings.cpp
@@ -23,12 +23,14 @@
 Test(cell_settings, complete_settings_have_no_fault)
 {
     const auto text = with(R"(,"store_address":"10.0.0.9:4",)"
-                           R"("stop_grace_s":2.5,"longest_lease_ms":6000)");
+                           R"("stop_grace_s":2.5,"longest_lease_ms":6000,)"
+                           R"("connection_memory_mb":16)");
     cr_assert(cell::check_settings(text).empty());
     const auto read = cell::parse_settings(text);
     cr_assert(static_cast<bool>(read));
     cr_assert_eq(read->stop_grace, milliseconds(2'500));
     cr_assert_eq(read->longest_lease, milliseconds(6'000));
+    cr_assert_eq(read->connection_memory_mb, 16u);
     cr_assert(read->approval_address.empty());
 }
 
@@ -46,6 +48,10 @@
     cr_assert_eq(cell::check_settings(with(store + R"("odd":1)")).size(), 1u);
     cr_assert_eq(
         cell::check_settings(with(store + R"("stop_grace_s":0)")).size(), 1u);
+    cr_assert_eq(
+        cell::check_settings(with(store + R"("connection_memory_mb":0)"))
+            .size(),
+        1u);
     cr_assert_eq(
         cell::check_settings(with(store + R"("log_level":"loud")")).size(), 1u);
     cr_assert_eq(
--- a/tests/unit-net-http-server.cpp
+++ b/tests/unit-net-http-server.cpp
@@ -3,6 +3,7 @@
 /// complete, and whether callers see the refusal.
 #include <pimentoshunt/net/http_server.hpp>
 
+#include "support/crowd.hpp"
 #include "support/port_allocator.hpp"
 #include "support/raw_http.hpp"
 
@@ -10,8 +11,11 @@
 
 #include <criterion/criterion.h>
 
-#include <string> // string
-#include <thread> // thread
+#include <unistd.h>
+
+#include <algorithm> // all_of
+#include <string>    // string
+#include <thread>    // thread
 
 using namespace pimentoshunt;
 
@@ -20,18 +24,33 @@
 
 constexpr std::size_t header_bytes = 2'048;
 constexpr std::size_t body_bytes = 8'192;
+constexpr std::size_t held_bytes = 64u << 20;
+constexpr std::size_t large_answer_bytes = 16u << 20;
 constexpr milliseconds answer_timeout{10'000};
 
-/// A server that answers each request with its body; its connections run on a
-/// thread.
+auto make_limits() -> net::server_limits
+{
+    net::server_limits limits;
+    limits.header_bytes = header_bytes;
+    limits.body_bytes = body_bytes;
+    limits.held_bytes = held_bytes;
+    return limits;
+}
+
+/// A server that answers each request with its body, or with a large one at
+/// /large; its connections run on a thread.
 class echo_server
 {
   public:
-    echo_server()
-        : m_server(m_context, m_context.get_executor(), make_limits(),
+    explicit echo_server(net::server_limits limits = make_limits())
+        : m_server(m_context, m_context.get_executor(), limits,
                    [](net::server_request request,
                       const net::http_server::reply& answer)
                    {
+                       if (request.target == "/large")
+                       {
+                           request.body.assign(large_answer_bytes, 'l');
+                       }
                        answer({200, std::move(request.body), "text/plain"});
                    })
     {
@@ -70,15 +89,12 @@
         return testing::raw_exchange(m_port, bytes, answer_timeout, stop_text);
     }
 
-  private:
-    static auto make_limits() -> net::server_limits
+    [[nodiscard]] auto port() const -> int
     {
-        net::server_limits limits;
-        limits.header_bytes = header_bytes;
-        limits.body_bytes = body_bytes;
-        return limits;
+        return m_port;
     }
 
+  private:
     boost::asio::io_context m_context;
     net::http_server m_server;
     int m_port = testing::free_port();
@@ -145,3 +161,60 @@
         server.exchange(chunked_header + "0\r\n" + lines(size));
     cr_assert_eq(larger_trailers.status(), 431);
 }
+
+Test(net_http_server, of_many_incomplete_requests_the_largest_get_503)
+{
+    auto limits = make_limits();
+    limits.held_bytes = 2 * body_bytes;
+    const echo_server server(limits);
+    testing::crowd_options crowd;
+    crowd.port = server.port();
+    crowd.start = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                  std::to_string(body_bytes) + "\r\n\r\n" +
+                  std::string(1'000, 'b');
+    crowd.idle_limit = milliseconds(500);
+    const auto seen = testing::run_crowd(crowd, ::getpid());
+    // Two of these requests hold more than the limit.
+    cr_assert_geq(seen.statuses.size(), crowd.connections - 1);
+    cr_assert(std::all_of(seen.statuses.begin(), seen.statuses.end(),
+                          [](int status)
+                          {
+                              return status == 503;
+                          }));
+    const auto answer = server.exchange(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", "body");
+    cr_assert_eq(answer.status(), 200);
+}
+
+Test(net_http_server, a_request_that_is_held_alone_is_served)
+{
+    auto limits = make_limits();
+    limits.held_bytes = 1;
+    const echo_server server(limits);
+    const auto answer = server.exchange(
+        "POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nContent-Length: " +
+        std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'b'));
+    cr_assert_eq(answer.status(), 200);
+    cr_assert(answer.has(std::string(body_bytes, 'b')));
+}
+
+Test(net_http_server, unread_answers_are_dropped_beyond_the_limit)
+{
+    const echo_server server;
+    const auto before = testing::read_usage(::getpid()).peak_bytes;
+    testing::crowd_options crowd;
+    crowd.port = server.port();
+    crowd.connections = 16;
+    crowd.start = "GET /large HTTP/1.1\r\nHost: a\r\n\r\n";
+    crowd.reads_answers = false;
+    crowd.idle_limit = milliseconds(1'000);
+    const auto seen = testing::run_crowd(crowd, ::getpid());
+    cr_assert_eq(seen.connected, crowd.connections);
+    // Two answers beyond the limit are being made or given up.
+    constexpr auto max_growth = held_bytes + 3 * large_answer_bytes;
+    cr_assert_leq(seen.most.peak_bytes - before, max_growth, "%zu KiB more",
+                  (seen.most.peak_bytes - before) / 1'024);
+    const auto answer = server.exchange(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", "body");
+    cr_assert_eq(answer.status(), 200);
+}
