Owners share the wait also while an earlier one may still act

After an owner that ended without a release, no inherited job started anything under owners of 2 s each while one worker with an open row was silent.

Cause: an owner that is not certain that the one before has ended counts silences from 3 s after its own start, so that a shorter one had nothing to show, and passes the doubt on.

Change: the time in a worker's row is also written while it is negative: an earlier owner may then act for that much longer. The next owner takes the earlier of that and what it assumes itself. The time is written from the second missed call on, as no lease is extended while a row shows it.

The bound in a_registered_worker_that_does_not_answer_keeps_its_row is tighter by the 3 s.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -151,8 +151,10 @@
     std::optional<std::size_t> stored_runs;
     /// Until then another owner may have extended a lease on it.
     time_point earlier_orders_end;
-    /// Longest time without such an extension that its row may show.
-    milliseconds stored_no_orders_for{0};
+    /// Whether its row may show a time without such an extension, and the
+    /// longest one that a later owner may rely on.
+    bool silence_shown = false;
+    milliseconds shown_silence{0};
     /// Its last entry if that names another incarnation or address than @ref
     /// entry: a claim, perhaps of another writer, that the worker's next report
     /// confirms or contradicts.
--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -326,11 +326,17 @@
     /// was meant for an earlier incarnation may have asked for one.
     bool longest_lease = false;
     /// For how long before the row was written no owner can have extended a
-    /// lease on the worker, at least; zero: not known. The writer extends none
-    /// until the row says zero again.
+    /// lease on the worker, at least; negative: for how long afterwards one may.
     milliseconds no_orders_for{0};
-    /// Epoch of the writer of @ref no_orders_for.
+    /// Epoch of the writer of @ref no_orders_for, which extends no lease while
+    /// the row shows it; 0: it is not known.
     std::uint64_t no_orders_epoch = 0;
+
+    /// @brief Whether @ref no_orders_for is known.
+    [[nodiscard]] auto shows_silence() const noexcept -> bool
+    {
+        return no_orders_epoch > 0;
+    }
 };
 
 /// @brief A crash of the worker on which a run was.
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -394,7 +394,9 @@
     auto restore_runs(worker_record& worker, const roster_entry& enrolled,
                       time_point now) -> void;
     [[nodiscard]] auto silence_of(const worker_record& worker,
-                                  time_point now) const -> milliseconds;
+                                  time_point now) const
+        -> std::optional<milliseconds>;
+    [[nodiscard]] auto initial_silence() const -> milliseconds;
     [[nodiscard]] auto outdated_row(const worker_record& worker) const
         -> std::optional<roster_entry>;
     [[nodiscard]] auto closed_row(const worker_record& worker) const
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -310,8 +310,7 @@
     entry.capacity = read_need(from.capacity());
     out.closed = from.closed();
     out.longest_lease = from.longest_lease();
-    out.no_orders_for =
-        milliseconds(std::max<std::int64_t>(from.no_orders_ms(), 0));
+    out.no_orders_for = milliseconds(from.no_orders_ms());
     out.no_orders_epoch = from.no_orders_epoch();
     for (const auto& item : from.runs())
     {
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -14,13 +14,16 @@
     worker.closed = enrolled.closed;
     worker.stored_incarnation = enrolled.entry.incarnation;
     worker.stored_runs = enrolled.runs.size();
-    worker.stored_no_orders_for = enrolled.no_orders_for;
-    worker.enrolled = !enrolled.closed && enrolled.no_orders_for.count() == 0;
-    if (enrolled.no_orders_for.count() > 0 &&
+    worker.silence_shown = enrolled.shows_silence();
+    worker.enrolled = !enrolled.closed && !enrolled.shows_silence();
+    if (enrolled.shows_silence() &&
         enrolled.no_orders_epoch >= m_options.silence_kept_since)
     {
         // The row was written before this ownership began.
-        worker.earlier_orders_end = m_started_at - enrolled.no_orders_for;
+        worker.earlier_orders_end = std::min<time_point>(
+            worker.earlier_orders_end, m_started_at - enrolled.no_orders_for);
+        worker.shown_silence =
+            std::max(worker.shown_silence, enrolled.no_orders_for);
     }
     if (const auto listed = worker.entry;
         !names_same_process(listed, enrolled.entry))
@@ -71,18 +74,28 @@
     }
 }
 
+/// What the next owner assumes of a worker whose row shows no silence: orders of
+/// an owner before this one may arrive for that time.
+auto scheduler::initial_silence() const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(m_started_at -
+                                                    earlier_owner_ends_at());
+}
+
 /// Time for which no owner can have extended a lease on a silent worker that this
-/// owner has not reached either: the next one need not wait for it again.
+/// owner has not reached either: the next one need not wait for it again. One
+/// missed call is no silence, as leases are not extended while a row shows one.
 auto scheduler::silence_of(const worker_record& worker, time_point now) const
-    -> milliseconds
+    -> std::optional<milliseconds>
 {
-    if (worker.clock || worker.ended || worker.unanswered_calls == 0)
+    constexpr std::uint32_t min_unanswered_calls = 2;
+    if (worker.clock || worker.ended ||
+        worker.unanswered_calls < min_unanswered_calls)
     {
-        return milliseconds(0);
+        return std::nullopt;
     }
-    return std::max(std::chrono::duration_cast<milliseconds>(
-                        now - worker.earlier_orders_end),
-                    milliseconds(0));
+    return std::chrono::duration_cast<milliseconds>(now -
+                                                    worker.earlier_orders_end);
 }
 
 /// The row that the durable roster should have for the worker; nothing if it
@@ -112,8 +125,7 @@
         worker.reconciled || (worker.closed && worker.leases_expired);
     const bool is_list_outdated =
         !worker.closed || worker.stored_runs != worker.runs.size() ||
-        worker.is_row_outdated ||
-        (worker.clock && worker.stored_no_orders_for.count() > 0);
+        worker.is_row_outdated || (worker.clock && worker.silence_shown);
     if (are_runs_known && is_list_outdated &&
         worker.ends_received <= worker.ends_durable)
     {
@@ -121,10 +133,9 @@
     }
     const auto silence = silence_of(worker, m_supervised_at);
     const bool is_list_empty = worker.closed && worker.runs.empty();
-    if (!is_list_empty &&
-        silence >=
-            worker.stored_no_orders_for + m_options.silence_write_interval &&
-        worker.stored_no_orders_for < max_elapsed(m_options.longest_lease))
+    if (silence && !is_list_empty &&
+        *silence >= worker.shown_silence + m_options.silence_write_interval &&
+        worker.shown_silence < max_elapsed(m_options.longest_lease))
     {
         auto out = closed_row(worker);
         out.closed = worker.closed;
@@ -136,8 +147,11 @@
 auto scheduler::closed_row(const worker_record& worker) const -> roster_entry
 {
     roster_entry out{worker.entry, true, {}, worker.longest_lease};
-    out.no_orders_for = silence_of(worker, m_supervised_at);
-    out.no_orders_epoch = m_epoch;
+    if (const auto silence = silence_of(worker, m_supervised_at))
+    {
+        out.no_orders_for = *silence;
+        out.no_orders_epoch = m_epoch;
+    }
     for (const auto& [ref, run] : worker.runs)
     {
         out.runs.push_back({ref, run.confirmed && worker.lost_connection &&
@@ -171,12 +185,10 @@
         else if (auto row = outdated_row(worker))
         {
             // No run may start that a closed row does not list, and no lease be
-            // extended while the row says that none is.
-            const bool is_open =
-                !row->closed && row->no_orders_for.count() == 0;
-            worker.enrolled = worker.enrolled && is_open;
-            worker.stored_no_orders_for =
-                std::max(worker.stored_no_orders_for, row->no_orders_for);
+            // extended while the row shows that none is.
+            worker.enrolled =
+                worker.enrolled && !row->closed && !row->shows_silence();
+            worker.silence_shown = worker.silence_shown || row->shows_silence();
             worker.roster_in_flight = true;
             out.writes.push_back({std::move(*row), worker.roster_version});
         }
@@ -192,9 +204,11 @@
         auto& worker = m_workers.at(item.worker.entry.id);
         worker.roster_in_flight = false;
         worker.roster_version = version;
-        worker.stored_no_orders_for = item.worker.no_orders_for;
-        worker.enrolled =
-            !item.worker.closed && item.worker.no_orders_for.count() == 0;
+        worker.silence_shown = item.worker.shows_silence();
+        worker.shown_silence = item.worker.shows_silence()
+                                   ? item.worker.no_orders_for
+                                   : initial_silence();
+        worker.enrolled = !item.worker.closed && !item.worker.shows_silence();
         worker.closed = item.worker.closed;
         worker.stored_runs = item.worker.runs.size();
         worker.stored_incarnation = item.worker.entry.incarnation;
@@ -206,7 +220,7 @@
         auto& worker = m_workers.at(item.worker);
         worker.roster_in_flight = false;
         worker.roster_version = 0;
-        worker.stored_no_orders_for = milliseconds(0);
+        worker.silence_shown = false;
         worker.enrolled = false;
     }
 }
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -35,6 +35,7 @@
         worker.entry = entry;
         worker.next_heartbeat_at = now;
         worker.earlier_orders_end = earlier_owner_ends_at();
+        worker.shown_silence = initial_silence();
         m_health.add(entry.id);
     }
     return worker;
@@ -361,7 +362,7 @@
     // The lease of an unanswering worker is not renewed, so that it expires.
     // Nor is that of a worker whose row says that no lease was extended.
     if (may_extend && worker.clock && !worker.runs.empty() &&
-        !may_have_restarted && worker.stored_no_orders_for.count() == 0)
+        !may_have_restarted && !worker.silence_shown)
     {
         order.lease_end = lease_end_for(worker, now);
         worker.lease_end = std::max(worker.lease_end, *order.lease_end);
--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -35,7 +35,13 @@
 /// A cell whose owners follow one another.
 struct owner_series
 {
-    cell_simulation simulation{1, released_by_earlier_owner()};
+    explicit owner_series(
+        cell::scheduler_options options = released_by_earlier_owner())
+        : simulation(1, options)
+    {
+    }
+
+    cell_simulation simulation;
     std::vector<cell::job_spec> jobs;
     /// When the workers that drain leave.
     std::map<std::string, time_point> leaves_at;
@@ -209,6 +215,29 @@
                  static_cast<long>(took.count()));
 }
 
+// The same while it is not certain that an owner before the series has ended, which
+// adds to the wait.
+Test(cell_owner_series, owners_share_the_wait_for_an_owner_that_may_still_act)
+{
+    const cell::scheduler_options options;
+    owner_series series(options);
+    series.simulation.add_worker("w1", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    const auto job = lasting_job("j1", 1);
+    series.accept(job);
+    series.simulation.run_for(milliseconds(500));
+    series.simulation.add_worker("w2", 4'000);
+    series.simulation.run_for(milliseconds(500));
+    series.lose("w1");
+    series.take_over();
+    const auto limit = longest_absence + options.earlier_owner_limit;
+    const auto took = series.time_until_started(job, limit);
+    cr_assert_lt(took.count(), limit.count(), "%ld ms",
+                 static_cast<long>(took.count()));
+    cr_assert_gt(took.count(),
+                 (options.earlier_owner_limit + options.lease).count());
+}
+
 // The same for a task whose run the row of a lost worker lists.
 Test(cell_owner_series, owners_share_the_wait_for_a_listed_run)
 {
@@ -246,14 +275,14 @@
         series.take_over();
         series.simulation.run_for(milliseconds(1'500));
         const auto& row = series.simulation.stored_roster.at(worker_id("w1"));
-        cr_assert_gt(row.first.no_orders_for.count(), 0);
+        cr_assert(row.first.shows_silence());
         const auto lease_end = worker.lease_end;
         series.simulation.store_answers = store_answers;
         worker.receives_orders = true;
         series.simulation.run_for(milliseconds(1'000));
         cr_assert(series.is_started(job));
         cr_assert_eq(worker.lease_end > lease_end, store_answers);
-        cr_assert_eq(row.first.no_orders_for.count() == 0, store_answers);
+        cr_assert_eq(!row.first.shows_silence(), store_answers);
     }
 }
 
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -291,9 +291,12 @@
     const auto& row = change.writes.front().worker;
     cr_assert_eq(row.entry.id, worker_id("w1"));
     cr_assert(!row.closed && row.runs.empty());
-    cr_assert_gt(row.no_orders_for.count(), 0);
+    const cell::scheduler_options options;
+    const auto passed = time_until_leases_end() + milliseconds(1'000);
+    cr_assert(row.shows_silence());
     cr_assert_leq(row.no_orders_for.count(),
-                  (time_until_leases_end() + milliseconds(1'000)).count());
+                  (passed - options.earlier_owner_limit).count());
+    cr_assert_geq(row.no_orders_for.count(), options.lease.count());
 }
 
 // Guards against a job whose objective begins again at each takeover: one
