Nine tests of owner series share how a job gets to run on the first worker

Cause: the tests each added the worker, accepted the job and let time pass, in the same four lines.

Change: a method of their fixture does it.

The whole check was not repeated.

--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -52,6 +52,16 @@
         simulation.jobs().accept(job, simulation.now);
     }
 
+    /// Adds the worker w1 and accepts a job, which then runs there.
+    auto start_on_w1(const cell::job_spec& job) -> fakes::fake_cell_worker&
+    {
+        auto& worker = simulation.add_worker("w1", 4'000);
+        simulation.run_for(milliseconds(500));
+        accept(job);
+        simulation.run_for(milliseconds(500));
+        return worker;
+    }
+
     auto take_over() -> void
     {
         simulation.take_over(jobs);
@@ -201,11 +211,8 @@
 Test(cell_owner_series, owners_share_the_wait_for_a_silent_worker)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = lasting_job("j1", 1);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.simulation.add_worker("w2", 4'000);
     series.simulation.run_for(milliseconds(500));
     series.lose("w1");
@@ -221,11 +228,8 @@
 {
     const cell::scheduler_options options;
     owner_series series(options);
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = lasting_job("j1", 1);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.simulation.add_worker("w2", 4'000);
     series.simulation.run_for(milliseconds(500));
     series.lose("w1");
@@ -242,11 +246,8 @@
 Test(cell_owner_series, owners_share_the_wait_for_a_listed_run)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = lasting_job("j1", 1);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.simulation.add_worker("w2", 4'000);
     series.lose("w1");
     series.simulation.run_for(milliseconds(1'000));
@@ -266,11 +267,8 @@
     for (const bool store_answers : {true, false})
     {
         owner_series series;
-        auto& worker = series.simulation.add_worker("w1", 4'000);
-        series.simulation.run_for(milliseconds(500));
         const auto job = lasting_job("j1", 1);
-        series.accept(job);
-        series.simulation.run_for(milliseconds(500));
+        auto& worker = series.start_on_w1(job);
         worker.receives_orders = false;
         series.take_over();
         series.simulation.run_for(milliseconds(1'500));
@@ -312,11 +310,8 @@
 Test(cell_owner_series, a_worker_that_left_between_two_owners_blocks_no_job)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = lasting_job("j1", 1);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     cr_assert(series.is_started(job));
     series.drain("w1", milliseconds(2'000));
     series.simulation.run_for(milliseconds(1'900));
@@ -363,11 +358,8 @@
 Test(cell_owner_series, a_new_owner_leaves_the_runs_of_a_draining_worker)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = simple_job("j1", 2, 1'000);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.drain("w1", milliseconds(3'000));
     series.simulation.run_for(milliseconds(500));
     series.take_over();
@@ -382,11 +374,8 @@
 Test(cell_owner_series, a_cancelled_run_on_a_draining_worker_is_stopped)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = simple_job("j1", 1, 1'000);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.drain("w1", milliseconds(4'000));
     series.simulation.run_for(milliseconds(500));
     const auto row = series.simulation.stored_roster.at(worker_id("w1"));
@@ -410,11 +399,8 @@
 Test(cell_owner_series, a_row_stays_until_the_ends_of_its_worker_are_durable)
 {
     owner_series series;
-    auto& worker = series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = simple_job("j1", 1, 1'000);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    auto& worker = series.start_on_w1(job);
     series.simulation.store_answers = false;
     series.simulation.end_run("w1", series.simulation.starts.front().run,
                               cell::run_end::done);
@@ -433,11 +419,8 @@
 Test(cell_owner_series, a_run_is_kept_beside_the_row_of_an_earlier_one)
 {
     owner_series series;
-    series.simulation.add_worker("w1", 4'000);
-    series.simulation.run_for(milliseconds(500));
     const auto job = lasting_job("j1", 1);
-    series.accept(job);
-    series.simulation.run_for(milliseconds(500));
+    series.start_on_w1(job);
     series.simulation.add_worker("w2", 4'000);
     series.lose("w1");
     series.simulation.run_for(longest_absence);
