Read workspaces with keys, weights and limits from the configuration

Cause: the adapter drops the list of workspaces and the public flag of routes, so that nothing in the cell knows a caller's workspace.

Change: the configuration holds workspaces with digests of their keys. Jobs carry the name of their workspace in the inbox row. A table follower dates what it has delivered by the time before the call was sent. Nothing uses them yet.

--- a/include/pimentoshunt/cell/model.hpp
+++ b/include/pimentoshunt/cell/model.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/resources.hpp>
 
+#include <array>      // array
 #include <chrono>     // sys_time
 #include <compare>    // operator<=>
 #include <cstddef>    // size_t
@@ -67,6 +68,24 @@
     /// Ends with a slash.
     std::string path_prefix;
     queue_config queue;
+    /// Whether callers need no key. Only valid where @ref
+    /// configuration::requires_keys is set; elsewhere no caller needs one.
+    bool is_public = false;
+};
+
+/// Salted hash of a caller's key; see credentials.hpp.
+using key_digest = std::array<std::uint8_t, 32>;
+
+/// @brief A group of callers with keys, a limit and a share of the cell.
+struct workspace_config
+{
+    workspace_name name;
+    std::vector<key_digest> keys;
+    /// Share of the workspace when the cell is full, in relation to others, and
+    /// the number of jobs a second that it may expect to be served in time.
+    double weight = 1.0;
+    /// Most that its runs may take at a time; 0: no limit on that resource.
+    resources limit;
 };
 
 /// @brief Settings of a pool of workers.
@@ -86,6 +105,10 @@
     std::uint64_t version = 0;
     std::vector<queue_route> routes;
     std::vector<service_config> services;
+    /// Whether callers of routes that aren't public need a key of one of the
+    /// workspaces.
+    bool requires_keys = false;
+    std::vector<workspace_config> workspaces;
     std::size_t max_body_bytes = 262'144;
     std::size_t max_header_bytes = 16'384;
     milliseconds header_timeout{3'000};
@@ -101,6 +124,10 @@
     /// @return nullptr if there is none
     [[nodiscard]] auto find_queue(const queue_name& name) const
         -> const queue_config*;
+    /// @brief Finds a workspace by name.
+    /// @return nullptr if there is none
+    [[nodiscard]] auto find_workspace(const workspace_name& name) const
+        -> const workspace_config*;
 };
 
 /// @brief A group of identical tasks of a job.
@@ -149,6 +176,8 @@
     job_id id;
     /// The queue's settings when the job was accepted.
     queue_config queue;
+    /// Workspace of the caller; empty: none.
+    workspace_name workspace;
     /// Passed to each task unchanged.
     std::string payload;
     std::vector<step_spec> steps;
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -143,6 +143,9 @@
 {
     caller_request_kind request_kind = caller_request_kind::no_queue;
     const queue_route* route = nullptr;
+    /// Digest of the caller's key; empty if the caller sent none, several, or a
+    /// malformed one.
+    std::optional<key_digest> key;
     job_id job;
     /// Set for a submission.
     std::optional<job_spec> spec;
--- a/include/pimentoshunt/cell/store_reader.hpp
+++ b/include/pimentoshunt/cell/store_reader.hpp
@@ -152,6 +152,10 @@
         std::function<void(const stored_row&)> on_change;
         /// Called after each call with whether the store answered it.
         std::function<void(bool)> on_call_ended;
+        /// Called once all changes that an answer shows are delivered, with the
+        /// time before the call was sent: what has been delivered was complete
+        /// then. May be empty.
+        std::function<void(time_point)> on_current;
     };
 
     /// @param ranges  of one table, for complete reads; changes are delivered
@@ -169,9 +173,10 @@
     {
         read_ranges(
             m_platform, m_ranges, read_timeout,
-            [self = this->shared_from_this()](std::optional<table_rows> found)
+            [self = this->shared_from_this(),
+             sent_at = boot_clock::now()](std::optional<table_rows> found)
             {
-                self->on_read(std::move(found));
+                self->on_read(std::move(found), sent_at);
             });
     }
 
@@ -202,7 +207,7 @@
     /// Pause after a call that the store did not answer.
     static constexpr milliseconds retry_pause{100};
 
-    auto on_read(std::optional<table_rows> found) -> void
+    auto on_read(std::optional<table_rows> found, time_point sent_at) -> void
     {
         if (m_stopped)
         {
@@ -224,9 +229,18 @@
             return;
         }
         m_version = found->version;
+        notify_current(sent_at);
         follow();
     }
 
+    auto notify_current(time_point sent_at) -> void
+    {
+        if (m_callbacks.on_current)
+        {
+            m_callbacks.on_current(sent_at);
+        }
+    }
+
     auto follow() -> void
     {
         if (m_stopped)
@@ -239,13 +253,14 @@
             m_last_call_answered ? m_timing.wait : milliseconds(0);
         m_platform.follow(
             m_ranges.front().table, m_version, wait,
-            [self = this->shared_from_this()](const feed_result& found)
+            [self = this->shared_from_this(),
+             sent_at = boot_clock::now()](const feed_result& found)
             {
-                self->on_feed_answer(found);
+                self->on_feed_answer(found, sent_at);
             });
     }
 
-    auto on_feed_answer(const feed_result& found) -> void
+    auto on_feed_answer(const feed_result& found, time_point sent_at) -> void
     {
         if (m_stopped)
         {
@@ -280,6 +295,7 @@
             }
         }
         m_version = std::max(m_version, found.version);
+        notify_current(sent_at);
         if (found.rows.empty() || m_timing.pause.count() == 0)
         {
             follow();
--- a/src/cell/model.cpp
+++ b/src/cell/model.cpp
@@ -46,6 +46,17 @@
     return found == routes.end() ? nullptr : &found->queue;
 }
 
+auto configuration::find_workspace(const workspace_name& name) const
+    -> const workspace_config*
+{
+    const auto found = std::find_if(workspaces.begin(), workspaces.end(),
+                                    [&](const workspace_config& item)
+                                    {
+                                        return item.name == name;
+                                    });
+    return found == workspaces.end() ? nullptr : &*found;
+}
+
 auto to_string(job_state state) -> std::string
 {
     switch (state)
--- a/src/cell/row_codec.cpp
+++ b/src/cell/row_codec.cpp
@@ -194,6 +194,7 @@
     out.set_interval_ms(job.interval.count());
     out.set_epoch(item.epoch);
     out.set_accepted_at_ms(job.accepted_at.time_since_epoch().count());
+    out.set_workspace(job.workspace.str());
     return out.SerializeAsString();
 }
 
@@ -224,6 +225,7 @@
     out.first_due = calendar_time(milliseconds(from.first_due_ms()));
     out.interval = milliseconds(from.interval_ms());
     out.accepted_at = calendar_time(milliseconds(from.accepted_at_ms()));
+    out.workspace = workspace_name(from.workspace());
     return item;
 }
 
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -379,6 +379,7 @@
     job.steps[0].keeps_checkpoints = true;
     job.queue.approval.required = true;
     job.accepted_at = cell::calendar_time(milliseconds(1'700'000'000'123));
+    job.workspace = workspace_name("desk");
     const auto read = cell::read_job(cell::to_bytes(job));
     cr_assert(read.has_value());
     cr_assert_eq(read->id, job.id);
@@ -387,6 +388,7 @@
     cr_assert(read->steps[0].keeps_checkpoints);
     cr_assert(read->queue.approval.required);
     cr_assert(read->accepted_at == job.accepted_at);
+    cr_assert_eq(read->workspace, job.workspace);
     cr_assert(!cell::read_job("no job").has_value());
     cr_assert(!cell::read_progress("\xff\xff").has_value());
 }
