Check keys of workspaces against a configuration of known age

Cause: callers' keys were read from the configuration and never checked, and an instance that was cut off from the store answered from an old version.

The settings credential_max_age_ms and configuration_max_age_ms are the bounds; without them nothing is refused for its age.

--- a/include/pimentoshunt/cell/credentials.hpp
+++ b/include/pimentoshunt/cell/credentials.hpp
@@ -6,7 +6,9 @@
 
 #include <cstddef>     // size_t
 #include <optional>    // optional
+#include <string>      // string
 #include <string_view> // string_view
+#include <vector>      // vector
 
 namespace pimentoshunt::cell
 {
@@ -20,6 +22,13 @@
 ///         be hashed
 [[nodiscard]] auto digest_of(std::string_view key) -> std::optional<key_digest>;
 
+/// @brief Digest of the key that a caller sent.
+/// @param authorization  values of the request's Authorization headers
+/// @return empty unless there is exactly one, of the scheme Bearer, whose key is
+///         a single word that @ref digest_of accepts
+[[nodiscard]] auto caller_key_of(const std::vector<std::string>& authorization)
+    -> std::optional<key_digest>;
+
 /// @brief Whether two digests are equal, in a time that doesn't depend on them.
 [[nodiscard]] auto are_equal(const key_digest& left, const key_digest& right)
     -> bool;
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,6 +4,7 @@
 /// ownership lease.
 #pragma once
 
+#include <pimentoshunt/cell/configuration_feed.hpp>
 #include <pimentoshunt/cell/followers.hpp>
 #include <pimentoshunt/cell/job_request_handler.hpp>
 #include <pimentoshunt/cell/loop_lag.hpp>
@@ -15,7 +16,6 @@
 #include <pimentoshunt/cell/policy/succession.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
-#include <pimentoshunt/cell/store_reader.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +47,11 @@
     /// Receives the counters of this instance's scheduler while it owns the
     /// cell.
     std::function<void(const scheduler_counts&)> counted;
+    /// Ages beyond which the configuration isn't used to answer callers.
+    policy::configuration_bounds configuration_bounds;
+    /// Called with the reason of each refusal by the configuration. May be
+    /// empty.
+    std::function<void(const std::string&)> on_refusal;
 };
 
 /// @brief Connects the parts of one instance. Used by the control thread only.
@@ -66,6 +71,11 @@
               {
                   on_message(from, message);
               }),
+          m_feed(platform, control, m_health, options.configuration_bounds,
+                 [this](const configuration& in_force)
+                 {
+                     on_configuration(in_force);
+                 }),
           m_request_handler(platform, control, m_health, request_context(),
                             options.incarnation),
           m_tick_timer(control),
@@ -82,7 +92,7 @@
     /// ownership.
     auto start() -> void
     {
-        follow_configuration();
+        m_feed.start();
         tick();
     }
 
@@ -90,16 +100,25 @@
     auto serve(const net::server_request& request,
                net::http_server::reply answer) -> void
     {
-        m_request_handler.serve(request,
-                                m_configuration ? &*m_configuration : nullptr,
-                                std::move(answer));
+        m_request_handler.serve(request, m_feed.in_force(), std::move(answer));
     }
 
     /// @brief Whether the load balancer should send callers to this instance.
     [[nodiscard]] auto ready() const -> bool
     {
-        return m_configuration.has_value() && !m_releasing &&
-               !m_health.is_unavailable(boot_clock::now());
+        const auto now = boot_clock::now();
+        const auto* const in_force = m_feed.in_force();
+        return in_force != nullptr && !m_releasing &&
+               !m_health.is_unavailable(now) &&
+               (!in_force->requires_keys ||
+                policy::is_fresh_for_keys(m_feed.freshness(),
+                                          m_options.configuration_bounds, now));
+    }
+
+    /// @brief Age of what is known of the configuration; empty before the first.
+    [[nodiscard]] auto configuration_age() const -> std::optional<milliseconds>
+    {
+        return m_feed.freshness().age(boot_clock::now());
     }
 
     /// @brief Starts to release the cell; requests are still answered.
@@ -119,10 +138,7 @@
         {
             m_role->end();
         }
-        if (m_configuration_follower)
-        {
-            m_configuration_follower->stop();
-        }
+        m_feed.stop();
     }
 
     /// @brief The owner role, or nullptr if none is active.
@@ -149,9 +165,6 @@
     static constexpr milliseconds max_release_delay{1'900};
     static constexpr milliseconds commit_timeout{600};
     static constexpr milliseconds read_timeout{600};
-    /// Also bounds how long a dead connection stays unnoticed: configuration
-    /// changes have to be in force within two seconds.
-    static constexpr feed_timing configuration_feed_timing{};
 
     /// Whether this instance owns the cell and has loaded its state.
     [[nodiscard]] auto is_role_loaded() const -> bool
@@ -191,7 +204,20 @@
                 [this](const wire::cell_deposit& what)
                 {
                     return send_deposit(what);
-                }};
+                },
+                {[this]
+                 {
+                     return m_feed.in_force();
+                 },
+                 [this]() -> const policy::configuration_freshness&
+                 {
+                     return m_feed.freshness();
+                 },
+                 [this](std::function<void()> done)
+                 {
+                     return m_feed.refresh(std::move(done));
+                 },
+                 m_options.configuration_bounds, m_options.on_refusal}};
     }
 
     /// Address of an instance that can store a row when this one can't reach
@@ -280,60 +306,12 @@
         m_pending_at = boot_clock::now();
     }
 
-    auto follow_configuration() -> void
-    {
-        const auto at = m_platform.configuration_row();
-        typename table_follower<Platform>::listener callbacks;
-        callbacks.on_change = [this, at](const stored_row& row)
-        {
-            if (row.at.key == at.key && !row.removed)
-            {
-                on_configuration_row(row);
-            }
-        };
-        callbacks.on_all_rows = [this, at](const std::vector<stored_row>& rows)
-        {
-            for (const auto& row : rows)
-            {
-                if (row.at.key == at.key)
-                {
-                    on_configuration_row(row);
-                }
-            }
-        };
-        callbacks.on_call_ended = [this](bool answered)
-        {
-            m_health.record(answered, boot_clock::now());
-        };
-        m_configuration_follower = std::make_shared<table_follower<Platform>>(
-            m_platform, m_control,
-            std::vector<row_range>{row_range{at.table, at.part, "", ""}},
-            configuration_feed_timing, std::move(callbacks));
-        m_configuration_follower->begin();
-    }
-
-    auto on_configuration_row(const stored_row& row) -> void
+    auto on_configuration(const configuration& in_force) -> void
     {
-        auto read = m_platform.read_configuration(row);
-        if (!read)
-        {
-            logging::error(
-                "configuration is malformed; keeping the previous one")
-                .with("row_version", row.version);
-            return;
-        }
-        if (m_configuration && read->version <= m_configuration->version)
-        {
-            return;
-        }
-        logging::info("configuration in force")
-            .with("version", read->version)
-            .with("routes", read->routes.size());
-        m_configuration = std::move(read);
-        m_options.on_configuration(*m_configuration);
+        m_options.on_configuration(in_force);
         if (m_role)
         {
-            m_role->configure(*m_configuration);
+            m_role->configure(in_force);
         }
         else if (m_ownership.owner())
         {
@@ -632,7 +610,7 @@
         m_epoch_version = result.version;
         m_next_renewal = now + m_options.ownership.renew_interval;
         logging::info("owns the cell").with("epoch", content.epoch);
-        if (m_configuration)
+        if (m_feed.in_force() != nullptr)
         {
             begin_role();
         }
@@ -670,7 +648,7 @@
         m_role = std::make_shared<owner_role<Platform>>(
             m_platform, m_control, m_peers, m_health, std::move(context),
             m_ownership.epoch(), m_epoch_version, m_options.scheduler);
-        m_role->begin(*m_configuration);
+        m_role->begin(*m_feed.in_force());
     }
 
     /// Wall-clock time, derived from the steady clock with an offset taken at
@@ -1003,11 +981,10 @@
     followers m_followers;
     loop_lag m_lag;
     policy::hand_over_policy m_hand_over;
+    configuration_feed<Platform> m_feed;
     job_request_handler<Platform> m_request_handler;
     boost::asio::steady_timer m_tick_timer;
     milliseconds m_calendar_offset;
-    std::optional<configuration> m_configuration;
-    std::shared_ptr<table_follower<Platform>> m_configuration_follower;
     std::shared_ptr<owner_role<Platform>> m_role;
     std::uint64_t m_epoch_version = 0;
     /// Epoch of the last role that was started.
--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/cell/forwarded_writes.hpp>
 #include <pimentoshunt/cell/inbox_writer.hpp>
 #include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/request_authorizer.hpp>
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
@@ -45,6 +46,7 @@
     std::function<void(const stored_row&)> announce;
     /// Forwards a write to an instance that can probably reach the store.
     forwarded_writes::sender send_forwarded_write;
+    authorization_context authorization = {};
 };
 
 /// @brief Handles the requests of this instance's callers. Used by the control
@@ -63,6 +65,7 @@
                         std::uint64_t first_number)
         : m_platform(platform), m_control(control), m_health(health),
           m_context(std::move(context)),
+          m_authorizer(platform, m_context.authorization),
           m_inbox_writer(platform, control, health, m_context.announce),
           m_forwarded_writes(control, m_context.send_forwarded_write,
                              first_number),
@@ -79,40 +82,18 @@
             answer(unavailable_answer("no configuration has been read yet"));
             return;
         }
-        auto parsed = m_platform.read_caller(request, *in_force);
         const auto limit =
             request.deadline.count() > 0
                 ? std::min(request.deadline - answer_margin, max_wait)
                 : max_wait;
         const auto reply_deadline = boot_clock::now() + limit;
-        switch (parsed.request_kind)
-        {
-        case caller_request_kind::submit:
-            submit(*parsed.spec, reply_deadline, std::move(answer));
-            return;
-        case caller_request_kind::look_up:
-            look_up(parsed.job, std::move(answer));
-            return;
-        case caller_request_kind::cancel:
-            cancel(parsed.job, reply_deadline, std::move(answer));
-            return;
-        case caller_request_kind::count:
-            count(parsed.route->queue.name, answer);
-            return;
-        case caller_request_kind::no_queue:
-            answer(m_platform.error_answer(not_found,
-                                           "no queue has this address"));
-            return;
-        case caller_request_kind::invalid_id:
-        case caller_request_kind::invalid_job:
-            logging::info("request refused").with("why", parsed.error_text);
-            answer(m_platform.error_answer(bad_request, parsed.error_text));
-            return;
-        case caller_request_kind::unsupported_method:
-            break;
-        }
-        answer(m_platform.error_answer(
-            method_not_allowed, "use POST, GET or DELETE with a job's ID"));
+        m_authorizer.authorize(
+            request, *in_force, std::move(answer),
+            [this, reply_deadline](caller_request parsed, reply to)
+            {
+                serve_authorized(std::move(parsed), reply_deadline,
+                                 std::move(to));
+            });
     }
 
     /// @brief Handles the owner's answer to a look-up; without a state the
@@ -194,6 +175,39 @@
         reply answer;
     };
 
+    auto serve_authorized(caller_request parsed, time_point reply_deadline,
+                          reply answer) -> void
+    {
+        switch (parsed.request_kind)
+        {
+        case caller_request_kind::submit:
+            submit(*parsed.spec, reply_deadline, std::move(answer));
+            return;
+        case caller_request_kind::look_up:
+            look_up(parsed.job, std::move(answer));
+            return;
+        case caller_request_kind::cancel:
+            cancel(parsed.job, reply_deadline, std::move(answer));
+            return;
+        case caller_request_kind::count:
+            count(parsed.route->queue.name, answer);
+            return;
+        case caller_request_kind::no_queue:
+            answer(m_platform.error_answer(not_found,
+                                           "no queue has this address"));
+            return;
+        case caller_request_kind::invalid_id:
+        case caller_request_kind::invalid_job:
+            logging::info("request refused").with("why", parsed.error_text);
+            answer(m_platform.error_answer(bad_request, parsed.error_text));
+            return;
+        case caller_request_kind::unsupported_method:
+            break;
+        }
+        answer(m_platform.error_answer(
+            method_not_allowed, "use POST, GET or DELETE with a job's ID"));
+    }
+
     auto unavailable_answer(const std::string& why) const
         -> net::server_response
     {
@@ -522,6 +536,7 @@
     boost::asio::io_context& m_control;
     store_health& m_health;
     job_request_context m_context;
+    request_authorizer<Platform> m_authorizer;
     inbox_writer<Platform> m_inbox_writer;
     forwarded_writes m_forwarded_writes;
     std::uint64_t m_last_lookup;
--- a/include/pimentoshunt/cell/meters.hpp
+++ b/include/pimentoshunt/cell/meters.hpp
@@ -41,6 +41,10 @@
     auto observe(const std::string& name, const meter_label& label,
                  std::chrono::nanoseconds time) -> void;
 
+    /// @brief Sets a gauge; a label without a name is not written.
+    auto set(const std::string& name, const meter_label& label, double value)
+        -> void;
+
     /// @brief A counter's value, 0 if nothing was added.
     [[nodiscard]] auto value(const std::string& name,
                              const meter_label& label) const -> std::uint64_t;
@@ -51,6 +55,7 @@
   private:
     using series = std::pair<std::string, meter_label>;
     std::map<series, std::uint64_t> m_counters;
+    std::map<series, double> m_gauges;
     std::map<series, metrics::log_histogram> m_histograms;
 };
 
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -144,10 +144,10 @@
     caller_request_kind request_kind = caller_request_kind::no_queue;
     const queue_route* route = nullptr;
     /// Digest of the caller's key; empty if the caller sent none, several, or a
-    /// malformed one.
+    /// malformed one, or if the route needs none.
     std::optional<key_digest> key;
     job_id job;
-    /// Set for a submission.
+    /// Set for a submission, unless it needs a key and has no valid one.
     std::optional<job_spec> spec;
     /// What is wrong and what to do about it.
     std::string error_text;
--- a/include/pimentoshunt/cell/settings.hpp
+++ b/include/pimentoshunt/cell/settings.hpp
@@ -7,9 +7,10 @@
 #include <pimentoshunt/identifier.hpp>
 #include <pimentoshunt/json/fault.hpp>
 
-#include <cstddef> // size_t
-#include <string>  // string
-#include <vector>  // vector
+#include <cstddef>  // size_t
+#include <optional> // optional
+#include <string>   // string
+#include <vector>   // vector
 
 namespace pimentoshunt::cell
 {
@@ -40,6 +41,12 @@
     /// Most that the connections of the callers' address hold in requests and
     /// unsent answers, and also those of the status address, in MiB.
     std::size_t connection_memory_mb = 64;
+    /// Largest age of the configuration with which requests that need a key are
+    /// served; empty: any.
+    std::optional<milliseconds> credential_max_age;
+    /// Largest age of the configuration with which other requests that depend on
+    /// it are served; empty: any.
+    std::optional<milliseconds> configuration_max_age;
     std::string log_level = "info";
 };
 
--- a/include/pimentoshunt/net/http_server.hpp
+++ b/include/pimentoshunt/net/http_server.hpp
@@ -13,6 +13,7 @@
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <string>     // string
+#include <vector>     // vector
 
 namespace pimentoshunt::net
 {
@@ -24,6 +25,9 @@
     /// Path and query as received.
     std::string target;
     std::string host;
+    /// Values of the Authorization headers; at most two are passed on, since
+    /// more than one is as bad as any number.
+    std::vector<std::string> authorization;
     std::string body;
     /// How long the caller waits (header Deadline-Ms); zero when not given.
     milliseconds deadline{0};
--- a/src/cell/credentials.cpp
+++ b/src/cell/credentials.cpp
@@ -4,6 +4,8 @@
 #include <openssl/evp.h>    // EVP_Digest
 #include <openssl/rand.h>   // RAND_bytes
 
+#include <algorithm> // all_of, equal
+#include <cctype>    // isgraph, tolower
 #include <stdexcept> // runtime_error
 #include <string>    // string
 
@@ -48,6 +50,37 @@
     return hashed && length == out.size() ? std::optional(out) : std::nullopt;
 }
 
+auto caller_key_of(const std::vector<std::string>& authorization)
+    -> std::optional<key_digest>
+{
+    constexpr std::string_view scheme = "bearer ";
+    if (authorization.size() != 1 ||
+        authorization.front().size() <= scheme.size())
+    {
+        return std::nullopt;
+    }
+    const std::string_view text = authorization.front();
+    const bool is_bearer = std::equal(
+        scheme.begin(), scheme.end(), text.begin(),
+        [](char wanted, char found)
+        {
+            return wanted == std::tolower(static_cast<unsigned char>(found));
+        });
+    const auto start = text.find_first_not_of(' ', scheme.size());
+    if (!is_bearer || start == std::string_view::npos)
+    {
+        return std::nullopt;
+    }
+    const auto key = text.substr(start);
+    const bool is_word =
+        std::all_of(key.begin(), key.end(),
+                    [](char one)
+                    {
+                        return std::isgraph(static_cast<unsigned char>(one));
+                    });
+    return is_word ? digest_of(key) : std::nullopt;
+}
+
 auto are_equal(const key_digest& left, const key_digest& right) -> bool
 {
     return ::CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
--- a/src/cell/meters.cpp
+++ b/src/cell/meters.cpp
@@ -11,6 +11,10 @@
 auto braces(const meter_label& label, const std::string& more = "")
     -> std::string
 {
+    if (label.name.empty())
+    {
+        return more.empty() ? "" : "{" + more + "}";
+    }
     auto out = "{" + label.name + "=\"" + label.value + "\"";
     out += more.empty() ? "}" : "," + more + "}";
     return out;
@@ -50,6 +54,12 @@
     place.first->second.observe(std::chrono::duration<double>(time).count());
 }
 
+auto meters::set(const std::string& name, const meter_label& label,
+                 double value) -> void
+{
+    m_gauges[{name, label}] = value;
+}
+
 auto meters::value(const std::string& name, const meter_label& label) const
     -> std::uint64_t
 {
@@ -71,6 +81,16 @@
         }
         out += name + braces(key.second) + " " + std::to_string(count) + "\n";
     }
+    for (const auto& [key, value] : m_gauges)
+    {
+        const auto name = prefix + key.first;
+        if (name != last)
+        {
+            out += "# TYPE " + name + " gauge\n";
+            last = name;
+        }
+        out += name + braces(key.second) + " " + std::to_string(value) + "\n";
+    }
     for (const auto& [key, histogram] : m_histograms)
     {
         const auto name = prefix + key.first;
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -63,6 +63,8 @@
     out.ownership.millicpus = std::lround(config.processors * millicpus_each);
     out.scheduler.longest_lease = config.longest_lease;
     out.scheduler.lease = std::min(out.scheduler.lease, config.longest_lease);
+    out.configuration_bounds = {config.credential_max_age,
+                                config.configuration_max_age};
     return out;
 }
 
@@ -145,6 +147,10 @@
         {
             count_runs(counts);
         };
+        out.on_refusal = [this](const std::string& reason)
+        {
+            m_meters.add("caller_refusals_total", {"reason", reason});
+        };
         // Exports the series with 0 before the first event.
         count_runs({});
         return out;
@@ -181,6 +187,11 @@
         }
         if (request.target == "/metrics")
         {
+            if (const auto age = m_instance.configuration_age())
+            {
+                m_meters.set("configuration_age_seconds", {},
+                             std::chrono::duration<double>(*age).count());
+            }
             answer({200, m_meters.text(), "text/plain; version=0.0.4"});
             return;
         }
--- a/src/cell/settings.cpp
+++ b/src/cell/settings.cpp
@@ -19,6 +19,8 @@
 constexpr double max_processors = 4'096;
 constexpr std::int64_t max_connection_memory_mb = 65'536;
 constexpr milliseconds min_lease{500};
+/// With less than a few round trips, callers would be refused all the time.
+constexpr milliseconds min_max_age{250};
 constexpr milliseconds max_duration = std::chrono::minutes(10);
 
 auto read_address(object_reader& reader, const std::string& key, bool required)
@@ -83,6 +85,16 @@
         std::chrono::duration<double>(seconds));
 }
 
+/// Reads an age in milliseconds; empty if absent.
+auto read_max_age(object_reader& reader, const std::string& key)
+    -> std::optional<milliseconds>
+{
+    const bool is_given = reader.member(key + "_ms") != nullptr;
+    const auto read =
+        reader.duration(key, min_max_age, max_duration, max_duration);
+    return is_given ? std::optional(read) : std::nullopt;
+}
+
 struct reading
 {
     settings read;
@@ -114,6 +126,9 @@
         read.connection_memory_mb = static_cast<std::size_t>(reader.integer(
             "connection_memory_mb", {1, max_connection_memory_mb, "MiB"},
             static_cast<std::int64_t>(read.connection_memory_mb)));
+        read.credential_max_age = read_max_age(reader, "credential_max_age");
+        read.configuration_max_age =
+            read_max_age(reader, "configuration_max_age");
         read.log_level =
             pimentoshunt::detail::read_log_level(reader, read.log_level);
         reader.reject_unknown();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -59,6 +59,19 @@
     return read.ec == std::errc() ? milliseconds(value) : milliseconds(0);
 }
 
+auto authorization_of(const http::request<http::string_body>& message)
+    -> std::vector<std::string>
+{
+    constexpr std::size_t most = 2;
+    std::vector<std::string> out;
+    const auto found = message.equal_range(http::field::authorization);
+    for (auto i = found.first; i != found.second && out.size() < most; ++i)
+    {
+        out.emplace_back(i->value());
+    }
+    return out;
+}
+
 } // namespace
 
 /// The server's state; used only by the traffic thread, except for the atomic
@@ -304,6 +317,7 @@
         request.method = std::string(message.method_string());
         request.target = std::string(message.target());
         request.host = std::string(message[http::field::host]);
+        request.authorization = authorization_of(message);
         request.deadline = read_deadline(message["Deadline-Ms"]);
         request.body = std::move(message.body());
         m_parser.reset();
@@ -376,6 +390,11 @@
         m_response.version(11);
         m_response.result(static_cast<unsigned>(out.status));
         m_response.set(http::field::content_type, out.content_type);
+        constexpr int unauthorized = 401;
+        if (out.status == unauthorized)
+        {
+            m_response.set(http::field::www_authenticate, "Bearer");
+        }
         if (out.retry_after.count() > 0)
         {
             m_response.set(http::field::retry_after,
--- a/tests/soak/instance_host.cpp
+++ b/tests/soak/instance_host.cpp
@@ -33,7 +33,7 @@
 auto instance_host::write_settings(const host_options& options,
                                    int peer_port) const -> void
 {
-    const boost::json::object settings{
+    boost::json::object settings{
         {"instance", m_name},
         {"data_centre", "zone-a"},
         {"caller_address", loopback_address(m_caller_port)},
@@ -45,6 +45,12 @@
         {"stop_grace_s", 6},
         {"connection_memory_mb", options.connection_memory_mb},
         {"log_level", "info"}};
+    if (options.credential_max_age.count() > 0)
+    {
+        settings["credential_max_age_ms"] = options.credential_max_age.count();
+        settings["configuration_max_age_ms"] =
+            options.configuration_max_age.count();
+    }
     std::ofstream(m_settings_file) << boost::json::serialize(settings);
 }
 
--- a/tests/soak/instance_host.hpp
+++ b/tests/soak/instance_host.hpp
@@ -6,6 +6,8 @@
 #include "support/fault_proxy.hpp"
 #include "support/process.hpp"
 
+#include <pimentoshunt/clock.hpp>
+
 #include <cstddef> // size_t
 #include <string>  // string
 
@@ -23,6 +25,9 @@
     int approval_port = 0;
     /// Setting of the same name.
     std::size_t connection_memory_mb = 64;
+    /// Settings of the same names; 0: left out.
+    milliseconds credential_max_age{0};
+    milliseconds configuration_max_age{0};
 };
 
 /// @brief An instance; its ports, settings and link stay the same over restarts
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -179,6 +179,15 @@
         });
 }
 
+auto platform::configure(const std::string& value) -> void
+{
+    run_on_platform_thread(
+        [&]
+        {
+            m_store.apply({{}, {{configuration_key(), value}}, {}});
+        });
+}
+
 auto platform::trim_history() -> void
 {
     run_on_platform_thread(
--- a/tests/soak/platform.hpp
+++ b/tests/soak/platform.hpp
@@ -83,6 +83,8 @@
     /// @brief Replaces a worker's entry by an odd one of the given kind, until the
     /// worker writes its own again.
     auto write_odd_entry(std::size_t worker, std::size_t kind) -> void;
+    /// @brief Replaces the configuration; it is acknowledged on return.
+    auto configure(const std::string& value) -> void;
     /// @brief Drops the store's whole history, so that followers have to read
     /// all rows again.
     auto trim_history() -> void;
--- a/tests/soak/platform_wire.cpp
+++ b/tests/soak/platform_wire.cpp
@@ -155,6 +155,10 @@
                      {"service", from.service},
                      {"maxAttempts", from.most_failures},
                      {"stretch", 1.5}};
+    if (from.is_public)
+    {
+        out["public"] = true;
+    }
     if (from.approvals)
     {
         out["advice"] = json::object{{"decisionMs", 28.0},
@@ -353,7 +357,10 @@
                                   {"validMs", ticket_lifetime.count()}})};
 }
 
-auto write_configuration(const std::vector<queue_facts>& queues) -> std::string
+auto write_configuration(
+    const std::vector<queue_facts>& queues, std::uint64_t version,
+    const std::optional<std::vector<workspace_facts>>& workspaces)
+    -> std::string
 {
     json::array routes;
     json::array services;
@@ -368,14 +375,24 @@
                                     {"tls", false},
                                     {"rejectsOverload", false},
                                     {"standby", false}});
-    return json::serialize(
-        json::object{{"version", 7},
+    json::object out{{"version", version},
                      {"routes", std::move(routes)},
                      {"services", std::move(services)},
                      {"limits", json::object{{"maxHeaderBytes", 16384},
                                              {"maxBodyBytes", 262144},
                                              {"headerTimeoutMs", 3000},
-                                             {"idleTimeoutMs", 15000}}}});
+                                             {"idleTimeoutMs", 15000}}}};
+    if (workspaces)
+    {
+        auto& list = out["tenants"].emplace_array();
+        for (const auto& one : *workspaces)
+        {
+            list.push_back(json::object{
+                {"name", one.name},
+                {"apiKeys", json::array(one.keys.begin(), one.keys.end())}});
+        }
+    }
+    return json::serialize(out);
 }
 
 auto configuration_key() -> cell::row_key
--- a/tests/soak/platform_wire.hpp
+++ b/tests/soak/platform_wire.hpp
@@ -109,6 +109,15 @@
     std::string service;
     std::uint32_t most_failures = 1;
     bool approvals = false;
+    /// Whether callers need no key.
+    bool is_public = false;
+};
+
+/// @brief A workspace as operators configure it.
+struct workspace_facts
+{
+    std::string name;
+    std::vector<std::string> keys;
 };
 
 /// @brief A step as a caller submits it; each step depends on the previous one.
@@ -159,7 +168,10 @@
     const std::vector<std::pair<std::string, std::string>>& approved)
     -> net::server_response;
 
-[[nodiscard]] auto write_configuration(const std::vector<queue_facts>& queues)
+/// @param workspaces  nothing: the platform has none, and callers need no keys
+[[nodiscard]] auto write_configuration(
+    const std::vector<queue_facts>& queues, std::uint64_t version = 7,
+    const std::optional<std::vector<workspace_facts>>& workspaces = {})
     -> std::string;
 [[nodiscard]] auto configuration_key() -> cell::row_key;
 [[nodiscard]] auto worker_key(const std::string& id) -> cell::row_key;
--- a/tests/unit-cell-credentials.cpp
+++ b/tests/unit-cell-credentials.cpp
@@ -80,3 +80,29 @@
     cr_assert_not(adapter::decode_configuration(R"({"version":1,"routes":[]})")
                       ->requires_keys);
 }
+
+// Guards against callers who are served by a header that intermediaries and the
+// cell read differently.
+Test(cell_credentials, only_one_well_formed_header_gives_a_key)
+{
+    const auto key = cell::digest_of("k-1");
+    cr_assert(cell::caller_key_of({"Bearer k-1"}) == key);
+    cr_assert(cell::caller_key_of({"bearer  k-1"}) == key);
+    for (const std::vector<std::string>& odd :
+         std::vector<std::vector<std::string>>{
+             {},
+             {""},
+             {"Bearer"},
+             {"Bearer "},
+             {"k-1"},
+             {"Basic k-1"},
+             {"Bearerk-1"},
+             {"Bearer\tk-1"},
+             {"Bearer k-1, Bearer k-1"},
+             {"Bearer k-1\x01"},
+             {"Bearer " + std::string(1'025, 'k')},
+             {"Bearer k-1", "Bearer k-1"}})
+    {
+        cr_assert(!cell::caller_key_of(odd));
+    }
+}
--- a/tests/unit-cell-settings.cpp
+++ b/tests/unit-cell-settings.cpp
@@ -32,6 +32,13 @@
     cr_assert_eq(read->longest_lease, milliseconds(6'000));
     cr_assert_eq(read->connection_memory_mb, 16u);
     cr_assert(read->approval_address.empty());
+    cr_assert(!read->credential_max_age && !read->configuration_max_age);
+    const auto bounded = cell::parse_settings(
+        with(R"(,"store_address":"10.0.0.9:4","credential_max_age_ms":5000,)"
+             R"("configuration_max_age_ms":3000)"));
+    cr_assert(static_cast<bool>(bounded));
+    cr_assert(bounded->credential_max_age == milliseconds(5'000));
+    cr_assert(bounded->configuration_max_age == milliseconds(3'000));
 }
 
 Test(cell_settings, a_missing_key_is_named)
@@ -46,6 +53,10 @@
 {
     const auto store = std::string(R"(,"store_address":"10.0.0.9:4",)");
     cr_assert_eq(cell::check_settings(with(store + R"("odd":1)")).size(), 1u);
+    cr_assert_eq(
+        cell::check_settings(with(store + R"("credential_max_age_ms":0)"))
+            .size(),
+        1u);
     cr_assert_eq(
         cell::check_settings(with(store + R"("stop_grace_s":0)")).size(), 1u);
     cr_assert_eq(
--- a/tests/unit-net-http-server.cpp
+++ b/tests/unit-net-http-server.cpp
@@ -51,6 +51,13 @@
                        {
                            request.body.assign(large_answer_bytes, 'l');
                        }
+                       if (request.target == "/authorization")
+                       {
+                           answer({401, std::to_string(
+                                            request.authorization.size()) +
+                                            " headers"});
+                           return;
+                       }
                        answer({200, std::move(request.body), "text/plain"});
                    })
     {
@@ -218,3 +225,18 @@
         "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody", "body");
     cr_assert_eq(answer.status(), 200);
 }
+
+// Guards against a server that shows the first of several keys only, so that a
+// caller with two would be taken for one of them.
+Test(net_http_server, several_authorization_headers_are_passed_on)
+{
+    const echo_server server;
+    const std::string start = "GET /authorization HTTP/1.1\r\nHost: a\r\n";
+    const std::string key = "Authorization: Bearer k\r\n";
+    cr_assert(server.exchange(start + "\r\n", "headers").has("0 headers"));
+    const auto refused = server.exchange(start + key + "\r\n", "headers");
+    cr_assert(refused.has("1 headers"));
+    cr_assert(refused.has("WWW-Authenticate: Bearer"));
+    cr_assert(server.exchange(start + key + key + key + "\r\n", "headers")
+                  .has("2 headers"));
+}
