Answers that keep arriving outlive the time limit of a call

Cause: one time limit covered both "the store is there" and "the answer is complete". After a failed call the configuration's feed asked for the history, which had to arrive within 0.5 s. Over 10 Mbit/s several versions of the row take 2.6 s, so an instance stayed away until the store dropped its history, and refused submissions as long: only this feed shows that the store answers again.

Change: a call may bound the silence within its answer (stall_timeout) in place of the time to its end, up to max_duration. Reads and feeds of the store do. A follower of rows of which only the newest state matters reads the range after a failed call; the configuration and the workers' entries are followed like this. A history that is too large for one answer is replaced by a read. A read of several pages continues after a failed page, and a new owner reads six ranges at a time, so that pages end and connections stay free. An idle connection that the peer has reset is not used again.

Ruled out: a longer limit, with which a silent store is noticed as late.

The whole check was not run.

--- a/include/pimentoshunt/cell/cell_loader.hpp
+++ b/include/pimentoshunt/cell/cell_loader.hpp
@@ -14,7 +14,9 @@
 
 #include <algorithm>  // min
 #include <array>      // array
+#include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
+#include <deque>      // deque
 #include <functional> // function
 #include <memory>     // shared_ptr
 #include <optional>   // optional
@@ -116,6 +118,19 @@
         std::uint64_t* version;
     };
 
+    /// A range that is being read, page by page.
+    struct range_load
+    {
+        row_range range;
+        row_list into;
+        std::uint64_t min_version = 0;
+        std::shared_ptr<partial_range> so_far;
+    };
+
+    /// Over a slow link, pages of all ranges at once would take longer than one
+    /// call may, and would occupy all connections, which renewals of the
+    /// ownership need too.
+    static constexpr std::size_t max_concurrent_loads = 6;
     static constexpr milliseconds load_timeout{1'000};
     static constexpr milliseconds load_pause{40};
 
@@ -201,40 +216,64 @@
     auto load_range(const row_range& range, row_list into,
                     std::uint64_t min_version) -> void
     {
-        read_range(m_platform, range, load_timeout,
-                   [self = this->shared_from_this(), range, into,
-                    min_version](std::optional<table_rows> rows)
-                   {
-                       if (!self->m_ended)
-                       {
-                           self->on_range_read(range, into, min_version, rows);
-                       }
-                   });
+        queue(
+            {range, into, min_version, std::make_shared<partial_range>(range)});
     }
 
-    auto on_range_read(const row_range& range, row_list into,
-                       std::uint64_t min_version,
-                       const std::optional<table_rows>& rows) -> void
+    auto queue(range_load item) -> void
     {
-        m_health.record(rows.has_value(), boot_clock::now());
-        if (rows && rows->version >= min_version)
+        m_waiting.push_back(std::move(item));
+        start_next();
+    }
+
+    auto start_next() -> void
+    {
+        while (m_loading < max_concurrent_loads && !m_waiting.empty())
         {
-            add_loaded_rows(*rows, into);
-            return;
+            auto item = std::move(m_waiting.front());
+            m_waiting.pop_front();
+            ++m_loading;
+            read_rest(m_platform, item.so_far, load_timeout,
+                      [self = this->shared_from_this(), item](bool complete)
+                      {
+                          if (!self->m_ended)
+                          {
+                              self->on_range_read(item, complete);
+                          }
+                      });
+        }
+    }
+
+    auto on_range_read(range_load item, bool complete) -> void
+    {
+        --m_loading;
+        m_health.record(complete, boot_clock::now());
+        const auto& rows = item.so_far->found;
+        if (complete && rows.version >= item.min_version)
+        {
+            add_loaded_rows(rows, item.into);
+        }
+        else
+        {
+            if (complete)
+            {
+                logging::warn("store returned stale rows; reading them again")
+                    .with("table", item.range.table)
+                    .with("part", item.range.part)
+                    .with("version", rows.version)
+                    .with("needed", item.min_version);
+                item.so_far = std::make_shared<partial_range>(item.range);
+            }
+            run_after(load_pause,
+                      [item](cell_loader& self)
+                      {
+                          self.queue(item);
+                      });
         }
-        if (rows)
+        if (!m_ended)
         {
-            logging::warn("store returned stale rows; reading them again")
-                .with("table", range.table)
-                .with("part", range.part)
-                .with("version", rows->version)
-                .with("needed", min_version);
+            start_next();
         }
-        run_after(load_pause,
-                  [range, into, min_version](cell_loader& self)
-                  {
-                      self.load_range(range, into, min_version);
-                  });
     }
 
     auto add_loaded_rows(const table_rows& part, row_list into) -> void
@@ -257,6 +296,8 @@
     std::uint64_t m_epoch;
     listener m_callbacks;
     cell_snapshot m_snapshot;
+    std::deque<range_load> m_waiting;
+    std::size_t m_loading = 0;
     bool m_ended = false;
 };
 
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -15,7 +15,7 @@
 #include <pimentoshunt/cell/policy/succession.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
-#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/table_follower.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -151,7 +151,7 @@
     static constexpr milliseconds read_timeout{600};
     /// Also bounds how long a dead connection stays unnoticed: configuration
     /// changes have to be in force within two seconds.
-    static constexpr feed_timing configuration_feed_timing{};
+    static constexpr feed_timing configuration_feed_timing = newest_state_feed;
 
     /// Whether this instance owns the cell and has loaded its state.
     [[nodiscard]] auto is_role_loaded() const -> bool
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -16,7 +16,7 @@
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/scheduler.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
-#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/table_follower.hpp>
 #include <pimentoshunt/cell/tables.hpp>
 #include <pimentoshunt/logging.hpp>
 
@@ -218,8 +218,8 @@
                                                    milliseconds(150)};
     /// Entries change all the time because workers renew them; a worker that is
     /// leaving may still be given work for two seconds.
-    static constexpr feed_timing worker_feed_timing{milliseconds(1'000),
-                                                    milliseconds(250)};
+    static constexpr feed_timing worker_feed_timing{
+        milliseconds(1'000), milliseconds(250), feed_content::newest_state};
     /// Other instances get approval requests only if their last hello is no
     /// older.
     static constexpr milliseconds max_instance_silence{700};
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -166,7 +166,9 @@
 using feed_handler = std::function<void(feed_result)>;
 
 /// @brief Requirements on an adapter. Handlers are called on the control
-/// thread, once each; a call without an answer ends within its time limit.
+/// thread, once each; a call without an answer ends within its time limit. The
+/// limits of read and follow hold until the answer begins: one that keeps
+/// arriving continues.
 template<class T>
 concept cell_platform = requires(
     T platform, const row_transaction& transaction, const row_range& range,
--- a/include/pimentoshunt/platform/http_pool.hpp
+++ b/include/pimentoshunt/platform/http_pool.hpp
@@ -71,8 +71,16 @@
     /// Further headers, sent unchanged.
     std::vector<http_header> headers;
     /// Time from the call to the complete answer, including the wait for a
-    /// connection.
+    /// connection. With a @ref stall_timeout, time to the first byte of the
+    /// answer.
     milliseconds timeout{1'000};
+    /// If set, an answer that has begun continues as long as no two bytes of it
+    /// are further apart: over a slow link a large answer takes longer than
+    /// @ref timeout. Used by net::http_client only.
+    milliseconds stall_timeout{0};
+    /// With a @ref stall_timeout, the time from the call to the complete
+    /// answer, against a peer that sends a few bytes at a time.
+    milliseconds max_duration{10'000};
     /// If set, the call may time out before @ref timeout if the peer's latest
     /// answers took far less time, but not before this. Used by
     /// net::http_client only.
@@ -106,6 +114,10 @@
     std::string detail;
     /// Whether the peer refused or closed the connection.
     bool connection_lost = false;
+    /// Whether an answer exceeded a size limit, or @ref
+    /// http_call::max_duration while it arrived. Repeating the call is of no
+    /// use.
+    bool answer_too_large = false;
 
     /// @brief The first header of that name in any case, or the empty string.
     [[nodiscard]] auto header(const std::string& name) const -> std::string;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -5,15 +5,10 @@
 
 #include <pimentoshunt/logging.hpp>
 #include <pimentoshunt/net/address.hpp>
+#include <pimentoshunt/net/detail/client_connection.hpp>
 #include <pimentoshunt/net/timeout_estimator.hpp>
 
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
-
-#include <netinet/tcp.h>
 
 #include <algorithm>     // max, min
 #include <deque>         // deque
@@ -30,71 +25,13 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-using asio::ip::tcp;
+using detail::connection;
+using detail::connection_ptr;
 
-/// The kernel closes a connection whose sent data is unacknowledged for this
-/// time (TCP_USER_TIMEOUT).
-constexpr milliseconds unacknowledged_limit{2'000};
 /// The read buffer is larger than the largest header, so that the parser
 /// notices an excess before the buffer is full.
 constexpr std::size_t buffer_slack = 4'096;
 
-struct connection
-{
-    explicit connection(asio::io_context& traffic) : stream(traffic)
-    {
-    }
-
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer;
-    time_point used_at;
-    bool used = false;
-};
-
-using connection_ptr = std::unique_ptr<connection>;
-
-auto build(const http_call& call, const std::string& host)
-    -> http::request<http::string_body>
-{
-    http::request<http::string_body> out;
-    out.version(11);
-    out.method_string(call.method);
-    out.target(call.path);
-    out.set(http::field::host, host);
-    for (const auto& header : call.headers)
-    {
-        out.set(header.name, header.value);
-    }
-    if (!call.body.empty())
-    {
-        out.set(http::field::content_type, call.content_type);
-        out.body() = call.body;
-    }
-    out.prepare_payload();
-    return out;
-}
-
-auto exceeds_limit(beast::error_code fault) -> bool
-{
-    return fault == http::error::body_limit ||
-           fault == http::error::header_limit ||
-           fault == http::error::buffer_overflow;
-}
-
-auto convert(http::response<http::string_body>& source) -> http_exchange
-{
-    http_exchange out;
-    out.state = exchange_state::answered;
-    out.status = static_cast<int>(source.result_int());
-    out.body = std::move(source.body());
-    for (const auto& field : source)
-    {
-        out.headers.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    return out;
-}
-
 } // namespace
 
 /// The client's state; except for post(), used only by the traffic thread.
@@ -132,6 +69,9 @@
         connection_ptr conn;
         http::request<http::string_body> request;
         std::optional<http::response_parser<http::string_body>> parser;
+        /// When the header of the answer was complete.
+        std::optional<time_point> answer_began;
+        bool answer_too_large = false;
         bool retried = false;
     };
     using exchange_ptr = std::shared_ptr<exchange>;
@@ -154,7 +94,7 @@
         item->until = item->began + timeout_of(m_peers[address], request);
         item->call = std::move(request);
         item->done = std::move(done);
-        item->request = build(item->call, address);
+        item->request = detail::build_request(item->call, address);
         auto& target_peer = m_peers[address];
         if (target_peer.busy >= m_limits.connections)
         {
@@ -187,7 +127,8 @@
         {
             auto found = std::move(target_peer.idle.back());
             target_peer.idle.pop_back();
-            if (now - found->used_at <= m_limits.max_idle)
+            if (now - found->used_at <= m_limits.max_idle &&
+                detail::is_open(*found))
             {
                 item->conn = std::move(found);
                 send(item);
@@ -226,21 +167,11 @@
                                fault.message(), fault != beast::error::timeout);
                     return;
                 }
-                self->set_options(*item->conn);
+                detail::set_options(*item->conn);
                 self->send(item);
             });
     }
 
-    auto set_options(connection& conn) -> void
-    {
-        boost::system::error_code ignored;
-        auto& socket = conn.stream.socket();
-        socket.set_option(tcp::no_delay(true), ignored);
-        const int limit = static_cast<int>(unacknowledged_limit.count());
-        ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                     &limit, sizeof limit);
-    }
-
     auto send(const exchange_ptr& item) -> void
     {
         item->conn->stream.expires_after(remaining_time(item));
@@ -264,31 +195,74 @@
         item->parser->header_limit(
             static_cast<std::uint32_t>(m_limits.max_header_bytes));
         item->conn->buffer.max_size(m_limits.max_header_bytes + buffer_slack);
-        http::async_read(item->conn->stream, item->conn->buffer, *item->parser,
-                         [self = shared_from_this(),
-                          item](beast::error_code fault, std::size_t)
-                         {
-                             if (fault)
-                             {
-                                 self->on_io_error(item, fault);
-                                 return;
-                             }
-                             self->finish(item);
-                         });
+        item->parser->eager(true);
+        item->answer_began.reset();
+        receive_some(item);
+    }
+
+    /// Reads until the answer is complete. The connection's time limit is that
+    /// for the first byte until the header has arrived, then that for a
+    /// silence.
+    auto receive_some(const exchange_ptr& item) -> void
+    {
+        http::async_read_some(item->conn->stream, item->conn->buffer,
+                              *item->parser,
+                              [self = shared_from_this(),
+                               item](beast::error_code fault, std::size_t)
+                              {
+                                  if (fault)
+                                  {
+                                      self->on_io_error(item, fault);
+                                      return;
+                                  }
+                                  if (item->parser->is_done())
+                                  {
+                                      self->finish(item);
+                                      return;
+                                  }
+                                  if (self->extend(item))
+                                  {
+                                      self->receive_some(item);
+                                  }
+                              });
+    }
+
+    /// Extends the time limit of an answer that has just made progress.
+    /// @return false if the call has ended because it takes too long
+    auto extend(const exchange_ptr& item) -> bool
+    {
+        const auto& call = item->call;
+        if (call.stall_timeout.count() == 0)
+        {
+            return true;
+        }
+        const auto now = boot_clock::now();
+        const auto end = item->began + call.max_duration;
+        item->answer_began = item->answer_began.value_or(now);
+        if (now >= end)
+        {
+            on_io_error(item, beast::error::timeout);
+            return false;
+        }
+        item->until = std::min(now + call.stall_timeout, end);
+        item->conn->stream.expires_after(remaining_time(item));
+        return true;
     }
 
     auto finish(const exchange_ptr& item) -> void
     {
         const bool keep = item->parser->keep_alive();
         auto message = item->parser->release();
-        auto out = convert(message);
+        auto out = detail::to_exchange(message);
         auto conn = std::move(item->conn);
         const bool is_sample = item->call.min_call_timeout.count() > 0 &&
                                item->call.requested_wait.count() == 0;
         if (is_sample)
         {
+            // The time of a transfer depends on its size.
+            const auto came_at = item->answer_began.value_or(boot_clock::now());
             m_peers[item->address].timeouts.record_response(
-                std::chrono::duration_cast<milliseconds>(boot_clock::now() -
+                std::chrono::duration_cast<milliseconds>(came_at -
                                                          item->began));
         }
         if (keep)
@@ -307,12 +281,13 @@
     /// whose answer is too large is not lost.
     auto on_io_error(const exchange_ptr& item, beast::error_code fault) -> void
     {
-        if (exceeds_limit(fault))
+        if (detail::is_too_large(fault))
         {
             logging::info("dropped an answer that exceeds a limit")
                 .with("peer", item->address)
                 .with("path", item->call.path)
                 .with("fault", fault.message());
+            item->answer_too_large = true;
             fail(item, exchange_state::unknown,
                  "the answer is too large: " + fault.message());
             return;
@@ -329,9 +304,16 @@
         {
             // The peer may be down, in which case its idle connections are
             // dead as well.
-            m_peers[item->address].idle.clear();
-            m_peers[item->address].timeouts.record_timeout(item->began,
-                                                           boot_clock::now());
+            auto& target_peer = m_peers[item->address];
+            const auto now = boot_clock::now();
+            target_peer.idle.clear();
+            if (!item->answer_began)
+            {
+                target_peer.timeouts.record_timeout(item->began, now);
+            }
+            item->answer_too_large =
+                item->answer_began &&
+                now >= item->began + item->call.max_duration;
         }
         fail(item, exchange_state::unknown, fault.message(),
              fault != beast::error::timeout);
@@ -346,6 +328,7 @@
         out.state = how;
         out.detail = std::move(detail);
         out.connection_lost = connection_lost;
+        out.answer_too_large = item->answer_too_large;
         deliver(item, std::move(out));
     }
 
--- a/tests/unit-cell-store.cpp
+++ b/tests/unit-cell-store.cpp
@@ -6,7 +6,7 @@
 #include <pimentoshunt/cell/cell_loader.hpp>
 #include <pimentoshunt/cell/inbox_writer.hpp>
 #include <pimentoshunt/cell/roster_writer.hpp>
-#include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/table_follower.hpp>
 
 #include <criterion/criterion.h>
 
@@ -461,3 +461,48 @@
     cr_assert_eq(read->no_orders_for.count(), 2'300);
     cr_assert_eq(read->no_orders_epoch, 7u);
 }
+
+// Guards against a load that never ends: over a slow link one of many pages
+// failed now and then, and the range was read from its start again.
+Test(cell_store, a_failed_read_continues_after_the_last_page)
+{
+    struct paged_store
+    {
+        std::vector<std::string> reads;
+        std::size_t failing_read = 2;
+
+        auto read(const cell::row_range& range, milliseconds,
+                  const cell::read_handler& done) -> void
+        {
+            reads.push_back(range.from);
+            cell::read_result out;
+            if (reads.size() != failing_read)
+            {
+                const auto number = reads.size() < failing_read ? 1 : 2;
+                out.answered = true;
+                out.version = 10 + reads.size();
+                out.more = number == 1;
+                out.rows.push_back(
+                    {{"t", "", std::to_string(number)}, "", 5, false});
+            }
+            done(out);
+        }
+    };
+    paged_store store;
+    const auto range =
+        std::make_shared<cell::partial_range>(cell::row_range{"t", "", "", ""});
+    bool complete = true;
+    const auto on_end = [&](bool is_complete)
+    {
+        complete = is_complete;
+    };
+    cell::read_rest(store, range, milliseconds(1), on_end);
+    cr_assert(!complete);
+    cell::read_rest(store, range, milliseconds(1), on_end);
+    cr_assert(complete);
+    cr_assert_eq(store.reads.size(), 3u);
+    cr_assert_eq(store.reads[2], store.reads[1]);
+    cr_assert_eq(range->found.rows.size(), 2u);
+    // The feed has to repeat the changes since the first page.
+    cr_assert_eq(range->found.version, 11u);
+}
--- a/tests/unit-net-http-client.cpp
+++ b/tests/unit-net-http-client.cpp
@@ -6,6 +6,7 @@
 #include "support/crowd.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <criterion/criterion.h>
@@ -31,12 +32,13 @@
     unsigned short port = acceptor.local_endpoint().port();
     std::optional<net::http_exchange> result;
 
-    auto call(milliseconds timeout = milliseconds(300)) -> void
+    auto call(milliseconds timeout = milliseconds(300),
+              net::http_call request = {}) -> void
     {
-        net::http_call request;
         request.method = "GET";
         request.path = "/";
         request.timeout = timeout;
+        result.reset();
         client.call("127.0.0.1:" + std::to_string(port), request,
                     [this](net::http_exchange answer)
                     {
@@ -96,6 +98,58 @@
     std::size_t m_sent = 0;
 };
 
+/// Sends an answer of 20 bytes to the first connection, one byte every 30 ms, and
+/// stops after some of them.
+class paced_answer
+{
+  public:
+    paced_answer(tcp::acceptor& acceptor, std::size_t bytes)
+        : m_left(bytes), m_timer(acceptor.get_executor())
+    {
+        acceptor.async_accept(
+            [this](boost::system::error_code, tcp::socket accepted)
+            {
+                m_socket = std::move(accepted);
+                boost::asio::write(*m_socket, boost::asio::buffer(m_header));
+                write();
+            });
+    }
+
+  private:
+    auto write() -> void
+    {
+        if (m_left-- == 0)
+        {
+            return;
+        }
+        boost::system::error_code ignored;
+        boost::asio::write(*m_socket, boost::asio::buffer("b", 1), ignored);
+        m_timer.expires_after(milliseconds(30));
+        m_timer.async_wait(
+            [this](boost::system::error_code fault)
+            {
+                if (!fault)
+                {
+                    write();
+                }
+            });
+    }
+
+    const std::string m_header =
+        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n";
+    std::size_t m_left;
+    boost::asio::steady_timer m_timer;
+    std::optional<tcp::socket> m_socket;
+};
+
+/// A call that may take longer than its time limit while bytes arrive.
+auto patient_call() -> net::http_call
+{
+    net::http_call out;
+    out.stall_timeout = milliseconds(250);
+    return out;
+}
+
 /// Checks that a call with such an answer fails in little memory.
 auto check_refused(const std::string& start, const std::string& repeated)
     -> void
@@ -182,3 +236,69 @@
     cr_assert(answer.state == net::exchange_state::unknown);
     cr_assert(!answer.connection_lost);
 }
+
+// Guards against answers that are cut off although they make progress: over a
+// slow link a large one takes longer than a silent peer may.
+Test(net_http_client, an_answer_that_keeps_arriving_outlives_the_time_limit)
+{
+    client_fixture fixture;
+    const paced_answer peer(fixture.acceptor, 20);
+    fixture.call(milliseconds(300), patient_call());
+    const auto& answer = fixture.run();
+    cr_assert(answer.state == net::exchange_state::answered);
+    cr_assert_eq(answer.body.size(), 20u);
+}
+
+Test(net_http_client, silence_within_an_answer_ends_the_call)
+{
+    client_fixture fixture;
+    const paced_answer peer(fixture.acceptor, 2);
+    const auto began = boot_clock::now();
+    fixture.call(milliseconds(300), patient_call());
+    const auto& answer = fixture.run();
+    const auto took = boot_clock::now() - began;
+    cr_assert(answer.state == net::exchange_state::unknown);
+    cr_assert(!answer.answer_too_large);
+    cr_assert(took >= milliseconds(250) && took < milliseconds(1'000));
+}
+
+// Guards against a peer that holds a call for ever with a byte now and then.
+Test(net_http_client, an_answer_that_trickles_ends_at_the_longest_duration)
+{
+    client_fixture fixture;
+    const paced_answer peer(fixture.acceptor, 20);
+    auto request = patient_call();
+    request.max_duration = milliseconds(350);
+    fixture.call(milliseconds(300), request);
+    const auto& answer = fixture.run();
+    cr_assert(answer.state == net::exchange_state::unknown);
+    cr_assert(answer.answer_too_large);
+}
+
+// A write over a connection that the peer had reset while it was idle got an
+// unknown outcome, although the store served again.
+Test(net_http_client, an_idle_connection_that_was_reset_is_not_used_again)
+{
+    client_fixture fixture;
+    std::optional<tcp::socket> kept;
+    const auto answer_next = [&]
+    {
+        fixture.acceptor.async_accept(
+            [&](boost::system::error_code, tcp::socket accepted)
+            {
+                kept = std::move(accepted);
+                boost::asio::write(
+                    *kept,
+                    boost::asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")));
+            });
+    };
+    answer_next();
+    fixture.call();
+    cr_assert(fixture.run().state == net::exchange_state::answered);
+    kept->set_option(tcp::socket::linger(true, 0));
+    kept->close();
+    answer_next();
+    fixture.call();
+    cr_assert(fixture.run().state == net::exchange_state::answered);
+}
