An instance that the store refuses forwards submissions at once

Cause: an instance that the store refused alone tried each write itself for up to 0.6 s before it forwarded it. Every refusal named a Retry-After of 1 s, so that the four retries of a caller ended within an outage of 3 s.

Change: if the last call here failed within 0.5 s, a write goes to another instance first, and is tried here if that one refuses it or does not answer. It is refused only if neither has sent it. Retry-After is the length of the outage, 1 to 4 s, a quarter more or less by the job's ID. Look-ups and cancellations are answered after 1.5 s while a large row still arrives. The way of a write moves from the request handler to routed_writes.hpp.

The whole check was not run.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -4,13 +4,14 @@
 /// the store is unreachable; look-ups ask the owner, then the store.
 #pragma once
 
-#include <pimentoshunt/cell/forwarded_writes.hpp>
-#include <pimentoshunt/cell/inbox_writer.hpp>
+#include <pimentoshunt/cell/policy/store_outage.hpp>
 #include <pimentoshunt/cell/ports.hpp>
+#include <pimentoshunt/cell/routed_writes.hpp>
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
 #include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/cell/timed_reply.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -63,9 +64,8 @@
                         std::uint64_t first_number)
         : m_platform(platform), m_control(control), m_health(health),
           m_context(std::move(context)),
-          m_inbox_writer(platform, control, health, m_context.announce),
-          m_forwarded_writes(control, m_context.send_forwarded_write,
-                             first_number),
+          m_writes(platform, control, health, m_context.announce,
+                   m_context.send_forwarded_write, first_number),
           m_last_lookup(first_number)
     {
     }
@@ -91,10 +91,11 @@
             submit(*parsed.spec, reply_deadline, std::move(answer));
             return;
         case caller_request_kind::look_up:
-            look_up(parsed.job, std::move(answer));
+            look_up(parsed.job, in_time(parsed.job, std::move(answer)));
             return;
         case caller_request_kind::cancel:
-            cancel(parsed.job, reply_deadline, std::move(answer));
+            cancel(parsed.job, reply_deadline,
+                   in_time(parsed.job, std::move(answer)));
             return;
         case caller_request_kind::count:
             count(parsed.route->queue.name, answer);
@@ -139,23 +140,21 @@
     auto store_forwarded_job(const job_spec& job,
                              forwarded_writes::handler done) -> void
     {
-        m_inbox_writer.submit(job, boot_clock::now() + attempt_timeout,
-                              std::move(done));
+        m_writes.store_forwarded_job(job, std::move(done));
     }
 
     /// @brief Stores a cancellation on behalf of another instance.
     auto store_forwarded_cancellation(const job_id& job,
                                       forwarded_writes::handler done) -> void
     {
-        m_inbox_writer.cancel(job, boot_clock::now() + attempt_timeout,
-                              std::move(done));
+        m_writes.store_forwarded_cancellation(job, std::move(done));
     }
 
     /// @brief Handles another instance's answer to a forwarded write.
     auto on_forward_answer(std::uint64_t number, inbox_write_result result)
         -> void
     {
-        m_forwarded_writes.on_answer(number, result);
+        m_writes.on_forward_answer(number, result);
     }
 
   private:
@@ -170,14 +169,12 @@
     static constexpr milliseconds max_wait{1'500};
     /// Time reserved for the answer's way back to the caller.
     static constexpr milliseconds answer_margin{200};
-    /// Time for one instance's attempt to write to the store.
-    static constexpr milliseconds attempt_timeout{600};
-    /// With less time left a write is not forwarded; about ten times the usual
-    /// round trip.
-    static constexpr milliseconds min_forward_time{100};
     /// The owner answers within a few milliseconds or not at all.
     static constexpr milliseconds owner_timeout{250};
+    /// Until the answer begins. The caller is answered after the longest wait
+    /// while a large answer still arrives.
     static constexpr milliseconds read_timeout{700};
+    /// Retry-After while no configuration or owner is known.
     static constexpr std::chrono::seconds retry_after_delay{1};
     /// Jobs whose existence or final state is cached.
     static constexpr std::size_t max_known_states = 20'000;
@@ -202,6 +199,27 @@
         return out;
     }
 
+    /// The answer while the store is away.
+    auto outage_answer(const job_id& job, const std::string& why) const
+        -> net::server_response
+    {
+        auto out = m_platform.error_answer(unavailable, why);
+        out.retry_after =
+            policy::retry_delay(m_health.outage(boot_clock::now()), job);
+        return out;
+    }
+
+    /// Answers a caller after the longest wait if the store has not by then.
+    auto in_time(const job_id& job, reply answer) -> reply
+    {
+        return reply_by(
+            m_control, boot_clock::now() + max_wait, std::move(answer),
+            [this, job]
+            {
+                return outage_answer(job, "the store does not answer in time");
+            });
+    }
+
     auto remember(const job_id& job, job_state state) -> void
     {
         if (m_known_states.size() >= max_known_states)
@@ -216,19 +234,13 @@
         const auto began = boot_clock::now();
         job.accepted_at =
             std::chrono::floor<milliseconds>(std::chrono::system_clock::now());
-        wire::cell_deposit forwarded;
-        forwarded.set_job(to_bytes(job));
-        auto on_settled =
-            [this, id = job.id, queue = job.queue.name, began,
-             answer = std::move(answer)](inbox_write_result result)
-        {
-            answer(answer_submission(id, queue, result,
-                                     boot_clock::now() - began));
-        };
-        m_inbox_writer.submit(job, attempt_deadline(reply_deadline),
-                              with_forwarding(std::move(forwarded),
-                                              reply_deadline,
-                                              std::move(on_settled)));
+        m_writes.submit(job, reply_deadline,
+                        [this, id = job.id, queue = job.queue.name, began,
+                         answer = std::move(answer)](inbox_write_result result)
+                        {
+                            answer(answer_submission(
+                                id, queue, result, boot_clock::now() - began));
+                        });
     }
 
     auto answer_submission(const job_id& job, const queue_name& queue,
@@ -248,9 +260,8 @@
             logging::warn("job refused: the store did not accept the write")
                 .with("job", job)
                 .with("took", took);
-            return unavailable_answer(
-                "the store does not answer; the job was not "
-                "accepted");
+            return outage_answer(job, "the store does not answer; the job "
+                                      "was not accepted");
         case inbox_write_result::indeterminate:
             break;
         }
@@ -262,42 +273,6 @@
                        "send it again with the same ID");
     }
 
-    /// End of one attempt, by this instance or by another one within the time
-    /// that is left.
-    static auto attempt_deadline(time_point reply_deadline) -> time_point
-    {
-        return std::min(reply_deadline, boot_clock::now() + attempt_timeout);
-    }
-
-    /// Forwards a write to another instance if this one could not store it. The
-    /// result is @c refused only if neither instance has sent the write to the
-    /// store.
-    auto with_forwarding(wire::cell_deposit write, time_point reply_deadline,
-                         forwarded_writes::handler done)
-        -> forwarded_writes::handler
-    {
-        return [this, write = std::move(write), reply_deadline,
-                done = std::move(done)](inbox_write_result own)
-        {
-            const auto limit = attempt_deadline(reply_deadline);
-            const auto on_settled = [own, done](inbox_write_result theirs)
-            {
-                const bool own_result_unknown =
-                    own == inbox_write_result::indeterminate &&
-                    theirs == inbox_write_result::refused;
-                done(own_result_unknown ? own : theirs);
-            };
-            const bool can_forward =
-                own != inbox_write_result::stored &&
-                limit > boot_clock::now() + min_forward_time;
-            if (!can_forward ||
-                !m_forwarded_writes.forward(write, limit, on_settled))
-            {
-                done(own);
-            }
-        };
-    }
-
     auto cancel(const job_id& job, time_point reply_deadline, reply answer)
         -> void
     {
@@ -315,7 +290,7 @@
                 m_health.record(found.has_value(), boot_clock::now());
                 if (!found)
                 {
-                    answer(unavailable_answer("the store does not answer; the "
+                    answer(outage_answer(job, "the store does not answer; the "
                                               "job was not cancelled"));
                     return;
                 }
@@ -331,27 +306,21 @@
     auto store_cancel(const job_id& job, time_point reply_deadline,
                       reply answer) -> void
     {
-        wire::cell_deposit forwarded;
-        forwarded.set_cancelled(job.str());
-        m_inbox_writer.cancel(
-            job, attempt_deadline(reply_deadline),
-            with_forwarding(
-                std::move(forwarded), reply_deadline,
-                [this, job,
-                 answer = std::move(answer)](inbox_write_result result)
+        m_writes.cancel(
+            job, reply_deadline,
+            [this, job, answer = std::move(answer)](inbox_write_result result)
+            {
+                logging::info("cancellation")
+                    .with("job", job)
+                    .with("stored", result == inbox_write_result::stored);
+                if (result == inbox_write_result::stored)
                 {
-                    logging::info("cancellation")
-                        .with("job", job)
-                        .with("stored", result == inbox_write_result::stored);
-                    if (result == inbox_write_result::stored)
-                    {
-                        answer(m_platform.state_answer(job_state::cancelled));
-                        return;
-                    }
-                    answer(unavailable_answer(
-                        "the store does not answer; cancel the job "
-                        "again"));
-                }));
+                    answer(m_platform.state_answer(job_state::cancelled));
+                    return;
+                }
+                answer(outage_answer(job, "the store does not answer; cancel "
+                                          "the job again"));
+            });
     }
 
     auto answer_state(const job_id& job, job_state state, const reply& answer)
@@ -410,7 +379,7 @@
                 m_health.record(found.has_value(), boot_clock::now());
                 if (!found)
                 {
-                    answer(unavailable_answer("the store does not answer"));
+                    answer(outage_answer(job, "the store does not answer"));
                     return;
                 }
                 if (found->rows.empty())
@@ -432,7 +401,7 @@
                               const reply& answer) -> void
     {
         read_rows(
-            progress_ranges(job), answer,
+            job, progress_ranges(job), answer,
             [this, job, cancelled, answer](const std::vector<stored_row>& rows)
             {
                 if (rows.empty())
@@ -451,7 +420,7 @@
                           const reply& answer) -> void
     {
         read_rows(
-            job_ranges(job), answer,
+            job, job_ranges(job), answer,
             [this, job, cancelled, answer](const std::vector<stored_row>& rows)
             {
                 if (rows.empty())
@@ -465,17 +434,17 @@
 
     /// Reads rows; answers 503 if the store does not respond.
     template<class Step>
-    auto read_rows(const std::vector<row_range>& ranges, const reply& answer,
-                   Step step) -> void
+    auto read_rows(const job_id& job, const std::vector<row_range>& ranges,
+                   const reply& answer, Step step) -> void
     {
         read_ranges(
             m_platform, ranges, read_timeout,
-            [this, answer,
+            [this, job, answer,
              step = std::move(step)](const std::optional<table_rows>& found)
             {
                 if (!found)
                 {
-                    answer(unavailable_answer("the store does not answer"));
+                    answer(outage_answer(job, "the store does not answer"));
                     return;
                 }
                 step(found->rows);
@@ -522,8 +491,7 @@
     boost::asio::io_context& m_control;
     store_health& m_health;
     job_request_context m_context;
-    inbox_writer<Platform> m_inbox_writer;
-    forwarded_writes m_forwarded_writes;
+    routed_writes<Platform> m_writes;
     std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_known_states;
--- a/include/pimentoshunt/cell/store_health.hpp
+++ b/include/pimentoshunt/cell/store_health.hpp
@@ -55,6 +55,19 @@
         return m_failing;
     }
 
+    /// @brief Whether the last call failed, and did so within @ref recent.
+    [[nodiscard]] auto fails_now(time_point now) const -> bool
+    {
+        return m_failing && now - m_failed_at <= recent;
+    }
+
+    /// @brief For how long calls have failed without a success; zero if the
+    /// last one was answered.
+    [[nodiscard]] auto outage(time_point now) const -> boot_clock::duration
+    {
+        return m_failing ? now - m_failing_since : boot_clock::duration(0);
+    }
+
     /// @brief When the store last answered.
     [[nodiscard]] auto answered_at() const noexcept -> time_point
     {
@@ -82,6 +95,9 @@
     /// A single lost answer is not an outage.
     static constexpr milliseconds unavailable_after{400};
 
+    /// While the store is away a feed calls it every 100 ms, or every 600 ms if
+    /// it is silent.
+    static constexpr milliseconds recent{500};
     /// A store with failed parts fails some calls every second.
     static constexpr milliseconds steady_after{700};
 
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -168,3 +168,37 @@
     cr_assert_eq(fixture.out->status, 410, "%d %s", fixture.out->status,
                  fixture.out->body.c_str());
 }
+
+// Every refusal named 1 s, however long the store was away.
+Test(cell_job_request_handler, a_refusal_names_a_time_as_long_as_the_outage)
+{
+    request_handler_fixture fixture;
+    fixture.store.is_unavailable = true;
+    fixture.health.record(false, boot_clock::now() - milliseconds(3'600));
+    fixture.look_up();
+    cr_assert(fixture.out.has_value());
+    cr_assert_eq(fixture.out->status, 503);
+    cr_assert_geq(fixture.out->retry_after.count(), 3);
+}
+
+// Guards against a caller that waits as long as a large row takes over a slow
+// link.
+Test(cell_job_request_handler, a_look_up_is_answered_while_a_read_takes_long)
+{
+    request_handler_fixture fixture;
+    fixture.store_job();
+    fixture.platform.delay_progress_reads = true;
+    fixture.look_up();
+    const auto limit = boot_clock::now() + milliseconds(3'000);
+    while (!fixture.out && boot_clock::now() < limit)
+    {
+        fixture.control.restart();
+        fixture.control.run_one_for(milliseconds(50));
+    }
+    cr_assert(fixture.out.has_value());
+    cr_assert_eq(fixture.out->status, 503);
+    fixture.out.reset();
+    fixture.platform.release_progress_reads();
+    fixture.run();
+    cr_assert(!fixture.out.has_value());
+}
