--- a/include/pimentoshunt/cell/configuration_feed.hpp
+++ b/include/pimentoshunt/cell/configuration_feed.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/store_reader.hpp>
+#include <pimentoshunt/cell/table_follower.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -74,7 +75,7 @@
         };
         // The wait also bounds how long a dead connection stays unnoticed:
         // changes have to be in force within two seconds.
-        feed_timing timing;
+        auto timing = newest_state_feed;
         timing.wait = policy::feed_wait(m_bounds, timing.wait);
         m_follower = std::make_shared<table_follower<Platform>>(
             m_platform, m_control,
