Keep workspaces within their limits

Cause: the limits of workspaces were read from the configuration, and nothing enforced them.

Change: an account for each workspace (cell/policy/workspace_usage.hpp) counts every run from its start order until its end is known. Only add_run and erase_run change it, and the arrival of the job of a run that was reported before it; the record of a run holds what it was charged, so that the account does not depend on the job's record. place_tasks, trials and gangs check it before each start; approval requests ask for what may start. After a takeover the most that workers without a report may be running is added for each workspace. A step that its limit has kept back for a second claims its need, so that smaller tasks of its workspace don't starve it; up to half of the limit stays available to every step. Metrics by workspace, at most 50 of them; they end 5 s after an instance has stopped being the owner.

Tests: the model test runs with limits, with and without owners in series, crashes and late orders: after each pass what really runs on the workers is within the limits, the account agrees with the known runs, and in the end nothing is charged.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -6,6 +6,7 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/crash_trials.hpp>
+#include <pimentoshunt/cell/policy/workspace_usage.hpp>
 
 #include <algorithm>     // any_of
 #include <cstddef>       // size_t
@@ -40,6 +41,11 @@
     run_ref run;
     run_phase phase = run_phase::starting;
     resources taken;
+    /// Account of its workspace, and what the run counts there; nullptr: none.
+    policy::workspace_account* account = nullptr;
+    resources charged;
+    /// Whether its job is not known, so that it counts for no workspace.
+    bool unattributed = false;
     bool filler = false;
     /// Whether it is the first run on an ejected worker.
     bool probe = false;
@@ -147,6 +153,8 @@
     time_point misdirected_lease_ends_at;
     /// Incarnation that its row in the durable roster names.
     calendar_time stored_incarnation{};
+    /// Capacity that the row of an earlier owner names: it may have shrunk since.
+    resources inherited_capacity;
     /// Number of runs that its closed row lists; nothing: not known.
     std::optional<std::size_t> stored_runs;
     /// Until then another owner may have extended a lease on it.
@@ -256,6 +264,10 @@
     time_point waiting_since;
     /// When its wait was last logged.
     time_point wait_logged_at;
+    /// Since when it has started nothing although its workspace's limit kept it
+    /// back, if it has, and when the limit last did.
+    std::optional<time_point> held_back_since;
+    time_point held_back_at;
     approval_record approvals;
     gang_reservation reservation;
     /// Whether tasks of the step were or are suspects.
@@ -294,6 +306,8 @@
 struct job_record
 {
     std::shared_ptr<const job_spec> spec;
+    /// Account of its workspace; nullptr: it belongs to none.
+    policy::workspace_account* account = nullptr;
     job_state state = job_state::queued;
     /// State as callers may see it: final states only once they are durable.
     job_state published_state = job_state::queued;
--- a/include/pimentoshunt/cell/meters.hpp
+++ b/include/pimentoshunt/cell/meters.hpp
@@ -6,7 +6,7 @@
 #include <pimentoshunt/metrics/log_histogram.hpp>
 
 #include <chrono>  // nanoseconds
-#include <cstdint> // uint64_t
+#include <cstdint> // int64_t, uint64_t
 #include <map>     // map
 #include <string>  // string
 #include <tuple>   // tuple
@@ -37,6 +37,13 @@
     auto add(const std::string& name, const meter_label& label,
              std::uint64_t amount = 1) -> void;
 
+    /// @brief Sets a gauge, which may rise and fall.
+    auto set(const std::string& name, const meter_label& label,
+             std::int64_t value) -> void;
+
+    /// @brief Removes all series of a gauge, whose values no longer hold.
+    auto clear(const std::string& name) -> void;
+
     /// @brief Adds a duration to a histogram; its name ends in "_seconds".
     auto observe(const std::string& name, const meter_label& label,
                  std::chrono::nanoseconds time) -> void;
@@ -51,6 +58,7 @@
   private:
     using series = std::pair<std::string, meter_label>;
     std::map<series, std::uint64_t> m_counters;
+    std::map<series, std::int64_t> m_gauges;
     std::map<series, metrics::log_histogram> m_histograms;
 };
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/cell/policy/workspace_usage.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
 #include <cstddef>       // size_t
@@ -97,6 +98,11 @@
     /// A step that has waited this long since its last start is logged, and
     /// again at intervals of the same length.
     milliseconds wait_log_interval{3'000};
+    /// After this time of being kept back by its workspace's limit a step claims
+    /// the room that it needs within the limit, and for how long it does so
+    /// after the limit has last kept it back.
+    milliseconds limit_claim_after{1'000};
+    milliseconds limit_claim_duration{4'000};
     /// How long a worker without an entry, runs or a row in the roster is
     /// remembered.
     milliseconds gone_worker_retention{15'000};
@@ -139,6 +145,8 @@
     /// their id has contradicted.
     std::uint64_t malformed_entries = 0;
     std::uint64_t contradicted_entries = 0;
+    /// All workspaces, about once a second; empty otherwise.
+    std::vector<policy::workspace_count> workspaces;
 
     friend auto operator==(const scheduler_counts&, const scheduler_counts&)
         -> bool = default;
@@ -276,6 +284,16 @@
     {
         return m_workers;
     }
+    /// @brief What the workspaces have running.
+    [[nodiscard]] auto workspaces() const noexcept
+        -> const policy::workspace_usage&
+    {
+        return m_usage;
+    }
+    /// @brief Compares the accounts of the workspaces with the known runs.
+    /// @return what differs; empty: nothing. For tests.
+    /// @complexity linear in the number of runs
+    [[nodiscard]] auto check_usage() const -> std::string;
 
   private:
     using job_record = detail::job_record;
@@ -367,6 +385,24 @@
     auto add_run(worker_record& worker, const task_location& location,
                  const run_ref& run, time_point now) -> run_record&;
     auto erase_run(worker_record& worker, const run_ref& run) -> void;
+
+    // Limits of workspaces.
+    auto charge_run(run_record& run, const job_record& job,
+                    const step_record& step) -> void;
+    auto discharge_run(run_record& run) -> void;
+    auto attribute_runs(const job_record& job) -> void;
+    auto count_unreported_runs(time_point now) -> void;
+    [[nodiscard]] auto startable_tasks(const policy::waiting_step& item) const
+        -> std::uint32_t;
+    [[nodiscard]] auto requestable_tasks(const policy::waiting_step& item,
+                                         bool early) const -> std::uint32_t;
+    auto count_requested(const policy::waiting_step& item) const -> void;
+    [[nodiscard]] auto is_gang_held_back(const policy::waiting_step& item,
+                                         time_point now) -> bool;
+    auto hold_back(const policy::waiting_step& item, time_point now) -> void;
+    auto count_workspaces(time_point now) -> void;
+    auto claim_limit(const policy::waiting_step& item, time_point now) const
+        -> void;
     auto request_stop(worker_record& worker, run_record& run, time_point now)
         -> void;
     auto stop_runs_of(const task_record& task, time_point now) -> void;
@@ -488,12 +524,13 @@
     auto request_early_approvals(time_point now) -> void;
     [[nodiscard]] auto is_ready_soon(const round_record& round,
                                      const step_record& step) const -> bool;
-    auto claim_room(const policy::waiting_step& item,
+    auto claim_room(const policy::waiting_step& item, std::uint32_t tasks,
                     const std::vector<worker_record*>& asked) -> void;
     auto release_claims(step_record& step) -> void;
     [[nodiscard]] auto approval_rate(const queue_name& queue) const -> double;
-    auto workers_to_ask(const policy::waiting_step& item, time_point now)
-        -> std::vector<worker_record*>;
+    /// @param most  number of tasks that the workspace may start
+    auto workers_to_ask(const policy::waiting_step& item, std::uint32_t most,
+                        time_point now) -> std::vector<worker_record*>;
 
     std::uint64_t m_epoch;
     scheduler_options m_options;
@@ -501,6 +538,10 @@
     bool m_overtaken = false;
     owner_authority m_authority;
     configuration m_configuration;
+    policy::workspace_usage m_usage;
+    time_point m_workspaces_counted_at;
+    /// Number of runs whose job is not known.
+    std::size_t m_unattributed_runs = 0;
     std::unordered_map<job_id, job_record> m_jobs;
     /// Unfinished jobs in the order of their arrival.
     std::map<std::uint64_t, job_record*> m_active;
--- a/src/cell/meters.cpp
+++ b/src/cell/meters.cpp
@@ -8,10 +8,28 @@
 /// Prefix of all exported names.
 const std::string prefix = "pimentoshunt_";
 
+/// Escapes a label's value for the text format: names of workspaces are free
+/// texts.
+auto escaped(const std::string& value) -> std::string
+{
+    std::string out;
+    for (const char letter : value)
+    {
+        if (letter == '\n')
+        {
+            out += "\\n";
+            continue;
+        }
+        out += letter == '"' || letter == '\\' ? "\\" : "";
+        out += letter;
+    }
+    return out;
+}
+
 auto braces(const meter_label& label, const std::string& more = "")
     -> std::string
 {
-    auto out = "{" + label.name + "=\"" + label.value + "\"";
+    auto out = "{" + label.name + "=\"" + escaped(label.value) + "\"";
     out += more.empty() ? "}" : "," + more + "}";
     return out;
 }
@@ -42,6 +60,21 @@
     m_counters[{name, label}] += amount;
 }
 
+auto meters::set(const std::string& name, const meter_label& label,
+                 std::int64_t value) -> void
+{
+    m_gauges[{name, label}] = value;
+}
+
+auto meters::clear(const std::string& name) -> void
+{
+    std::erase_if(m_gauges,
+                  [&](const auto& item)
+                  {
+                      return item.first.first == name;
+                  });
+}
+
 auto meters::observe(const std::string& name, const meter_label& label,
                      std::chrono::nanoseconds time) -> void
 {
@@ -71,6 +104,16 @@
         }
         out += name + braces(key.second) + " " + std::to_string(count) + "\n";
     }
+    for (const auto& [key, value] : m_gauges)
+    {
+        const auto name = prefix + key.first;
+        if (name != last)
+        {
+            out += "# TYPE " + name + " gauge\n";
+            last = name;
+        }
+        out += name + braces(key.second) + " " + std::to_string(value) + "\n";
+    }
     for (const auto& [key, histogram] : m_histograms)
     {
         const auto name = prefix + key.first;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -83,7 +83,8 @@
     }
 }
 
-auto scheduler::workers_to_ask(const policy::waiting_step& item, time_point now)
+auto scheduler::workers_to_ask(const policy::waiting_step& item,
+                               std::uint32_t most, time_point now)
     -> std::vector<worker_record*>
 {
     if (item.step->spec->gang)
@@ -121,11 +122,11 @@
     {
         room += step.spec->filler ? 1 : worker->room().millicpus / each;
     }
-    if (room < static_cast<std::int64_t>(step.waiting.size()))
+    const auto waiting = std::min<std::size_t>(step.waiting.size(), most);
+    if (room < static_cast<std::int64_t>(waiting))
     {
         out.insert(out.end(), not_requested.begin(), not_requested.end());
     }
-    const auto waiting = step.waiting.size();
     const auto rate = approval_rate(item.job->spec->queue.name);
     const auto limit = std::min(m_options.max_workers_per_request, out.size());
     policy::expected_places expected(m_options.request_deviations);
@@ -143,7 +144,9 @@
 
 /// Claims the room that the step will probably take on the requested workers,
 /// so that other steps prefer different ones until the answer arrives.
+/// @param tasks  number of tasks that the request is for
 auto scheduler::claim_room(const policy::waiting_step& item,
+                           std::uint32_t tasks,
                            const std::vector<worker_record*>& asked) -> void
 {
     auto& step = *item.step;
@@ -158,7 +161,7 @@
                                  (approved.contains(worker) ? 1.0 : rate));
         sum += expected_tasks.back();
     }
-    const auto waiting = static_cast<double>(step.waiting.size());
+    const auto waiting = static_cast<double>(tasks);
     const auto scale = sum > waiting ? waiting / sum : 1.0;
     const auto each = policy::resources_for(*step.spec, 1).millicpus;
     for (std::size_t i = 0; i < asked.size(); ++i)
@@ -199,7 +202,12 @@
     {
         return;
     }
-    const auto list = workers_to_ask(item, now);
+    const auto tasks = requestable_tasks(item, early);
+    if (tasks == 0)
+    {
+        return;
+    }
+    const auto list = workers_to_ask(item, tasks, now);
     if (list.empty())
     {
         return;
@@ -226,7 +234,7 @@
             std::min<std::size_t>(m_slow_request_slots_left, raised ? 0 : 1);
     }
     release_claims(*item.step);
-    claim_room(item, list);
+    claim_room(item, tasks, list);
     state.requested_at = raised ? state.requested_at : now;
     state.in_flight = true;
     state.requested_priority = priority;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -344,6 +344,11 @@
     for (const auto index : chosen)
     {
         auto& task = step.tasks[index];
+        if (startable_tasks(item) == 0)
+        {
+            hold_back(item, now);
+            return;
+        }
         // The emptiest worker, as a crash costs the others least there, and before
         // all one where nothing has begun just now, so that a crash tells most.
         auto* const worker = policy::cheapest(
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -76,6 +76,7 @@
     {
         plan_heartbeat(worker, now, may_act);
     }
+    count_workspaces(now);
     return std::exchange(m_outbox, {});
 }
 
@@ -241,6 +242,8 @@
 
 auto scheduler::dispatch(time_point now) -> void
 {
+    m_usage.begin_pass();
+    count_unreported_runs(now);
     auto waiting = ready_steps(now);
     m_partially_reserving.clear();
     for (const auto& item : waiting)
@@ -263,7 +266,9 @@
             item.job->spec->queue.approval.required)
         {
             request_approval(item, false, now);
+            count_requested(item);
         }
+        claim_limit(item, now);
         log_long_wait(item, now);
     }
     release_unvisited_reservations(now);
@@ -273,6 +278,12 @@
 auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
     -> void
 {
+    // The limit is checked first: it costs less than the search for workers.
+    if (startable_tasks(item) == 0)
+    {
+        hold_back(item, now);
+        return;
+    }
     if (item.step->suspected)
     {
         place_suspects(item, now);
@@ -295,6 +306,11 @@
         {
             continue;
         }
+        if (startable_tasks(item) == 0)
+        {
+            hold_back(item, now);
+            return;
+        }
         auto* const worker = policy::cheapest(
             candidate_workers,
             [&](const worker_record& at)
@@ -323,6 +339,7 @@
     const auto location = find(ref.task);
     auto& run = add_run(worker, location, ref, now);
     run.probe = m_probed_workers.erase(worker.entry.id) > 0;
+    step.held_back_since.reset();
     start_order order;
     order.target = target_of(worker);
     order.run = ref;
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -49,6 +49,11 @@
         return;
     }
     const auto chosen_before = release_reservation(step);
+    if (is_gang_held_back(item, now))
+    {
+        step.reservation = {};
+        return;
+    }
     const auto candidate_workers = candidates(item, now);
     const auto places =
         policy::choose_gang_places(candidate_workers, *step.spec);
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -48,6 +48,7 @@
 auto scheduler::configure(const configuration& latest) -> void
 {
     m_configuration = latest;
+    m_usage.configure(latest.workspaces);
     for (auto& [arrival, job] : m_active)
     {
         const auto* const terms = latest.find_queue(job->spec->queue.name);
@@ -76,6 +77,7 @@
     }
     auto& record = m_jobs[job.id];
     record.spec = std::make_shared<const job_spec>(job);
+    record.account = m_usage.account_of(job.workspace);
     record.accepted_at = now;
     record.arrival = ++m_arrivals;
     m_active[record.arrival] = &record;
@@ -83,6 +85,7 @@
     {
         add_round(record, number);
     }
+    attribute_runs(record);
     return &record;
 }
 
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -13,6 +13,7 @@
     worker.roster_version = version;
     worker.closed = enrolled.closed;
     worker.stored_incarnation = enrolled.entry.incarnation;
+    worker.inherited_capacity = enrolled.entry.capacity;
     worker.stored_runs = enrolled.runs.size();
     worker.silence_shown = enrolled.shows_silence();
     worker.enrolled = !enrolled.closed && !enrolled.shows_silence();
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -25,8 +25,11 @@
     record.percent_changed_at = now;
     if (location.task == nullptr)
     {
+        m_unattributed_runs += record.unattributed ? 0 : 1;
+        record.unattributed = true;
         return record;
     }
+    charge_run(record, *location.job, *location.step);
     record.taken = policy::resources_for(*location.step->spec, 1);
     record.filler = location.step->spec->filler;
     worker.used += record.taken;
@@ -45,6 +48,7 @@
         return;
     }
     end_trial(worker, found->second);
+    discharge_run(found->second);
     worker.used -= found->second.taken;
     worker.runs.erase(found);
     const auto location = find(run.task);
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <chrono>  // seconds
 #include <cmath>   // lround
 #include <csignal> // SIGTERM
 #include <cstdio>  // fprintf
@@ -18,6 +19,7 @@
 #include <sstream> // ostringstream
 #include <thread>  // thread
 #include <utility> // move
+#include <vector>  // vector
 
 namespace pimentoshunt::cell
 {
@@ -165,6 +167,37 @@
                      counts.malformed_entries);
         m_meters.add("worker_entries_ignored_total", {"for", "contradicted"},
                      counts.contradicted_entries);
+        count_workspaces(counts.workspaces);
+    }
+
+    auto count_workspaces(const std::vector<policy::workspace_count>& counts)
+        -> void
+    {
+        if (counts.empty())
+        {
+            return;
+        }
+        m_workspaces_counted_at = boot_clock::now();
+        for (const auto& item : counts)
+        {
+            const meter_label label{"workspace", item.name};
+            m_meters.set("workspace_millicpus", label, item.millicpus);
+            m_meters.set("workspace_waiting_jobs", label,
+                         static_cast<std::int64_t>(item.waiting_jobs));
+            m_meters.add("workspace_held_back_total", label, item.held_back);
+        }
+    }
+
+    /// Only the owner knows what workspaces use: an instance that was the owner
+    /// must not go on showing what it knew last.
+    auto remove_outdated_gauges() -> void
+    {
+        constexpr std::chrono::seconds max_age{5};
+        if (boot_clock::now() - m_workspaces_counted_at > max_age)
+        {
+            m_meters.clear("workspace_millicpus");
+            m_meters.clear("workspace_waiting_jobs");
+        }
     }
 
     auto serve_status(const net::server_request& request,
@@ -181,6 +214,7 @@
         }
         if (request.target == "/metrics")
         {
+            remove_outdated_gauges();
             answer({200, m_meters.text(), "text/plain; version=0.0.4"});
             return;
         }
@@ -285,6 +319,7 @@
     asio::steady_timer m_drain_timer;
     time_point m_drain_begun;
     bool m_callers_closed = false;
+    time_point m_workspaces_counted_at;
 };
 
 } // namespace
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -169,6 +169,13 @@
         m_scheduler->on_worker_unregistered(worker.entry.id, now);
     }
 
+    /// @brief Applies limits and weights, also to later owners.
+    auto configure(std::vector<cell::workspace_config> workspaces) -> void
+    {
+        m_configuration.workspaces = std::move(workspaces);
+        m_scheduler->configure(m_configuration);
+    }
+
     /// @brief Replaces the owner by one with the next epoch, which knows the
     /// stored progress, the roster and the registered workers.
     /// @param accepted  all jobs in the order of their arrival
@@ -177,6 +184,7 @@
         m_pending_heartbeats.clear();
         m_pending_requests.clear();
         m_scheduler.emplace(m_scheduler->epoch() + 1, m_options, now);
+        m_scheduler->configure(m_configuration);
         for (const auto& job : accepted)
         {
             cell::job_progress progress;
@@ -757,6 +765,7 @@
     }
 
     cell::scheduler_options m_options;
+    cell::configuration m_configuration;
     std::optional<cell::scheduler> m_scheduler;
     std::vector<pending_heartbeat> m_pending_heartbeats;
     std::vector<pending_request> m_pending_requests;
@@ -789,4 +798,15 @@
     return job;
 }
 
+/// @brief A workspace that may use that many processors; 0: any number.
+inline auto workspace(const std::string& name, std::int64_t millicpus,
+                      double weight = 1.0) -> cell::workspace_config
+{
+    cell::workspace_config out;
+    out.name = workspace_name(name);
+    out.weight = weight;
+    out.limit.millicpus = millicpus;
+    return out;
+}
+
 } // namespace pimentoshunt::fakes
