Refuse jobs that are larger than their workspace's limit

Cause: a task or a gang larger than the limit can never run, so that its job would wait for good.

Change: a submission is answered 400, with the need and the limit in the text. A job that was accepted before the limit fell waits.

Test: cell_job_request_handler::a_job_beyond_its_workspaces_limit_is_refused

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -6,6 +6,7 @@
 
 #include <pimentoshunt/cell/forwarded_writes.hpp>
 #include <pimentoshunt/cell/inbox_writer.hpp>
+#include <pimentoshunt/cell/policy/workspace_usage.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
@@ -88,6 +89,13 @@
         switch (parsed.request_kind)
         {
         case caller_request_kind::submit:
+            if (const auto fault = policy::limit_fault(*parsed.spec, *in_force);
+                !fault.empty())
+            {
+                logging::info("request refused").with("why", fault);
+                answer(m_platform.error_answer(bad_request, fault));
+                return;
+            }
             submit(*parsed.spec, reply_deadline, std::move(answer));
             return;
         case caller_request_kind::look_up:
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -18,7 +18,8 @@
 namespace
 {
 
-/// Reads each request as a look-up of the job that its target names.
+/// Reads each request as a look-up of the job that its target names, or as a
+/// submission of @c submitted.
 class fake_caller_platform : public fake_cell_platform
 {
   public:
@@ -29,11 +30,15 @@
         -> cell::caller_request
     {
         cell::caller_request out;
-        out.request_kind = cell::caller_request_kind::look_up;
+        out.request_kind = submitted ? cell::caller_request_kind::submit
+                                     : cell::caller_request_kind::look_up;
+        out.spec = submitted;
         out.job = job_id(request.target);
         return out;
     }
 
+    std::optional<cell::job_spec> submitted;
+
     [[nodiscard]] auto state_answer(cell::job_state state) const
         -> net::server_response
     {
@@ -168,3 +173,16 @@
     cr_assert_eq(fixture.out->status, 410, "%d %s", fixture.out->status,
                  fixture.out->body.c_str());
 }
+
+// Guards against a job that waits for good: no state of its workspace lets it run.
+Test(cell_job_request_handler, a_job_beyond_its_workspaces_limit_is_refused)
+{
+    request_handler_fixture fixture;
+    fixture.in_force.workspaces = {fakes::workspace("a", 4'000)};
+    fixture.platform.submitted = simple_job("0a", 1, 5'000);
+    fixture.platform.submitted->workspace = workspace_name("a");
+    fixture.look_up();
+    cr_assert_eq(fixture.out->status, 400);
+    cr_assert(fixture.out->body.find("limit is 4000") != std::string::npos);
+    cr_assert(fixture.store.row(cell::job_row(job_id("0a"))).value.empty());
+}
