--- a/include/pimentoshunt/cell/meters.hpp
+++ b/include/pimentoshunt/cell/meters.hpp
@@ -6,7 +6,7 @@
 #include <pimentoshunt/metrics/log_histogram.hpp>
 
 #include <chrono>  // nanoseconds
-#include <cstdint> // uint64_t
+#include <cstdint> // int64_t, uint64_t
 #include <map>     // map
 #include <string>  // string
 #include <tuple>   // tuple
@@ -37,6 +37,9 @@
     auto add(const std::string& name, const meter_label& label,
              std::uint64_t amount = 1) -> void;
 
+    /// @brief Removes all series of a gauge, whose values no longer hold.
+    auto clear(const std::string& name) -> void;
+
     /// @brief Adds a duration to a histogram; its name ends in "_seconds".
     auto observe(const std::string& name, const meter_label& label,
                  std::chrono::nanoseconds time) -> void;
--- a/src/cell/meters.cpp
+++ b/src/cell/meters.cpp
@@ -1,5 +1,9 @@
 #include <pimentoshunt/cell/meters.hpp>
 
+#include <iomanip> // setprecision
+#include <limits>  // numeric_limits
+#include <sstream> // ostringstream
+
 namespace pimentoshunt::cell
 {
 namespace
@@ -8,6 +12,24 @@
 /// Prefix of all exported names.
 const std::string prefix = "pimentoshunt_";
 
+/// Escapes a label's value for the text format: names of workspaces are free
+/// texts.
+auto escaped(const std::string& value) -> std::string
+{
+    std::string out;
+    for (const char letter : value)
+    {
+        if (letter == '\n')
+        {
+            out += "\\n";
+            continue;
+        }
+        out += letter == '"' || letter == '\\' ? "\\" : "";
+        out += letter;
+    }
+    return out;
+}
+
 auto braces(const meter_label& label, const std::string& more = "")
     -> std::string
 {
@@ -15,11 +37,18 @@
     {
         return more.empty() ? "" : "{" + more + "}";
     }
-    auto out = "{" + label.name + "=\"" + label.value + "\"";
+    auto out = "{" + label.name + "=\"" + escaped(label.value) + "\"";
     out += more.empty() ? "}" : "," + more + "}";
     return out;
 }
 
+auto to_text(double value) -> std::string
+{
+    std::ostringstream out;
+    out << std::setprecision(std::numeric_limits<double>::digits10) << value;
+    return out.str();
+}
+
 auto print_histogram(const std::string& name, const meter_label& label,
                      const metrics::log_histogram& from) -> std::string
 {
@@ -46,6 +75,15 @@
     m_counters[{name, label}] += amount;
 }
 
+auto meters::clear(const std::string& name) -> void
+{
+    std::erase_if(m_gauges,
+                  [&](const auto& item)
+                  {
+                      return item.first.first == name;
+                  });
+}
+
 auto meters::observe(const std::string& name, const meter_label& label,
                      std::chrono::nanoseconds time) -> void
 {
@@ -89,7 +127,7 @@
             out += "# TYPE " + name + " gauge\n";
             last = name;
         }
-        out += name + braces(key.second) + " " + std::to_string(value) + "\n";
+        out += name + braces(key.second) + " " + to_text(value) + "\n";
     }
     for (const auto& [key, histogram] : m_histograms)
     {
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -18,7 +18,8 @@
 namespace
 {
 
-/// Reads each request as a look-up of the job that its target names.
+/// Reads each request as a look-up of the job that its target names, or as a
+/// submission of @c submitted.
 class fake_caller_platform : public fake_cell_platform
 {
   public:
@@ -29,11 +30,15 @@
         -> cell::caller_request
     {
         cell::caller_request out;
-        out.request_kind = cell::caller_request_kind::look_up;
+        out.request_kind = submitted ? cell::caller_request_kind::submit
+                                     : cell::caller_request_kind::look_up;
+        out.spec = submitted;
         out.job = job_id(request.target);
         return out;
     }
 
+    std::optional<cell::job_spec> submitted;
+
     [[nodiscard]] auto state_answer(cell::job_state state) const
         -> net::server_response
     {
