--- a/bench/policy_quality.cpp
+++ b/bench/policy_quality.cpp
@@ -1,6 +1,7 @@
 /// @file
 /// Simulates queue, admission control and placement with seeded arrivals, and
 /// compares waiting times with those of an ideal queue and of random placement.
+#include "support/overload_replay.hpp"
 #include "support/packing.hpp"
 #include "support/scenario.hpp"
 
@@ -364,6 +365,48 @@
     return out;
 }
 
+/// @brief Value that each order of waiting jobs reaches, as a share of what an
+///        order that knows the future could reach at most.
+auto run_order(unsigned seed) -> boost::json::object
+{
+    boost::json::object out;
+    for (const bool uneven : {false, true})
+    {
+        for (const double factor : {0.8, 1.0, 1.3, 2.0})
+        {
+            std::cout << (uneven ? "uneven settlements" : "checks and reports")
+                      << " at " << factor
+                      << " times the capacity: value / bound; share in time and"
+                         " served, by class; served of the largest tenth\n";
+            const auto load = uneven ? uneven_settlements(factor)
+                                     : checks_and_reports(factor);
+            const auto bound = overload_replay(load, seed).bound();
+            for (const auto rule :
+                 {order_rule::first_come, order_rule::latest_start,
+                  order_rule::earliest_deadline, order_rule::least_slack,
+                  order_rule::value_per_work, order_rule::selection})
+            {
+                const auto found =
+                    summarize(overload_replay(load, seed).run(rule));
+                std::cout << "  " << std::setw(28) << std::left
+                          << to_string(rule) << found.value / bound;
+                for (std::size_t kind = 0; kind < load.classes.size(); ++kind)
+                {
+                    std::cout << "  " << found.in_time.at(kind) << " "
+                              << found.served.at(kind) << " "
+                              << found.largest_served.at(kind);
+                }
+                std::cout << "\n";
+                const auto name = std::string(uneven ? "uneven " : "even ") +
+                                  std::to_string(factor).substr(0, 3) + ", " +
+                                  to_string(rule);
+                out[name] = found.value / bound;
+            }
+        }
+    }
+    return out;
+}
+
 } // namespace
 
 /// Usage: policy_quality [SEED [JSON_FILE]]
@@ -379,6 +422,7 @@
     all["crest"] = run_peak(seed, setup);
     all["overload"] = run_overload(seed, setup);
     all["gang"] = run_gang(seed, setup);
+    all["order"] = run_order(seed);
     all["packing"] = run_packing(seed);
     all["fairness"] = run_fairness(seed, setup);
     if (count > 2)
