Learn run times and speeds of workers, and choose workers by them

Cause: a worker was chosen without regard to its speed. Where two workers of three have speed 0.7, steps with a close objective were placed on workers that can't finish them in time although the cell had room.

Change: the owner learns a factor between declared and real run times by queue, and speeds by kind and by worker, from runs that end. Steps that slow workers can't finish by their objective prefer fast ones, in starts, approval requests and gangs; steps with slack prefer slow ones and overflow to fast ones. Deadlines use declared times multiplied by the learned factor. Where speeds don't differ by more than a tenth, workers are chosen as before.

Not measured on a deployment.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -6,6 +6,7 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/crash_trials.hpp>
+#include <pimentoshunt/cell/policy/run_time_model.hpp>
 
 #include <algorithm>     // any_of
 #include <cstddef>       // size_t
@@ -41,6 +42,8 @@
     run_phase phase = run_phase::starting;
     resources taken;
     bool filler = false;
+    /// Whether this owner has started it, and not from a checkpoint.
+    bool is_whole = false;
     /// Whether it is the first run on an ejected worker.
     bool probe = false;
     /// Whether its task may crash the worker, which gets no further starts until
@@ -132,6 +135,8 @@
     std::map<run_ref, worker_crash> lost_suspects;
     /// Number of runs in a trial.
     std::uint32_t trials = 0;
+    /// Learned speed; the mean of all workers is 1.
+    double speed = 1.0;
     resources used;
     /// Reserved for gangs that wait for enough room.
     resources reserved;
@@ -266,6 +271,8 @@
     bool trial_passed = false;
     /// Number of runs of this step on each worker.
     std::unordered_map<const worker_record*, std::uint32_t> placed;
+    /// Run times of tasks that have ended; empty once all have.
+    policy::step_times times;
 
     /// @brief Whether a task of the step may crash its worker.
     [[nodiscard]] auto has_suspects() const -> bool
--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -35,10 +35,14 @@
 
 /// @brief Time within which a round of @p job should finish: its longest
 /// dependency chain times the queue's stretch, plus the queue's allowance.
-[[nodiscard]] auto objective(const job_spec& job) -> milliseconds;
+/// @param factor  between the declared and the real run times of its queue
+[[nodiscard]] auto objective(const job_spec& job, double factor = 1.0)
+    -> milliseconds;
 
 /// @brief Sets the deadline, latest start and expiry of @p item.
-auto compute_deadlines(waiting_step& item, time_point now) -> void;
+/// @param factor  between the declared and the real run times of its queue
+auto compute_deadlines(waiting_step& item, time_point now, double factor = 1.0)
+    -> void;
 
 /// @brief Sorts by priority, then unexpired steps before expired ones, then by
 /// latest start.
--- a/include/pimentoshunt/cell/policy/worker_choice.hpp
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/detail/records.hpp>
+#include <pimentoshunt/cell/policy/speed_preference.hpp>
 
 #include <concepts> // predicate, regular_invocable
 #include <cstdint>  // uint32_t
@@ -74,11 +75,13 @@
     -> void;
 
 /// @brief Finds a place for every member of a gang, all on one rack if the step
-/// prefers that and such a rack exists.
+/// prefers that and such a rack exists. A gang is as slow as its slowest member:
+/// of several racks, the one whose least suitable member suits best is chosen.
 /// @return one worker per task, or an empty list if they don't all fit
 [[nodiscard]] auto
 choose_gang_places(const std::vector<detail::worker_record*>& candidate_workers,
-                   const step_spec& step)
+                   const step_spec& step,
+                   const speed_preference& preference = {})
     -> std::vector<detail::worker_record*>;
 
 } // namespace pimentoshunt::cell::policy
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -9,6 +9,8 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/cell/policy/run_time_model.hpp>
+#include <pimentoshunt/cell/policy/speed_preference.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
 #include <cstddef>       // size_t
@@ -219,6 +221,17 @@
         -> void;
     /// @}
 
+    /// @brief Begins with the speeds that an earlier owner has learned.
+    auto restore_speeds(const policy::learned_speeds& earlier) -> void
+    {
+        m_run_times.restore(earlier);
+    }
+    /// @brief What this owner has learned, for a later one.
+    [[nodiscard]] auto learned_speeds() const -> policy::learned_speeds
+    {
+        return m_run_times.learned();
+    }
+
     /// @brief Runs one scheduling pass; to be called after events and at least
     /// every 50 ms.
     /// @param calendar  the current wall-clock time
@@ -389,6 +402,17 @@
     auto adjust_filler_pace(worker_record& worker, time_point now) -> void;
     auto pause_starts(worker_record& worker, time_point until) -> void;
 
+    // Run times and speeds.
+    auto learn_run_time(const worker_record& worker, const run_record& run,
+                        const task_location& location, time_point now) -> void;
+    auto refresh_speeds(time_point now) -> void;
+    auto log_speeds(time_point now) -> void;
+    [[nodiscard]] auto preference_of(const policy::waiting_step& item,
+                                     time_point now) const
+        -> policy::speed_preference;
+    [[nodiscard]] auto time_factor(const policy::waiting_step& item) const
+        -> double;
+
     auto end_superseded_runs(const task_location& location,
                              const run_ref& later, time_point now) -> void;
     auto restore_runs(worker_record& worker, const roster_entry& enrolled,
@@ -537,6 +561,11 @@
     /// Moving average of the share of requested workers that each queue's
     /// policy approves.
     std::map<queue_name, double> m_approval_rates;
+    policy::run_time_model m_run_times;
+    time_point m_speeds_refreshed_at;
+    time_point m_speeds_logged_at;
+    /// Speeds by service as of the last refresh.
+    std::map<service_name, policy::speed_range> m_speed_ranges;
     outbox m_outbox;
 };
 
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -39,7 +39,7 @@
     return remaining[step];
 }
 
-auto objective(const job_spec& job) -> milliseconds
+auto objective(const job_spec& job, double factor) -> milliseconds
 {
     milliseconds chain{0};
     for (std::uint32_t i = 0; i < job.steps.size(); ++i)
@@ -47,18 +47,22 @@
         chain = std::max(chain, critical_path_from(job, i));
     }
     const auto stretched =
-        job.queue.stretch * static_cast<double>(chain.count());
+        job.queue.stretch * factor * static_cast<double>(chain.count());
     return milliseconds(static_cast<std::int64_t>(stretched)) +
            job.queue.allowance;
 }
 
-auto compute_deadlines(waiting_step& item, time_point now) -> void
+auto compute_deadlines(waiting_step& item, time_point now, double factor)
+    -> void
 {
     const auto& job = *item.job->spec;
-    const auto target = objective(job);
+    const auto target = objective(job, factor);
     const auto started_at = item.round->released_at;
     item.due = started_at + target;
-    item.latest_start = item.due - critical_path_from(job, item.step->number);
+    const auto chain = critical_path_from(job, item.step->number);
+    item.latest_start =
+        item.due - milliseconds(static_cast<std::int64_t>(
+                       factor * static_cast<double>(chain.count())));
     // An outage of all owners makes no job worthless: others would overtake it.
     const auto known_since = std::max(started_at, item.job->accepted_at);
     item.expired = now > known_since + worthless_after_objectives * target &&
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -113,6 +113,10 @@
     }
     policy::sort_by_unclaimed_cpu(expired_tickets);
     policy::sort_by_unclaimed_cpu(not_requested);
+    const auto preference = preference_of(item, now);
+    const auto one = policy::resources_for(*step.spec, 1).millicpus;
+    policy::sort_by_speed(expired_tickets, preference, one);
+    policy::sort_by_speed(not_requested, preference, one);
     // Approvals are permanent: a new ticket for an approved worker is certain.
     std::vector<worker_record*> out = expired_tickets;
     std::int64_t room = 0;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -62,6 +62,7 @@
             stop_outlasting(worker, now);
         }
         forget_gone_workers(now);
+        refresh_speeds(now);
     }
     for (const auto& id : m_health.take_due_probes(now))
     {
@@ -130,7 +131,7 @@
                 item.job = job;
                 item.round = &round;
                 item.step = &step;
-                policy::compute_deadlines(item, now);
+                policy::compute_deadlines(item, now, time_factor(item));
                 out.push_back(item);
             }
         }
@@ -286,6 +287,7 @@
     {
         return;
     }
+    const auto preference = preference_of(item, now);
     const std::vector<std::uint32_t> indexes(item.step->waiting.begin(),
                                              item.step->waiting.end());
     for (const auto index : indexes)
@@ -303,7 +305,9 @@
             },
             [&](const worker_record& at)
             {
-                return policy::placement_cost(at, *item.step->spec, task.avoid);
+                return policy::placement_cost(at, *item.step->spec,
+                                              task.avoid) +
+                       preference.cost(at.speed);
             });
         if (worker == nullptr)
         {
@@ -322,6 +326,8 @@
         {{item.job->spec->id, item.round->number, step.number}, index}, number};
     const auto location = find(ref.task);
     auto& run = add_run(worker, location, ref, now);
+    run.is_whole =
+        !step.spec->keeps_checkpoints || location.task->checkpoint.empty();
     run.probe = m_probed_workers.erase(worker.entry.id) > 0;
     start_order order;
     order.target = target_of(worker);
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -50,8 +50,8 @@
     }
     const auto chosen_before = release_reservation(step);
     const auto candidate_workers = candidates(item, now);
-    const auto places =
-        policy::choose_gang_places(candidate_workers, *step.spec);
+    const auto places = policy::choose_gang_places(
+        candidate_workers, *step.spec, preference_of(item, now));
     if (places.size() == step.spec->count)
     {
         step.reservation = {};
@@ -180,6 +180,8 @@
         return;
     }
     policy::sort_by_free_cpu(candidate_workers);
+    const auto one = policy::resources_for(*step.spec, 1).millicpus;
+    policy::sort_by_speed(candidate_workers, preference_of(item, now), one);
     std::stable_partition(candidate_workers.begin(), candidate_workers.end(),
                           chosen_before);
     auto missing = reserve_places(step, candidate_workers, 0);
@@ -290,6 +292,8 @@
         }
     }
     policy::sort_by_unclaimed_cpu(not_requested);
+    const auto one = policy::resources_for(*step.spec, 1).millicpus;
+    policy::sort_by_speed(not_requested, preference_of(item, now), one);
     const bool enough =
         approved_places >=
         m_options.gang_place_surplus * static_cast<double>(step.spec->count);
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -406,6 +406,7 @@
 auto scheduler::step_done(const task_location& location, time_point now) -> void
 {
     ++location.round->steps_done;
+    location.step->times = {};
     if (location.round->steps_done < location.round->steps.size())
     {
         release_steps(*location.job, *location.round, now);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -77,8 +77,12 @@
     {
         pass_trial(worker, known->second, now);
     }
-    erase_run(worker, run);
     const auto location = find(run.task);
+    if (known != worker.runs.end() && how == run_end::done)
+    {
+        learn_run_time(worker, known->second, location, now);
+    }
+    erase_run(worker, run);
     if (location.task == nullptr)
     {
         return;
--- a/src/cell/worker_choice.cpp
+++ b/src/cell/worker_choice.cpp
@@ -3,6 +3,7 @@
 #include <algorithm> // max, stable_sort
 #include <map>       // map
 #include <string>    // string
+#include <utility>   // move
 
 namespace pimentoshunt::cell::policy
 {
@@ -144,8 +145,15 @@
 }
 
 auto choose_gang_places(const std::vector<worker_record*>& candidate_workers,
-                        const step_spec& step) -> std::vector<worker_record*>
+                        const step_spec& step,
+                        const speed_preference& preference)
+    -> std::vector<worker_record*>
 {
+    const auto in_order = [&](std::vector<worker_record*> workers)
+    {
+        sort_by_speed(workers, preference, 0);
+        return workers;
+    };
     if (step.one_rack)
     {
         std::map<std::string, std::vector<worker_record*>> racks;
@@ -153,16 +161,27 @@
         {
             racks[worker->entry.rack].push_back(worker);
         }
+        std::vector<worker_record*> best;
         for (const auto& [rack, members] : racks)
         {
-            auto places = fill_workers(members, step);
-            if (!places.empty())
+            auto places = fill_workers(in_order(members), step);
+            if (!places.empty() &&
+                (best.empty() || preference.cost(places.back()->speed) <
+                                     preference.cost(best.back()->speed)))
+            {
+                best = std::move(places);
+            }
+            if (!best.empty() && !preference.active)
             {
-                return places;
+                break;
             }
         }
+        if (!best.empty())
+        {
+            return best;
+        }
     }
-    return fill_workers(candidate_workers, step);
+    return fill_workers(in_order(candidate_workers), step);
 }
 
 } // namespace pimentoshunt::cell::policy
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -136,7 +136,8 @@
 
     /// @brief Adds a worker with 100,000 MB of memory and registers it.
     auto add_worker(const std::string& name, std::int64_t millicpus,
-                    std::string rack = "r1-1") -> fake_cell_worker&
+                    std::string rack = "r1-1", const std::string& kind = "a")
+        -> fake_cell_worker&
     {
         fake_cell_worker created;
         created.entry.id = worker_id(name);
@@ -145,7 +146,7 @@
         created.entry.service = cell::service_name("pool");
         created.entry.address =
             "10.0.0.1:" + std::to_string(1 + m_incarnations);
-        created.entry.labels = {"a", rack};
+        created.entry.labels = {kind, rack};
         created.entry.rack = std::move(rack);
         created.entry.capacity.millicpus = millicpus;
         created.entry.capacity.memory_mb = 100'000;
