--- a/include/pimentoshunt/cell/meters.hpp
+++ b/include/pimentoshunt/cell/meters.hpp
@@ -6,7 +6,7 @@
 #include <pimentoshunt/metrics/log_histogram.hpp>
 
 #include <chrono>  // nanoseconds
-#include <cstdint> // int64_t, uint64_t
+#include <cstdint> // uint64_t
 #include <map>     // map
 #include <string>  // string
 #include <tuple>   // tuple
--- a/tests/unit-cell-workspace-limits.cpp
+++ b/tests/unit-cell-workspace-limits.cpp
@@ -4,6 +4,7 @@
 #include "fakes/cell_fixture.hpp"
 
 #include <pimentoshunt/cell/meters.hpp>
+#include <pimentoshunt/cell/policy/caller_access.hpp>
 
 #include <criterion/criterion.h>
 
