--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -27,7 +27,19 @@
     net::http_client client{unused, unused.get_executor(), {}};
     cell::meters meters;
     adapter::gateway real{client, meters, {}};
+    /// Receives refreshes instead of the store, if set.
+    std::function<void(cell::feed_handler)> on_refresh;
 
+    auto follow(const std::string& table, std::uint64_t after,
+                milliseconds wait, cell::feed_handler done) -> void
+    {
+        if (on_refresh && wait == milliseconds(0))
+        {
+            on_refresh(std::move(done));
+            return;
+        }
+        fake_cell_platform::follow(table, after, wait, std::move(done));
+    }
     auto read_configuration(const cell::stored_row& row) const
     {
         return real.read_configuration(row);
@@ -255,10 +267,11 @@
     fixture.start(two_workspaces);
     fixture.deliver();
     const auto calls = fixture.store.feed_waits.size();
-    std::vector<std::shared_ptr<outcome>> out;
-    for (int i = 0; i < 500; ++i)
+    constexpr std::size_t callers = 500;
+    std::vector<std::shared_ptr<outcome>> out(callers);
+    for (std::size_t i = 0; i < callers; ++i)
     {
-        out.push_back(fixture.submit("x" + std::to_string(i)));
+        out[i] = fixture.submit("x" + std::to_string(i));
     }
     const auto waiting = [&]
     {
@@ -342,6 +355,29 @@
     cr_assert(fixture.feed.proven_at() > proven);
 }
 
+// Guards against an older version that arrives late and makes the newest one
+// count as readable.
+Test(cell_workspace_keys, a_late_answer_doesnt_replace_a_newer_version)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    cell::feed_result late;
+    late.state = cell::feed_state::changes;
+    late.rows = {fixture.store.row(fixture.platform.configuration_row())};
+    cell::feed_handler done;
+    fixture.platform.on_refresh = [&](cell::feed_handler handler)
+    {
+        done = std::move(handler);
+    };
+    cr_assert(fixture.feed.refresh({}));
+    fixture.write("{");
+    fixture.deliver();
+    done(late);
+    const auto proven = fixture.feed.proven_at();
+    fixture.deliver();
+    cr_assert(fixture.feed.proven_at() == proven);
+}
+
 // Guards against an instance that serves, or asks for changes since nothing,
 // before its first read.
 Test(cell_workspace_keys, a_restarted_instance_knows_nothing_until_it_has_read)
