A write's attempt is passed by reference, and a test covers its age limit

A test of the time limit of a failure recorded an answer before it looked, so that it held without the limit.

Change: a const reference. The test checks store_health::fails_now at 500 and 501 ms, and the length of the outage; it is stricter than the one it replaces.

--- a/include/pimentoshunt/cell/routed_writes.hpp
+++ b/include/pimentoshunt/cell/routed_writes.hpp
@@ -122,7 +122,7 @@
         return reply_deadline > boot_clock::now() + min_attempt_time;
     }
 
-    auto route(wire::cell_deposit write, attempt store_here,
+    auto route(wire::cell_deposit write, const attempt& store_here,
                time_point reply_deadline, handler done) -> void
     {
         const auto after_forward =
--- a/tests/unit-cell-store-outage.cpp
+++ b/tests/unit-cell-store-outage.cpp
@@ -43,9 +43,9 @@
         },
         100};
 
-    explicit routed_writes_fixture(milliseconds failed_before = {})
+    routed_writes_fixture()
     {
-        health.record(false, boot_clock::now() - failed_before);
+        health.record(false, boot_clock::now());
     }
 
     auto submit() -> void
@@ -117,13 +117,17 @@
 }
 
 // Without a recent failure nothing shows that the store still fails here.
-Test(cell_store_outage, a_job_is_tried_here_first_some_time_after_a_failure)
+Test(cell_store_outage, a_failure_counts_for_half_a_second)
 {
-    routed_writes_fixture fixture(milliseconds(510));
-    fixture.health.record(true, boot_clock::now());
-    fixture.submit();
-    cr_assert(fixture.sent.empty());
-    cr_assert(fixture.out == inbox_write_result::stored);
+    cell::store_health health;
+    const time_point began{std::chrono::hours(1)};
+    health.record(false, began);
+    cr_assert(health.fails_now(began + milliseconds(500)));
+    cr_assert(!health.fails_now(began + milliseconds(501)));
+    cr_assert(health.outage(began + milliseconds(700)) == milliseconds(700));
+    health.record(true, began + milliseconds(700));
+    cr_assert(!health.fails_now(began + milliseconds(700)));
+    cr_assert_eq(health.outage(began + milliseconds(800)).count(), 0);
 }
 
 // With 1 s each, the four retries of a caller ended within an outage of 3 s.
