Share a full cell between workspaces

Cause: weights were read and not used: a workspace that sends seven times its load takes the room of the others.

Change: jobs beyond the rate of their workspace (a token bucket over the times of acceptance in the stored rows) come after those within it; among steps of one priority and lateness class the workspace with the smaller weighted dominant share comes first, in eighths of its fair share (cell/policy/workspace_order.hpp). Jobs without a workspace share as one of weight 1. A cell without workspaces computes none of it.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -308,6 +308,8 @@
     std::shared_ptr<const job_spec> spec;
     /// Account of its workspace; nullptr: it belongs to none.
     policy::workspace_account* account = nullptr;
+    /// Whether it is beyond the rate of its workspace.
+    bool beyond_rate = false;
     job_state state = job_state::queued;
     /// State as callers may see it: final states only once they are durable.
     job_state published_state = job_state::queued;
--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -26,6 +26,10 @@
     time_point latest_start;
     /// Whether finishing it is worth nothing to its caller any more.
     bool expired = false;
+    /// Whether its job is beyond the rate of its workspace, and the share of that
+    /// workspace in increments; see workspace_order.hpp.
+    bool beyond_rate = false;
+    std::uint32_t share_increment = 0;
 };
 
 /// @brief Sum of the estimates along the longest dependency chain that starts
@@ -40,8 +44,9 @@
 /// @brief Sets the deadline, latest start and expiry of @p item.
 auto compute_deadlines(waiting_step& item, time_point now) -> void;
 
-/// @brief Sorts by priority, then unexpired steps before expired ones, then by
-/// latest start.
+/// @brief Sorts steps within the rates of their workspaces before those beyond,
+/// then by priority, then unexpired steps before expired ones, then by share
+/// increment, then by latest start.
 /// @complexity n log n
 auto sort(std::vector<waiting_step>& items) -> void;
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/cell/policy/workspace_order.hpp>
 #include <pimentoshunt/cell/policy/workspace_usage.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
@@ -401,6 +402,9 @@
                                          time_point now) -> bool;
     auto hold_back(const policy::waiting_step& item, time_point now) -> void;
     auto count_workspaces(time_point now) -> void;
+    auto mark_rates() -> void;
+    auto order_by_shares(std::vector<policy::waiting_step>& items) const
+        -> void;
     auto claim_limit(const policy::waiting_step& item, time_point now) const
         -> void;
     auto request_stop(worker_record& worker, run_record& run, time_point now)
@@ -539,6 +543,7 @@
     owner_authority m_authority;
     configuration m_configuration;
     policy::workspace_usage m_usage;
+    policy::workspace_rates m_rates;
     time_point m_workspaces_counted_at;
     /// Number of runs whose job is not known.
     std::size_t m_unattributed_runs = 0;
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -69,7 +69,8 @@
 {
     const auto key = [](const waiting_step& item)
     {
-        return std::tuple(item.job->spec->queue.priority, item.expired,
+        return std::tuple(item.beyond_rate, item.job->spec->queue.priority,
+                          item.expired, item.share_increment,
                           item.latest_start);
     };
     std::sort(items.begin(), items.end(),
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -132,11 +132,13 @@
                 item.round = &round;
                 item.step = &step;
                 policy::compute_deadlines(item, now);
+                item.beyond_rate = job->beyond_rate;
                 out.push_back(item);
             }
         }
     }
     policy::sort(out);
+    order_by_shares(out);
     return out;
 }
 
@@ -244,6 +246,7 @@
 {
     m_usage.begin_pass();
     count_unreported_runs(now);
+    mark_rates();
     auto waiting = ready_steps(now);
     m_partially_reserving.clear();
     for (const auto& item : waiting)
--- a/src/cell/scheduler_workspaces.cpp
+++ b/src/cell/scheduler_workspaces.cpp
@@ -270,6 +270,41 @@
     }
 }
 
+/// Marks the jobs that were added since the last pass.
+auto scheduler::mark_rates() -> void
+{
+    for (const auto& mark : m_rates.update())
+    {
+        const auto job = m_jobs.find(mark.job);
+        if (job != m_jobs.end())
+        {
+            job->second.beyond_rate = mark.is_beyond;
+        }
+    }
+}
+
+/// Sorts again by the shares of the workspaces, if more than one has a step that
+/// waits.
+auto scheduler::order_by_shares(std::vector<policy::waiting_step>& items) const
+    -> void
+{
+    if (!policy::are_workspaces_competing(items))
+    {
+        return;
+    }
+    policy::cell_load load;
+    for (const auto& [id, worker] : m_workers)
+    {
+        if (worker.registered)
+        {
+            load.capacity += worker.entry.capacity;
+        }
+        load.used += worker.used;
+    }
+    policy::set_share_increments(items, m_usage.accounts(), load);
+    policy::sort(items);
+}
+
 /// Counts the workspaces for the metrics, about once a second.
 auto scheduler::count_workspaces(time_point now) -> void
 {
