--- a/tests/unit-cell-workspace-limits.cpp
+++ b/tests/unit-cell-workspace-limits.cpp
@@ -309,7 +309,9 @@
 {
     limited_cell simulation;
     std::vector<cell::workspace_config> many;
-    for (int i = 0; i < 60; ++i)
+    constexpr int count = 60;
+    many.reserve(count);
+    for (int i = 0; i < count; ++i)
     {
         many.push_back(workspace("a" + std::to_string(i + 10), 1'000));
     }
--- a/tests/unit-cell-workspace-order.cpp
+++ b/tests/unit-cell-workspace-order.cpp
@@ -28,8 +28,10 @@
 /// Jobs of a workspace of weight 2, five a second.
 auto jobs_beyond_rate() -> std::vector<std::pair<job_id, cell::calendar_time>>
 {
+    constexpr int count = 100;
     std::vector<std::pair<job_id, cell::calendar_time>> out;
-    for (int i = 0; i < 100; ++i)
+    out.reserve(count);
+    for (int i = 0; i < count; ++i)
     {
         out.emplace_back("j" + std::to_string(100 + i), at(200 * i));
     }
