Order waiting jobs by the selection while a service is short

Cause: the order by latest start makes everything late when there is too little room.

Change: ready steps get a lateness class, which the order uses between priority and latest start; while capacity suffices it only tells whether a job has expired, as before. Backlogs are compared only in services where waiting tasks need more than is free. Log lines and counters show the state by queue. Start estimates by priority, and the decision on refusals, are added; nothing asks for them yet.

The test an_outage_makes_no_inherited_job_worthless had a worker with too little time for both jobs, where the one that can be in time now comes first. It leaves time for both, and still fails if the inherited job counts as expired.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -288,6 +288,9 @@
     bool released = false;
     bool done = false;
     std::uint32_t steps_done = 0;
+    /// Whether it was counted as delayed and as expired under overload.
+    bool counted_delayed = false;
+    bool counted_expired = false;
 };
 
 /// @brief A job.
--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/detail/records.hpp>
+#include <pimentoshunt/cell/policy/overload_selection.hpp>
 #include <pimentoshunt/clock.hpp>
 
 #include <cstdint> // uint32_t
@@ -26,8 +27,20 @@
     time_point latest_start;
     /// Whether finishing it is worth nothing to its caller any more.
     bool expired = false;
+    /// As chosen under overload; otherwise only tells whether it is expired.
+    lateness_class lateness = lateness_class::chosen;
 };
 
+/// A job is worth less after its objective, and nothing after this many times
+/// the objective.
+inline constexpr int worthless_after_objectives = 3;
+
+/// @brief Sums of the estimates along the longest dependency chains that start
+/// with each step and end with the job.
+/// @complexity quadratic in the number of steps
+[[nodiscard]] auto critical_paths(const job_spec& job)
+    -> std::vector<milliseconds>;
+
 /// @brief Sum of the estimates along the longest dependency chain that starts
 /// with @p step and ends with the job.
 [[nodiscard]] auto critical_path_from(const job_spec& job, std::uint32_t step)
@@ -37,11 +50,10 @@
 /// dependency chain times the queue's stretch, plus the queue's allowance.
 [[nodiscard]] auto objective(const job_spec& job) -> milliseconds;
 
-/// @brief Sets the deadline, latest start and expiry of @p item.
+/// @brief Sets the deadline, latest start, expiry and lateness of @p item.
 auto compute_deadlines(waiting_step& item, time_point now) -> void;
 
-/// @brief Sorts by priority, then unexpired steps before expired ones, then by
-/// latest start.
+/// @brief Sorts by priority, then by lateness class, then by latest start.
 /// @complexity n log n
 auto sort(std::vector<waiting_step>& items) -> void;
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -9,6 +9,7 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/cell/policy/refusals.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
 #include <cstddef>       // size_t
@@ -139,6 +140,11 @@
     /// their id has contradicted.
     std::uint64_t malformed_entries = 0;
     std::uint64_t contradicted_entries = 0;
+    /// Times at which a service became too small for its waiting work, and jobs
+    /// that were delayed or had expired while it was.
+    std::uint64_t overloads = 0;
+    std::map<queue_name, std::uint64_t> delayed_jobs;
+    std::map<queue_name, std::uint64_t> expired_jobs;
 
     friend auto operator==(const scheduler_counts&, const scheduler_counts&)
         -> bool = default;
@@ -257,6 +263,15 @@
     /// @brief Number of jobs that have not started, for each queue with active
     /// jobs.
     [[nodiscard]] auto pending() const -> std::vector<queue_count>;
+    /// @brief What instances need to know of each service with workers to refuse
+    /// jobs.
+    [[nodiscard]] auto service_views() const
+        -> std::map<service_name, policy::service_view>;
+    /// @brief When start estimates were last brought up to date.
+    [[nodiscard]] auto passed_at() const noexcept -> time_point
+    {
+        return m_passed_at;
+    }
     [[nodiscard]] auto epoch() const noexcept -> std::uint64_t
     {
         return m_epoch;
@@ -439,6 +454,25 @@
     auto log_awaited_workers(const std::string& message, time_point now) const
         -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
+
+    // Overload; see policy/overload_selection.hpp.
+    struct service_backlog;
+    auto note_arrival(const job_record& job, time_point now) -> void;
+    /// Sets the lateness and the latest start of steps whose service has too
+    /// little capacity.
+    auto apply_selection(std::vector<policy::waiting_step>& items,
+                         time_point now) -> void;
+    auto collect_backlog(std::map<service_name, service_backlog>& backlogs,
+                         time_point now) -> void;
+    auto count_late(service_backlog& backlog) -> void;
+    auto update_estimates(const service_name& service,
+                          const service_backlog& backlog, time_point now)
+        -> void;
+    auto log_overload(const service_name& service,
+                      const service_backlog& backlog, bool was_short,
+                      time_point now) -> void;
+    [[nodiscard]] auto offers_capacity(const worker_record& worker) const
+        -> bool;
     auto is_usable(const worker_record& worker, const job_record& job,
                    const step_record& step, time_point now) const -> bool;
     auto fits(const worker_record& worker, const step_record& step) const
@@ -509,6 +543,11 @@
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     policy::crash_age_estimate m_crash_ages;
+    std::map<service_name, policy::overload_selection> m_selections;
+    time_point m_overload_logged_at;
+    /// Of services that are short.
+    std::map<service_name, std::vector<policy::start_estimate>> m_starts;
+    time_point m_passed_at;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
     std::uint64_t m_last_batch = 0;
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -8,10 +8,6 @@
 namespace
 {
 
-/// A job is worth less after its objective, and nothing after this many times
-/// the objective.
-constexpr int worthless_after_objectives = 3;
-
 auto depends_on(const step_spec& later, std::uint32_t earlier) -> bool
 {
     return std::find(later.after.begin(), later.after.end(), earlier) !=
@@ -20,11 +16,11 @@
 
 } // namespace
 
-auto critical_path_from(const job_spec& job, std::uint32_t step) -> milliseconds
+auto critical_paths(const job_spec& job) -> std::vector<milliseconds>
 {
     // Steps depend only on earlier ones, so one pass from the end is enough.
     std::vector<milliseconds> remaining(job.steps.size(), milliseconds{0});
-    for (auto i = job.steps.size(); i-- > step;)
+    for (auto i = job.steps.size(); i-- > 0;)
     {
         milliseconds longest{0};
         for (auto next = i + 1; next < job.steps.size(); ++next)
@@ -36,15 +32,20 @@
         }
         remaining[i] = longest + job.steps[i].estimate;
     }
-    return remaining[step];
+    return remaining;
+}
+
+auto critical_path_from(const job_spec& job, std::uint32_t step) -> milliseconds
+{
+    return critical_paths(job)[step];
 }
 
 auto objective(const job_spec& job) -> milliseconds
 {
     milliseconds chain{0};
-    for (std::uint32_t i = 0; i < job.steps.size(); ++i)
+    for (const auto path : critical_paths(job))
     {
-        chain = std::max(chain, critical_path_from(job, i));
+        chain = std::max(chain, path);
     }
     const auto stretched =
         job.queue.stretch * static_cast<double>(chain.count());
@@ -63,13 +64,15 @@
     const auto known_since = std::max(started_at, item.job->accepted_at);
     item.expired = now > known_since + worthless_after_objectives * target &&
                    !item.step->spec->lasting;
+    item.lateness =
+        item.expired ? lateness_class::expired : lateness_class::chosen;
 }
 
 auto sort(std::vector<waiting_step>& items) -> void
 {
     const auto key = [](const waiting_step& item)
     {
-        return std::tuple(item.job->spec->queue.priority, item.expired,
+        return std::tuple(item.job->spec->queue.priority, item.lateness,
                           item.latest_start);
     };
     std::sort(items.begin(), items.end(),
--- a/src/cell/overload_selection.cpp
+++ b/src/cell/overload_selection.cpp
@@ -4,7 +4,7 @@
 #include <cmath>     // exp, pow
 #include <queue>     // priority_queue
 #include <tuple>     // tuple
-#include <utility>   // pair
+#include <utility>   // move
 
 namespace pimentoshunt::cell::policy
 {
@@ -35,7 +35,8 @@
     /// @param share     of the capacity
     /// @param exponent  of the work by which values are divided
     fluid_schedule(double before, double share, double exponent, time_point now)
-        : m_work(before), m_share(share), m_exponent(exponent), m_now(now)
+        : m_work(before), m_fixed_work(before), m_share(share),
+          m_exponent(exponent), m_now(now)
     {
     }
 
@@ -43,6 +44,7 @@
     auto add_fixed(const backlog_job& job) -> void
     {
         m_work += job.work;
+        m_fixed_work += job.work;
     }
 
     /// @param rejected  lateness class of jobs that are taken out
@@ -50,13 +52,16 @@
         -> void
     {
         m_work += job.work;
-        m_candidates.emplace(
-            job.worth / std::pow(std::max(job.work, least_work), m_exponent),
-            &job);
+        m_candidates.push(
+            {job.worth / std::pow(std::max(job.work, least_work), m_exponent),
+             deadline, &job});
         const auto room = m_share * seconds_between(m_now, deadline);
-        while (m_work > room && !m_candidates.empty())
+        // A job that is alone is limited by its chain, not by the capacity: tasks
+        // may be as large as workers.
+        const std::size_t kept = m_fixed_work > 0 ? 0 : 1;
+        while (m_work > room && m_candidates.size() > kept)
         {
-            auto& least = *m_candidates.top().second;
+            auto& least = *m_candidates.top().job;
             m_candidates.pop();
             least.lateness = rejected;
             m_work -= least.work;
@@ -70,24 +75,27 @@
 
   private:
     static constexpr double least_work = 1e-9;
-    struct is_denser
+    struct entry
     {
-        auto operator()(const std::pair<double, backlog_job*>& left,
-                        const std::pair<double, backlog_job*>& right) const
-            -> bool
+        double density = 0;
+        time_point deadline;
+        backlog_job* job = nullptr;
+
+        /// Whether @p other is taken out first: of equals, the later one.
+        friend auto operator<(const entry& left, const entry& other) -> bool
         {
-            return std::tuple(left.first, right.second->arrival) >
-                   std::tuple(right.first, left.second->arrival);
+            return std::tuple(-left.density, left.deadline, left.job->arrival) <
+                   std::tuple(-other.density, other.deadline,
+                              other.job->arrival);
         }
     };
 
     double m_work;
+    double m_fixed_work;
     double m_share;
     double m_exponent;
     time_point m_now;
-    std::priority_queue<std::pair<double, backlog_job*>,
-                        std::vector<std::pair<double, backlog_job*>>, is_denser>
-        m_candidates;
+    std::priority_queue<entry> m_candidates;
 };
 
 } // namespace
@@ -168,8 +176,13 @@
         {
             continue;
         }
+        // What is late already, perhaps after an outage, does not show that others
+        // will be; a job that is alone is limited by its chain.
+        const bool is_late = job->due - job->chain < now;
+        const auto deadline = is_late ? job->worthless_at : job->due;
+        const bool is_first = work <= 0;
         work += job->work;
-        if (work > share * seconds_between(now, job->due))
+        if (!is_first && work > share * seconds_between(now, deadline))
         {
             return false;
         }
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -135,6 +135,7 @@
             }
         }
     }
+    apply_selection(out, now);
     policy::sort(out);
     return out;
 }
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -114,6 +114,7 @@
     auto* const record = add_job(job, now);
     if (record != nullptr)
     {
+        note_arrival(*record, now);
         apply_early_cancellation(*record, now);
     }
     return record != nullptr;
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -165,6 +165,15 @@
                      counts.malformed_entries);
         m_meters.add("worker_entries_ignored_total", {"for", "contradicted"},
                      counts.contradicted_entries);
+        m_meters.add("overloads_total", {"of", "service"}, counts.overloads);
+        for (const auto& [queue, jobs] : counts.delayed_jobs)
+        {
+            m_meters.add("jobs_delayed_total", {"queue", queue.str()}, jobs);
+        }
+        for (const auto& [queue, jobs] : counts.expired_jobs)
+        {
+            m_meters.add("jobs_expired_total", {"queue", queue.str()}, jobs);
+        }
     }
 
     auto serve_status(const net::server_request& request,
--- a/tests/unit-cell-takeover.cpp
+++ b/tests/unit-cell-takeover.cpp
@@ -345,6 +345,8 @@
     simulation.run_for(milliseconds(200));
     auto younger = simple_job("younger", 1, 1'000);
     younger.steps.front().estimate = milliseconds(1'000);
+    // There is time for both: otherwise the one that can be in time comes first.
+    younger.queue.allowance += std::chrono::seconds(10);
     simulation.jobs().accept(younger, simulation.now);
     auto inherited = simple_job("inherited", 1, 1'000);
     inherited.steps.front().estimate = milliseconds(1'000);
