Refuse jobs that can never run, or could not start before they are worthless

Cause: jobs larger than any worker, or with a label that no worker has, wait for ever, and jobs that will start too late occupy the backlog.

Change: heartbeats carry the kinds of workers and the estimated starts by priority of each service. Every instance keeps them in owner_view, which also takes the queue lengths out of instance.hpp, and decides by them before a job is written.

No run with real processes was made.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -9,6 +9,7 @@
 #include <pimentoshunt/cell/loop_lag.hpp>
 #include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/owner_role.hpp>
+#include <pimentoshunt/cell/owner_view.hpp>
 #include <pimentoshunt/cell/ownership.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/policy/hand_over.hpp>
@@ -137,9 +138,6 @@
     static constexpr milliseconds hello_interval{300};
     /// An instance whose last hello is older is not sent any requests.
     static constexpr milliseconds max_peer_silence{1'300};
-    /// Older counts are not reported: callers may rely on an age of at most two
-    /// seconds, besides the time of their own request.
-    static constexpr milliseconds max_pending_age{2'500};
     /// With a longer event-loop lag the owner does not know which jobs have
     /// been accepted.
     static constexpr milliseconds max_pending_lag{500};
@@ -184,6 +182,10 @@
                 {
                     return pending_of(queue);
                 },
+                [this](const job_spec& job)
+                {
+                    return m_view.refusal_of(job, boot_clock::now());
+                },
                 [this](const stored_row& row)
                 {
                     announce(row);
@@ -258,26 +260,12 @@
 
     auto pending_of(const queue_name& queue) -> std::optional<std::uint64_t>
     {
+        const auto now = boot_clock::now();
         if (is_pending_known())
         {
-            remember_pending();
-        }
-        if (boot_clock::now() - m_pending_at > max_pending_age)
-        {
-            return std::nullopt;
-        }
-        const auto found = m_pending.find(queue.str());
-        return found == m_pending.end() ? 0 : found->second;
-    }
-
-    auto remember_pending() -> void
-    {
-        m_pending.clear();
-        for (const auto& item : m_role->pending())
-        {
-            m_pending[item.queue.str()] = item.pending;
+            m_view.update(m_role->jobs(), now);
         }
-        m_pending_at = boot_clock::now();
+        return m_view.pending_of(queue, now);
     }
 
     auto follow_configuration() -> void
@@ -497,7 +485,7 @@
         }
     }
 
-    [[nodiscard]] auto beat_message(bool released) const -> wire::cell_message
+    [[nodiscard]] auto beat_message(bool released) -> wire::cell_message
     {
         wire::cell_message message;
         auto& out = *message.mutable_beat();
@@ -518,12 +506,8 @@
         out.set_counted(is_pending_known());
         if (is_pending_known())
         {
-            for (const auto& item : m_role->pending())
-            {
-                auto& line = *out.add_pending();
-                line.set_queue(item.queue.str());
-                line.set_jobs(item.pending);
-            }
+            m_view.update(m_role->jobs(), now);
+            m_view.write(out, now);
         }
         return message;
     }
@@ -893,12 +877,7 @@
         {
             return;
         }
-        m_pending.clear();
-        for (const auto& line : beat.pending())
-        {
-            m_pending[line.queue()] = line.jobs();
-        }
-        m_pending_at = now;
+        m_view.read(beat, now);
     }
 
     auto on_lookup(const std::string& from, const wire::cell_lookup& lookup)
@@ -1012,8 +991,7 @@
     std::uint64_t m_epoch_version = 0;
     /// Epoch of the last role that was started.
     std::uint64_t m_role_epoch = 0;
-    std::map<std::string, std::uint64_t> m_pending;
-    time_point m_pending_at;
+    owner_view m_view;
     time_point m_next_renewal;
     time_point m_next_beat;
     time_point m_next_hello;
--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -6,6 +6,7 @@
 
 #include <pimentoshunt/cell/forwarded_writes.hpp>
 #include <pimentoshunt/cell/inbox_writer.hpp>
+#include <pimentoshunt/cell/policy/refusals.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/row_codec.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
@@ -41,6 +42,12 @@
     std::function<bool(std::uint64_t number, const job_id&)> ask_owner;
     /// Number of jobs of a queue that have not started; empty if not known.
     std::function<std::optional<std::uint64_t>(const queue_name&)> pending;
+    /// Why a new job is refused, if it is.
+    std::function<std::optional<policy::refusal>(const job_spec&)> refusal_of =
+        [](const job_spec&)
+    {
+        return std::optional<policy::refusal>();
+    };
     /// Announces a stored inbox row to the owner.
     std::function<void(const stored_row&)> announce;
     /// Forwards a write to an instance that can probably reach the store.
@@ -88,7 +95,7 @@
         switch (parsed.request_kind)
         {
         case caller_request_kind::submit:
-            submit(*parsed.spec, reply_deadline, std::move(answer));
+            check_and_submit(*parsed.spec, reply_deadline, std::move(answer));
             return;
         case caller_request_kind::look_up:
             look_up(parsed.job, std::move(answer));
@@ -211,6 +218,51 @@
         m_known_states[job] = state;
     }
 
+    /// Refuses a job unless it has been stored before: a caller may send it again
+    /// after an answer was lost.
+    auto check_and_submit(job_spec job, time_point reply_deadline, reply answer)
+        -> void
+    {
+        const auto refused = m_known_states.contains(job.id)
+                                 ? std::nullopt
+                                 : m_context.refusal_of(job);
+        if (!refused)
+        {
+            submit(std::move(job), reply_deadline, std::move(answer));
+            return;
+        }
+        const auto ranges = job_ranges(job.id);
+        read_ranges(
+            m_platform, ranges, attempt_timeout,
+            [this, job = std::move(job), refused = *refused, reply_deadline,
+             answer = std::move(answer)](std::optional<table_rows> found)
+            {
+                m_health.record(found.has_value(), boot_clock::now());
+                if (!found || !found->rows.empty())
+                {
+                    submit(job, reply_deadline, answer);
+                    return;
+                }
+                logging::info("job refused")
+                    .with("job", job.id)
+                    .with("queue", job.queue.name)
+                    .with("why", refused.why);
+                answer(refusal_answer(refused));
+            });
+    }
+
+    [[nodiscard]] auto refusal_answer(const policy::refusal& refused) const
+        -> net::server_response
+    {
+        if (refused.never_runs)
+        {
+            return m_platform.error_answer(bad_request, refused.why);
+        }
+        auto out = m_platform.error_answer(unavailable, refused.why);
+        out.retry_after = refused.retry_after;
+        return out;
+    }
+
     auto submit(job_spec job, time_point reply_deadline, reply answer) -> void
     {
         const auto began = boot_clock::now();
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -1,5 +1,5 @@
 /// @file
-/// Look-ups of jobs at an instance that has to ask the store.
+/// Look-ups of jobs at an instance that has to ask the store, and refusals.
 #include "fakes/fake_cell_pool.hpp"
 
 #include <pimentoshunt/cell/job_request_handler.hpp>
@@ -18,7 +18,8 @@
 namespace
 {
 
-/// Reads each request as a look-up of the job that its target names.
+/// Reads each request as a look-up of the job that its target names, or with POST
+/// as its submission.
 class fake_caller_platform : public fake_cell_platform
 {
   public:
@@ -31,6 +32,11 @@
         cell::caller_request out;
         out.request_kind = cell::caller_request_kind::look_up;
         out.job = job_id(request.target);
+        if (request.method == "POST")
+        {
+            out.request_kind = cell::caller_request_kind::submit;
+            out.spec = simple_job(request.target, 1, 1);
+        }
         return out;
     }
 
@@ -66,7 +72,7 @@
     std::optional<net::server_response> out;
     const job_id job{"0a"};
 
-    static auto context_without_owner() -> cell::job_request_context
+    auto context_without_owner() -> cell::job_request_context
     {
         cell::job_request_context context;
         context.is_owner_loaded = []
@@ -77,6 +83,11 @@
         {
             return false;
         };
+        context.refusal_of = [this](const cell::job_spec&)
+        {
+            return refusal;
+        };
+        context.announce = [](const cell::stored_row&) {};
         return context;
     }
 
@@ -120,9 +131,13 @@
         apply(change);
     }
 
-    auto look_up() -> void
+    /// What the owner's view says of each new job.
+    std::optional<cell::policy::refusal> refusal;
+
+    auto look_up(const std::string& method = "GET") -> void
     {
         net::server_request request;
+        request.method = method;
         request.target = job.str();
         request_handler.serve(request, &in_force,
                               [this](net::server_response answer)
@@ -168,3 +183,32 @@
     cr_assert_eq(fixture.out->status, 410, "%d %s", fixture.out->status,
                  fixture.out->body.c_str());
 }
+
+// Guards against a refused job that runs after all: its row must not be written.
+Test(cell_job_request_handler, nothing_of_a_refused_job_is_stored)
+{
+    request_handler_fixture fixture;
+    fixture.refusal = cell::policy::refusal{true, "too large", {}};
+    fixture.look_up("POST");
+    cr_assert_eq(fixture.out->status, 400);
+    fixture.refusal =
+        cell::policy::refusal{false, "no capacity", std::chrono::seconds(7)};
+    fixture.look_up("POST");
+    cr_assert_eq(fixture.out->status, 503);
+    cr_assert_eq(fixture.out->retry_after, std::chrono::seconds(7));
+    cr_assert(fixture.store.row(cell::job_row(fixture.job)).removed);
+}
+
+// Guards against an untrue refusal: the job was stored before, and its caller
+// sends it again because the answer was lost.
+Test(cell_job_request_handler, a_job_that_is_stored_is_not_refused)
+{
+    request_handler_fixture fixture;
+    fixture.store_job();
+    fixture.refusal =
+        cell::policy::refusal{false, "no capacity", std::chrono::seconds(7)};
+    fixture.look_up("POST");
+    const bool refused = fixture.out && fixture.out->status == 503 &&
+                         fixture.out->retry_after == std::chrono::seconds(7);
+    cr_assert_not(refused);
+}
