Refuse nothing as too large while workers may still be registering

Cause: in a cell that has just begun, the large workers of a service may register seconds after the small ones, and a job for them would be refused for good.

Change: for the first 10 s of an ownership the view of a service counts as incomplete. The test also takes the view through a heartbeat.

--- a/include/pimentoshunt/cell/policy/refusals.hpp
+++ b/include/pimentoshunt/cell/policy/refusals.hpp
@@ -31,6 +31,10 @@
 /// instances with 10 Mbit/s.
 inline constexpr std::size_t max_worker_kinds = 32;
 
+/// Age of an ownership up to which further kinds may be missing: workers of a cell
+/// that has just begun register one after the other.
+inline constexpr milliseconds time_to_learn_kinds{10'000};
+
 /// @brief What some workers of a service offer when they are empty.
 struct worker_kind
 {
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -265,7 +265,7 @@
     [[nodiscard]] auto pending() const -> std::vector<queue_count>;
     /// @brief What instances need to know of each service with workers to refuse
     /// jobs.
-    [[nodiscard]] auto service_views() const
+    [[nodiscard]] auto service_views(time_point now) const
         -> std::map<service_name, policy::service_view>;
     /// @brief When start estimates were last brought up to date.
     [[nodiscard]] auto passed_at() const noexcept -> time_point
--- a/src/cell/owner_view.cpp
+++ b/src/cell/owner_view.cpp
@@ -62,7 +62,7 @@
     {
         m_pending[item.queue] = item.pending;
     }
-    auto latest = from.service_views();
+    auto latest = from.service_views(now);
     for (auto& [service, view] : m_services)
     {
         view.starts.clear();
@@ -71,7 +71,8 @@
     {
         auto& known = m_services[service];
         known.starts = std::move(view.starts);
-        known.incomplete = known.incomplete || view.incomplete;
+        // Set again below if there are too many kinds.
+        known.incomplete = view.incomplete;
         for (auto& kind : view.kinds)
         {
             known.add_kind(std::move(kind));
--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -254,7 +254,7 @@
     }
 }
 
-auto scheduler::service_views() const
+auto scheduler::service_views(time_point now) const
     -> std::map<service_name, policy::service_view>
 {
     std::map<service_name, policy::service_view> out;
@@ -262,8 +262,10 @@
     {
         if (worker.registered && !worker.ended)
         {
-            out[worker.entry.service].add_kind(
-                {worker.entry.capacity, worker.entry.labels});
+            auto& view = out[worker.entry.service];
+            view.incomplete = view.incomplete ||
+                              now - m_started_at < policy::time_to_learn_kinds;
+            view.add_kind({worker.entry.capacity, worker.entry.labels});
         }
     }
     for (const auto& [service, starts] : m_starts)
--- a/tests/unit-cell-overload.cpp
+++ b/tests/unit-cell-overload.cpp
@@ -3,6 +3,8 @@
 /// work.
 #include "fakes/cell_simulation.hpp"
 
+#include <pimentoshunt/cell/owner_view.hpp>
+
 #include <criterion/criterion.h>
 
 #include <chrono> // seconds
@@ -112,3 +114,30 @@
     }
     cr_assert_eq(of_two, 2u);
 }
+
+// Guards against refusing jobs for good while the workers that could run them are
+// still registering.
+Test(cell_overload, nothing_is_too_large_for_workers_that_are_still_coming)
+{
+    cell_simulation simulation;
+    simulation.add_worker("w1", 1'000);
+    simulation.run_for(seconds(1));
+    const auto job = simple_job("large", 1, 2'000);
+    cell::owner_view view;
+    view.update(simulation.jobs(), simulation.now);
+    cr_assert_not(view.refusal_of(job, simulation.now));
+    simulation.run_for(seconds(10));
+    view.update(simulation.jobs(), simulation.now);
+    cr_assert(view.refusal_of(job, simulation.now)->never_runs);
+    // What another instance reads from a heartbeat says the same.
+    pimentoshunt::wire::cell_beat beat;
+    view.write(beat, simulation.now);
+    cell::owner_view other;
+    other.read(beat, simulation.now);
+    cr_assert(other.refusal_of(job, simulation.now)->never_runs);
+    cr_assert_not(other.refusal_of(job, simulation.now + seconds(4)));
+    simulation.add_worker("w2", 2'000);
+    simulation.run_pass();
+    view.update(simulation.jobs(), simulation.now);
+    cr_assert_not(view.refusal_of(job, simulation.now));
+}
