Start copies of runs that take far longer than the rest of their step

Cause: three of a hundred tasks take seven times as long, and hold up their jobs although the cell has room and steps allow copies.

Change: a run that has lasted twice the expected time on its worker, and 300 ms beyond it, gets one copy on a worker that is as fast, once half of the other tasks of its step are done and while the service has room. The first run that ends done completes the task, the other is stopped. Counters and log lines show copies that were started and those that ended first.

Ruled out by reasoning, not measured: no copy while any step waits, as steps wait for approvals in nearly every pass of a busy cell; the copy uses only processors that no request in flight claims.

Not measured on a deployment.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -44,6 +44,9 @@
     bool filler = false;
     /// Whether this owner has started it, and not from a checkpoint.
     bool is_whole = false;
+    /// Whether its task may have a copy, and whether it is one.
+    bool may_be_copied = false;
+    bool is_copy = false;
     /// Whether it is the first run on an ejected worker.
     bool probe = false;
     /// Whether its task may crash the worker, which gets no further starts until
@@ -188,6 +191,9 @@
     std::uint64_t last_run = 0;
     std::string checkpoint;
     std::set<std::uint64_t> failures;
+    /// Whether it has had a copy, and approval requests made for one.
+    bool is_copied = false;
+    std::uint32_t copy_requests = 0;
     /// Worker on which it failed or stalled last.
     worker_id avoid;
     policy::crash_history crashes;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -11,6 +11,7 @@
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
 #include <pimentoshunt/cell/policy/run_time_model.hpp>
 #include <pimentoshunt/cell/policy/speed_preference.hpp>
+#include <pimentoshunt/cell/policy/straggler_copies.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
 #include <cstddef>       // size_t
@@ -137,6 +138,9 @@
     /// Logged waits of ready steps, and of inherited jobs for reports of
     /// workers.
     std::uint64_t long_waits = 0;
+    /// Copies of stragglers that were started, and those that ended first.
+    std::uint64_t copies = 0;
+    std::uint64_t copies_first = 0;
     /// Entries of workers that can't be one, and entries that the worker under
     /// their id has contradicted.
     std::uint64_t malformed_entries = 0;
@@ -413,6 +417,23 @@
     [[nodiscard]] auto time_factor(const policy::waiting_step& item) const
         -> double;
 
+    // Copies of stragglers.
+    [[nodiscard]] auto expected_time(const policy::waiting_step& item,
+                                     const worker_record& worker) const
+        -> milliseconds;
+    [[nodiscard]] auto
+    rooms_for_copies(const std::vector<policy::waiting_step>& waiting) const
+        -> std::map<service_name, policy::copy_room>;
+    [[nodiscard]] auto find_straggler(const worker_record& worker,
+                                      const run_record& run, time_point now)
+        -> std::optional<policy::waiting_step>;
+    auto place_copies(const std::vector<policy::waiting_step>& waiting,
+                      time_point now) -> void;
+    auto start_copy(const policy::waiting_step& item, std::uint32_t index,
+                    const worker_record& original, time_point now) -> bool;
+    auto note_copy_end(const run_record& run, const task_location& location)
+        -> void;
+
     auto end_superseded_runs(const task_location& location,
                              const run_ref& later, time_point now) -> void;
     auto restore_runs(worker_record& worker, const roster_entry& enrolled,
@@ -564,6 +585,7 @@
     policy::run_time_model m_run_times;
     time_point m_speeds_refreshed_at;
     time_point m_speeds_logged_at;
+    time_point m_copies_checked_at;
     /// Speeds by service as of the last refresh.
     std::map<service_name, policy::speed_range> m_speed_ranges;
     outbox m_outbox;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -269,6 +269,7 @@
     }
     release_unvisited_reservations(now);
     request_early_approvals(now);
+    place_copies(waiting, now);
 }
 
 auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
@@ -430,6 +431,10 @@
     {
         pause_starts(worker, now + m_options.refusal_pause);
     }
+    if (location.task != nullptr && run->second.is_copy)
+    {
+        location.task->is_copied = false;
+    }
     erase_run(worker, order.run);
     if (location.task != nullptr)
     {
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -29,6 +29,7 @@
     }
     record.taken = policy::resources_for(*location.step->spec, 1);
     record.filler = location.step->spec->filler;
+    record.may_be_copied = policy::allows_copies(*location.step->spec);
     worker.used += record.taken;
     location.task->runs.push_back(run);
     location.task->last_run = std::max(location.task->last_run, run.number);
@@ -81,6 +82,7 @@
     if (known != worker.runs.end() && how == run_end::done)
     {
         learn_run_time(worker, known->second, location, now);
+        note_copy_end(known->second, location);
     }
     erase_run(worker, run);
     if (location.task == nullptr)
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -160,6 +160,9 @@
         m_meters.add("runs_total", {"event", "worker crashed"}, counts.crashes);
         m_meters.add("jobs_given_up_total", {"for", "crashes"},
                      counts.crash_failures);
+        m_meters.add("copies_total", {"event", "started"}, counts.copies);
+        m_meters.add("copies_total", {"event", "ended first"},
+                     counts.copies_first);
         m_meters.add("long_waits_total", {"of", "step"}, counts.long_waits);
         m_meters.add("worker_entries_ignored_total", {"for", "malformed"},
                      counts.malformed_entries);
