Read with the handler's own time limit before a refusal

Cause: the time limit of a write has moved to the writer.

Change: the read takes the time limit of other reads.

Result: the program builds.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -265,7 +265,7 @@
         }
         const auto ranges = job_ranges(job.id);
         read_ranges(
-            m_platform, ranges, attempt_timeout,
+            m_platform, ranges, read_timeout,
             [this, job = std::move(job), refused = *refused, reply_deadline,
              answer = std::move(answer)](std::optional<table_rows> found)
             {
