--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -6,6 +6,8 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/crash_trials.hpp>
+#include <pimentoshunt/cell/policy/run_time_model.hpp>
+#include <pimentoshunt/cell/policy/workspace_usage.hpp>
 
 #include <algorithm>     // any_of
 #include <cstddef>       // size_t
@@ -40,7 +42,17 @@
     run_ref run;
     run_phase phase = run_phase::starting;
     resources taken;
+    /// Account of its workspace, and what the run counts there; nullptr: none.
+    policy::workspace_account* account = nullptr;
+    resources charged;
+    /// Whether its job is not known, so that it counts for no workspace.
+    bool unattributed = false;
     bool filler = false;
+    /// Whether this owner has started it, and not from a checkpoint.
+    bool is_whole = false;
+    /// Whether its task may have a copy, and whether it is one.
+    bool may_be_copied = false;
+    bool is_copy = false;
     /// Whether it is the first run on an ejected worker.
     bool probe = false;
     /// Whether its task may crash the worker, which gets no further starts until
@@ -132,6 +144,8 @@
     std::map<run_ref, worker_crash> lost_suspects;
     /// Number of runs in a trial.
     std::uint32_t trials = 0;
+    /// Learned speed; the mean of all workers is 1.
+    double speed = 1.0;
     resources used;
     /// Reserved for gangs that wait for enough room.
     resources reserved;
@@ -147,6 +161,8 @@
     time_point misdirected_lease_ends_at;
     /// Incarnation that its row in the durable roster names.
     calendar_time stored_incarnation{};
+    /// Capacity that the row of an earlier owner names: it may have shrunk since.
+    resources inherited_capacity;
     /// Number of runs that its closed row lists; nothing: not known.
     std::optional<std::size_t> stored_runs;
     /// Until then another owner may have extended a lease on it.
@@ -183,6 +199,9 @@
     std::uint64_t last_run = 0;
     std::string checkpoint;
     std::set<std::uint64_t> failures;
+    /// Whether it has had a copy, and approval requests made for one.
+    bool is_copied = false;
+    std::uint32_t copy_requests = 0;
     /// Worker on which it failed or stalled last.
     worker_id avoid;
     policy::crash_history crashes;
@@ -256,6 +275,10 @@
     time_point waiting_since;
     /// When its wait was last logged.
     time_point wait_logged_at;
+    /// Since when it has started nothing although its workspace's limit kept it
+    /// back, if it has, and when the limit last did.
+    std::optional<time_point> held_back_since;
+    time_point held_back_at;
     approval_record approvals;
     gang_reservation reservation;
     /// Whether tasks of the step were or are suspects.
@@ -266,6 +289,8 @@
     bool trial_passed = false;
     /// Number of runs of this step on each worker.
     std::unordered_map<const worker_record*, std::uint32_t> placed;
+    /// Run times of tasks that have ended; empty once all have.
+    policy::step_times times;
 
     /// @brief Whether a task of the step may crash its worker.
     [[nodiscard]] auto has_suspects() const -> bool
@@ -288,12 +313,19 @@
     bool released = false;
     bool done = false;
     std::uint32_t steps_done = 0;
+    /// Whether it was counted as delayed and as expired under overload.
+    bool counted_delayed = false;
+    bool counted_expired = false;
 };
 
 /// @brief A job.
 struct job_record
 {
     std::shared_ptr<const job_spec> spec;
+    /// Account of its workspace; nullptr: it belongs to none.
+    policy::workspace_account* account = nullptr;
+    /// Whether it is beyond the rate of its workspace.
+    bool beyond_rate = false;
     job_state state = job_state::queued;
     /// State as callers may see it: final states only once they are durable.
     job_state published_state = job_state::queued;
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,18 +4,19 @@
 /// ownership lease.
 #pragma once
 
+#include <pimentoshunt/cell/configuration_feed.hpp>
 #include <pimentoshunt/cell/followers.hpp>
 #include <pimentoshunt/cell/job_request_handler.hpp>
 #include <pimentoshunt/cell/loop_lag.hpp>
 #include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/owner_role.hpp>
+#include <pimentoshunt/cell/owner_view.hpp>
 #include <pimentoshunt/cell/ownership.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/policy/hand_over.hpp>
 #include <pimentoshunt/cell/policy/succession.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/store_health.hpp>
-#include <pimentoshunt/cell/store_reader.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -47,6 +48,11 @@
     /// Receives the counters of this instance's scheduler while it owns the
     /// cell.
     std::function<void(const scheduler_counts&)> counted;
+    /// Ages beyond which the configuration isn't used to answer callers.
+    policy::configuration_bounds configuration_bounds;
+    /// Called with the reason of each refusal by the configuration. May be
+    /// empty.
+    std::function<void(const std::string&)> on_refusal;
 };
 
 /// @brief Connects the parts of one instance. Used by the control thread only.
@@ -66,6 +72,11 @@
               {
                   on_message(from, message);
               }),
+          m_feed(platform, control, m_health, options.configuration_bounds,
+                 [this](const configuration& in_force)
+                 {
+                     on_configuration(in_force);
+                 }),
           m_request_handler(platform, control, m_health, request_context(),
                             options.incarnation),
           m_tick_timer(control),
@@ -82,7 +93,7 @@
     /// ownership.
     auto start() -> void
     {
-        follow_configuration();
+        m_feed.start();
         tick();
     }
 
@@ -90,16 +101,25 @@
     auto serve(const net::server_request& request,
                net::http_server::reply answer) -> void
     {
-        m_request_handler.serve(request,
-                                m_configuration ? &*m_configuration : nullptr,
-                                std::move(answer));
+        m_request_handler.serve(request, m_feed.in_force(), std::move(answer));
     }
 
     /// @brief Whether the load balancer should send callers to this instance.
     [[nodiscard]] auto ready() const -> bool
     {
-        return m_configuration.has_value() && !m_releasing &&
-               !m_health.is_unavailable(boot_clock::now());
+        const auto now = boot_clock::now();
+        const auto* const in_force = m_feed.in_force();
+        return in_force != nullptr && !m_releasing &&
+               !m_health.is_unavailable(now) &&
+               (!in_force->requires_keys ||
+                policy::is_fresh_for_keys(m_feed.freshness(),
+                                          m_options.configuration_bounds, now));
+    }
+
+    /// @brief Age of what is known of the configuration; empty before the first.
+    [[nodiscard]] auto configuration_age() const -> std::optional<milliseconds>
+    {
+        return m_feed.freshness().age(boot_clock::now());
     }
 
     /// @brief Starts to release the cell; requests are still answered.
@@ -119,10 +139,7 @@
         {
             m_role->end();
         }
-        if (m_configuration_follower)
-        {
-            m_configuration_follower->stop();
-        }
+        m_feed.stop();
     }
 
     /// @brief The owner role, or nullptr if none is active.
@@ -137,9 +154,6 @@
     static constexpr milliseconds hello_interval{300};
     /// An instance whose last hello is older is not sent any requests.
     static constexpr milliseconds max_peer_silence{1'300};
-    /// Older counts are not reported: callers may rely on an age of at most two
-    /// seconds, besides the time of their own request.
-    static constexpr milliseconds max_pending_age{2'500};
     /// With a longer event-loop lag the owner does not know which jobs have
     /// been accepted.
     static constexpr milliseconds max_pending_lag{500};
@@ -149,9 +163,6 @@
     static constexpr milliseconds max_release_delay{1'900};
     static constexpr milliseconds commit_timeout{600};
     static constexpr milliseconds read_timeout{600};
-    /// Also bounds how long a dead connection stays unnoticed: configuration
-    /// changes have to be in force within two seconds.
-    static constexpr feed_timing configuration_feed_timing{};
 
     /// Whether this instance owns the cell and has loaded its state.
     [[nodiscard]] auto is_role_loaded() const -> bool
@@ -184,6 +195,10 @@
                 {
                     return pending_of(queue);
                 },
+                [this](const job_spec& job)
+                {
+                    return m_view.refusal_of(job, boot_clock::now());
+                },
                 [this](const stored_row& row)
                 {
                     announce(row);
@@ -191,7 +206,20 @@
                 [this](const wire::cell_deposit& what)
                 {
                     return send_deposit(what);
-                }};
+                },
+                {[this]
+                 {
+                     return m_feed.in_force();
+                 },
+                 [this]() -> const policy::configuration_freshness&
+                 {
+                     return m_feed.freshness();
+                 },
+                 [this](std::function<void()> done)
+                 {
+                     return m_feed.refresh(std::move(done));
+                 },
+                 m_options.configuration_bounds, m_options.on_refusal}};
     }
 
     /// Address of an instance that can store a row when this one can't reach
@@ -258,82 +286,20 @@
 
     auto pending_of(const queue_name& queue) -> std::optional<std::uint64_t>
     {
+        const auto now = boot_clock::now();
         if (is_pending_known())
         {
-            remember_pending();
+            m_view.update(m_role->jobs(), now);
         }
-        if (boot_clock::now() - m_pending_at > max_pending_age)
-        {
-            return std::nullopt;
-        }
-        const auto found = m_pending.find(queue.str());
-        return found == m_pending.end() ? 0 : found->second;
-    }
-
-    auto remember_pending() -> void
-    {
-        m_pending.clear();
-        for (const auto& item : m_role->pending())
-        {
-            m_pending[item.queue.str()] = item.pending;
-        }
-        m_pending_at = boot_clock::now();
-    }
-
-    auto follow_configuration() -> void
-    {
-        const auto at = m_platform.configuration_row();
-        typename table_follower<Platform>::listener callbacks;
-        callbacks.on_change = [this, at](const stored_row& row)
-        {
-            if (row.at.key == at.key && !row.removed)
-            {
-                on_configuration_row(row);
-            }
-        };
-        callbacks.on_all_rows = [this, at](const std::vector<stored_row>& rows)
-        {
-            for (const auto& row : rows)
-            {
-                if (row.at.key == at.key)
-                {
-                    on_configuration_row(row);
-                }
-            }
-        };
-        callbacks.on_call_ended = [this](bool answered)
-        {
-            m_health.record(answered, boot_clock::now());
-        };
-        m_configuration_follower = std::make_shared<table_follower<Platform>>(
-            m_platform, m_control,
-            std::vector<row_range>{row_range{at.table, at.part, "", ""}},
-            configuration_feed_timing, std::move(callbacks));
-        m_configuration_follower->begin();
+        return m_view.pending_of(queue, now);
     }
 
-    auto on_configuration_row(const stored_row& row) -> void
+    auto on_configuration(const configuration& in_force) -> void
     {
-        auto read = m_platform.read_configuration(row);
-        if (!read)
-        {
-            logging::error(
-                "configuration is malformed; keeping the previous one")
-                .with("row_version", row.version);
-            return;
-        }
-        if (m_configuration && read->version <= m_configuration->version)
-        {
-            return;
-        }
-        logging::info("configuration in force")
-            .with("version", read->version)
-            .with("routes", read->routes.size());
-        m_configuration = std::move(read);
-        m_options.on_configuration(*m_configuration);
+        m_options.on_configuration(in_force);
         if (m_role)
         {
-            m_role->configure(*m_configuration);
+            m_role->configure(in_force);
         }
         else if (m_ownership.owner())
         {
@@ -497,7 +463,7 @@
         }
     }
 
-    [[nodiscard]] auto beat_message(bool released) const -> wire::cell_message
+    [[nodiscard]] auto beat_message(bool released) -> wire::cell_message
     {
         wire::cell_message message;
         auto& out = *message.mutable_beat();
@@ -518,12 +484,8 @@
         out.set_counted(is_pending_known());
         if (is_pending_known())
         {
-            for (const auto& item : m_role->pending())
-            {
-                auto& line = *out.add_pending();
-                line.set_queue(item.queue.str());
-                line.set_jobs(item.pending);
-            }
+            m_view.update(m_role->jobs(), now);
+            m_view.write(out, now);
         }
         return message;
     }
@@ -632,7 +594,7 @@
         m_epoch_version = result.version;
         m_next_renewal = now + m_options.ownership.renew_interval;
         logging::info("owns the cell").with("epoch", content.epoch);
-        if (m_configuration)
+        if (m_feed.in_force() != nullptr)
         {
             begin_role();
         }
@@ -670,7 +632,7 @@
         m_role = std::make_shared<owner_role<Platform>>(
             m_platform, m_control, m_peers, m_health, std::move(context),
             m_ownership.epoch(), m_epoch_version, m_options.scheduler);
-        m_role->begin(*m_configuration);
+        m_role->begin(*m_feed.in_force());
     }
 
     /// Wall-clock time, derived from the steady clock with an offset taken at
@@ -893,12 +855,7 @@
         {
             return;
         }
-        m_pending.clear();
-        for (const auto& line : beat.pending())
-        {
-            m_pending[line.queue()] = line.jobs();
-        }
-        m_pending_at = now;
+        m_view.read(beat, now);
     }
 
     auto on_lookup(const std::string& from, const wire::cell_lookup& lookup)
@@ -1003,17 +960,15 @@
     followers m_followers;
     loop_lag m_lag;
     policy::hand_over_policy m_hand_over;
+    configuration_feed<Platform> m_feed;
     job_request_handler<Platform> m_request_handler;
     boost::asio::steady_timer m_tick_timer;
     milliseconds m_calendar_offset;
-    std::optional<configuration> m_configuration;
-    std::shared_ptr<table_follower<Platform>> m_configuration_follower;
     std::shared_ptr<owner_role<Platform>> m_role;
     std::uint64_t m_epoch_version = 0;
     /// Epoch of the last role that was started.
     std::uint64_t m_role_epoch = 0;
-    std::map<std::string, std::uint64_t> m_pending;
-    time_point m_pending_at;
+    owner_view m_view;
     time_point m_next_renewal;
     time_point m_next_beat;
     time_point m_next_hello;
--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <pimentoshunt/cell/detail/records.hpp>
+#include <pimentoshunt/cell/policy/overload_selection.hpp>
 #include <pimentoshunt/clock.hpp>
 
 #include <cstdint> // uint32_t
@@ -26,8 +27,24 @@
     time_point latest_start;
     /// Whether finishing it is worth nothing to its caller any more.
     bool expired = false;
+    /// Whether its job is beyond the rate of its workspace, and the share of that
+    /// workspace in increments; see workspace_order.hpp.
+    bool beyond_rate = false;
+    std::uint32_t share_increment = 0;
+    /// As chosen under overload; otherwise only tells whether it is expired.
+    lateness_class lateness = lateness_class::chosen;
 };
 
+/// A job is worth less after its objective, and nothing after this many times
+/// the objective.
+inline constexpr int worthless_after_objectives = 3;
+
+/// @brief Sums of the estimates along the longest dependency chains that start
+/// with each step and end with the job.
+/// @complexity quadratic in the number of steps
+[[nodiscard]] auto critical_paths(const job_spec& job)
+    -> std::vector<milliseconds>;
+
 /// @brief Sum of the estimates along the longest dependency chain that starts
 /// with @p step and ends with the job.
 [[nodiscard]] auto critical_path_from(const job_spec& job, std::uint32_t step)
@@ -35,13 +52,17 @@
 
 /// @brief Time within which a round of @p job should finish: its longest
 /// dependency chain times the queue's stretch, plus the queue's allowance.
-[[nodiscard]] auto objective(const job_spec& job) -> milliseconds;
+/// @param factor  between the declared and the real run times of its queue
+[[nodiscard]] auto objective(const job_spec& job, double factor = 1.0)
+    -> milliseconds;
 
-/// @brief Sets the deadline, latest start and expiry of @p item.
-auto compute_deadlines(waiting_step& item, time_point now) -> void;
+/// @brief Sets the deadline, latest start, expiry and lateness of @p item.
+/// @param factor  between the declared and the real run times of its queue
+auto compute_deadlines(waiting_step& item, time_point now, double factor = 1.0)
+    -> void;
 
-/// @brief Sorts by priority, then unexpired steps before expired ones, then by
-/// latest start.
+/// @brief Sorts steps within the rates of their workspaces before those beyond,
+/// then by priority, lateness class, share increment and latest start.
 /// @complexity n log n
 auto sort(std::vector<waiting_step>& items) -> void;
 
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -143,8 +143,11 @@
 {
     caller_request_kind request_kind = caller_request_kind::no_queue;
     const queue_route* route = nullptr;
+    /// Digest of the caller's key; empty if the caller sent none, several, or a
+    /// malformed one, or if the route needs none.
+    std::optional<key_digest> key;
     job_id job;
-    /// Set for a submission.
+    /// Set for a submission, unless it needs a key and has no valid one.
     std::optional<job_spec> spec;
     /// What is wrong and what to do about it.
     std::string error_text;
@@ -163,7 +166,9 @@
 using feed_handler = std::function<void(feed_result)>;
 
 /// @brief Requirements on an adapter. Handlers are called on the control
-/// thread, once each; a call without an answer ends within its time limit.
+/// thread, once each; a call without an answer ends within its time limit. The
+/// limits of read and follow hold until the answer begins: one that keeps
+/// arriving continues.
 template<class T>
 concept cell_platform = requires(
     T platform, const row_transaction& transaction, const row_range& range,
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -9,6 +9,12 @@
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
+#include <pimentoshunt/cell/policy/refusals.hpp>
+#include <pimentoshunt/cell/policy/run_time_model.hpp>
+#include <pimentoshunt/cell/policy/speed_preference.hpp>
+#include <pimentoshunt/cell/policy/straggler_copies.hpp>
+#include <pimentoshunt/cell/policy/workspace_order.hpp>
+#include <pimentoshunt/cell/policy/workspace_usage.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
 
 #include <cstddef>       // size_t
@@ -97,6 +103,11 @@
     /// A step that has waited this long since its last start is logged, and
     /// again at intervals of the same length.
     milliseconds wait_log_interval{3'000};
+    /// After this time of being kept back by its workspace's limit a step claims
+    /// the room that it needs within the limit, and for how long it does so
+    /// after the limit has last kept it back.
+    milliseconds limit_claim_after{1'000};
+    milliseconds limit_claim_duration{4'000};
     /// How long a worker without an entry, runs or a row in the roster is
     /// remembered.
     milliseconds gone_worker_retention{15'000};
@@ -135,10 +146,20 @@
     /// Logged waits of ready steps, and of inherited jobs for reports of
     /// workers.
     std::uint64_t long_waits = 0;
+    /// Copies of stragglers that were started, and those that ended first.
+    std::uint64_t copies = 0;
+    std::uint64_t copies_first = 0;
     /// Entries of workers that can't be one, and entries that the worker under
     /// their id has contradicted.
     std::uint64_t malformed_entries = 0;
     std::uint64_t contradicted_entries = 0;
+    /// All workspaces, about once a second; empty otherwise.
+    std::vector<policy::workspace_count> workspaces;
+    /// Times at which a service became too small for its waiting work, and jobs
+    /// that were delayed or had expired while it was.
+    std::uint64_t overloads = 0;
+    std::map<queue_name, std::uint64_t> delayed_jobs;
+    std::map<queue_name, std::uint64_t> expired_jobs;
 
     friend auto operator==(const scheduler_counts&, const scheduler_counts&)
         -> bool = default;
@@ -219,6 +240,17 @@
         -> void;
     /// @}
 
+    /// @brief Begins with the speeds that an earlier owner has learned.
+    auto restore_speeds(const policy::learned_speeds& earlier) -> void
+    {
+        m_run_times.restore(earlier);
+    }
+    /// @brief What this owner has learned, for a later one.
+    [[nodiscard]] auto learned_speeds() const -> policy::learned_speeds
+    {
+        return m_run_times.learned();
+    }
+
     /// @brief Runs one scheduling pass; to be called after events and at least
     /// every 50 ms.
     /// @param calendar  the current wall-clock time
@@ -257,6 +289,15 @@
     /// @brief Number of jobs that have not started, for each queue with active
     /// jobs.
     [[nodiscard]] auto pending() const -> std::vector<queue_count>;
+    /// @brief What instances need to know of each service with workers to refuse
+    /// jobs.
+    [[nodiscard]] auto service_views(time_point now) const
+        -> std::map<service_name, policy::service_view>;
+    /// @brief When start estimates were last brought up to date.
+    [[nodiscard]] auto passed_at() const noexcept -> time_point
+    {
+        return m_passed_at;
+    }
     [[nodiscard]] auto epoch() const noexcept -> std::uint64_t
     {
         return m_epoch;
@@ -276,6 +317,16 @@
     {
         return m_workers;
     }
+    /// @brief What the workspaces have running.
+    [[nodiscard]] auto workspaces() const noexcept
+        -> const policy::workspace_usage&
+    {
+        return m_usage;
+    }
+    /// @brief Compares the accounts of the workspaces with the known runs.
+    /// @return what differs; empty: nothing. For tests.
+    /// @complexity linear in the number of runs
+    [[nodiscard]] auto check_usage() const -> std::string;
 
   private:
     using job_record = detail::job_record;
@@ -367,6 +418,27 @@
     auto add_run(worker_record& worker, const task_location& location,
                  const run_ref& run, time_point now) -> run_record&;
     auto erase_run(worker_record& worker, const run_ref& run) -> void;
+
+    // Limits of workspaces.
+    auto charge_run(run_record& run, const job_record& job,
+                    const step_record& step) -> void;
+    auto discharge_run(run_record& run) -> void;
+    auto attribute_runs(const job_record& job) -> void;
+    auto count_unreported_runs(time_point now) -> void;
+    [[nodiscard]] auto startable_tasks(const policy::waiting_step& item) const
+        -> std::uint32_t;
+    [[nodiscard]] auto requestable_tasks(const policy::waiting_step& item,
+                                         bool early) const -> std::uint32_t;
+    auto count_requested(const policy::waiting_step& item) const -> void;
+    [[nodiscard]] auto is_gang_held_back(const policy::waiting_step& item,
+                                         time_point now) -> bool;
+    auto hold_back(const policy::waiting_step& item, time_point now) -> void;
+    auto count_workspaces(time_point now) -> void;
+    auto mark_rates() -> void;
+    auto order_by_shares(std::vector<policy::waiting_step>& items) const
+        -> void;
+    auto claim_limit(const policy::waiting_step& item, time_point now) const
+        -> void;
     auto request_stop(worker_record& worker, run_record& run, time_point now)
         -> void;
     auto stop_runs_of(const task_record& task, time_point now) -> void;
@@ -389,6 +461,34 @@
     auto adjust_filler_pace(worker_record& worker, time_point now) -> void;
     auto pause_starts(worker_record& worker, time_point until) -> void;
 
+    // Run times and speeds.
+    auto learn_run_time(const worker_record& worker, const run_record& run,
+                        const task_location& location, time_point now) -> void;
+    auto refresh_speeds(time_point now) -> void;
+    auto log_speeds(time_point now) -> void;
+    [[nodiscard]] auto preference_of(const policy::waiting_step& item,
+                                     time_point now) const
+        -> policy::speed_preference;
+    [[nodiscard]] auto time_factor(const policy::waiting_step& item) const
+        -> double;
+
+    // Copies of stragglers.
+    [[nodiscard]] auto expected_time(const policy::waiting_step& item,
+                                     const worker_record& worker) const
+        -> milliseconds;
+    [[nodiscard]] auto
+    rooms_for_copies(const std::vector<policy::waiting_step>& waiting) const
+        -> std::map<service_name, policy::copy_room>;
+    [[nodiscard]] auto find_straggler(const worker_record& worker,
+                                      const run_record& run, time_point now)
+        -> std::optional<policy::waiting_step>;
+    auto place_copies(const std::vector<policy::waiting_step>& waiting,
+                      time_point now) -> void;
+    auto start_copy(const policy::waiting_step& item, std::uint32_t index,
+                    const worker_record& original, time_point now) -> bool;
+    auto note_copy_end(const run_record& run, const task_location& location)
+        -> void;
+
     auto end_superseded_runs(const task_location& location,
                              const run_ref& later, time_point now) -> void;
     auto restore_runs(worker_record& worker, const roster_entry& enrolled,
@@ -439,6 +539,25 @@
     auto log_awaited_workers(const std::string& message, time_point now) const
         -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
+
+    // Overload; see policy/overload_selection.hpp.
+    struct service_backlog;
+    auto note_arrival(const job_record& job, time_point now) -> void;
+    /// Sets the lateness and the latest start of steps whose service has too
+    /// little capacity.
+    auto apply_selection(std::vector<policy::waiting_step>& items,
+                         time_point now) -> void;
+    auto collect_backlog(std::map<service_name, service_backlog>& backlogs,
+                         time_point now) -> void;
+    auto count_late(service_backlog& backlog) -> void;
+    auto update_estimates(const service_name& service,
+                          const service_backlog& backlog, time_point now)
+        -> void;
+    auto log_overload(const service_name& service,
+                      const service_backlog& backlog, bool was_short,
+                      time_point now) -> void;
+    [[nodiscard]] auto offers_capacity(const worker_record& worker) const
+        -> bool;
     auto is_usable(const worker_record& worker, const job_record& job,
                    const step_record& step, time_point now) const -> bool;
     auto fits(const worker_record& worker, const step_record& step) const
@@ -488,12 +607,13 @@
     auto request_early_approvals(time_point now) -> void;
     [[nodiscard]] auto is_ready_soon(const round_record& round,
                                      const step_record& step) const -> bool;
-    auto claim_room(const policy::waiting_step& item,
+    auto claim_room(const policy::waiting_step& item, std::uint32_t tasks,
                     const std::vector<worker_record*>& asked) -> void;
     auto release_claims(step_record& step) -> void;
     [[nodiscard]] auto approval_rate(const queue_name& queue) const -> double;
-    auto workers_to_ask(const policy::waiting_step& item, time_point now)
-        -> std::vector<worker_record*>;
+    /// @param most  number of tasks that the workspace may start
+    auto workers_to_ask(const policy::waiting_step& item, std::uint32_t most,
+                        time_point now) -> std::vector<worker_record*>;
 
     std::uint64_t m_epoch;
     scheduler_options m_options;
@@ -501,6 +621,11 @@
     bool m_overtaken = false;
     owner_authority m_authority;
     configuration m_configuration;
+    policy::workspace_usage m_usage;
+    policy::workspace_rates m_rates;
+    time_point m_workspaces_counted_at;
+    /// Number of runs whose job is not known.
+    std::size_t m_unattributed_runs = 0;
     std::unordered_map<job_id, job_record> m_jobs;
     /// Unfinished jobs in the order of their arrival.
     std::map<std::uint64_t, job_record*> m_active;
@@ -509,6 +634,11 @@
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     policy::crash_age_estimate m_crash_ages;
+    std::map<service_name, policy::overload_selection> m_selections;
+    time_point m_overload_logged_at;
+    /// Of services that are short.
+    std::map<service_name, std::vector<policy::start_estimate>> m_starts;
+    time_point m_passed_at;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
     std::uint64_t m_last_batch = 0;
@@ -537,6 +667,12 @@
     /// Moving average of the share of requested workers that each queue's
     /// policy approves.
     std::map<queue_name, double> m_approval_rates;
+    policy::run_time_model m_run_times;
+    time_point m_speeds_refreshed_at;
+    time_point m_speeds_logged_at;
+    time_point m_copies_checked_at;
+    /// Speeds by service as of the last refresh.
+    std::map<service_name, policy::speed_range> m_speed_ranges;
     outbox m_outbox;
 };
 
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -62,6 +62,7 @@
             stop_outlasting(worker, now);
         }
         forget_gone_workers(now);
+        refresh_speeds(now);
     }
     for (const auto& id : m_health.take_due_probes(now))
     {
@@ -76,6 +77,7 @@
     {
         plan_heartbeat(worker, now, may_act);
     }
+    count_workspaces(now);
     return std::exchange(m_outbox, {});
 }
 
@@ -130,12 +132,15 @@
                 item.job = job;
                 item.round = &round;
                 item.step = &step;
-                policy::compute_deadlines(item, now);
+                policy::compute_deadlines(item, now, time_factor(item));
+                item.beyond_rate = job->beyond_rate;
                 out.push_back(item);
             }
         }
     }
+    apply_selection(out, now);
     policy::sort(out);
+    order_by_shares(out);
     return out;
 }
 
@@ -241,6 +246,9 @@
 
 auto scheduler::dispatch(time_point now) -> void
 {
+    m_usage.begin_pass();
+    count_unreported_runs(now);
+    mark_rates();
     auto waiting = ready_steps(now);
     m_partially_reserving.clear();
     for (const auto& item : waiting)
@@ -263,16 +271,25 @@
             item.job->spec->queue.approval.required)
         {
             request_approval(item, false, now);
+            count_requested(item);
         }
+        claim_limit(item, now);
         log_long_wait(item, now);
     }
     release_unvisited_reservations(now);
     request_early_approvals(now);
+    place_copies(waiting, now);
 }
 
 auto scheduler::place_tasks(const policy::waiting_step& item, time_point now)
     -> void
 {
+    // The limit is checked first: it costs less than the search for workers.
+    if (startable_tasks(item) == 0)
+    {
+        hold_back(item, now);
+        return;
+    }
     if (item.step->suspected)
     {
         place_suspects(item, now);
@@ -286,6 +303,7 @@
     {
         return;
     }
+    const auto preference = preference_of(item, now);
     const std::vector<std::uint32_t> indexes(item.step->waiting.begin(),
                                              item.step->waiting.end());
     for (const auto index : indexes)
@@ -295,6 +313,11 @@
         {
             continue;
         }
+        if (startable_tasks(item) == 0)
+        {
+            hold_back(item, now);
+            return;
+        }
         auto* const worker = policy::cheapest(
             candidate_workers,
             [&](const worker_record& at)
@@ -303,7 +326,9 @@
             },
             [&](const worker_record& at)
             {
-                return policy::placement_cost(at, *item.step->spec, task.avoid);
+                return policy::placement_cost(at, *item.step->spec,
+                                              task.avoid) +
+                       preference.cost(at.speed);
             });
         if (worker == nullptr)
         {
@@ -322,7 +347,10 @@
         {{item.job->spec->id, item.round->number, step.number}, index}, number};
     const auto location = find(ref.task);
     auto& run = add_run(worker, location, ref, now);
+    run.is_whole =
+        !step.spec->keeps_checkpoints || location.task->checkpoint.empty();
     run.probe = m_probed_workers.erase(worker.entry.id) > 0;
+    step.held_back_since.reset();
     start_order order;
     order.target = target_of(worker);
     order.run = ref;
@@ -424,6 +452,10 @@
     {
         pause_starts(worker, now + m_options.refusal_pause);
     }
+    if (location.task != nullptr && run->second.is_copy)
+    {
+        location.task->is_copied = false;
+    }
     erase_run(worker, order.run);
     if (location.task != nullptr)
     {
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -48,6 +48,7 @@
 auto scheduler::configure(const configuration& latest) -> void
 {
     m_configuration = latest;
+    m_usage.configure(latest.workspaces);
     for (auto& [arrival, job] : m_active)
     {
         const auto* const terms = latest.find_queue(job->spec->queue.name);
@@ -76,6 +77,8 @@
     }
     auto& record = m_jobs[job.id];
     record.spec = std::make_shared<const job_spec>(job);
+    record.account = m_usage.account_of(job.workspace);
+    m_rates.add(record.account, job.id, job.accepted_at);
     record.accepted_at = now;
     record.arrival = ++m_arrivals;
     m_active[record.arrival] = &record;
@@ -83,6 +86,7 @@
     {
         add_round(record, number);
     }
+    attribute_runs(record);
     return &record;
 }
 
@@ -114,6 +118,7 @@
     auto* const record = add_job(job, now);
     if (record != nullptr)
     {
+        note_arrival(*record, now);
         apply_early_cancellation(*record, now);
     }
     return record != nullptr;
@@ -406,6 +411,7 @@
 auto scheduler::step_done(const task_location& location, time_point now) -> void
 {
     ++location.round->steps_done;
+    location.step->times = {};
     if (location.round->steps_done < location.round->steps.size())
     {
         release_steps(*location.job, *location.round, now);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -25,10 +25,14 @@
     record.percent_changed_at = now;
     if (location.task == nullptr)
     {
+        m_unattributed_runs += record.unattributed ? 0 : 1;
+        record.unattributed = true;
         return record;
     }
+    charge_run(record, *location.job, *location.step);
     record.taken = policy::resources_for(*location.step->spec, 1);
     record.filler = location.step->spec->filler;
+    record.may_be_copied = policy::allows_copies(*location.step->spec);
     worker.used += record.taken;
     location.task->runs.push_back(run);
     location.task->last_run = std::max(location.task->last_run, run.number);
@@ -45,6 +49,7 @@
         return;
     }
     end_trial(worker, found->second);
+    discharge_run(found->second);
     worker.used -= found->second.taken;
     worker.runs.erase(found);
     const auto location = find(run.task);
@@ -77,8 +82,13 @@
     {
         pass_trial(worker, known->second, now);
     }
-    erase_run(worker, run);
     const auto location = find(run.task);
+    if (known != worker.runs.end() && how == run_end::done)
+    {
+        learn_run_time(worker, known->second, location, now);
+        note_copy_end(known->second, location);
+    }
+    erase_run(worker, run);
     if (location.task == nullptr)
     {
         return;
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include <chrono>  // seconds
 #include <cmath>   // lround
 #include <csignal> // SIGTERM
 #include <cstdio>  // fprintf
@@ -18,6 +19,7 @@
 #include <sstream> // ostringstream
 #include <thread>  // thread
 #include <utility> // move
+#include <vector>  // vector
 
 namespace pimentoshunt::cell
 {
@@ -63,6 +65,8 @@
     out.ownership.millicpus = std::lround(config.processors * millicpus_each);
     out.scheduler.longest_lease = config.longest_lease;
     out.scheduler.lease = std::min(out.scheduler.lease, config.longest_lease);
+    out.configuration_bounds = {config.credential_max_age,
+                                config.configuration_max_age};
     return out;
 }
 
@@ -145,6 +149,10 @@
         {
             count_runs(counts);
         };
+        out.on_refusal = [this](const std::string& reason)
+        {
+            m_meters.add("caller_refusals_total", {"reason", reason});
+        };
         // Exports the series with 0 before the first event.
         count_runs({});
         return out;
@@ -160,11 +168,55 @@
         m_meters.add("runs_total", {"event", "worker crashed"}, counts.crashes);
         m_meters.add("jobs_given_up_total", {"for", "crashes"},
                      counts.crash_failures);
+        m_meters.add("copies_total", {"event", "started"}, counts.copies);
+        m_meters.add("copies_total", {"event", "ended first"},
+                     counts.copies_first);
         m_meters.add("long_waits_total", {"of", "step"}, counts.long_waits);
         m_meters.add("worker_entries_ignored_total", {"for", "malformed"},
                      counts.malformed_entries);
         m_meters.add("worker_entries_ignored_total", {"for", "contradicted"},
                      counts.contradicted_entries);
+        m_meters.add("overloads_total", {"of", "service"}, counts.overloads);
+        for (const auto& [queue, jobs] : counts.delayed_jobs)
+        {
+            m_meters.add("jobs_delayed_total", {"queue", queue.str()}, jobs);
+        }
+        for (const auto& [queue, jobs] : counts.expired_jobs)
+        {
+            m_meters.add("jobs_expired_total", {"queue", queue.str()}, jobs);
+        }
+        count_workspaces(counts.workspaces);
+    }
+
+    auto count_workspaces(const std::vector<policy::workspace_count>& counts)
+        -> void
+    {
+        if (counts.empty())
+        {
+            return;
+        }
+        m_workspaces_counted_at = boot_clock::now();
+        for (const auto& item : counts)
+        {
+            const meter_label label{"workspace", item.name};
+            m_meters.set("workspace_millicpus", label,
+                         static_cast<double>(item.millicpus));
+            m_meters.set("workspace_waiting_jobs", label,
+                         static_cast<double>(item.waiting_jobs));
+            m_meters.add("workspace_held_back_total", label, item.held_back);
+        }
+    }
+
+    /// Only the owner knows what workspaces use: an instance that was the owner
+    /// must not go on showing what it knew last.
+    auto remove_outdated_gauges() -> void
+    {
+        constexpr std::chrono::seconds max_age{5};
+        if (boot_clock::now() - m_workspaces_counted_at > max_age)
+        {
+            m_meters.clear("workspace_millicpus");
+            m_meters.clear("workspace_waiting_jobs");
+        }
     }
 
     auto serve_status(const net::server_request& request,
@@ -181,6 +233,12 @@
         }
         if (request.target == "/metrics")
         {
+            if (const auto age = m_instance.configuration_age())
+            {
+                m_meters.set("configuration_age_seconds", {},
+                             std::chrono::duration<double>(*age).count());
+            }
+            remove_outdated_gauges();
             answer({200, m_meters.text(), "text/plain; version=0.0.4"});
             return;
         }
@@ -285,6 +343,7 @@
     asio::steady_timer m_drain_timer;
     time_point m_drain_begun;
     bool m_callers_closed = false;
+    time_point m_workspaces_counted_at;
 };
 
 } // namespace
