The owner's heartbeat carries learned speeds, with which a later owner begins

Cause: after a takeover the scheduler knew no speeds and no factors of queues.

An instance keeps the last ones in the options of its scheduler. What the heartbeat carries of the scheduler moves to beat_content.hpp, so that instance.hpp becomes shorter. Options of a scheduler are passed by reference in tests, as copies are no longer cheap.

Takeovers of real processes were not run.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,6 +4,7 @@
 /// ownership lease.
 #pragma once
 
+#include <pimentoshunt/cell/beat_content.hpp>
 #include <pimentoshunt/cell/followers.hpp>
 #include <pimentoshunt/cell/job_request_handler.hpp>
 #include <pimentoshunt/cell/loop_lag.hpp>
@@ -518,12 +519,7 @@
         out.set_counted(is_pending_known());
         if (is_pending_known())
         {
-            for (const auto& item : m_role->pending())
-            {
-                auto& line = *out.add_pending();
-                line.set_queue(item.queue.str());
-                line.set_jobs(item.pending);
-            }
+            write_content(m_role->jobs(), out);
         }
         return message;
     }
@@ -880,6 +876,7 @@
         }
         m_heard_beat_epoch = beat.epoch();
         m_heard_beat_ms = beat.sent_ms();
+        read_speeds(beat, m_options.scheduler.speeds);
         m_ownership.on_owner_heartbeat(
             {beat.epoch(),
              beat.instance(),
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -68,7 +68,7 @@
     owner_role(Platform& platform, boost::asio::io_context& control,
                peers& others, store_health& health, owner_role_context context,
                std::uint64_t epoch, std::uint64_t epoch_version,
-               scheduler_options options)
+               const scheduler_options& options)
         : m_platform(platform), m_control(control), m_peers(others),
           m_health(health), m_context(std::move(context)),
           m_epoch_version(epoch_version),
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -108,6 +108,8 @@
     /// Interval at which the row of a silent worker is updated with the time of
     /// its silence, which a later owner need not wait for again.
     milliseconds silence_write_interval{400};
+    /// Speeds and factors that an earlier owner has learned.
+    policy::learned_speeds speeds;
 };
 
 /// @brief What the owner may do at one moment.
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -37,12 +37,13 @@
 
 scheduler::scheduler(std::uint64_t epoch, scheduler_options options,
                      time_point now)
-    : m_epoch(epoch), m_options(options), m_started_at(now),
+    : m_epoch(epoch), m_options(std::move(options)), m_started_at(now),
       m_health({.consecutive_failures = 2,
                 .min_outcomes = 10,
                 .initial_probe_delay = milliseconds(1'500),
                 .max_probe_delay = milliseconds(6'000)})
 {
+    restore_speeds(m_options.speeds);
 }
 
 auto scheduler::configure(const configuration& latest) -> void
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -73,7 +73,7 @@
 {
   public:
     explicit cell_simulation(std::uint64_t epoch = 1,
-                             cell::scheduler_options options = {})
+                             const cell::scheduler_options& options = {})
         : m_options(options)
     {
         m_scheduler.emplace(epoch, m_options, now);
--- a/tests/unit-cell-owner-series.cpp
+++ b/tests/unit-cell-owner-series.cpp
@@ -36,7 +36,7 @@
 struct owner_series
 {
     explicit owner_series(
-        cell::scheduler_options options = released_by_earlier_owner())
+        const cell::scheduler_options& options = released_by_earlier_owner())
         : simulation(1, options)
     {
     }
--- a/tests/unit-cell-speeds.cpp
+++ b/tests/unit-cell-speeds.cpp
@@ -2,6 +2,7 @@
 /// Tests of learned run times and speeds, and of the choice of workers by speed.
 #include "fakes/cell_simulation.hpp"
 
+#include <pimentoshunt/cell/beat_content.hpp>
 #include <pimentoshunt/cell/policy/run_time_model.hpp>
 
 #include <criterion/criterion.h>
@@ -356,3 +357,24 @@
     const auto ratio = kinds.at("b") / kinds.at("a");
     cr_assert(ratio > 2.1 && ratio < 2.6, "%f", ratio);
 }
+
+// Load: a takeover on a cell with two kinds of workers. Guards against an owner that
+// has to learn the speeds anew, and against heartbeats that carry needless speeds.
+Test(cell_speeds, a_later_owner_begins_with_the_speeds_of_the_heartbeat)
+{
+    wire::cell_beat beat;
+    cell::policy::learned_speeds known{{{cell::queue_name("q"), 3.0}},
+                                       {{"a", 0.7}, {"b", 1.7}}};
+    cell::write_speeds(known, beat);
+    cell::scheduler_options options;
+    cell::read_speeds(beat, options.speeds);
+    cell::read_speeds({}, options.speeds);
+    const cell::scheduler later(2, options, time_point{});
+    const auto learned = later.learned_speeds();
+    cr_assert_float_eq(learned.factors.at(cell::queue_name("q")), 3.0, 0.001);
+    cr_assert_float_eq(learned.kinds.at("b") / learned.kinds.at("a"), 1.7 / 0.7,
+                       0.001);
+    wire::cell_beat plain;
+    cell::write_speeds({{{cell::queue_name("q"), 1.05}}, {{"a", 1.0}}}, plain);
+    cr_assert(plain.kinds().empty() && plain.factors().empty());
+}
