--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -4,6 +4,7 @@
 /// ownership lease.
 #pragma once
 
+#include <pimentoshunt/cell/beat_content.hpp>
 #include <pimentoshunt/cell/configuration_feed.hpp>
 #include <pimentoshunt/cell/followers.hpp>
 #include <pimentoshunt/cell/job_request_handler.hpp>
@@ -486,6 +487,7 @@
         {
             m_view.update(m_role->jobs(), now);
             m_view.write(out, now);
+            write_learned(m_role->jobs(), out);
         }
         return message;
     }
@@ -842,6 +844,7 @@
         }
         m_heard_beat_epoch = beat.epoch();
         m_heard_beat_ms = beat.sent_ms();
+        read_speeds(beat, m_options.scheduler.speeds);
         m_ownership.on_owner_heartbeat(
             {beat.epoch(),
              beat.instance(),
