--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -12,6 +12,8 @@
 
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace pimentoshunt;
 using std::chrono::seconds;
@@ -29,13 +31,16 @@
     adapter::gateway real{client, meters, {}};
     /// Receives refreshes instead of the store, if set.
     std::function<void(cell::feed_handler)> on_refresh;
+    /// Receives the feed's own calls likewise.
+    std::function<void(cell::feed_handler)> on_feed;
 
     auto follow(const std::string& table, std::uint64_t after,
                 milliseconds wait, cell::feed_handler done) -> void
     {
-        if (on_refresh && wait == milliseconds(0))
+        const auto& target = wait == milliseconds(0) ? on_refresh : on_feed;
+        if (target)
         {
-            on_refresh(std::move(done));
+            target(std::move(done));
             return;
         }
         fake_cell_platform::follow(table, after, wait, std::move(done));
@@ -434,3 +439,19 @@
     cr_assert(freshness.is_within(bound, sent + seconds(61)));
     cr_assert(freshness.is_within({}, sent + seconds(999)));
 }
+
+// Guards against routes that are open to all because the list of workspaces has
+// another type.
+Test(cell_workspace_keys, a_malformed_list_of_workspaces_opens_no_route)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    const auto proven = fixture.feed.proven_at();
+    fixture.configure(R"({"a":{"apiKeys":["ka"]}})");
+    fixture.deliver();
+    cr_assert_eq(fixture.submit("")->status, 401);
+    cr_assert(fixture.feed.proven_at() == proven);
+    fixture.configure("null");
+    fixture.deliver();
+    cr_assert_eq(fixture.submit("")->status, 200, "a list was never given");
+}
