Apply the newest configuration row whatever version it names

Cause: a row whose version was not above the one in force was not applied, but counted as known. Keys that it withdrew stayed valid.

--- a/include/pimentoshunt/cell/configuration_feed.hpp
+++ b/include/pimentoshunt/cell/configuration_feed.hpp
@@ -193,10 +193,8 @@
                 .with("row_version", row.version);
             return;
         }
-        if (m_in_force && read->version <= m_in_force->version)
-        {
-            return;
-        }
+        // The row decides, not the version in it: operators may go back to an
+        // earlier version, which withdraws keys like any other.
         logging::info("configuration in force")
             .with("version", read->version)
             .with("routes", read->routes.size())
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -455,3 +455,19 @@
     fixture.deliver();
     cr_assert_eq(fixture.submit("")->status, 200, "a list was never given");
 }
+
+// Guards against a key that stays valid because operators go back to an earlier
+// version of the configuration.
+Test(cell_workspace_keys, the_newest_row_is_in_force_whatever_its_version_says)
+{
+    keys_fixture fixture;
+    fixture.version = 7;
+    fixture.start(two_workspaces);
+    fixture.version = 3;
+    fixture.configure(R"([{"name":"b","apiKeys":["kb"]}])");
+    fixture.deliver();
+    const auto withdrawn = fixture.submit("ka");
+    fixture.deliver();
+    cr_assert_eq(withdrawn->status, 401);
+    cr_assert_eq(fixture.submit("kb")->status, 200);
+}
