Take no answer older than what is known as a proof

Cause: an answer to a feed call counted as a proof of the newest configuration even if its version was below the one asked for, or missing.

Change: such an answer proves nothing, and the row read by a refresh is ignored if it is older than what the feed has delivered.

--- a/include/pimentoshunt/cell/configuration_feed.hpp
+++ b/include/pimentoshunt/cell/configuration_feed.hpp
@@ -219,14 +219,17 @@
                     resume_waiting();
                 }
             });
-        m_platform.follow(m_row.table, m_follower->version(), milliseconds(0),
-                          [this, now](const feed_result& found)
-                          {
-                              on_refreshed(found, now);
-                          });
+        m_platform.follow(
+            m_row.table, m_follower->version(), milliseconds(0),
+            [this, now, after = m_follower->version()](const feed_result& found)
+            {
+                on_refreshed(found, after, now);
+            });
     }
 
-    auto on_refreshed(const feed_result& found, time_point sent_at) -> void
+    /// @param after  version after which changes were asked for
+    auto on_refreshed(const feed_result& found, std::uint64_t after,
+                      time_point sent_at) -> void
     {
         if (m_stopped)
         {
@@ -236,14 +239,17 @@
         switch (found.state)
         {
         case feed_state::history_gone:
-            read_row();
+            read_row(after);
             return;
         case feed_state::changes:
             for (const auto& row : found.rows)
             {
                 on_row(row);
             }
-            m_freshness.on_proof(sent_at);
+            if (found.version >= after)
+            {
+                m_freshness.on_proof(sent_at);
+            }
             break;
         case feed_state::failed:
             break;
@@ -252,12 +258,13 @@
     }
 
     /// Reads the row itself: the store no longer has its changes.
-    auto read_row() -> void
+    /// @param after  rows of an older version are ignored
+    auto read_row(std::uint64_t after) -> void
     {
         read_range(m_platform,
                    {m_row.table, m_row.part, m_row.key, m_row.key + '\x01'},
                    read_timeout,
-                   [this, sent_at = boot_clock::now()](
+                   [this, after, sent_at = boot_clock::now()](
                        const std::optional<table_rows>& found)
                    {
                        if (m_stopped)
@@ -265,7 +272,7 @@
                            return;
                        }
                        m_health.record(found.has_value(), boot_clock::now());
-                       if (found)
+                       if (found && found->version >= after)
                        {
                            on_range(found->rows);
                            m_freshness.on_proof(sent_at);
--- a/include/pimentoshunt/cell/table_follower.hpp
+++ b/include/pimentoshunt/cell/table_follower.hpp
@@ -9,7 +9,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // max
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
@@ -236,8 +235,13 @@
                 return;
             }
         }
-        m_version = std::max(m_version, found.version);
-        notify_current(sent_at);
+        // A store that lags behind what it has shown, or an answer without a
+        // version, may lack changes.
+        if (found.version >= m_version)
+        {
+            m_version = found.version;
+            notify_current(sent_at);
+        }
         if (found.rows.empty() || m_timing.pause.count() == 0)
         {
             follow();
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -471,3 +471,31 @@
     cr_assert_eq(withdrawn->status, 401);
     cr_assert_eq(fixture.submit("kb")->status, 200);
 }
+
+// Guards against answers of a store that lags behind what it has shown before,
+// or that lack a version, which would keep withdrawn keys valid.
+Test(cell_workspace_keys, an_answer_older_than_what_is_known_proves_nothing)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    const auto proven = fixture.feed.proven_at();
+    cell::feed_handler refreshed;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshed = std::move(done);
+    };
+    cell::feed_result lagging;
+    lagging.state = cell::feed_state::changes;
+    cr_assert(fixture.feed.refresh({}));
+    refreshed(lagging);
+    cr_assert(fixture.feed.proven_at() == proven, "by a refresh");
+    cell::feed_handler followed;
+    fixture.platform.on_feed = [&](cell::feed_handler done)
+    {
+        followed = std::move(done);
+    };
+    fixture.deliver();
+    const auto since = fixture.feed.proven_at();
+    followed(lagging);
+    cr_assert(fixture.feed.proven_at() == since, "by the feed");
+}
