Keep the end of a wait from ending the next one

Cause: after a pause of the process the timer of an ended refresh could be handled after the next refresh had begun. Its requests were answered 401 at once, also those with keys that the answer would have shown.

Change: the timer's handler checks which refresh it belongs to.

--- a/include/pimentoshunt/cell/configuration_feed.hpp
+++ b/include/pimentoshunt/cell/configuration_feed.hpp
@@ -212,9 +212,11 @@
         m_refreshed_at = now;
         m_wait_timer.expires_after(max_wait);
         m_wait_timer.async_wait(
-            [this](auto fault)
+            [this, now](auto fault)
             {
-                if (!fault && !m_stopped)
+                // After a pause of the process the end of an earlier wait may
+                // be handled after the next refresh has begun.
+                if (!fault && !m_stopped && m_refreshed_at == now)
                 {
                     resume_waiting();
                 }
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -499,3 +499,33 @@
     followed(lagging);
     cr_assert(fixture.feed.proven_at() == since, "by the feed");
 }
+
+// Guards against 401 for a new key after a pause of the process: the end of one
+// wait ended the next one too.
+Test(cell_workspace_keys, the_end_of_a_wait_doesnt_end_the_next_one)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    std::vector<cell::feed_handler> refreshes;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshes.push_back(std::move(done));
+    };
+    const auto first = fixture.look_up("unknown");
+    std::shared_ptr<outcome> second;
+    boost::asio::post(fixture.control,
+                      [&]
+                      {
+                          std::this_thread::sleep_for(milliseconds(550));
+                          boost::asio::post(fixture.control,
+                                            [&]
+                                            {
+                                                refreshes.at(0)({});
+                                                second = fixture.look_up("new");
+                                            });
+                      });
+    fixture.run();
+    cr_assert_eq(first->status, 401);
+    cr_assert_eq(refreshes.size(), 2u);
+    cr_assert_eq(second->status, 0, "waits for its own refresh");
+}
