Date 401 by the answer instead of the arrival

Cause: a request that was held while the process paused was answered 401 by the age of the configuration at its arrival, although its key could have been in force for longer than the bound by then.

Change: the bound of 401 is checked at the time of the answer. What is served still depends on the arrival.

--- a/include/pimentoshunt/cell/policy/caller_access.hpp
+++ b/include/pimentoshunt/cell/policy/caller_access.hpp
@@ -50,6 +50,8 @@
     /// submission, or a count of waiting jobs.
     bool uses_queue = false;
     time_point arrived;
+    /// When it is answered; later than its arrival if it was held.
+    time_point answered;
     /// Whether the request may still wait for a newer version.
     bool may_refresh = false;
 };
--- a/include/pimentoshunt/cell/request_authorizer.hpp
+++ b/include/pimentoshunt/cell/request_authorizer.hpp
@@ -8,6 +8,7 @@
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/logging.hpp>
 
+#include <algorithm>  // max
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // make_shared
@@ -108,6 +109,7 @@
         query.uses_queue = parsed.request_kind == caller_request_kind::submit ||
                            parsed.request_kind == caller_request_kind::count;
         query.arrived = arrived;
+        query.answered = std::max(arrived, m_context.now());
         query.may_refresh = may_refresh && m_context.refresh;
         if (m_context.freshness)
         {
--- a/src/cell/caller_access.cpp
+++ b/src/cell/caller_access.cpp
@@ -27,8 +27,11 @@
 {
     const bool is_current =
         freshness.is_within(bounds.configuration_max_age, query.arrived);
+    // 401 is a statement about the time of the answer.
     const auto refused =
-        is_current ? access_result::unauthorized : access_result::unproven;
+        freshness.is_within(bounds.configuration_max_age, query.answered)
+            ? access_result::unauthorized
+            : access_result::unproven;
     if (!query.key)
     {
         return {refused, nullptr};
@@ -36,11 +39,9 @@
     const auto* const owner = find_key_owner(in_force, *query.key);
     if (owner == nullptr)
     {
-        if (freshness.is_proven_after(query.arrived))
-        {
-            return {access_result::unauthorized, nullptr};
-        }
-        return {query.may_refresh ? access_result::refresh : refused, nullptr};
+        const bool asks =
+            query.may_refresh && !freshness.is_proven_after(query.arrived);
+        return {asks ? access_result::refresh : refused, nullptr};
     }
     const bool is_proven =
         freshness.is_within(bounds.credential_max_age, query.arrived) &&
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -529,3 +529,20 @@
     cr_assert_eq(refreshes.size(), 2u);
     cr_assert_eq(second->status, 0, "waits for its own refresh");
 }
+
+// Guards against 401 for a key that has been in force for long when the process
+// resumes from a pause in which a request waited.
+Test(cell_workspace_keys, a_request_held_for_too_long_is_not_unauthorized)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    cell::feed_handler refreshed;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshed = std::move(done);
+    };
+    const auto held = fixture.look_up("new");
+    fixture.later = seconds(10);
+    refreshed({});
+    cr_assert_eq(held->status, 503);
+}
