Date a read of all rows by the attempt that read its first page

Cause: the read that ended an outage was dated by its first attempt, before the outage. Calls with keys were refused, and the instance was not ready, until the feed's next call had waited for a change.

Change: the date is that of the attempt that read the first page.

--- a/include/pimentoshunt/cell/table_follower.hpp
+++ b/include/pimentoshunt/cell/table_follower.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>  // none_of
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // shared_ptr
@@ -80,7 +81,6 @@
     auto begin() -> void
     {
         m_reading = unread(m_ranges);
-        m_read_began = boot_clock::now();
         read_all();
     }
 
@@ -114,6 +114,15 @@
 
     auto read_all() -> void
     {
+        // Without pages of earlier attempts the rows are as of this one.
+        if (std::none_of(m_reading.begin(), m_reading.end(),
+                         [](const auto& range)
+                         {
+                             return range->has_pages;
+                         }))
+        {
+            m_read_began = boot_clock::now();
+        }
         read_rest(m_platform, m_reading, read_timeout,
                   [self = this->shared_from_this()](bool complete)
                   {
@@ -273,7 +282,8 @@
     std::vector<row_range> m_ranges;
     feed_timing m_timing;
     listener m_callbacks;
-    /// The complete read that has not ended, and when it began.
+    /// The complete read that has not ended, and when the attempt began that
+    /// read its first page.
     partial_ranges m_reading;
     time_point m_read_began;
     std::uint64_t m_version = 0;
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -546,3 +546,23 @@
     refreshed({});
     cr_assert_eq(held->status, 503);
 }
+
+// Guards against calls refused for another second after an outage: the read
+// that ended it was dated by its first attempt.
+Test(cell_workspace_keys, a_read_is_dated_by_the_attempt_that_succeeded)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    fixture.store.is_unavailable = true;
+    fixture.deliver();
+    const auto run_for = [&](milliseconds time)
+    {
+        fixture.control.restart();
+        fixture.control.run_for(time);
+    };
+    run_for(milliseconds(250));
+    const auto served_at = boot_clock::now();
+    fixture.store.is_unavailable = false;
+    run_for(milliseconds(250));
+    cr_assert(fixture.feed.proven_at() >= served_at);
+}
