Refuse no job that has or may have been stored before

Cause: a job whose earlier write had an unknown outcome (504) was answered "not accepted" when it was sent again: while the store was away, or for lack of capacity if the read before the refusal did not find it. The earlier write may still reach the store. So was a job that this instance knew as stored.

A job that is known is answered with its state.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -26,6 +26,7 @@
 #include <memory>        // shared_ptr
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
 #include <utility>       // move
 
 namespace pimentoshunt::cell
@@ -250,14 +251,15 @@
         m_known_states[job] = state;
     }
 
-    /// Refuses a job unless it has been stored before: a caller may send it again
-    /// after an answer was lost.
+    /// Refuses a job unless it has or may have been stored before: a caller may
+    /// send it again after an answer was lost.
     auto check_and_submit(job_spec job, time_point reply_deadline, reply answer)
         -> void
     {
-        const auto refused = m_known_states.contains(job.id)
-                                 ? std::nullopt
-                                 : m_context.refusal_of(job);
+        const bool may_be_stored =
+            m_known_states.contains(job.id) || m_uncertain.contains(job.id);
+        const auto refused =
+            may_be_stored ? std::nullopt : m_context.refusal_of(job);
         if (!refused)
         {
             submit(std::move(job), reply_deadline, std::move(answer));
@@ -313,6 +315,16 @@
                            inbox_write_result result, boot_clock::duration took)
         -> net::server_response
     {
+        const auto known = m_known_states.find(job);
+        if (result != inbox_write_result::stored &&
+            known != m_known_states.end())
+        {
+            return m_platform.state_answer(known->second);
+        }
+        if (result == inbox_write_result::refused && m_uncertain.contains(job))
+        {
+            result = inbox_write_result::indeterminate;
+        }
         switch (result)
         {
         case inbox_write_result::stored:
@@ -321,6 +333,7 @@
                 .with("queue", queue)
                 .with("took", took);
             m_known_states.try_emplace(job, job_state::queued);
+            m_uncertain.erase(job);
             return m_platform.state_answer(job_state::queued);
         case inbox_write_result::refused:
             logging::warn("job refused: the store did not accept the write")
@@ -334,6 +347,16 @@
         logging::warn("job submission has an unknown outcome")
             .with("job", job)
             .with("took", took);
+        if (m_uncertain.size() >= max_known_states)
+        {
+            m_uncertain.clear();
+        }
+        m_uncertain.insert(job);
+        return unknown_outcome();
+    }
+
+    [[nodiscard]] auto unknown_outcome() const -> net::server_response
+    {
         return m_platform.error_answer(
             no_answer, "it is not known whether the job was accepted; "
                        "send it again with the same ID");
@@ -562,6 +585,9 @@
     std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_known_states;
+    /// Jobs of a write with an unknown outcome. It may still reach the store
+    /// after a read that did not find the job.
+    std::unordered_set<job_id> m_uncertain;
 };
 
 } // namespace pimentoshunt::cell
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -24,6 +24,17 @@
 {
   public:
     using fake_cell_platform::fake_cell_platform;
+    /// Whether reads get no answer.
+    bool drops_reads = false;
+
+    auto read(const cell::row_range& range, milliseconds limit,
+              cell::read_handler done) -> void
+    {
+        if (!drops_reads)
+        {
+            fake_cell_platform::read(range, limit, std::move(done));
+        }
+    }
 
     [[nodiscard]] auto read_caller(const net::server_request& request,
                                    const cell::configuration&) const
@@ -88,6 +99,10 @@
             return refusal;
         };
         context.announce = [](const cell::stored_row&) {};
+        context.send_forwarded_write = [](const wire::cell_deposit&)
+        {
+            return false;
+        };
         return context;
     }
 
@@ -134,11 +149,21 @@
     /// What the owner's view says of each new job.
     std::optional<cell::policy::refusal> refusal;
 
+    /// How long callers wait.
+    milliseconds deadline{0};
+
+    auto run_for(milliseconds time) -> void
+    {
+        control.restart();
+        control.run_for(time);
+    }
+
     auto look_up(const std::string& method = "GET") -> void
     {
         net::server_request request;
         request.method = method;
         request.target = job.str();
+        request.deadline = deadline;
         request_handler.serve(request, &in_force,
                               [this](net::server_response answer)
                               {
@@ -246,3 +271,28 @@
                          fixture.out->retry_after == std::chrono::seconds(7);
     cr_assert_not(refused);
 }
+
+// Guards against "not accepted" for a job whose earlier write may still arrive,
+// and for one that is known to be stored.
+Test(cell_job_request_handler, a_job_that_may_be_stored_is_not_refused)
+{
+    const cell::policy::refusal refusal{false, "no capacity",
+                                        std::chrono::seconds(7)};
+    request_handler_fixture fixture;
+    fixture.store.drops_transactions = true;
+    fixture.look_up("POST");
+    fixture.run_for(milliseconds(800));
+    cr_assert_eq(fixture.out->status, 504);
+    fixture.refusal = refusal;
+    fixture.store.drops_transactions = false;
+    fixture.store.is_unavailable = true;
+    fixture.look_up("POST");
+    cr_assert_eq(fixture.out->status, 504, "the outcome is still unknown");
+    fixture.store.is_unavailable = false;
+    fixture.health.record(true, boot_clock::now());
+    fixture.look_up("POST");
+    cr_assert_eq(fixture.out->status, 200, "%s", fixture.out->body.c_str());
+    fixture.store.is_unavailable = true;
+    fixture.look_up("POST");
+    cr_assert_eq(fixture.out->status, 200, "it has been stored");
+}
