Bound the states that submissions add to the cache

Cause: only look-ups observed the limit of 20,000 known states, so that an instance with submissions alone grew without a bound.

Change: submissions observe it too.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -316,8 +316,8 @@
         -> net::server_response
     {
         const auto known = m_known_states.find(job);
-        if (result != inbox_write_result::stored &&
-            known != m_known_states.end())
+        const bool is_known = known != m_known_states.end();
+        if (result != inbox_write_result::stored && is_known)
         {
             return m_platform.state_answer(known->second);
         }
@@ -332,7 +332,10 @@
                 .with("job", job)
                 .with("queue", queue)
                 .with("took", took);
-            m_known_states.try_emplace(job, job_state::queued);
+            if (!is_known)
+            {
+                remember(job, job_state::queued);
+            }
             m_uncertain.erase(job);
             return m_platform.state_answer(job_state::queued);
         case inbox_write_result::refused:
