Answer a refused job by its caller's deadline

Cause: the read before a refusal had no limit but its own, 0.7 s to the first byte and up to 7 s of transfer, and was followed by a write after the caller's deadline.

Change: the caller is answered 504 at its deadline, and nothing is written afterwards.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -265,24 +265,34 @@
             submit(std::move(job), reply_deadline, std::move(answer));
             return;
         }
+        auto timed = reply_by(m_control, reply_deadline, std::move(answer),
+                              [this]
+                              {
+                                  return unknown_outcome();
+                              });
         const auto ranges = job_ranges(job.id);
-        read_ranges(
-            m_platform, ranges, read_timeout,
-            [this, job = std::move(job), refused = *refused, reply_deadline,
-             answer = std::move(answer)](std::optional<table_rows> found)
-            {
-                m_health.record(found.has_value(), boot_clock::now());
-                if (!found || !found->rows.empty())
-                {
-                    submit(job, reply_deadline, answer);
-                    return;
-                }
-                logging::info("job refused")
-                    .with("job", job.id)
-                    .with("queue", job.queue.name)
-                    .with("why", refused.why);
-                answer(refusal_answer(refused));
-            });
+        read_ranges(m_platform, ranges, read_timeout,
+                    [this, job = std::move(job), refused = *refused,
+                     reply_deadline,
+                     answer = std::move(timed)](std::optional<table_rows> found)
+                    {
+                        m_health.record(found.has_value(), boot_clock::now());
+                        if (boot_clock::now() >= reply_deadline)
+                        {
+                            answer(unknown_outcome());
+                            return;
+                        }
+                        if (!found || !found->rows.empty())
+                        {
+                            submit(job, reply_deadline, answer);
+                            return;
+                        }
+                        logging::info("job refused")
+                            .with("job", job.id)
+                            .with("queue", job.queue.name)
+                            .with("why", refused.why);
+                        answer(refusal_answer(refused));
+                    });
     }
 
     [[nodiscard]] auto refusal_answer(const policy::refusal& refused) const
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -296,3 +296,18 @@
     fixture.look_up("POST");
     cr_assert_eq(fixture.out->status, 200, "it has been stored");
 }
+
+// Guards against a caller who is not answered in time because the read before a
+// refusal takes long.
+Test(cell_job_request_handler, a_refusal_waits_for_a_read_in_bounds)
+{
+    request_handler_fixture fixture;
+    fixture.refusal =
+        cell::policy::refusal{false, "no capacity", std::chrono::seconds(7)};
+    fixture.platform.drops_reads = true;
+    fixture.deadline = milliseconds(300);
+    fixture.look_up("POST");
+    fixture.run_for(milliseconds(250));
+    cr_assert(fixture.out.has_value());
+    cr_assert_eq(fixture.out->status, 504);
+}
