End calls that wait for a connection at their time limit

Cause: a call that waited for a free connection ended only once one became free. Since answers of the store may take 7 s longer than a call without one, renewals of the ownership and callers' writes could wait that long.

Change: a timer ends a waiting call. It has not been sent, and says so.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -9,9 +9,10 @@
 #include <pimentoshunt/net/timeout_estimator.hpp>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>     // max, min
-#include <deque>         // deque
+#include <deque>         // deque, erase
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
 #include <utility>       // move
@@ -73,6 +74,9 @@
         std::optional<time_point> answer_began;
         bool answer_too_large = false;
         bool retried = false;
+        /// Ends the call if no connection becomes free in time; set while it
+        /// waits for one.
+        std::optional<asio::steady_timer> queue_timer;
     };
     using exchange_ptr = std::shared_ptr<exchange>;
 
@@ -98,13 +102,33 @@
         auto& target_peer = m_peers[address];
         if (target_peer.busy >= m_limits.connections)
         {
-            target_peer.waiting.push_back(std::move(item));
+            target_peer.waiting.push_back(item);
+            limit_waiting(item);
             return;
         }
         ++target_peer.busy;
         run(item);
     }
 
+    /// Transfers may occupy all connections for far longer than the time limit
+    /// of a call that waits for one.
+    auto limit_waiting(const exchange_ptr& item) -> void
+    {
+        item->queue_timer.emplace(m_traffic);
+        item->queue_timer->expires_after(remaining_time(item));
+        item->queue_timer->async_wait(
+            [self = shared_from_this(), item](beast::error_code fault)
+            {
+                if (fault || !item->queue_timer)
+                {
+                    return;
+                }
+                item->queue_timer.reset();
+                std::erase(self->m_peers[item->address].waiting, item);
+                self->deliver_unsent(item);
+            });
+    }
+
     /// The call's own timeout, or the estimated one where the call allows a
     /// lower bound.
     static auto timeout_of(const peer& target_peer, const http_call& call)
@@ -340,6 +364,7 @@
         {
             auto next = std::move(target_peer.waiting.front());
             target_peer.waiting.pop_front();
+            next->queue_timer.reset();
             ++target_peer.busy;
             if (boot_clock::now() < next->until)
             {
@@ -347,13 +372,18 @@
                 return;
             }
             --target_peer.busy;
-            http_exchange out;
-            out.state = exchange_state::never_sent;
-            out.detail = "no connection became free before the deadline";
-            deliver(next, std::move(out));
+            deliver_unsent(next);
         }
     }
 
+    auto deliver_unsent(const exchange_ptr& item) -> void
+    {
+        http_exchange out;
+        out.state = exchange_state::never_sent;
+        out.detail = "no connection became free before the deadline";
+        deliver(item, std::move(out));
+    }
+
     auto deliver(const exchange_ptr& item, http_exchange out) -> void
     {
         asio::post(
--- a/tests/unit-net-http-client.cpp
+++ b/tests/unit-net-http-client.cpp
@@ -302,3 +302,32 @@
     fixture.call();
     cr_assert(fixture.run().state == net::exchange_state::answered);
 }
+
+// Guards against calls that wait far beyond their time limit, such as renewals
+// of the ownership, while transfers occupy all connections.
+Test(net_http_client, a_call_without_a_free_connection_ends_in_time)
+{
+    client_fixture fixture;
+    net::client_limits limits;
+    limits.connections = 1;
+    net::http_client client(fixture.context, fixture.context.get_executor(),
+                            limits);
+    const auto address = "127.0.0.1:" + std::to_string(fixture.port);
+    net::http_call first;
+    first.method = "GET";
+    first.path = "/";
+    first.timeout = milliseconds(2'000);
+    client.call(address, first, [](const net::http_exchange&) {});
+    auto second = first;
+    second.timeout = milliseconds(100);
+    client.call(address, second,
+                [&](net::http_exchange answer)
+                {
+                    fixture.result = std::move(answer);
+                });
+    const auto began = boot_clock::now();
+    const auto& answer = fixture.run();
+    cr_assert(answer.state == net::exchange_state::never_sent);
+    cr_assert_lt((boot_clock::now() - began).count(),
+                 std::chrono::nanoseconds(milliseconds(1'000)).count());
+}
