--- a/include/pimentoshunt/cell/configuration_feed.hpp
+++ b/include/pimentoshunt/cell/configuration_feed.hpp
@@ -193,10 +193,8 @@
                 .with("row_version", row.version);
             return;
         }
-        if (m_in_force && read->version <= m_in_force->version)
-        {
-            return;
-        }
+        // The row decides, not the version in it: operators may go back to an
+        // earlier version, which withdraws keys like any other.
         logging::info("configuration in force")
             .with("version", read->version)
             .with("routes", read->routes.size())
@@ -214,21 +212,26 @@
         m_refreshed_at = now;
         m_wait_timer.expires_after(max_wait);
         m_wait_timer.async_wait(
-            [this](auto fault)
+            [this, now](auto fault)
             {
-                if (!fault && !m_stopped)
+                // After a pause of the process the end of an earlier wait may
+                // be handled after the next refresh has begun.
+                if (!fault && !m_stopped && m_refreshed_at == now)
                 {
                     resume_waiting();
                 }
             });
-        m_platform.follow(m_row.table, m_follower->version(), milliseconds(0),
-                          [this, now](const feed_result& found)
-                          {
-                              on_refreshed(found, now);
-                          });
+        m_platform.follow(
+            m_row.table, m_follower->version(), milliseconds(0),
+            [this, now, after = m_follower->version()](const feed_result& found)
+            {
+                on_refreshed(found, after, now);
+            });
     }
 
-    auto on_refreshed(const feed_result& found, time_point sent_at) -> void
+    /// @param after  version after which changes were asked for
+    auto on_refreshed(const feed_result& found, std::uint64_t after,
+                      time_point sent_at) -> void
     {
         if (m_stopped)
         {
@@ -238,14 +241,17 @@
         switch (found.state)
         {
         case feed_state::history_gone:
-            read_row();
+            read_row(after);
             return;
         case feed_state::changes:
             for (const auto& row : found.rows)
             {
                 on_row(row);
             }
-            m_freshness.on_proof(sent_at);
+            if (found.version >= after)
+            {
+                m_freshness.on_proof(sent_at);
+            }
             break;
         case feed_state::failed:
             break;
@@ -254,12 +260,13 @@
     }
 
     /// Reads the row itself: the store no longer has its changes.
-    auto read_row() -> void
+    /// @param after  rows of an older version are ignored
+    auto read_row(std::uint64_t after) -> void
     {
         read_range(m_platform,
                    {m_row.table, m_row.part, m_row.key, m_row.key + '\x01'},
                    read_timeout,
-                   [this, sent_at = boot_clock::now()](
+                   [this, after, sent_at = boot_clock::now()](
                        const std::optional<table_rows>& found)
                    {
                        if (m_stopped)
@@ -267,7 +274,7 @@
                            return;
                        }
                        m_health.record(found.has_value(), boot_clock::now());
-                       if (found)
+                       if (found && found->version >= after)
                        {
                            on_range(found->rows);
                            m_freshness.on_proof(sent_at);
--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -26,6 +26,7 @@
 #include <memory>        // shared_ptr
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
+#include <unordered_set> // unordered_set
 #include <utility>       // move
 
 namespace pimentoshunt::cell
@@ -250,37 +251,48 @@
         m_known_states[job] = state;
     }
 
-    /// Refuses a job unless it has been stored before: a caller may send it again
-    /// after an answer was lost.
+    /// Refuses a job unless it has or may have been stored before: a caller may
+    /// send it again after an answer was lost.
     auto check_and_submit(job_spec job, time_point reply_deadline, reply answer)
         -> void
     {
-        const auto refused = m_known_states.contains(job.id)
-                                 ? std::nullopt
-                                 : m_context.refusal_of(job);
+        const bool may_be_stored =
+            m_known_states.contains(job.id) || m_uncertain.contains(job.id);
+        const auto refused =
+            may_be_stored ? std::nullopt : m_context.refusal_of(job);
         if (!refused)
         {
             submit(std::move(job), reply_deadline, std::move(answer));
             return;
         }
+        auto timed = reply_by(m_control, reply_deadline, std::move(answer),
+                              [this]
+                              {
+                                  return unknown_outcome();
+                              });
         const auto ranges = job_ranges(job.id);
-        read_ranges(
-            m_platform, ranges, read_timeout,
-            [this, job = std::move(job), refused = *refused, reply_deadline,
-             answer = std::move(answer)](std::optional<table_rows> found)
-            {
-                m_health.record(found.has_value(), boot_clock::now());
-                if (!found || !found->rows.empty())
-                {
-                    submit(job, reply_deadline, answer);
-                    return;
-                }
-                logging::info("job refused")
-                    .with("job", job.id)
-                    .with("queue", job.queue.name)
-                    .with("why", refused.why);
-                answer(refusal_answer(refused));
-            });
+        read_ranges(m_platform, ranges, read_timeout,
+                    [this, job = std::move(job), refused = *refused,
+                     reply_deadline,
+                     answer = std::move(timed)](std::optional<table_rows> found)
+                    {
+                        m_health.record(found.has_value(), boot_clock::now());
+                        if (boot_clock::now() >= reply_deadline)
+                        {
+                            answer(unknown_outcome());
+                            return;
+                        }
+                        if (!found || !found->rows.empty())
+                        {
+                            submit(job, reply_deadline, answer);
+                            return;
+                        }
+                        logging::info("job refused")
+                            .with("job", job.id)
+                            .with("queue", job.queue.name)
+                            .with("why", refused.why);
+                        answer(refusal_answer(refused));
+                    });
     }
 
     [[nodiscard]] auto refusal_answer(const policy::refusal& refused) const
@@ -313,6 +325,16 @@
                            inbox_write_result result, boot_clock::duration took)
         -> net::server_response
     {
+        const auto known = m_known_states.find(job);
+        const bool is_known = known != m_known_states.end();
+        if (result != inbox_write_result::stored && is_known)
+        {
+            return m_platform.state_answer(known->second);
+        }
+        if (result == inbox_write_result::refused && m_uncertain.contains(job))
+        {
+            result = inbox_write_result::indeterminate;
+        }
         switch (result)
         {
         case inbox_write_result::stored:
@@ -320,7 +342,11 @@
                 .with("job", job)
                 .with("queue", queue)
                 .with("took", took);
-            m_known_states.try_emplace(job, job_state::queued);
+            if (!is_known)
+            {
+                remember(job, job_state::queued);
+            }
+            m_uncertain.erase(job);
             return m_platform.state_answer(job_state::queued);
         case inbox_write_result::refused:
             logging::warn("job refused: the store did not accept the write")
@@ -334,6 +360,16 @@
         logging::warn("job submission has an unknown outcome")
             .with("job", job)
             .with("took", took);
+        if (m_uncertain.size() >= max_known_states)
+        {
+            m_uncertain.clear();
+        }
+        m_uncertain.insert(job);
+        return unknown_outcome();
+    }
+
+    [[nodiscard]] auto unknown_outcome() const -> net::server_response
+    {
         return m_platform.error_answer(
             no_answer, "it is not known whether the job was accepted; "
                        "send it again with the same ID");
@@ -562,6 +598,9 @@
     std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_known_states;
+    /// Jobs of a write with an unknown outcome. It may still reach the store
+    /// after a read that did not find the job.
+    std::unordered_set<job_id> m_uncertain;
 };
 
 } // namespace pimentoshunt::cell
--- a/tests/unit-cell-workspace-keys.cpp
+++ b/tests/unit-cell-workspace-keys.cpp
@@ -12,6 +12,8 @@
 
 #include <optional>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace pimentoshunt;
 using std::chrono::seconds;
@@ -29,13 +31,16 @@
     adapter::gateway real{client, meters, {}};
     /// Receives refreshes instead of the store, if set.
     std::function<void(cell::feed_handler)> on_refresh;
+    /// Receives the feed's own calls likewise.
+    std::function<void(cell::feed_handler)> on_feed;
 
     auto follow(const std::string& table, std::uint64_t after,
                 milliseconds wait, cell::feed_handler done) -> void
     {
-        if (on_refresh && wait == milliseconds(0))
+        const auto& target = wait == milliseconds(0) ? on_refresh : on_feed;
+        if (target)
         {
-            on_refresh(std::move(done));
+            target(std::move(done));
             return;
         }
         fake_cell_platform::follow(table, after, wait, std::move(done));
@@ -434,3 +439,130 @@
     cr_assert(freshness.is_within(bound, sent + seconds(61)));
     cr_assert(freshness.is_within({}, sent + seconds(999)));
 }
+
+// Guards against routes that are open to all because the list of workspaces has
+// another type.
+Test(cell_workspace_keys, a_malformed_list_of_workspaces_opens_no_route)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    const auto proven = fixture.feed.proven_at();
+    fixture.configure(R"({"a":{"apiKeys":["ka"]}})");
+    fixture.deliver();
+    cr_assert_eq(fixture.submit("")->status, 401);
+    cr_assert(fixture.feed.proven_at() == proven);
+    fixture.configure("null");
+    fixture.deliver();
+    cr_assert_eq(fixture.submit("")->status, 200, "a list was never given");
+}
+
+// Guards against a key that stays valid because operators go back to an earlier
+// version of the configuration.
+Test(cell_workspace_keys, the_newest_row_is_in_force_whatever_its_version_says)
+{
+    keys_fixture fixture;
+    fixture.version = 7;
+    fixture.start(two_workspaces);
+    fixture.version = 3;
+    fixture.configure(R"([{"name":"b","apiKeys":["kb"]}])");
+    fixture.deliver();
+    const auto withdrawn = fixture.submit("ka");
+    fixture.deliver();
+    cr_assert_eq(withdrawn->status, 401);
+    cr_assert_eq(fixture.submit("kb")->status, 200);
+}
+
+// Guards against answers of a store that lags behind what it has shown before,
+// or that lack a version, which would keep withdrawn keys valid.
+Test(cell_workspace_keys, an_answer_older_than_what_is_known_proves_nothing)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    const auto proven = fixture.feed.proven_at();
+    cell::feed_handler refreshed;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshed = std::move(done);
+    };
+    cell::feed_result lagging;
+    lagging.state = cell::feed_state::changes;
+    cr_assert(fixture.feed.refresh({}));
+    refreshed(lagging);
+    cr_assert(fixture.feed.proven_at() == proven, "by a refresh");
+    cell::feed_handler followed;
+    fixture.platform.on_feed = [&](cell::feed_handler done)
+    {
+        followed = std::move(done);
+    };
+    fixture.deliver();
+    const auto since = fixture.feed.proven_at();
+    followed(lagging);
+    cr_assert(fixture.feed.proven_at() == since, "by the feed");
+}
+
+// Guards against 401 for a new key after a pause of the process: the end of one
+// wait ended the next one too.
+Test(cell_workspace_keys, the_end_of_a_wait_doesnt_end_the_next_one)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    std::vector<cell::feed_handler> refreshes;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshes.push_back(std::move(done));
+    };
+    const auto first = fixture.look_up("unknown");
+    std::shared_ptr<outcome> second;
+    boost::asio::post(fixture.control,
+                      [&]
+                      {
+                          std::this_thread::sleep_for(milliseconds(550));
+                          boost::asio::post(fixture.control,
+                                            [&]
+                                            {
+                                                refreshes.at(0)({});
+                                                second = fixture.look_up("new");
+                                            });
+                      });
+    fixture.run();
+    cr_assert_eq(first->status, 401);
+    cr_assert_eq(refreshes.size(), 2u);
+    cr_assert_eq(second->status, 0, "waits for its own refresh");
+}
+
+// Guards against 401 for a key that has been in force for long when the process
+// resumes from a pause in which a request waited.
+Test(cell_workspace_keys, a_request_held_for_too_long_is_not_unauthorized)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    cell::feed_handler refreshed;
+    fixture.platform.on_refresh = [&](cell::feed_handler done)
+    {
+        refreshed = std::move(done);
+    };
+    const auto held = fixture.look_up("new");
+    fixture.later = seconds(10);
+    refreshed({});
+    cr_assert_eq(held->status, 503);
+}
+
+// Guards against calls refused for another second after an outage: the read
+// that ended it was dated by its first attempt.
+Test(cell_workspace_keys, a_read_is_dated_by_the_attempt_that_succeeded)
+{
+    keys_fixture fixture;
+    fixture.start(two_workspaces);
+    fixture.store.is_unavailable = true;
+    fixture.deliver();
+    const auto run_for = [&](milliseconds time)
+    {
+        fixture.control.restart();
+        fixture.control.run_for(time);
+    };
+    run_for(milliseconds(250));
+    const auto served_at = boot_clock::now();
+    fixture.store.is_unavailable = false;
+    run_for(milliseconds(250));
+    cr_assert(fixture.feed.proven_at() >= served_at);
+}
