Keep copies of stragglers within the limit of their workspace

start_copy() starts a run without place_tasks(), which is where the limit is checked, so that a workspace at its limit got copies beyond it. The copy now starts only if the account has room for it.

--- a/src/cell/scheduler_copies.cpp
+++ b/src/cell/scheduler_copies.cpp
@@ -155,6 +155,11 @@
 {
     auto& task = item.step->tasks[index];
     const auto& spec = *item.step->spec;
+    // The copy counts for the workspace besides the run that it copies.
+    if (policy::startable(item.job->account, policy::charge_for(spec), 1) == 0)
+    {
+        return false;
+    }
     const auto need = policy::resources_for(spec, 1).millicpus;
     auto* const worker = policy::cheapest(
         candidates(item, now),
--- a/tests/unit-cell-copies.cpp
+++ b/tests/unit-cell-copies.cpp
@@ -38,12 +38,13 @@
         simulation.run_pass();
     }
 
-    auto accept(const std::string& id, bool copies, bool approval = false)
-        -> void
+    auto accept(const std::string& id, bool copies, bool approval = false,
+                const std::string& owner = "") -> void
     {
         auto job = simple_job(id, 6, 1'000);
         job.steps[0].copies_allowed = copies;
         job.queue.approval.required = approval;
+        job.workspace = workspace_name(owner);
         simulation.jobs().accept(job, simulation.now);
     }
 
@@ -170,3 +171,26 @@
     cr_assert_geq(cell.simulation.approval_requests.size(), 2u);
     cr_assert(cell.state("j1") == cell::job_state::succeeded);
 }
+
+// Load: a straggler whose workspace has the rest of its limit in use. Guards
+// against a copy that exceeds the limit, since it is no waiting task.
+Test(cell_copies, a_copy_is_within_the_limit_of_its_workspace)
+{
+    straggling_cell cell;
+    cell.simulation.configure({fakes::workspace("a", 6'000)});
+    cell.accept("j1", true, false, "a");
+    cell.simulation.run_for(milliseconds(700));
+    cell.simulation.run_time =
+        [](const cell::run_ref&) -> std::optional<milliseconds>
+    {
+        return straggler_time;
+    };
+    auto other = simple_job("other", 5, 1'000);
+    other.workspace = workspace_name("a");
+    cell.simulation.jobs().accept(other, cell.simulation.now);
+    cell.simulation.run_for(milliseconds(2'500));
+    cr_assert_eq(cell.simulation.starts.size(), 11u);
+    const auto& account =
+        cell.simulation.jobs().workspaces().accounts().at(workspace_name("a"));
+    cr_assert_leq(account.used.millicpus, 6'000);
+}
