Request approval for copies again

Since requests are limited to what a workspace may start, a request for a step without waiting tasks was for no task and was dropped. Such a request now is for one task. 43 tests of copies, approvals, gangs and limits pass.

--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -126,7 +126,7 @@
     {
         room += step.spec->filler ? 1 : worker->room().millicpus / each;
     }
-    const auto waiting = std::min<std::size_t>(step.waiting.size(), most);
+    const std::size_t waiting = most;
     if (room < static_cast<std::int64_t>(waiting))
     {
         out.insert(out.end(), not_requested.begin(), not_requested.end());
--- a/src/cell/scheduler_workspaces.cpp
+++ b/src/cell/scheduler_workspaces.cpp
@@ -181,7 +181,9 @@
 {
     const auto& spec = *item.step->spec;
     const auto* const account = item.job->account;
-    const auto waiting = static_cast<std::uint32_t>(item.step->waiting.size());
+    // A request for a step without a waiting task is for a copy of one.
+    const auto waiting =
+        std::max(static_cast<std::uint32_t>(item.step->waiting.size()), 1u);
     if (account == nullptr || !account->is_limited())
     {
         return waiting;
