Derive the wanted speed from the chain, not from the order

The selection under overload overwrites latest_start with the time by which a lateness class is ordered. The preference of workers took the difference to the deadline for the rest of the job, which became negative for delayed steps: late ones asked for the fastest workers, others for the slowest. The chain now has a field of its own. The new test fails with the old computation and passes with this one; all tests of speeds pass.

--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -23,8 +23,10 @@
     /// When the objective of its round ends.
     time_point due;
     /// Latest start with which the estimated rest of the job still meets the
-    /// objective.
+    /// objective; under overload the time by which its lateness class is ordered.
     time_point latest_start;
+    /// Estimated length of its longest chain of steps to the end of the job.
+    milliseconds chain{0};
     /// Whether finishing it is worth nothing to its caller any more.
     bool expired = false;
     /// Whether its job is beyond the rate of its workspace, and the share of that
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -61,9 +61,9 @@
     const auto started_at = item.round->released_at;
     item.due = started_at + target;
     const auto chain = critical_path_from(job, item.step->number);
-    item.latest_start =
-        item.due - milliseconds(static_cast<std::int64_t>(
-                       factor * static_cast<double>(chain.count())));
+    item.chain = milliseconds(static_cast<std::int64_t>(
+        factor * static_cast<double>(chain.count())));
+    item.latest_start = item.due - item.chain;
     // An outage of all owners makes no job worthless: others would overtake it.
     const auto known_since = std::max(started_at, item.job->accepted_at);
     item.expired = now > known_since + worthless_after_objectives * target &&
--- a/src/cell/speed_preference.cpp
+++ b/src/cell/speed_preference.cpp
@@ -129,7 +129,7 @@
     out.fast = range.fast;
     const auto& spec = *item.step->spec;
     const ms left = item.due - now;
-    const ms chain = item.due - item.latest_start;
+    const ms chain = item.chain;
     // A step is as long as its slowest task.
     const ms needed = chain + ms(spec.estimate) * factor *
                                   (slowest_of(item.step->waiting.size()) - 1);
--- a/tests/unit-cell-speeds.cpp
+++ b/tests/unit-cell-speeds.cpp
@@ -9,6 +9,7 @@
 #include <algorithm> // sort
 #include <cmath>     // abs, exp, isfinite, log
 #include <cstdint>   // uint32_t
+#include <memory>    // make_shared
 #include <random>    // mt19937, normal_distribution
 #include <string>    // string, to_string
 #include <utility>   // pair
@@ -356,3 +357,33 @@
     const auto ratio = kinds.at("b") / kinds.at("a");
     cr_assert(ratio > 2.1 && ratio < 2.6, "%f", ratio);
 }
+
+// Load: a step that is late, in a service with too little capacity. Guards against
+// a preference that takes the time of the order under overload for a deadline.
+Test(cell_speeds, the_order_under_overload_does_not_change_the_preference)
+{
+    const auto spec =
+        std::make_shared<const cell::job_spec>(simple_job("j1", 4, 1'000));
+    cell::detail::job_record job;
+    job.spec = spec;
+    cell::detail::round_record round;
+    cell::detail::step_record step;
+    step.spec = &spec->steps.front();
+    const time_point now{std::chrono::hours(1)};
+    cell::policy::waiting_step item;
+    item.job = &job;
+    item.round = &round;
+    item.step = &step;
+    const cell::policy::speed_range range{true, 0.7, 1.7, 1.0};
+    for (int age = 0; age < 5'000; age += 100)
+    {
+        round.released_at = now - milliseconds(age);
+        job.accepted_at = round.released_at;
+        cell::policy::compute_deadlines(item, now);
+        const auto before = cell::policy::preference_of(item, range, 1.0, now);
+        item.latest_start = item.due + std::chrono::seconds(5);
+        const auto after = cell::policy::preference_of(item, range, 1.0, now);
+        cr_assert_eq(after.fast_first, before.fast_first, "%d ms", age);
+        cr_assert_float_eq(after.required, before.required, 1e-9);
+    }
+}
