Serve old jobs beyond the rate of their workspace

Jobs beyond the rate come after all others. Nothing let them move up, so that they never started beside a stream of jobs within their rates; the ageing of the selection under overload has no effect on them. After 10 s a workspace gets a 32nd of its rate, at least one job each 20 s, admitted first in its priority. The new test fails without the change.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -326,6 +326,8 @@
     policy::workspace_account* account = nullptr;
     /// Whether it is beyond the rate of its workspace.
     bool beyond_rate = false;
+    /// Whether it has waited so long that it counts as within the rate.
+    bool aged = false;
     job_state state = job_state::queued;
     /// State as callers may see it: final states only once they are durable.
     job_state published_state = job_state::queued;
--- a/include/pimentoshunt/cell/policy/workspace_order.hpp
+++ b/include/pimentoshunt/cell/policy/workspace_order.hpp
@@ -78,6 +78,19 @@
     std::vector<const workspace_account*> m_changed;
 };
 
+/// Wait after which a job beyond the rate may count as within it.
+inline constexpr milliseconds beyond_rate_wait{10'000};
+/// Longest time between two such jobs of one workspace.
+inline constexpr milliseconds longest_aged_interval{20'000};
+
+/// @brief Lets jobs beyond the rate of their workspace that have waited for
+/// @ref beyond_rate_wait count as within it and go first in their priority, a
+/// 32nd of the rate and at least one job each @ref longest_aged_interval:
+/// behind an endless stream of jobs within their rates they would never start.
+/// @param items  in the order of arrival
+/// @complexity linear in the number of items
+auto admit_aged(std::vector<waiting_step>& items, time_point now) -> void;
+
 /// @brief Capacity and use of all workers.
 struct cell_load
 {
--- a/include/pimentoshunt/cell/policy/workspace_usage.hpp
+++ b/include/pimentoshunt/cell/policy/workspace_usage.hpp
@@ -40,6 +40,8 @@
     /// Steps that the limit has begun to keep back since the counter was read.
     std::uint64_t held_back = 0;
     time_point logged_at;
+    /// When a job beyond its rate last came to count as within it, for its age.
+    time_point aged_at;
 
     /// @brief Whether any resource is limited.
     [[nodiscard]] auto is_limited() const noexcept -> bool
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -139,6 +139,7 @@
         }
     }
     apply_selection(out, now);
+    policy::admit_aged(out, now);
     policy::sort(out);
     order_by_shares(out);
     return out;
--- a/src/cell/workspace_order.cpp
+++ b/src/cell/workspace_order.cpp
@@ -20,6 +20,9 @@
 /// coarser ones let one workspace fall behind by more.
 constexpr double increments_of_share = 8.0;
 constexpr double max_increment = 1'000'000.0;
+/// Part of a workspace's rate at which its aged jobs are admitted. With an eighth,
+/// a workspace at seven times its load cost the others 0.06 of their jobs.
+constexpr double aged_share = 0.03125;
 
 } // namespace
 
@@ -95,6 +98,32 @@
     return out;
 }
 
+auto admit_aged(std::vector<waiting_step>& items, time_point now) -> void
+{
+    for (auto& item : items)
+    {
+        auto& job = *item.job;
+        if (!item.beyond_rate || job.account == nullptr)
+        {
+            continue;
+        }
+        auto& account = *job.account;
+        if (!job.aged && now - item.round->released_at >= beyond_rate_wait)
+        {
+            const std::chrono::duration<double> by_rate(
+                1.0 / (aged_share * account.weight));
+            job.aged = now - account.aged_at >= longest_aged_interval ||
+                       now - account.aged_at >= by_rate;
+            account.aged_at = job.aged ? now : account.aged_at;
+        }
+        if (job.aged)
+        {
+            item.beyond_rate = false;
+            item.lateness = lateness_class::under_way;
+        }
+    }
+}
+
 auto dominant_share(const resources& used, const resources& capacity) -> double
 {
     const auto share = [](std::int64_t amount, std::int64_t whole)
--- a/tests/unit-cell-workspace-order.cpp
+++ b/tests/unit-cell-workspace-order.cpp
@@ -5,7 +5,7 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm> // shuffle
+#include <algorithm> // count_if, shuffle
 #include <cstdlib>   // abs
 #include <map>       // map
 #include <random>    // mt19937, uniform_int_distribution
@@ -238,6 +238,47 @@
     cr_assert_eq(simulation.starts[1].run.task.step.job, job_id("j3"));
 }
 
+// Guards against jobs beyond the rate that never start, since others within their
+// rates always wait.
+Test(cell_workspace_order, jobs_beyond_the_rate_start_beside_an_endless_stream)
+{
+    cell_simulation simulation;
+    simulation.configure({workspace("a", 0, 1), workspace("b", 0, 1'000)});
+    simulation.add_worker("w1", 1'000);
+    simulation.run_for(milliseconds(100));
+    simulation.run_time = [](const cell::run_ref&)
+    {
+        return std::optional(milliseconds(100));
+    };
+    int sent = 0;
+    const auto send = [&](const std::string& owner)
+    {
+        auto job = job_of(owner, owner + std::to_string(++sent), 1);
+        job.accepted_at = simulation.calendar();
+        simulation.jobs().accept(job, simulation.now);
+    };
+    const auto started = [&]
+    {
+        return std::count_if(simulation.starts.begin(), simulation.starts.end(),
+                             [](const cell::start_order& order)
+                             {
+                                 return order.run.task.step.job.str()[0] == 'a';
+                             });
+    };
+    for (int i = 0; i < 12; ++i)
+    {
+        send("a");
+    }
+    for (int i = 0; i < 400; ++i)
+    {
+        send("b");
+        simulation.run_for(milliseconds(100));
+    }
+    cr_assert_geq(started(), 3);
+    // One job each 20 s from 10 s on, and the one within the rate.
+    cr_assert_leq(started(), 4);
+}
+
 // Guards against a workspace that gets all room since its jobs have the earlier
 // deadlines, and against room that stays idle for the sake of shares.
 Test(cell_workspace_order, room_is_shared_by_weight_and_lent)
