--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -37,6 +37,10 @@
     lateness_class lateness = lateness_class::chosen;
 };
 
+/// Increments of share that a workspace is entitled to; finer ones would replace
+/// the order of deadlines, coarser ones let one workspace fall behind by more.
+inline constexpr std::uint32_t increments_of_share = 8;
+
 /// A job is worth less after its objective, and nothing after this many times
 /// the objective.
 inline constexpr int worthless_after_objectives = 3;
@@ -64,7 +68,9 @@
     -> void;
 
 /// @brief Sorts steps within the rates of their workspaces before those beyond,
-/// then by priority, lateness class, share increment and latest start.
+/// then by priority, lateness class, share increment and latest start. Steps
+/// beyond the share of their workspace come after the others of their priority
+/// that have not expired: the lateness class is chosen without regard to shares.
 /// @complexity n log n
 auto sort(std::vector<waiting_step>& items) -> void;
 
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -61,8 +61,8 @@
     const auto started_at = item.round->released_at;
     item.due = started_at + target;
     const auto chain = critical_path_from(job, item.step->number);
-    item.chain = milliseconds(static_cast<std::int64_t>(
-        factor * static_cast<double>(chain.count())));
+    item.chain = milliseconds(
+        static_cast<std::int64_t>(factor * static_cast<double>(chain.count())));
     item.latest_start = item.due - item.chain;
     // An outage of all owners makes no job worthless: others would overtake it.
     const auto known_since = std::max(started_at, item.job->accepted_at);
@@ -76,9 +76,12 @@
 {
     const auto key = [](const waiting_step& item)
     {
+        const bool is_expired = item.lateness == lateness_class::expired;
+        const bool is_beyond_share =
+            item.share_increment >= increments_of_share;
         return std::tuple(item.beyond_rate, item.job->spec->queue.priority,
-                          item.lateness, item.share_increment,
-                          item.latest_start);
+                          is_expired, is_beyond_share, item.lateness,
+                          item.share_increment, item.latest_start);
     };
     std::sort(items.begin(), items.end(),
               [&](const waiting_step& left, const waiting_step& right)
--- a/src/cell/workspace_order.cpp
+++ b/src/cell/workspace_order.cpp
@@ -16,9 +16,6 @@
 /// How late a job may be added without being taken for one accepted later: rows
 /// arrive out of order by about a second, and clocks of instances differ.
 constexpr milliseconds longest_delay{60'000};
-/// Increments of a fair share; finer ones would replace the order of deadlines,
-/// coarser ones let one workspace fall behind by more.
-constexpr double increments_of_share = 8.0;
 constexpr double max_increment = 1'000'000.0;
 /// Part of a workspace's rate at which its aged jobs are admitted. With an eighth,
 /// a workspace at seven times its load cost the others 0.06 of their jobs.
