Do not refuse jobs for work that a limit keeps back

Jobs that wait for the limit of their workspace counted as waiting work of the service. With 9 of 10 workers idle and 161 such jobs, a job of another workspace was refused for lack of capacity. Rounds that a limit has kept back in the last 200 ms now count no work, and arrivals of a workspace at its limit none in the expected arrivals.

--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -72,6 +72,21 @@
     return false;
 }
 
+/// Whether its workspace's limit has kept the round back in one of the last
+/// passes. It does not compete for the capacity then, whatever is free.
+auto is_held_back(const detail::round_record& round, time_point now) -> bool
+{
+    constexpr milliseconds recent{200};
+    for (const auto& step : round.steps)
+    {
+        if (step.held_back_since && now - step.held_back_at <= recent)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 /// Identifies a round in the order of arrival of its job.
 auto arrival_of(const detail::job_record& job,
                 const detail::round_record& round) -> std::uint64_t
@@ -107,6 +122,13 @@
 auto scheduler::note_arrival(const job_record& job, time_point now) -> void
 {
     const auto& queue = job.spec->queue;
+    // A workspace at its limit takes no capacity from others for a new job.
+    if (!job.spec->steps.empty() &&
+        policy::startable(job.account, policy::charge_for(job.spec->steps[0]),
+                          1) == 0)
+    {
+        return;
+    }
     resources capacity;
     for (const auto& [id, worker] : m_workers)
     {
@@ -163,6 +185,10 @@
             }
             item.work = work_left(round, backlog.capacity);
             item.worth = selection.worth_of(queue.name, item.work);
+            if (is_held_back(round, now))
+            {
+                item.work = 0;
+            }
             item.expired = now > item.worthless_at && !lasting;
             item.under_way = lasting || is_under_way(round);
             backlog.positions[&round] = backlog.jobs.size();
--- a/tests/unit-cell-overload.cpp
+++ b/tests/unit-cell-overload.cpp
@@ -141,3 +141,30 @@
     view.update(simulation.jobs(), simulation.now);
     cr_assert_not(view.refusal_of(job, simulation.now));
 }
+
+// Guards against refusing jobs for lack of capacity while workers are idle, since
+// the jobs of a workspace wait for its limit.
+Test(cell_overload, work_that_a_limit_keeps_back_is_no_lack_of_capacity)
+{
+    cell_simulation simulation;
+    run_in_a_second(simulation);
+    simulation.configure({fakes::workspace("a", 1'000)});
+    for (int i = 0; i < 10; ++i)
+    {
+        simulation.add_worker("w" + std::to_string(i), 1'000);
+    }
+    simulation.run_pass();
+    auto job = short_job("b");
+    job.queue.priority = 2;
+    cell::owner_view view;
+    for (int i = 0; i < 300; ++i)
+    {
+        auto held_back = short_job("a" + std::to_string(i));
+        held_back.workspace = workspace_name("a");
+        simulation.jobs().accept(held_back, simulation.now);
+        simulation.run_for(milliseconds(20));
+        view.update(simulation.jobs(), simulation.now);
+        cr_assert_not(view.refusal_of(job, simulation.now), "after %d jobs", i);
+    }
+    cr_assert_eq(simulation.running(), 1u);
+}
