--- a/bench/support/overload_load.hpp
+++ b/bench/support/overload_load.hpp
@@ -5,7 +5,7 @@
 
 #include <algorithm> // max, max_element, min, sort
 #include <chrono>    // duration
-#include <cmath>     // exp
+#include <cmath>     // exp, lround
 #include <cstddef>   // size_t
 #include <cstdint>   // uint32_t
 #include <random>    // mt19937_64
@@ -175,8 +175,8 @@
             const auto spread = from.width_spread;
             const double width = from.width * std::exp(spread * normal(random) -
                                                        spread * spread / 2);
-            const auto tasks =
-                std::max<std::size_t>(1, static_cast<std::size_t>(width + 0.5));
+            const auto tasks = std::max<std::size_t>(
+                1, static_cast<std::size_t>(std::lround(width)));
             const std::size_t steps =
                 1 + (uniform(random) < from.steps - 1 ? 1 : 0);
             for (std::size_t step = 0; step < steps; ++step)
