Revert: a new owner reaches the instances that the one before knew

The likely cause is that a new owner that has heard few instances names its successors to all of them.

Change: as before; instances that are cut off from the store learn of a new owner only by its answer to their hello.

Result: not measured yet; the issue stays open.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -458,10 +458,9 @@
     auto send_beats(bool released) -> void
     {
         const auto message = beat_message(released);
-        for (const auto& address :
-             m_peers.heartbeat_addresses(boot_clock::now()))
+        for (const auto& [name, peer] : m_peers.known())
         {
-            m_peers.send(address, message);
+            m_peers.send(peer.address, message);
         }
     }
 
@@ -489,7 +488,6 @@
             m_view.update(m_role->jobs(), now);
             m_view.write(out, now);
             write_learned(m_role->jobs(), out);
-            m_peers.write_addresses(out, now);
         }
         return message;
     }
@@ -847,7 +845,6 @@
         m_heard_beat_epoch = beat.epoch();
         m_heard_beat_ms = beat.sent_ms();
         read_speeds(beat, m_options.scheduler.speeds);
-        m_peers.learn_addresses(beat, now);
         m_ownership.on_owner_heartbeat(
             {beat.epoch(),
              beat.instance(),
--- a/include/pimentoshunt/cell/peers.hpp
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -14,7 +14,6 @@
 #include <functional> // function
 #include <map>        // map
 #include <memory>     // unique_ptr
-#include <set>        // set
 #include <string>     // string
 #include <vector>     // vector
 
@@ -65,20 +64,6 @@
     [[nodiscard]] auto heard_within(time_point now, milliseconds limit) const
         -> std::vector<std::pair<std::string, peer_entry>>;
 
-    /// @brief Takes over the addresses of a heartbeat that carries some. An
-    /// address is forgotten once none has carried it for 15 s.
-    auto learn_addresses(const wire::cell_beat& beat, time_point now) -> void;
-
-    /// @brief Adds the addresses of peers heard lately in about one heartbeat in
-    /// four seconds.
-    auto write_addresses(wire::cell_beat& beat, time_point now) const -> void;
-
-    /// @brief Addresses to which an owner sends its heartbeats: of all known
-    /// peers, and those of an earlier owner's peers. An instance that is cut off
-    /// from the store learns of a new owner in no other way.
-    [[nodiscard]] auto heartbeat_addresses(time_point now) const
-        -> std::set<std::string>;
-
     /// @brief All peers heard within the last minute.
     [[nodiscard]] auto known() const -> const std::map<std::string, peer_entry>&
     {
@@ -98,8 +83,6 @@
     zmq::context_t m_context{1};
     transport::peer_sender m_sender;
     std::map<std::string, peer_entry> m_known;
-    /// Addresses from heartbeats, and when one carried them last.
-    std::map<std::string, time_point> m_learned;
     std::unique_ptr<transport::peer_receiver> m_receiver;
 };
 
--- a/src/cell/peers.cpp
+++ b/src/cell/peers.cpp
@@ -12,18 +12,6 @@
 /// An instance that has been silent for this long has left for good.
 constexpr milliseconds forget_after{60'000};
 
-/// The heartbeats sent in the first part of each period carry addresses; about one
-/// does, at an interval of 150 ms.
-constexpr std::int64_t address_period_ms = 4'000;
-/// Longer than a cell is usually without an owner. Addresses of instances that have
-/// left may be used for something else soon.
-constexpr milliseconds learned_retention{15'000};
-/// Some ten hellos.
-constexpr milliseconds max_announced_silence{3'000};
-constexpr std::int64_t first_part_ms = 150;
-/// Bounds what a heartbeat carries; above the instances of any deployment so far.
-constexpr int max_addresses = 256;
-
 /// A new owner's first approval requests must arrive, so messages wait until
 /// the connection is established. Heartbeats and hellos are sent several times
 /// a second: data that stays unacknowledged for a second indicates a dead
@@ -86,56 +74,6 @@
                   });
 }
 
-auto peers::learn_addresses(const wire::cell_beat& beat, time_point now) -> void
-{
-    if (beat.peer_addresses().empty())
-    {
-        return;
-    }
-    for (const auto& address : beat.peer_addresses())
-    {
-        m_learned[address] = now;
-    }
-    std::erase_if(m_learned,
-                  [&](const auto& item)
-                  {
-                      return now - item.second > learned_retention;
-                  });
-}
-
-auto peers::write_addresses(wire::cell_beat& beat, time_point now) const -> void
-{
-    if (beat.sent_ms() % address_period_ms >= first_part_ms)
-    {
-        return;
-    }
-    for (const auto& [name, entry] : m_known)
-    {
-        if (now - entry.heard_at <= max_announced_silence &&
-            beat.peer_addresses_size() < max_addresses)
-        {
-            beat.add_peer_addresses(entry.address);
-        }
-    }
-}
-
-auto peers::heartbeat_addresses(time_point now) const -> std::set<std::string>
-{
-    std::set<std::string> out;
-    for (const auto& [name, entry] : m_known)
-    {
-        out.insert(entry.address);
-    }
-    for (const auto& [address, learned_at] : m_learned)
-    {
-        if (address != m_address && now - learned_at <= learned_retention)
-        {
-            out.insert(address);
-        }
-    }
-    return out;
-}
-
 auto peers::heard_within(time_point now, milliseconds limit) const
     -> std::vector<std::pair<std::string, peer_entry>>
 {
