--- a/src/cell/workspace_usage.cpp
+++ b/src/cell/workspace_usage.cpp
@@ -9,24 +9,15 @@
 namespace
 {
 
-/// A resource with the unit in which messages to callers name it.
-struct limited_resource
-{
-    std::int64_t resources::*amount;
-    const char* unit;
-};
-
-constexpr std::array limited_resources{
-    limited_resource{&resources::slots, "slots"},
-    limited_resource{&resources::millicpus, "thousandths of a core"},
-    limited_resource{&resources::memory_mb, "MB of memory"},
-    limited_resource{&resources::accelerators, "accelerators"}};
+constexpr std::array limited_resources{&resources::slots, &resources::millicpus,
+                                       &resources::memory_mb,
+                                       &resources::accelerators};
 
 auto half_of(resources limit) -> resources
 {
-    for (const auto& item : limited_resources)
+    for (const auto item : limited_resources)
     {
-        auto& amount = limit.*item.amount;
+        auto& amount = limit.*item;
         // Half of a limit of 1 would be no limit; a negative one admits nothing.
         amount = amount == 1 ? -1 : amount / 2;
     }
@@ -38,9 +29,9 @@
 auto charge_for(const step_spec& step, std::uint32_t tasks) -> resources
 {
     auto out = step.need;
-    for (const auto& item : limited_resources)
+    for (const auto item : limited_resources)
     {
-        out.*item.amount *= tasks;
+        out.*item *= tasks;
     }
     return out;
 }
@@ -49,15 +40,15 @@
                    const resources& need, std::uint32_t wanted) -> std::uint32_t
 {
     auto places = std::int64_t{wanted};
-    for (const auto& item : limited_resources)
+    for (const auto item : limited_resources)
     {
-        const auto bound = limit.*item.amount;
-        const auto each = need.*item.amount;
+        const auto bound = limit.*item;
+        const auto each = need.*item;
         if (bound == 0)
         {
             continue;
         }
-        const auto left = bound - taken.*item.amount;
+        const auto left = bound - taken.*item;
         if (left < 0)
         {
             return 0;
@@ -107,9 +98,9 @@
                     const resources& capacity) -> resources
 {
     resources out;
-    for (const auto& item : limited_resources)
+    for (const auto item : limited_resources)
     {
-        out.*item.amount = std::min(runs.*item.amount, capacity.*item.amount);
+        out.*item = std::min(runs.*item, capacity.*item);
     }
     out.millicpus =
         std::min(runs.millicpus, capacity.millicpus + best_effort_millicpus);
