--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into target/review-2. The product is
+# Builds the stand-ins of the case 7 into target/review-2. The product is
 # built before, by the line `build` of deploy/system.toml.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -12,10 +12,8 @@
 namespace review
 {
 
-auto run_progress(world& at, bool trouble) -> int;
 auto run_backlog(world& at, bool trouble) -> int;
 auto run_growth(world& at, bool trouble) -> int;
-auto run_crashes(world& at, bool trouble) -> int;
 
 namespace
 {
@@ -24,10 +22,8 @@
 
 auto tests() -> const std::map<std::string, test>&
 {
-    static const std::map<std::string, test> all{{"progress", run_progress},
-                                                 {"backlog", run_backlog},
-                                                 {"growth", run_growth},
-                                                 {"crashes", run_crashes}};
+    static const std::map<std::string, test> all{{"backlog", run_backlog},
+                                                 {"growth", run_growth}};
     return all;
 }
 
--- a/review/standin-2/world.cc
+++ b/review/standin-2/world.cc
@@ -368,12 +368,19 @@
         start_cell(cell);
         cells.push_back(cell);
     }
-    const auto until = steady::now() + std::chrono::seconds(15);
+    const auto until = steady::now() + std::chrono::seconds(20);
     while (steady::now() < until)
     {
         int ready = 0;
-        for (const auto& cell : cells)
+        reap();
+        for (auto& cell : cells)
         {
+            // As on the platform, one that has ended is started again.
+            if (cell.pid < 0)
+            {
+                note(cell.name + " has ended at its start: started again");
+                start_cell(cell);
+            }
             auto probe = cell;
             probe.front = cell.ready;
             ready +=
