Owner: measure passes, processor time and lag, and log them once a second

The owner now logs 'load of the owner' once a second (processor time, lag, number and time of passes, waiting steps, looks at workers, orders, slowest start) and exports the same as metrics.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -49,6 +49,9 @@
     /// Receives the counters of this instance's scheduler while it owns the
     /// cell.
     std::function<void(const scheduler_counts&)> counted;
+    /// Receives the load of the owner, and the lag of its event loop, about once
+    /// a second while this instance owns the cell.
+    std::function<void(const owner_load&, milliseconds lag)> load_measured;
     /// Ages beyond which the configuration isn't used to answer callers.
     policy::configuration_bounds configuration_bounds;
     /// Called with the reason of each refusal by the configuration. May be
@@ -631,6 +634,11 @@
             return calendar();
         };
         context.counted = m_options.counted;
+        context.load_measured = [this](const owner_load& load)
+        {
+            log_load(load, m_ownership.epoch(), m_lag.mean());
+            m_options.load_measured(load, m_lag.mean());
+        };
         m_role = std::make_shared<owner_role<Platform>>(
             m_platform, m_control, m_peers, m_health, std::move(context),
             m_ownership.epoch(), m_epoch_version, m_options.scheduler);
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -9,6 +9,7 @@
 #include <pimentoshunt/cell/inbox.hpp>
 #include <pimentoshunt/cell/job_remover.hpp>
 #include <pimentoshunt/cell/messages.hpp>
+#include <pimentoshunt/cell/owner_load.hpp>
 #include <pimentoshunt/cell/peers.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/progress_writer.hpp>
@@ -54,6 +55,8 @@
     std::function<calendar_time()> calendar;
     /// Receives the scheduler's counters whenever one of them has changed.
     std::function<void(const scheduler_counts&)> counted;
+    /// Receives the load of the owner about once a second.
+    std::function<void(const owner_load&)> load_measured;
 };
 
 /// @brief One ownership of the cell, from the takeover to its end. Used by the
@@ -79,7 +82,7 @@
               platform, m_scheduler, epoch_version, roster_listener())),
           m_remover(
               std::make_shared<job_remover<Platform>>(platform, m_scheduler)),
-          m_tick_timer(control), m_pass_timer(control)
+          m_load(steady_now()), m_tick_timer(control), m_pass_timer(control)
     {
     }
 
@@ -602,6 +605,11 @@
         m_progress->write();
         m_roster->write(now);
         m_remover->remove_due(now);
+        m_load.on_pass(m_scheduler.last_pass(), out, steady_now() - now);
+        if (const auto load = m_load.take(now))
+        {
+            m_context.load_measured(*load);
+        }
     }
 
     /// Skips the callback if no counter has changed, as after most passes.
@@ -632,8 +640,10 @@
         {
             m_platform.start(
                 order,
-                [self, order](start_outcome outcome, const auto& reading)
+                [self, order, sent_at = steady_now()](start_outcome outcome,
+                                                      const auto& reading)
                 {
+                    self->m_load.on_start_answered(steady_now() - sent_at);
                     self->m_scheduler.on_start_answered(order, outcome, reading,
                                                         steady_now());
                     self->request_pass();
@@ -741,6 +751,7 @@
     std::shared_ptr<progress_writer<Platform>> m_progress;
     std::shared_ptr<roster_writer<Platform>> m_roster;
     std::shared_ptr<job_remover<Platform>> m_remover;
+    owner_load_meter m_load;
     boost::asio::steady_timer m_tick_timer;
     boost::asio::steady_timer m_pass_timer;
     time_point m_next_pass;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -175,6 +175,16 @@
     std::uint64_t pending = 0;
 };
 
+/// @brief Size of the last scheduling pass.
+struct scheduler_pass
+{
+    /// Steps that were ready and had tasks to start.
+    std::uint64_t waiting_steps = 0;
+    /// How often a decision looked at a worker, events since the pass before
+    /// included.
+    std::uint64_t examined_workers = 0;
+};
+
 /// @brief Schedules all jobs on the workers of a cell during one ownership.
 class scheduler
 {
@@ -300,6 +310,11 @@
     {
         return m_passed_at;
     }
+    /// @brief Size of the last pass.
+    [[nodiscard]] auto last_pass() const noexcept -> const scheduler_pass&
+    {
+        return m_last_pass;
+    }
     [[nodiscard]] auto epoch() const noexcept -> std::uint64_t
     {
         return m_epoch;
@@ -641,6 +656,9 @@
     /// Of services that are short.
     std::map<service_name, std::vector<policy::start_estimate>> m_starts;
     time_point m_passed_at;
+    scheduler_pass m_last_pass;
+    /// Looks at workers since the last pass.
+    mutable std::uint64_t m_examined_workers = 0;
     std::vector<job_id> m_dirty;
     bool m_has_unsaved_end = false;
     std::uint64_t m_last_batch = 0;
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm> // any_of, find, max, min, sort
 #include <optional>  // optional
-#include <utility>   // move
+#include <utility>   // exchange, move
 
 namespace pimentoshunt::cell
 {
@@ -78,6 +78,7 @@
         plan_heartbeat(worker, now, may_act);
     }
     count_workspaces(now);
+    m_last_pass.examined_workers = std::exchange(m_examined_workers, 0);
     return std::exchange(m_outbox, {});
 }
 
@@ -148,6 +149,7 @@
 auto scheduler::is_usable(const worker_record& worker, const job_record& job,
                           const step_record& step, time_point now) const -> bool
 {
+    ++m_examined_workers;
     if (!worker.registered || worker.ended || !worker.enrolled ||
         worker.entry.draining || !worker.reconciled ||
         worker.incarnation_uncertain || worker.unanswered_calls > 0 ||
@@ -251,6 +253,7 @@
     count_unreported_runs(now);
     mark_rates();
     auto waiting = ready_steps(now);
+    m_last_pass.waiting_steps = waiting.size();
     m_partially_reserving.clear();
     for (const auto& item : waiting)
     {
--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -115,6 +115,7 @@
 
 auto scheduler::offers_capacity(const worker_record& worker) const -> bool
 {
+    ++m_examined_workers;
     return worker.registered && !worker.ended && !worker.entry.draining &&
            !m_health.ejected(worker.entry.id);
 }
--- a/src/cell/serve.cpp
+++ b/src/cell/serve.cpp
@@ -149,6 +149,10 @@
         {
             count_runs(counts);
         };
+        out.load_measured = [this](const owner_load& load, milliseconds lag)
+        {
+            record_load(load, lag);
+        };
         out.on_refusal = [this](const std::string& reason)
         {
             m_meters.add("caller_refusals_total", {"reason", reason});
@@ -188,6 +192,21 @@
         count_workspaces(counts.workspaces);
     }
 
+    auto record_load(const owner_load& load, milliseconds lag) -> void
+    {
+        using real_s = std::chrono::duration<double>;
+        m_load_measured_at = boot_clock::now();
+        m_meters.add("owner_passes_total", {}, load.passes);
+        m_meters.add("owner_examined_workers_total", {}, load.examined_workers);
+        m_meters.set("owner_lag_seconds", {}, real_s(lag).count());
+        m_meters.set("owner_waiting_steps", {},
+                     static_cast<double>(load.waiting_steps));
+        m_meters.set("owner_busy_share", {"with", "passes"},
+                     real_s(load.pass_time) / real_s(load.interval));
+        m_meters.set("owner_busy_share", {"with", "processor"},
+                     real_s(load.processor_time) / real_s(load.interval));
+    }
+
     auto count_workspaces(const std::vector<policy::workspace_count>& counts)
         -> void
     {
@@ -207,16 +226,23 @@
         }
     }
 
-    /// Only the owner knows what workspaces use: an instance that was the owner
+    /// Only the owner knows what workspaces use and how busy it is: an instance that was the owner
     /// must not go on showing what it knew last.
     auto remove_outdated_gauges() -> void
     {
         constexpr std::chrono::seconds max_age{5};
-        if (boot_clock::now() - m_workspaces_counted_at > max_age)
+        const auto now = boot_clock::now();
+        if (now - m_workspaces_counted_at > max_age)
         {
             m_meters.clear("workspace_millicpus");
             m_meters.clear("workspace_waiting_jobs");
         }
+        if (now - m_load_measured_at > max_age)
+        {
+            m_meters.clear("owner_lag_seconds");
+            m_meters.clear("owner_waiting_steps");
+            m_meters.clear("owner_busy_share");
+        }
     }
 
     auto serve_status(const net::server_request& request,
@@ -344,6 +370,7 @@
     time_point m_drain_begun;
     bool m_callers_closed = false;
     time_point m_workspaces_counted_at;
+    time_point m_load_measured_at;
 };
 
 } // namespace
--- a/tests/fakes/cell_fixture.hpp
+++ b/tests/fakes/cell_fixture.hpp
@@ -59,6 +59,7 @@
             return cell::calendar_time{};
         };
         out.counted = [](const cell::scheduler_counts&) {};
+        out.load_measured = [](const cell::owner_load&) {};
         return out;
     }
 
--- a/tests/unit-cell-instance.cpp
+++ b/tests/unit-cell-instance.cpp
@@ -62,6 +62,7 @@
     out.incarnation = 7;
     out.on_configuration = [](const cell::configuration&) {};
     out.counted = [](const cell::scheduler_counts&) {};
+    out.load_measured = [](const cell::owner_load&, milliseconds) {};
     return out;
 }
 
