Scheduler: rank workers by room in place of looking at each for each step

Cause: each step that waited looked at every worker in every pass, with a hash look-up for its health, two stable sorts and four logarithms a comparison; each job that arrived looked at every worker as well.

Change: policy/worker_pool lists the workers of a service side by side with their room, which is updated as runs, claims and reservations change. A step ranks only those with room for a task, and takes the best from a heap until it has enough. The capacity of a service is a sum. Logarithms of speeds are kept.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -25,6 +25,17 @@
 {
 
 struct worker_record;
+/// Defined by policy/worker_pool.hpp.
+struct service_places;
+
+/// @brief Where a worker is listed in the worker pool, which maintains it.
+struct pool_position
+{
+    /// nullptr: the worker is not listed.
+    service_places* places = nullptr;
+    std::size_t index = 0;
+    service_name service;
+};
 
 /// @brief State of a run on a worker as far as the owner knows it.
 enum class run_phase
@@ -146,6 +157,7 @@
     std::uint32_t trials = 0;
     /// Learned speed; the mean of all workers is 1.
     double speed = 1.0;
+    double log_speed = 0.0;
     resources used;
     /// Reserved for gangs that wait for enough room.
     resources reserved;
@@ -175,6 +187,7 @@
     /// entry: a claim, perhaps of another writer, that the worker's next report
     /// confirms or contradicts.
     std::unique_ptr<worker_entry> unconfirmed_entry;
+    pool_position position;
 
     /// @brief Resources that a further task may take; negative where a gang has
     /// reserved more than is free.
--- a/include/pimentoshunt/cell/policy/speed_preference.hpp
+++ b/include/pimentoshunt/cell/policy/speed_preference.hpp
@@ -54,6 +54,23 @@
     [[nodiscard]] auto cost(double speed) const -> double;
 };
 
+/// @brief Evaluates a preference for many workers.
+class speed_cost
+{
+  public:
+    explicit speed_cost(const speed_preference& preference);
+
+    /// @brief As @ref speed_preference::cost.
+    /// @param log_speed  logarithm of the worker's speed
+    [[nodiscard]] auto operator()(double log_speed) const -> double;
+
+  private:
+    speed_preference m_preference;
+    double m_log_slow = 0;
+    double m_log_fast = 0;
+    double m_log_required = 0;
+};
+
 /// @brief Preference of a step that waits.
 /// @param item  with its deadlines
 /// @param factor  between declared and real run times of its queue
--- a/include/pimentoshunt/cell/policy/worker_choice.hpp
+++ b/include/pimentoshunt/cell/policy/worker_choice.hpp
@@ -66,6 +66,9 @@
 [[nodiscard]] auto resources_for(const step_spec& step, std::uint32_t tasks)
     -> resources;
 
+/// @brief Sorts by ID: the order of a hash table must not decide.
+auto sort_by_id(std::vector<detail::worker_record*>& workers) -> void;
+
 /// @brief Sorts stably by free processors, most first.
 auto sort_by_free_cpu(std::vector<detail::worker_record*>& workers) -> void;
 
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -13,6 +13,7 @@
 #include <pimentoshunt/cell/policy/run_time_model.hpp>
 #include <pimentoshunt/cell/policy/speed_preference.hpp>
 #include <pimentoshunt/cell/policy/straggler_copies.hpp>
+#include <pimentoshunt/cell/policy/worker_pool.hpp>
 #include <pimentoshunt/cell/policy/workspace_order.hpp>
 #include <pimentoshunt/cell/policy/workspace_usage.hpp>
 #include <pimentoshunt/policy/worker_health.hpp>
@@ -575,6 +576,12 @@
                       time_point now) -> void;
     [[nodiscard]] auto offers_capacity(const worker_record& worker) const
         -> bool;
+    /// Whether the worker may get work of some step.
+    [[nodiscard]] auto is_offered(const worker_record& worker,
+                                  time_point now) const -> bool;
+    [[nodiscard]] auto is_ejected(const worker_record& worker) const -> bool;
+    /// Brings the worker up to date in the pool.
+    auto update_pool(worker_record& worker, time_point now) -> void;
     auto is_usable(const worker_record& worker, const job_record& job,
                    const step_record& step, time_point now) const -> bool;
     auto fits(const worker_record& worker, const step_record& step) const
@@ -628,6 +635,9 @@
                     const std::vector<worker_record*>& asked) -> void;
     auto release_claims(step_record& step) -> void;
     [[nodiscard]] auto approval_rate(const queue_name& queue) const -> double;
+    [[nodiscard]] auto
+    workers_with_expired_ticket(const policy::waiting_step& item,
+                                time_point now) -> std::vector<worker_record*>;
     /// @param most  number of tasks that the workspace may start
     auto workers_to_ask(const policy::waiting_step& item, std::uint32_t most,
                         time_point now) -> std::vector<worker_record*>;
@@ -648,6 +658,7 @@
     std::map<std::uint64_t, job_record*> m_active;
     std::uint64_t m_arrivals = 0;
     std::map<worker_id, worker_record> m_workers;
+    policy::worker_pool m_pool;
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     policy::crash_age_estimate m_crash_ages;
--- a/src/cell/owner_load.cpp
+++ b/src/cell/owner_load.cpp
@@ -29,9 +29,8 @@
 {
 }
 
-auto owner_load_meter::on_pass(const scheduler_pass& pass,
-                               const outbox& orders, boot_clock::duration took)
-    -> void
+auto owner_load_meter::on_pass(const scheduler_pass& pass, const outbox& orders,
+                               boot_clock::duration took) -> void
 {
     ++m_load.passes;
     m_load.pass_time += took;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -83,6 +83,29 @@
     }
 }
 
+/// Workers with room for the step that may run it, but whose ticket can't be used
+/// any more.
+auto scheduler::workers_with_expired_ticket(const policy::waiting_step& item,
+                                            time_point now)
+    -> std::vector<worker_record*>
+{
+    const auto& step = *item.step;
+    std::vector<worker_record*> out;
+    for (const auto& [worker, ticket] : step.approvals.approved)
+    {
+        const bool has_expired =
+            ticket.valid_until <= now + m_options.ticket_margin ||
+            ticket.incarnation != worker->entry.incarnation;
+        if (has_expired && !step.approvals.refused.contains(worker) &&
+            fits(*worker, step) && is_usable(*worker, *item.job, step, now))
+        {
+            out.push_back(worker);
+        }
+    }
+    policy::sort_by_id(out);
+    return out;
+}
+
 auto scheduler::workers_to_ask(const policy::waiting_step& item,
                                std::uint32_t most, time_point now)
     -> std::vector<worker_record*>
@@ -92,32 +115,11 @@
         return gang_workers_to_ask(item, now);
     }
     const auto& step = *item.step;
-    std::vector<worker_record*> expired_tickets;
-    std::vector<worker_record*> not_requested;
-    for (auto& [id, worker] : m_workers)
-    {
-        if (!is_usable(worker, *item.job, step, now) || !fits(worker, step) ||
-            step.approvals.refused.contains(&worker))
-        {
-            continue;
-        }
-        const auto known = step.approvals.approved.find(&worker);
-        if (known == step.approvals.approved.end())
-        {
-            not_requested.push_back(&worker);
-        }
-        else if (known->second.valid_until <= now + m_options.ticket_margin ||
-                 known->second.incarnation != worker.entry.incarnation)
-        {
-            expired_tickets.push_back(&worker);
-        }
-    }
-    policy::sort_by_unclaimed_cpu(expired_tickets);
-    policy::sort_by_unclaimed_cpu(not_requested);
     const auto preference = preference_of(item, now);
     const auto one = policy::resources_for(*step.spec, 1).millicpus;
+    auto expired_tickets = workers_with_expired_ticket(item, now);
+    policy::sort_by_unclaimed_cpu(expired_tickets);
     policy::sort_by_speed(expired_tickets, preference, one);
-    policy::sort_by_speed(not_requested, preference, one);
     // Approvals are permanent: a new ticket for an approved worker is certain.
     std::vector<worker_record*> out = expired_tickets;
     std::int64_t room = 0;
@@ -127,22 +129,42 @@
         room += step.spec->filler ? 1 : worker->room().millicpus / each;
     }
     const std::size_t waiting = most;
-    if (room < static_cast<std::int64_t>(waiting))
-    {
-        out.insert(out.end(), not_requested.begin(), not_requested.end());
-    }
     const auto rate = approval_rate(item.job->spec->queue.name);
-    const auto limit = std::min(m_options.max_workers_per_request, out.size());
     policy::expected_places expected(m_options.request_deviations);
     std::size_t count = 0;
-    while (count < limit &&
-           (!expected.covers(waiting) || count < waiting + spare_workers))
+    const auto is_enough = [&]
+    {
+        return count >= m_options.max_workers_per_request ||
+               (expected.covers(waiting) && count >= waiting + spare_workers);
+    };
+    while (count < out.size() && !is_enough())
     {
-        expected.add(1,
-                     step.approvals.approved.contains(out[count]) ? 1 : rate);
+        expected.add(1, 1);
         ++count;
     }
     out.resize(count);
+    if (room >= static_cast<std::int64_t>(waiting))
+    {
+        return out;
+    }
+    auto ranking = m_pool.rank(item.job->spec->queue.service, one, preference);
+    while (!is_enough())
+    {
+        auto* const worker = ranking.next();
+        if (worker == nullptr)
+        {
+            break;
+        }
+        const bool is_asked = step.approvals.approved.contains(worker) ||
+                              step.approvals.refused.contains(worker);
+        if (!is_asked && fits(*worker, step) &&
+            is_usable(*worker, *item.job, step, now))
+        {
+            out.push_back(worker);
+            expected.add(1, rate);
+            ++count;
+        }
+    }
     return out;
 }
 
@@ -173,6 +195,7 @@
         const auto claim = static_cast<std::int64_t>(expected_tasks[i] * scale *
                                                      static_cast<double>(each));
         asked[i]->claimed_millicpus += claim;
+        m_pool.update_room(*asked[i]);
         step.approvals.claims.emplace_back(asked[i], claim);
     }
 }
@@ -182,6 +205,7 @@
     for (const auto& [worker, claim] : step.approvals.claims)
     {
         worker->claimed_millicpus -= claim;
+        m_pool.update_room(*worker);
     }
     step.approvals.claims.clear();
 }
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -5,7 +5,7 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // any_of, find, max, min, sort
+#include <algorithm> // any_of, find, max, min
 #include <optional>  // optional
 #include <utility>   // exchange, move
 
@@ -60,6 +60,7 @@
             retry_stops(worker, now);
             end_expired_runs(worker, now);
             stop_outlasting(worker, now);
+            update_pool(worker, now);
         }
         forget_gone_workers(now);
         refresh_speeds(now);
@@ -67,6 +68,11 @@
     for (const auto& id : m_health.take_due_probes(now))
     {
         m_probed_workers.insert(id);
+        const auto worker = m_workers.find(id);
+        if (worker != m_workers.end())
+        {
+            update_pool(worker->second, now);
+        }
     }
     const bool may_act = authority.may_act && !m_overtaken;
     if (may_act)
@@ -146,23 +152,37 @@
     return out;
 }
 
+auto scheduler::is_offered(const worker_record& worker, time_point now) const
+    -> bool
+{
+    const bool is_reachable =
+        worker.registered && !worker.ended && worker.enrolled &&
+        !worker.entry.draining && worker.reconciled &&
+        !worker.incarnation_uncertain && worker.unanswered_calls == 0;
+    return is_reachable && now >= worker.no_starts_until &&
+           (!is_ejected(worker) || m_probed_workers.contains(worker.entry.id));
+}
+
+auto scheduler::is_ejected(const worker_record& worker) const -> bool
+{
+    // Mostly none is, which saves the look-up.
+    return m_health.ejected_count() > 0 && m_health.ejected(worker.entry.id);
+}
+
+auto scheduler::update_pool(worker_record& worker, time_point now) -> void
+{
+    m_pool.update(worker, {is_offered(worker, now), offers_capacity(worker)});
+}
+
 auto scheduler::is_usable(const worker_record& worker, const job_record& job,
                           const step_record& step, time_point now) const -> bool
 {
     ++m_examined_workers;
-    if (!worker.registered || worker.ended || !worker.enrolled ||
-        worker.entry.draining || !worker.reconciled ||
-        worker.incarnation_uncertain || worker.unanswered_calls > 0 ||
-        now < worker.no_starts_until ||
+    if (!is_offered(worker, now) ||
         worker.entry.service != job.spec->queue.service)
     {
         return false;
     }
-    if (m_health.ejected(worker.entry.id) &&
-        !m_probed_workers.contains(worker.entry.id))
-    {
-        return false;
-    }
     const auto& label = step.spec->required_label;
     const auto& labels = worker.entry.labels;
     return label.empty() ||
@@ -204,12 +224,7 @@
             out.push_back(worker);
         }
     }
-    // Makes the result independent of the order of the hash table.
-    std::sort(out.begin(), out.end(),
-              [](const worker_record* left, const worker_record* right)
-              {
-                  return left->entry.id < right->entry.id;
-              });
+    policy::sort_by_id(out);
     return out;
 }
 
@@ -217,17 +232,30 @@
     -> std::vector<worker_record*>
 {
     const auto& step = *item.step;
-    const bool needs_approval = item.job->spec->queue.approval.required;
-    auto out = permitted_workers(item, now);
-    std::erase_if(out,
-                  [&](worker_record* worker)
-                  {
-                      const bool valid =
-                          !needs_approval ||
-                          step.approvals.approved.at(worker).valid_until >
-                              now + m_options.ticket_margin;
-                      return !valid || !fits(*worker, step);
-                  });
+    const auto& queue = item.job->spec->queue;
+    std::vector<worker_record*> out;
+    if (!queue.approval.required)
+    {
+        const auto one = policy::resources_for(*step.spec, 1).millicpus;
+        for (auto* const worker : m_pool.with_room(queue.service, one))
+        {
+            if (fits(*worker, step) && is_usable(*worker, *item.job, step, now))
+            {
+                out.push_back(worker);
+            }
+        }
+        return out;
+    }
+    for (const auto& [worker, ticket] : step.approvals.approved)
+    {
+        if (ticket.incarnation == worker->entry.incarnation &&
+            ticket.valid_until > now + m_options.ticket_margin &&
+            fits(*worker, step) && is_usable(*worker, *item.job, step, now))
+        {
+            out.push_back(worker);
+        }
+    }
+    policy::sort_by_id(out);
     return out;
 }
 
@@ -307,7 +335,7 @@
     {
         return;
     }
-    const auto preference = preference_of(item, now);
+    const policy::speed_cost speed_cost(preference_of(item, now));
     const std::vector<std::uint32_t> indexes(item.step->waiting.begin(),
                                              item.step->waiting.end());
     for (const auto index : indexes)
@@ -332,7 +360,7 @@
             {
                 return policy::placement_cost(at, *item.step->spec,
                                               task.avoid) +
-                       preference.cost(at.speed);
+                       speed_cost(at.log_speed);
             });
         if (worker == nullptr)
         {
--- a/src/cell/scheduler_gangs.cpp
+++ b/src/cell/scheduler_gangs.cpp
@@ -146,6 +146,7 @@
         {
             const auto taken = policy::resources_for(*step.spec, wanted);
             worker->reserved += taken;
+            m_pool.update_room(*worker);
             step.reservation.reserved.emplace_back(worker, taken);
             free_places += std::min(places, wanted);
             reserved += wanted;
@@ -209,6 +210,7 @@
     for (const auto& [worker, reserved] : step.reservation.reserved)
     {
         worker->reserved -= reserved;
+        m_pool.update_room(*worker);
     }
     step.reservation.complete = false;
     m_reserving_steps.erase(&step);
@@ -281,42 +283,39 @@
     {
         approved_places += policy::places_when_empty(*worker, *step.spec);
     }
-    std::vector<worker_record*> not_requested;
-    for (auto& [id, worker] : m_workers)
-    {
-        // A ticket for an earlier incarnation permits nothing.
-        const auto ticket = step.approvals.approved.find(&worker);
-        const bool approved =
-            ticket != step.approvals.approved.end() &&
-            ticket->second.incarnation == worker.entry.incarnation;
-        const bool asked = approved || step.approvals.refused.contains(&worker);
-        if (!asked && is_usable(worker, *item.job, step, now) &&
-            policy::places_when_empty(worker, *step.spec) > 0)
-        {
-            not_requested.push_back(&worker);
-        }
-    }
-    policy::sort_by_unclaimed_cpu(not_requested);
-    const auto one = policy::resources_for(*step.spec, 1).millicpus;
-    policy::sort_by_speed(not_requested, preference_of(item, now), one);
     const bool enough =
         approved_places >=
         m_options.gang_place_surplus * static_cast<double>(step.spec->count);
     const auto rate = approval_rate(item.job->spec->queue.name);
     policy::expected_places expected(m_options.request_deviations);
     std::vector<worker_record*> out;
-    for (auto* const worker : not_requested)
+    const auto one = policy::resources_for(*step.spec, 1).millicpus;
+    auto ranking = m_pool.rank(item.job->spec->queue.service, one,
+                               preference_of(item, now),
+                               policy::worker_pool::content::all);
+    while (auto* const worker = ranking.next())
     {
-        const auto places = policy::places_on(*worker, *step.spec);
-        if (places == 0 && enough)
-        {
-            continue;
-        }
         if (expected.covers(step.spec->count) ||
             out.size() >= m_options.max_workers_per_gang_request)
         {
             break;
         }
+        // A ticket for an earlier incarnation permits nothing.
+        const auto ticket = step.approvals.approved.find(worker);
+        const bool approved =
+            ticket != step.approvals.approved.end() &&
+            ticket->second.incarnation == worker->entry.incarnation;
+        if (approved || step.approvals.refused.contains(worker) ||
+            !is_usable(*worker, *item.job, step, now) ||
+            policy::places_when_empty(*worker, *step.spec) == 0)
+        {
+            continue;
+        }
+        const auto places = policy::places_on(*worker, *step.spec);
+        if (places == 0 && enough)
+        {
+            continue;
+        }
         // A full worker counts as one place.
         expected.add(std::max(places, 1u), rate);
         out.push_back(worker);
--- a/src/cell/scheduler_incarnations.cpp
+++ b/src/cell/scheduler_incarnations.cpp
@@ -43,6 +43,7 @@
         reset_incarnation(worker, now);
     }
     apply_entry(worker, entry);
+    update_pool(worker, now);
 }
 
 auto scheduler::apply_entry(worker_record& worker, const worker_entry& entry)
--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -115,9 +115,8 @@
 
 auto scheduler::offers_capacity(const worker_record& worker) const -> bool
 {
-    ++m_examined_workers;
     return worker.registered && !worker.ended && !worker.entry.draining &&
-           !m_health.ejected(worker.entry.id);
+           !is_ejected(worker);
 }
 
 auto scheduler::note_arrival(const job_record& job, time_point now) -> void
@@ -130,16 +129,10 @@
     {
         return;
     }
-    resources capacity;
-    for (const auto& [id, worker] : m_workers)
-    {
-        if (offers_capacity(worker) && worker.entry.service == queue.service)
-        {
-            capacity += worker.entry.capacity;
-        }
-    }
-    const auto work =
-        job.rounds.empty() ? 0.0 : work_left(job.rounds.front(), capacity);
+    const auto work = job.rounds.empty()
+                          ? 0.0
+                          : work_left(job.rounds.front(),
+                                      m_pool.sums(queue.service).capacity);
     if (work > 0)
     {
         m_selections[queue.service].on_arrival(queue.name, queue.priority, work,
@@ -218,14 +211,11 @@
             backlogs.try_emplace(service);
         }
     }
-    for (const auto& [id, worker] : m_workers)
+    for (auto& [service, backlog] : backlogs)
     {
-        const auto found = backlogs.find(worker.entry.service);
-        if (found != backlogs.end() && offers_capacity(worker))
-        {
-            found->second.capacity += worker.entry.capacity;
-            found->second.room += worker.room();
-        }
+        const auto sums = m_pool.sums(service);
+        backlog.capacity = sums.capacity;
+        backlog.room = sums.room;
     }
     // On most passes all that waits has room, and jobs need not be compared.
     std::erase_if(backlogs,
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -263,6 +263,7 @@
             continue;
         }
         remove_from_steps(worker);
+        m_pool.remove(worker);
         m_health.remove(id);
         m_probed_workers.erase(id);
         const auto latest = m_latest_at_address.find(worker.entry.address);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -34,6 +34,7 @@
     record.filler = location.step->spec->filler;
     record.may_be_copied = policy::allows_copies(*location.step->spec);
     worker.used += record.taken;
+    m_pool.update_room(worker);
     location.task->runs.push_back(run);
     location.task->last_run = std::max(location.task->last_run, run.number);
     location.step->waiting.erase(run.task.index);
@@ -52,6 +53,7 @@
     discharge_run(found->second);
     worker.used -= found->second.taken;
     worker.runs.erase(found);
+    m_pool.update_room(worker);
     const auto location = find(run.task);
     if (location.task == nullptr)
     {
--- a/src/cell/scheduler_speeds.cpp
+++ b/src/cell/scheduler_speeds.cpp
@@ -5,6 +5,7 @@
 #include <pimentoshunt/logging.hpp>
 
 #include <chrono>  // duration_cast
+#include <cmath>   // log
 #include <string>  // string, to_string
 #include <utility> // move
 
@@ -76,6 +77,7 @@
     for (auto& [id, worker] : m_workers)
     {
         worker.speed = m_run_times.speed_of(id, kind_of(worker.entry));
+        worker.log_speed = std::log(worker.speed);
         if (worker.registered && !worker.ended)
         {
             by_service[worker.entry.service].push_back(&worker);
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -181,6 +181,7 @@
     worker.next_heartbeat_at =
         worker.reconciled ? now : now + m_options.heartbeat_retry;
     apply_report(worker, *report, sent_at, now);
+    update_pool(worker, now);
 }
 
 /// The ends in an outdated answer hold: the worker may leave before it can list
--- a/src/cell/speed_preference.cpp
+++ b/src/cell/speed_preference.cpp
@@ -31,10 +31,10 @@
 constexpr double least_fast_free = 0.25;
 
 /// Multiple of log(equal_within) nearest to the logarithm of a ratio.
-auto log_class(double ratio) -> double
+auto log_class(double log_ratio) -> double
 {
-    const auto width = std::log(equal_within);
-    return std::round(std::log(ratio) / width) * width;
+    static const auto width = std::log(equal_within);
+    return std::round(log_ratio / width) * width;
 }
 
 } // namespace
@@ -92,29 +92,45 @@
                    std::log(std::max<double>(static_cast<double>(tasks), 1.0));
 }
 
-auto speed_preference::cost(double speed) const -> double
+speed_cost::speed_cost(const speed_preference& preference)
+    : m_preference(preference)
+{
+    if (preference.active)
+    {
+        m_log_slow = std::log(preference.slow);
+        m_log_fast = std::log(preference.fast);
+        m_log_required = std::log(preference.required);
+    }
+}
+
+auto speed_cost::operator()(double log_speed) const -> double
 {
-    if (!active)
+    if (!m_preference.active)
     {
         return 0;
     }
-    const auto span = log_class(fast / slow);
     double steps = 0;
-    if (fast_first)
+    if (m_preference.fast_first)
     {
-        steps = std::max(0.0, log_class(fast / speed));
+        steps = std::max(0.0, log_class(m_log_fast - log_speed));
     }
-    else if (speed >= required)
+    else if (log_speed >= m_log_required)
     {
-        steps = std::max(0.0, log_class(speed / slow));
+        steps = std::max(0.0, log_class(log_speed - m_log_slow));
     }
     else
     {
-        steps = span + std::max(0.0, log_class(required / speed));
+        steps = log_class(m_log_fast - m_log_slow) +
+                std::max(0.0, log_class(m_log_required - log_speed));
     }
     return std::min(speed_weight * steps, most_cost);
 }
 
+auto speed_preference::cost(double speed) const -> double
+{
+    return speed_cost(*this)(std::log(speed));
+}
+
 auto preference_of(const waiting_step& item, const speed_range& range,
                    double factor, time_point now) -> speed_preference
 {
@@ -160,10 +176,11 @@
     {
         return;
     }
+    const speed_cost cost(preference);
     const auto key = [&](const worker_record* worker)
     {
         return std::tuple(worker->unclaimed_millicpus() < millicpus,
-                          preference.cost(worker->speed));
+                          cost(worker->log_speed));
     };
     std::stable_sort(workers.begin(), workers.end(),
                      [&](const worker_record* left, const worker_record* right)
--- a/src/cell/worker_choice.cpp
+++ b/src/cell/worker_choice.cpp
@@ -1,6 +1,6 @@
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
 
-#include <algorithm> // max, stable_sort
+#include <algorithm> // max, sort, stable_sort
 #include <map>       // map
 #include <string>    // string
 #include <utility>   // move
@@ -102,6 +102,15 @@
     return out;
 }
 
+auto sort_by_id(std::vector<worker_record*>& workers) -> void
+{
+    std::sort(workers.begin(), workers.end(),
+              [](const worker_record* left, const worker_record* right)
+              {
+                  return left->entry.id < right->entry.id;
+              });
+}
+
 auto sort_by_free_cpu(std::vector<worker_record*>& workers) -> void
 {
     std::stable_sort(workers.begin(), workers.end(),
