Instances: serialize a heartbeat once for all, and look for silent peers once a second

Change: peers::send_to_all serializes once; forgotten peers are removed once a second; the health is computed in place.

--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -397,9 +397,12 @@
         out.held = m_ownership.held(now);
         out.brief_owners = m_ownership.brief_owners();
         out.loaded = is_role_loaded();
-        for (const auto& [name, peer] :
-             m_peers.heard_within(now, max_peer_silence))
+        for (const auto& [name, peer] : m_peers.known())
         {
+            if (now - peer.heard_at > max_peer_silence)
+            {
+                continue;
+            }
             const auto answered_at = peer.store_answered_at;
             ++out.heard;
             out.heard_with_store += answered_at != time_point{} ? 1 : 0;
@@ -460,11 +463,7 @@
     /// instances.
     auto send_beats(bool released) -> void
     {
-        const auto message = beat_message(released);
-        for (const auto& [name, peer] : m_peers.known())
-        {
-            m_peers.send(peer.address, message);
-        }
+        m_peers.send_to_all(beat_message(released));
     }
 
     [[nodiscard]] auto beat_message(bool released) -> wire::cell_message
--- a/include/pimentoshunt/cell/peers.hpp
+++ b/include/pimentoshunt/cell/peers.hpp
@@ -56,6 +56,9 @@
     /// @brief Sends one message to an address.
     auto send(const std::string& address, wire::cell_message message) -> void;
 
+    /// @brief Sends one message to all known peers.
+    auto send_to_all(wire::cell_message message) -> void;
+
     /// @brief Updates the state of a peer from its hello.
     auto heard(const std::string& name, const wire::cell_hello& hello,
                time_point now) -> void;
@@ -76,6 +79,10 @@
     }
 
   private:
+    /// The message as it is sent, with the name of this instance.
+    [[nodiscard]] auto serialize(wire::cell_message message) const
+        -> std::string;
+
     boost::asio::io_context& m_control;
     instance_id m_self;
     std::string m_address;
@@ -83,6 +90,7 @@
     zmq::context_t m_context{1};
     transport::peer_sender m_sender;
     std::map<std::string, peer_entry> m_known;
+    time_point m_silent_removed_at;
     std::unique_ptr<transport::peer_receiver> m_receiver;
 };
 
--- a/include/pimentoshunt/transport/peer_link.hpp
+++ b/include/pimentoshunt/transport/peer_link.hpp
@@ -49,6 +49,10 @@
     /// @brief Sends one message without blocking; drops it if that fails.
     auto send(const control::outbound& message, time_point now) -> void;
 
+    /// @brief Sends an envelope that is serialized already.
+    auto send_bytes(const std::string& address, const std::string& envelope,
+                    time_point now) -> void;
+
     /// @brief Bytes sent since construction; thread-safe.
     [[nodiscard]] auto bytes() const noexcept -> std::uint64_t
     {
--- a/src/cell/peers.cpp
+++ b/src/cell/peers.cpp
@@ -12,6 +12,9 @@
 /// An instance that has been silent for this long has left for good.
 constexpr milliseconds forget_after{60'000};
 
+/// How often they are looked for: an owner hears some hundred hellos a second.
+constexpr milliseconds removal_interval{1'000};
+
 /// A new owner's first approval requests must arrive, so messages wait until
 /// the connection is established. Heartbeats and hellos are sent several times
 /// a second: data that stays unacknowledged for a second indicates a dead
@@ -45,13 +48,28 @@
         });
 }
 
+auto peers::serialize(wire::cell_message message) const -> std::string
+{
+    wire::envelope out;
+    out.set_from(m_self.str());
+    *out.mutable_cell() = std::move(message);
+    return out.SerializeAsString();
+}
+
 auto peers::send(const std::string& address, wire::cell_message message) -> void
 {
-    control::outbound out;
-    out.address = address;
-    out.envelope.set_from(m_self.str());
-    *out.envelope.mutable_cell() = std::move(message);
-    m_sender.send(out, boot_clock::now());
+    m_sender.send_bytes(address, serialize(std::move(message)),
+                        boot_clock::now());
+}
+
+auto peers::send_to_all(wire::cell_message message) -> void
+{
+    const auto envelope = serialize(std::move(message));
+    const auto now = boot_clock::now();
+    for (const auto& [name, entry] : m_known)
+    {
+        m_sender.send_bytes(entry.address, envelope, now);
+    }
 }
 
 auto peers::heard(const std::string& name, const wire::cell_hello& hello,
@@ -67,6 +85,11 @@
     entry.store_answered_at =
         age.count() < 0 ? time_point{} : time_point(now - age);
     entry.heard_at = now;
+    if (now - m_silent_removed_at < removal_interval)
+    {
+        return;
+    }
+    m_silent_removed_at = now;
     std::erase_if(m_known,
                   [&](const auto& item)
                   {
--- a/src/transport/peer_link.cpp
+++ b/src/transport/peer_link.cpp
@@ -56,18 +56,24 @@
 }
 
 auto peer_sender::send(const control::outbound& message, time_point now) -> void
+{
+    send_bytes(message.address, message.envelope.SerializeAsString(), now);
+}
+
+auto peer_sender::send_bytes(const std::string& address,
+                             const std::string& envelope, time_point now)
+    -> void
 {
     try
     {
-        const auto bytes = message.envelope.SerializeAsString();
-        socket_for(message.address, now)
-            .send(zmq::buffer(bytes), zmq::send_flags::dontwait);
-        m_bytes += bytes.size();
+        socket_for(address, now)
+            .send(zmq::buffer(envelope), zmq::send_flags::dontwait);
+        m_bytes += envelope.size();
     }
     catch (const zmq::error_t&)
     {
         // A failed send, such as to an invalid address, equals a lost message.
-        m_links.erase(message.address);
+        m_links.erase(address);
     }
 }
 
