--- a/src/cell/approval_dispatcher.cpp
+++ b/src/cell/approval_dispatcher.cpp
@@ -1,6 +1,6 @@
 #include <pimentoshunt/cell/approval_dispatcher.hpp>
 
-#include <algorithm> // any_of, find, max, min, stable_sort
+#include <algorithm> // any_of, find, max, min, upper_bound
 #include <cmath>     // ceil, exp
 #include <set>       // set
 #include <utility>   // move
@@ -70,12 +70,13 @@
         m_quick_load +=
             real_ms(request.expected) / real_ms(m_options.load_window);
     }
-    m_waiting.push_back(std::move(request));
-    std::stable_sort(m_waiting.begin(), m_waiting.end(),
-                     [](const auto& left, const auto& right)
-                     {
-                         return left.priority < right.priority;
-                     });
+    const auto place =
+        std::upper_bound(m_waiting.begin(), m_waiting.end(), request.priority,
+                         [](std::uint32_t priority, const auto& other)
+                         {
+                             return priority < other.priority;
+                         });
+    m_waiting.insert(place, std::move(request));
 }
 
 auto approval_dispatcher::assign(const std::vector<std::string>& instances,
