Scheduler: keep what each pass looked up at all workers

Change: the record of a worker says whether it is ejected, which only an outcome changes, and whether it may have stops; workers with unsaved ends are listed; probes are looked for with the supervision; kinds are computed when a worker of another kind may have come, and once a second.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -155,6 +155,10 @@
     std::map<run_ref, worker_crash> lost_suspects;
     /// Number of runs in a trial.
     std::uint32_t trials = 0;
+    /// Whether it is ejected for failed runs.
+    bool is_ejected = false;
+    /// Whether one of its runs may have to be stopped again.
+    bool may_have_stops = false;
     /// Learned speed; the mean of all workers is 1.
     double speed = 1.0;
     double log_speed = 0.0;
--- a/include/pimentoshunt/cell/owner_view.hpp
+++ b/include/pimentoshunt/cell/owner_view.hpp
@@ -42,11 +42,23 @@
     /// seconds, besides the time of their own request.
     static constexpr milliseconds max_pending_age{2'500};
 
+    /// New kinds of workers are rare, and finding them takes a look at each
+    /// worker.
+    static constexpr milliseconds kinds_interval{1'000};
+
+    auto update_kinds(std::map<service_name, policy::service_view> latest)
+        -> void;
+
     std::map<queue_name, std::uint64_t> m_pending;
     std::map<service_name, policy::service_view> m_services;
     time_point m_updated_at;
     /// When the start estimates were made.
     time_point m_estimated_at;
+    /// Epoch, version and time of the last update of the kinds by an own
+    /// scheduler.
+    std::uint64_t m_kinds_epoch = 0;
+    std::uint64_t m_kinds_version = 0;
+    time_point m_kinds_updated_at;
 };
 
 } // namespace pimentoshunt::cell
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -302,10 +302,21 @@
     /// @brief Number of jobs that have not started, for each queue with active
     /// jobs.
     [[nodiscard]] auto pending() const -> std::vector<queue_count>;
-    /// @brief What instances need to know of each service with workers to refuse
-    /// jobs.
-    [[nodiscard]] auto service_views(time_point now) const
+    /// @brief Kinds of the workers of each service, without start estimates.
+    /// @complexity linear in the number of workers
+    [[nodiscard]] auto worker_kinds(time_point now) const
         -> std::map<service_name, policy::service_view>;
+    /// @brief Changes whenever a worker of another kind may have come.
+    [[nodiscard]] auto kinds_version() const noexcept -> std::uint64_t
+    {
+        return m_kinds_version;
+    }
+    /// @brief When jobs could start, for each service that is short.
+    [[nodiscard]] auto start_estimates() const noexcept
+        -> const std::map<service_name, std::vector<policy::start_estimate>>&
+    {
+        return m_starts;
+    }
     /// @brief When start estimates were last brought up to date.
     [[nodiscard]] auto passed_at() const noexcept -> time_point
     {
@@ -556,6 +567,10 @@
     auto log_blocked_jobs(bool blocked, time_point now) -> void;
     auto log_awaited_workers(const std::string& message, time_point now) const
         -> void;
+    auto begin_due_probes(time_point now) -> void;
+    auto record_outcome(worker_record& worker, const run_ref& run,
+                        pimentoshunt::policy::attempt_outcome outcome,
+                        time_point now) -> void;
     auto ready_steps(time_point now) -> std::vector<policy::waiting_step>;
 
     // Overload; see policy/overload_selection.hpp.
@@ -579,7 +594,6 @@
     /// Whether the worker may get work of some step.
     [[nodiscard]] auto is_offered(const worker_record& worker,
                                   time_point now) const -> bool;
-    [[nodiscard]] auto is_ejected(const worker_record& worker) const -> bool;
     /// Brings the worker up to date in the pool.
     auto update_pool(worker_record& worker, time_point now) -> void;
     auto is_usable(const worker_record& worker, const job_record& job,
@@ -659,6 +673,9 @@
     std::uint64_t m_arrivals = 0;
     std::map<worker_id, worker_record> m_workers;
     policy::worker_pool m_pool;
+    std::uint64_t m_kinds_version = 0;
+    /// Workers that may have ends that are not durable.
+    std::set<worker_id> m_with_unsaved_ends;
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     policy::crash_age_estimate m_crash_ages;
--- a/src/cell/owner_view.cpp
+++ b/src/cell/owner_view.cpp
@@ -62,15 +62,33 @@
     {
         m_pending[item.queue] = item.pending;
     }
-    auto latest = from.service_views(now);
+    if (m_kinds_epoch != from.epoch() ||
+        m_kinds_version != from.kinds_version() ||
+        now - m_kinds_updated_at >= kinds_interval)
+    {
+        m_kinds_epoch = from.epoch();
+        m_kinds_version = from.kinds_version();
+        m_kinds_updated_at = now;
+        update_kinds(from.worker_kinds(now));
+    }
     for (auto& [service, view] : m_services)
     {
         view.starts.clear();
     }
+    for (const auto& [service, starts] : from.start_estimates())
+    {
+        m_services[service].starts = starts;
+    }
+    m_updated_at = now;
+    m_estimated_at = from.passed_at();
+}
+
+auto owner_view::update_kinds(
+    std::map<service_name, policy::service_view> latest) -> void
+{
     for (auto& [service, view] : latest)
     {
         auto& known = m_services[service];
-        known.starts = std::move(view.starts);
         // Set again below if there are too many kinds.
         known.incomplete = view.incomplete;
         for (auto& kind : view.kinds)
@@ -78,8 +96,6 @@
             known.add_kind(std::move(kind));
         }
     }
-    m_updated_at = now;
-    m_estimated_at = from.passed_at();
 }
 
 auto owner_view::write(wire::cell_beat& out, time_point now) const -> void
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -64,15 +64,7 @@
         }
         forget_gone_workers(now);
         refresh_speeds(now);
-    }
-    for (const auto& id : m_health.take_due_probes(now))
-    {
-        m_probed_workers.insert(id);
-        const auto worker = m_workers.find(id);
-        if (worker != m_workers.end())
-        {
-            update_pool(worker->second, now);
-        }
+        begin_due_probes(now);
     }
     const bool may_act = authority.may_act && !m_overtaken;
     if (may_act)
@@ -88,6 +80,19 @@
     return std::exchange(m_outbox, {});
 }
 
+auto scheduler::begin_due_probes(time_point now) -> void
+{
+    for (const auto& id : m_health.take_due_probes(now))
+    {
+        m_probed_workers.insert(id);
+        const auto worker = m_workers.find(id);
+        if (worker != m_workers.end())
+        {
+            update_pool(worker->second, now);
+        }
+    }
+}
+
 /// Whether the worker has not reported yet and may still run work of an earlier
 /// owner, which wrote a row for it before its first start.
 auto scheduler::is_report_awaited(const worker_record& worker,
@@ -160,13 +165,7 @@
         !worker.entry.draining && worker.reconciled &&
         !worker.incarnation_uncertain && worker.unanswered_calls == 0;
     return is_reachable && now >= worker.no_starts_until &&
-           (!is_ejected(worker) || m_probed_workers.contains(worker.entry.id));
-}
-
-auto scheduler::is_ejected(const worker_record& worker) const -> bool
-{
-    // Mostly none is, which saves the look-up.
-    return m_health.ejected_count() > 0 && m_health.ejected(worker.entry.id);
+           (!worker.is_ejected || m_probed_workers.contains(worker.entry.id));
 }
 
 auto scheduler::update_pool(worker_record& worker, time_point now) -> void
--- a/src/cell/scheduler_incarnations.cpp
+++ b/src/cell/scheduler_incarnations.cpp
@@ -59,6 +59,11 @@
             .with("leaves_in", entry.leaves_in)
             .with("millicpus", entry.capacity.millicpus);
     }
+    m_kinds_version += !worker.registered ||
+                               worker.entry.capacity != entry.capacity ||
+                               worker.entry.labels != entry.labels
+                           ? 1
+                           : 0;
     worker.entry = entry;
     worker.is_row_outdated = worker.stored_incarnation != entry.incarnation;
     worker.registered = true;
@@ -161,6 +166,7 @@
     worker.incarnation_uncertain = false;
     worker.ends_received = 0;
     worker.ends_durable = 0;
+    m_with_unsaved_ends.erase(worker.entry.id);
     worker.ends_acknowledged = 0;
     if (worker.clock)
     {
--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -116,7 +116,7 @@
 auto scheduler::offers_capacity(const worker_record& worker) const -> bool
 {
     return worker.registered && !worker.ended && !worker.entry.draining &&
-           !is_ejected(worker);
+           !worker.is_ejected;
 }
 
 auto scheduler::note_arrival(const job_record& job, time_point now) -> void
@@ -271,7 +271,7 @@
     }
 }
 
-auto scheduler::service_views(time_point now) const
+auto scheduler::worker_kinds(time_point now) const
     -> std::map<service_name, policy::service_view>
 {
     std::map<service_name, policy::service_view> out;
@@ -285,10 +285,6 @@
             view.add_kind({worker.entry.capacity, worker.entry.labels});
         }
     }
-    for (const auto& [service, starts] : m_starts)
-    {
-        out[service].starts = starts;
-    }
     return out;
 }
 
--- a/src/cell/scheduler_progress.cpp
+++ b/src/cell/scheduler_progress.cpp
@@ -98,11 +98,13 @@
     if (m_dirty.empty())
     {
         auto& ends = m_ends_of_batch[batch.number];
-        for (const auto& [id, worker] : m_workers)
+        for (const auto& id : m_with_unsaved_ends)
         {
-            if (worker.ends_received > worker.ends_durable)
+            const auto found = m_workers.find(id);
+            if (found != m_workers.end() &&
+                found->second.ends_received > found->second.ends_durable)
             {
-                ends.emplace_back(id, worker.ends_received);
+                ends.emplace_back(id, found->second.ends_received);
             }
         }
     }
@@ -111,18 +113,7 @@
 
 auto scheduler::has_unsaved_progress() const -> bool
 {
-    if (!m_dirty.empty())
-    {
-        return true;
-    }
-    for (const auto& [id, worker] : m_workers)
-    {
-        if (worker.ends_received > worker.ends_durable)
-        {
-            return true;
-        }
-    }
-    return false;
+    return !m_dirty.empty() || !m_with_unsaved_ends.empty();
 }
 
 auto scheduler::has_unsaved_end() const -> bool
@@ -166,6 +157,14 @@
         }
     }
     m_ends_of_batch.erase(batch.number);
+    std::erase_if(m_with_unsaved_ends,
+                  [&](const worker_id& id)
+                  {
+                      const auto worker = m_workers.find(id);
+                      return worker == m_workers.end() ||
+                             worker->second.ends_received <=
+                                 worker->second.ends_durable;
+                  });
 }
 
 /// Logs the jobs, and the last end that each worker may forget.
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -264,6 +264,7 @@
         }
         remove_from_steps(worker);
         m_pool.remove(worker);
+        m_with_unsaved_ends.erase(id);
         m_health.remove(id);
         m_probed_workers.erase(id);
         const auto latest = m_latest_at_address.find(worker.entry.address);
--- a/src/cell/scheduler_runs.cpp
+++ b/src/cell/scheduler_runs.cpp
@@ -67,6 +67,16 @@
     }
 }
 
+/// Only an outcome ejects or readmits a worker.
+auto scheduler::record_outcome(worker_record& worker, const run_ref& run,
+                               pimentoshunt::policy::attempt_outcome outcome,
+                               time_point now) -> void
+{
+    m_health.record(worker.entry.id, workload_name(run.task.step.job.str()),
+                    outcome, now);
+    worker.is_ejected = m_health.ejected(worker.entry.id);
+}
+
 auto scheduler::on_run_ended(worker_record& worker, const run_ref& run,
                              run_end how, const std::string& checkpoint,
                              time_point now) -> void
@@ -100,11 +110,10 @@
     {
         location.task->checkpoint = checkpoint;
     }
-    const workload_name workload(run.task.step.job.str());
     if (how == run_end::done)
     {
-        m_health.record(worker.entry.id, workload,
-                        pimentoshunt::policy::attempt_outcome::success, now);
+        record_outcome(worker, run,
+                       pimentoshunt::policy::attempt_outcome::success, now);
         if (location.step->spec->gang)
         {
             for (std::uint32_t i = 0; i < location.step->tasks.size(); ++i)
@@ -119,8 +128,8 @@
     if (how == run_end::failed)
     {
         location.task->avoid = worker.entry.id;
-        m_health.record(worker.entry.id, workload,
-                        pimentoshunt::policy::attempt_outcome::failure, now);
+        record_outcome(worker, run,
+                       pimentoshunt::policy::attempt_outcome::failure, now);
         count_failure(location, run, now);
     }
     requeue(location, run.task.index, now);
@@ -158,6 +167,7 @@
         return;
     }
     run.phase = run_phase::stopping;
+    worker.may_have_stops = true;
     run.stop_in_flight = true;
     run.stop_sent_at = now;
     m_outbox.stops.push_back({target_of(worker), run.run});
@@ -194,10 +204,19 @@
 
 auto scheduler::retry_stops(worker_record& worker, time_point now) -> void
 {
+    if (!worker.may_have_stops)
+    {
+        return;
+    }
+    worker.may_have_stops = false;
     for (auto& [ref, run] : worker.runs)
     {
-        const bool due = run.phase == run_phase::stopping &&
-                         !run.stop_in_flight && !run.stop_answered_at &&
+        if (run.phase != run_phase::stopping)
+        {
+            continue;
+        }
+        worker.may_have_stops = true;
+        const bool due = !run.stop_in_flight && !run.stop_answered_at &&
                          now - run.stop_sent_at >= m_options.stop_retry;
         if (due)
         {
@@ -239,6 +258,7 @@
         return;
     }
     worker.ends_received = end.number;
+    m_with_unsaved_ends.insert(worker.entry.id);
     if (find(end.run.task).task == nullptr)
     {
         ++m_counts.unknown_ends;
--- a/src/cell/scheduler_supervision.cpp
+++ b/src/cell/scheduler_supervision.cpp
@@ -59,8 +59,8 @@
             .with("percent", run.percent)
             .with("unchanged_for", unchanged_for);
         location.task->avoid = worker.entry.id;
-        m_health.record(worker.entry.id, workload_name(ref.task.step.job.str()),
-                        pimentoshunt::policy::attempt_outcome::failure, now);
+        record_outcome(worker, ref,
+                       pimentoshunt::policy::attempt_outcome::failure, now);
         request_stop(worker, run, now);
     }
 }
