Owner: supervise every 50 ms, keep a job's chains and the list of successors

Change: supervision every 50 ms (stops are repeated after 150 ms, leases last seconds); chains are computed once for each job; successors once for each heartbeat, every 150 ms.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -339,6 +339,10 @@
 struct job_record
 {
     std::shared_ptr<const job_spec> spec;
+    /// Estimated time from the start of each step to the end of the job, and the
+    /// longest of them; see policy/dispatch_order.hpp.
+    std::vector<milliseconds> chains;
+    milliseconds longest_chain{0};
     /// Account of its workspace; nullptr: it belongs to none.
     policy::workspace_account* account = nullptr;
     /// Whether it is beyond the rate of its workspace.
--- a/include/pimentoshunt/cell/instance.hpp
+++ b/include/pimentoshunt/cell/instance.hpp
@@ -369,7 +369,7 @@
     /// @return whether the cell was released
     auto hand_over_if_better(time_point now) -> bool
     {
-        const auto next = successors(now);
+        const auto& next = successors(now);
         const auto best =
             next.empty() ? std::nullopt : std::optional(next.front());
         const auto own = own_health(now);
@@ -412,8 +412,22 @@
         return out;
     }
 
-    /// Instances that should take over from this owner, the best first.
-    [[nodiscard]] auto successors(time_point now) const
+    /// Instances that should take over from this owner, the best first; as old
+    /// as a heartbeat at most.
+    [[nodiscard]] auto successors(time_point now)
+        -> const std::vector<policy::candidate>&
+    {
+        if (m_successors_epoch != m_ownership.epoch() ||
+            now - m_successors_at >= beat_interval)
+        {
+            m_successors_epoch = m_ownership.epoch();
+            m_successors_at = now;
+            m_successors = compute_successors(now);
+        }
+        return m_successors;
+    }
+
+    [[nodiscard]] auto compute_successors(time_point now) const
         -> std::vector<policy::candidate>
     {
         std::vector<policy::candidate> out;
@@ -438,13 +452,13 @@
                                   m_options.ownership.succession);
     }
 
-    [[nodiscard]] auto successor_names(time_point now) const
+    [[nodiscard]] auto successor_names(time_point now)
         -> std::vector<std::string>
     {
         std::vector<std::string> out;
-        for (auto& one : successors(now))
+        for (const auto& one : successors(now))
         {
-            out.push_back(std::move(one.name));
+            out.push_back(one.name);
         }
         return out;
     }
@@ -979,6 +993,9 @@
     /// Epoch of the last role that was started.
     std::uint64_t m_role_epoch = 0;
     owner_view m_view;
+    std::vector<policy::candidate> m_successors;
+    std::uint64_t m_successors_epoch = 0;
+    time_point m_successors_at;
     time_point m_next_renewal;
     time_point m_next_beat;
     time_point m_next_hello;
--- a/include/pimentoshunt/cell/policy/dispatch_order.hpp
+++ b/include/pimentoshunt/cell/policy/dispatch_order.hpp
@@ -51,17 +51,19 @@
 [[nodiscard]] auto critical_paths(const job_spec& job)
     -> std::vector<milliseconds>;
 
-/// @brief Sum of the estimates along the longest dependency chain that starts
-/// with @p step and ends with the job.
-[[nodiscard]] auto critical_path_from(const job_spec& job, std::uint32_t step)
-    -> milliseconds;
-
 /// @brief Time within which a round of @p job should finish: its longest
 /// dependency chain times the queue's stretch, plus the queue's allowance.
 /// @param factor  between the declared and the real run times of its queue
 [[nodiscard]] auto objective(const job_spec& job, double factor = 1.0)
     -> milliseconds;
 
+/// @brief The same for a known longest chain of steps.
+[[nodiscard]] auto objective(const queue_config& queue, milliseconds chain,
+                             double factor = 1.0) -> milliseconds;
+
+/// @brief Computes the chains of a job from its specification.
+auto set_chains(detail::job_record& job) -> void;
+
 /// @brief Sets the deadline, latest start, expiry and lateness of @p item.
 /// @param factor  between the declared and the real run times of its queue
 auto compute_deadlines(waiting_step& item, time_point now, double factor = 1.0)
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -97,7 +97,7 @@
     double gang_place_surplus = 2.0;
     /// Interval of checks for unanswered stop orders, expired leases and
     /// draining workers.
-    milliseconds supervision_interval{20};
+    milliseconds supervision_interval{50};
     /// How long a worker gets no starts after it refused one for lack of room
     /// or health, or could not be reached.
     milliseconds refusal_pause{400};
--- a/src/cell/dispatch_order.cpp
+++ b/src/cell/dispatch_order.cpp
@@ -35,11 +35,6 @@
     return remaining;
 }
 
-auto critical_path_from(const job_spec& job, std::uint32_t step) -> milliseconds
-{
-    return critical_paths(job)[step];
-}
-
 auto objective(const job_spec& job, double factor) -> milliseconds
 {
     milliseconds chain{0};
@@ -47,20 +42,35 @@
     {
         chain = std::max(chain, path);
     }
+    return objective(job.queue, chain, factor);
+}
+
+auto objective(const queue_config& queue, milliseconds chain, double factor)
+    -> milliseconds
+{
     const auto stretched =
-        job.queue.stretch * factor * static_cast<double>(chain.count());
-    return milliseconds(static_cast<std::int64_t>(stretched)) +
-           job.queue.allowance;
+        queue.stretch * factor * static_cast<double>(chain.count());
+    return milliseconds(static_cast<std::int64_t>(stretched)) + queue.allowance;
+}
+
+auto set_chains(detail::job_record& job) -> void
+{
+    job.chains = critical_paths(*job.spec);
+    job.longest_chain = milliseconds{0};
+    for (const auto chain : job.chains)
+    {
+        job.longest_chain = std::max(job.longest_chain, chain);
+    }
 }
 
 auto compute_deadlines(waiting_step& item, time_point now, double factor)
     -> void
 {
-    const auto& job = *item.job->spec;
-    const auto target = objective(job, factor);
+    const auto target =
+        objective(item.job->spec->queue, item.job->longest_chain, factor);
     const auto started_at = item.round->released_at;
     item.due = started_at + target;
-    const auto chain = critical_path_from(job, item.step->number);
+    const auto chain = item.job->chains[item.step->number];
     item.chain = milliseconds(
         static_cast<std::int64_t>(factor * static_cast<double>(chain.count())));
     item.latest_start = item.due - item.chain;
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -78,6 +78,7 @@
     }
     auto& record = m_jobs[job.id];
     record.spec = std::make_shared<const job_spec>(job);
+    policy::set_chains(record);
     record.account = m_usage.account_of(job.workspace);
     m_rates.add(record.account, job.id, job.accepted_at);
     record.accepted_at = now;
--- a/src/cell/scheduler_overload.cpp
+++ b/src/cell/scheduler_overload.cpp
@@ -153,8 +153,7 @@
         auto& backlog = found->second;
         const auto& queue = job->spec->queue;
         auto& selection = m_selections[queue.service];
-        const auto paths = policy::critical_paths(*job->spec);
-        const auto target = policy::objective(*job->spec);
+        const auto target = policy::objective(queue, job->longest_chain);
         for (auto& round : job->rounds)
         {
             if (!round.released || round.done)
@@ -174,7 +173,7 @@
                 lasting = lasting || step.spec->lasting;
                 if (step.done_count < step.spec->count)
                 {
-                    item.chain = std::max(item.chain, paths[step.number]);
+                    item.chain = std::max(item.chain, job->chains[step.number]);
                 }
             }
             item.work = work_left(round, backlog.capacity);
--- a/tests/unit-cell-speeds.cpp
+++ b/tests/unit-cell-speeds.cpp
@@ -388,6 +388,7 @@
         std::make_shared<const cell::job_spec>(simple_job("j1", 4, 1'000));
     cell::detail::job_record job;
     job.spec = spec;
+    cell::policy::set_chains(job);
     cell::detail::round_record round;
     cell::detail::step_record step;
     step.spec = &spec->steps.front();
