Owner: passes take at most a third of the time, also when it is late

Cause: the pause after a pass was five times its length, but 25 ms at most, and each tick ran a further pass. When passes took 13 ms or more, which they did whenever the owner was late, they took over half of the time; answers and ends, which make room, waited behind them, and more steps waited in the next pass.

Change: the bound is the tick's interval, a tick only asks for a pass, and the factor is three: the share of the passes is bounded at any length up to 17 ms. What JSON texts hold is allocated in one block.

--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -209,12 +209,14 @@
     /// How often leases, stop orders and unanswered requests are checked.
     static constexpr milliseconds tick_interval{50};
     /// A scheduling pass visits all workers and steps. Passes for many events
-    /// are combined, and the next one starts no sooner than five times the
-    /// duration of the last one after its start: passes take at most a fifth of
+    /// are combined, and the next one starts no sooner than three times the
+    /// duration of the last one after its start: passes take at most a third of
     /// the time.
-    static constexpr int pass_interval_factor = 5;
+    static constexpr int pass_interval_factor = 3;
     static constexpr milliseconds min_pass_interval{4};
-    static constexpr milliseconds max_pass_interval{25};
+    /// Beyond, decisions would wait too long; it is also the longest time
+    /// between passes without an event.
+    static constexpr milliseconds max_pass_interval{50};
     /// Instances announce the rows that they store; the feed only covers lost
     /// announcements.
     static constexpr feed_timing inbox_feed_timing{milliseconds(1'000),
@@ -546,7 +548,7 @@
             {
                 if (!fault && !self->m_ended)
                 {
-                    self->run_pass_if_loaded();
+                    self->request_pass();
                     self->tick();
                 }
             });
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -1,6 +1,7 @@
 #include <pimentoshunt/platform/json_fields.hpp>
 
 #include <boost/json/array.hpp> // array
+#include <boost/json/monotonic_resource.hpp>
 #include <boost/json/parse.hpp> // parse
 
 namespace pimentoshunt::platform::detail
@@ -9,7 +10,10 @@
 auto parse_object(std::string_view text) -> std::optional<boost::json::object>
 {
     boost::json::error_code fault;
-    auto parsed = boost::json::parse({text.data(), text.size()}, fault);
+    // One block in place of an allocation for each value; released as a whole.
+    auto parsed = boost::json::parse(
+        {text.data(), text.size()}, fault,
+        boost::json::make_shared_resource<boost::json::monotonic_resource>());
     if (fault || !parsed.is_object())
     {
         return std::nullopt;
