--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -11,6 +11,7 @@
 #include <pimentoshunt/cell/messages.hpp>
 #include <pimentoshunt/cell/owner_load.hpp>
 #include <pimentoshunt/cell/peers.hpp>
+#include <pimentoshunt/cell/policy/pass_pacing.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/progress_writer.hpp>
 #include <pimentoshunt/cell/roster_writer.hpp>
@@ -24,7 +25,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // clamp, max
+#include <algorithm>  // max
 #include <cstddef>    // size_t
 #include <cstdint>    // uint64_t
 #include <functional> // function
@@ -208,15 +209,6 @@
   private:
     /// How often leases, stop orders and unanswered requests are checked.
     static constexpr milliseconds tick_interval{50};
-    /// A scheduling pass visits all workers and steps. Passes for many events
-    /// are combined, and the next one starts no sooner than three times the
-    /// duration of the last one after its start: passes take at most a third of
-    /// the time.
-    static constexpr int pass_interval_factor = 3;
-    static constexpr milliseconds min_pass_interval{4};
-    /// Beyond, decisions would wait too long; it is also the longest time
-    /// between passes without an event.
-    static constexpr milliseconds max_pass_interval{50};
     /// Instances announce the rows that they store; the feed only covers lost
     /// announcements.
     static constexpr feed_timing inbox_feed_timing{milliseconds(1'000),
@@ -554,9 +546,8 @@
             });
     }
 
-    /// Schedules one pass for all events that are ready now, no sooner than the
-    /// minimum interval after the last pass allows, so that time is left to
-    /// process events.
+    /// Schedules one pass for all events that are ready now, so that time is left
+    /// to process events.
     auto request_pass() -> void
     {
         if (m_pass_requested || m_ended)
@@ -585,10 +576,7 @@
         }
         const auto began = steady_now();
         run_pass(began);
-        const auto took = steady_now() - began;
-        m_next_pass = began + std::clamp<boot_clock::duration>(
-                                  pass_interval_factor * took,
-                                  min_pass_interval, max_pass_interval);
+        m_next_pass = policy::next_pass_at(began, steady_now() - began);
     }
 
     auto run_pass(time_point now) -> void
--- a/tests/unit-cell-owner-cost.cpp
+++ b/tests/unit-cell-owner-cost.cpp
@@ -3,6 +3,8 @@
 /// depend on the machine.
 #include "fakes/cell_simulation.hpp"
 
+#include <pimentoshunt/cell/policy/pass_pacing.hpp>
+
 #include <criterion/criterion.h>
 
 #include <string> // string, to_string
@@ -102,3 +104,19 @@
     cr_assert_lt(looks_in_a_second(simulation), max_looks);
     cr_assert_eq(simulation.starts.size(), 4u * waiting_jobs);
 }
+
+// Guards against an owner whose passes take over half of its time when they are
+// long, so that answers and ends wait and the next pass is longer still.
+Test(cell_owner_cost, long_passes_leave_most_of_the_time)
+{
+    const time_point began{std::chrono::hours(1)};
+    for (int took = 1; took <= 16; ++took)
+    {
+        const auto next = cell::policy::next_pass_at(began, milliseconds(took));
+        cr_assert_geq((next - began) / milliseconds(took), 3, "%d ms", took);
+    }
+    // Decisions don't wait for ever.
+    cr_assert_leq(cell::policy::next_pass_at(began, std::chrono::seconds(1)) -
+                      began,
+                  milliseconds(50));
+}
