--- a/include/pimentoshunt/cell/owner_view.hpp
+++ b/include/pimentoshunt/cell/owner_view.hpp
@@ -46,7 +46,8 @@
     /// worker.
     static constexpr milliseconds kinds_interval{1'000};
 
-    auto update_kinds(std::map<service_name, policy::service_view> latest)
+    auto
+    update_kinds(const std::map<service_name, policy::service_view>& latest)
         -> void;
 
     std::map<queue_name, std::uint64_t> m_pending;
--- a/include/pimentoshunt/cell/policy/worker_pool.hpp
+++ b/include/pimentoshunt/cell/policy/worker_pool.hpp
@@ -93,7 +93,7 @@
 
     static auto is_worse(const place& left, const place& right) -> bool;
 
-    /// A heap.
+    /// A heap with the most suitable worker first.
     std::vector<place> m_places;
 };
 
@@ -121,6 +121,7 @@
 
     /// @brief Ranks the offered workers of a service by preference, then by
     /// processors that no request in flight claims.
+    /// @complexity linear in the number of workers, but for few numbers of each
     /// @param one  processors of one task
     [[nodiscard]] auto rank(const service_name& service, std::int64_t one,
                             const speed_preference& preference,
--- a/src/cell/owner_view.cpp
+++ b/src/cell/owner_view.cpp
@@ -84,16 +84,16 @@
 }
 
 auto owner_view::update_kinds(
-    std::map<service_name, policy::service_view> latest) -> void
+    const std::map<service_name, policy::service_view>& latest) -> void
 {
-    for (auto& [service, view] : latest)
+    for (const auto& [service, view] : latest)
     {
         auto& known = m_services[service];
         // Set again below if there are too many kinds.
         known.incomplete = view.incomplete;
-        for (auto& kind : view.kinds)
+        for (const auto& kind : view.kinds)
         {
-            known.add_kind(std::move(kind));
+            known.add_kind(kind);
         }
     }
 }
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -121,7 +121,7 @@
     policy::sort_by_unclaimed_cpu(expired_tickets);
     policy::sort_by_speed(expired_tickets, preference, one);
     // Approvals are permanent: a new ticket for an approved worker is certain.
-    std::vector<worker_record*> out = expired_tickets;
+    auto out = expired_tickets;
     std::int64_t room = 0;
     const auto each = std::max<std::int64_t>(step.spec->need.millicpus, 1);
     for (const auto* worker : expired_tickets)
--- a/tests/unit-cell-owner-cost.cpp
+++ b/tests/unit-cell-owner-cost.cpp
@@ -7,7 +7,8 @@
 
 #include <criterion/criterion.h>
 
-#include <string> // string, to_string
+#include <cstddef> // size_t
+#include <string>  // string, to_string
 
 using namespace pimentoshunt;
 using fakes::cell_simulation;
@@ -16,12 +17,12 @@
 namespace
 {
 
-constexpr int worker_count = 1'100;
-constexpr int waiting_jobs = 150;
+constexpr std::size_t worker_count = 1'100;
+constexpr std::size_t waiting_jobs = 150;
 constexpr std::int64_t worker_millicpus = 4'000;
-constexpr int passes = 50;
+constexpr std::size_t passes = 50;
 /// Two looks at each worker in a pass, however many steps wait.
-constexpr std::uint64_t max_looks = 2u * passes * worker_count;
+constexpr std::uint64_t max_looks = 2 * passes * worker_count;
 
 auto job_with_approval(const std::string& id, std::uint32_t tasks)
     -> cell::job_spec
@@ -35,7 +36,7 @@
 
 auto add_workers(cell_simulation& simulation) -> void
 {
-    for (int i = 0; i < worker_count; ++i)
+    for (std::size_t i = 0; i < worker_count; ++i)
     {
         simulation.add_worker("w" + std::to_string(i), worker_millicpus);
     }
@@ -45,7 +46,7 @@
 auto accept_waiting_jobs(cell_simulation& simulation, bool with_approval)
     -> void
 {
-    for (int i = 0; i < waiting_jobs; ++i)
+    for (std::size_t i = 0; i < waiting_jobs; ++i)
     {
         const auto id = "waiting" + std::to_string(i);
         simulation.jobs().accept(with_approval
@@ -59,7 +60,7 @@
 auto looks_in_a_second(cell_simulation& simulation) -> std::uint64_t
 {
     std::uint64_t out = 0;
-    for (int i = 0; i < passes; ++i)
+    for (std::size_t i = 0; i < passes; ++i)
     {
         simulation.run_for(milliseconds(20));
         out += simulation.jobs().last_pass().examined_workers;
@@ -102,7 +103,7 @@
     add_workers(simulation);
     accept_waiting_jobs(simulation, true);
     cr_assert_lt(looks_in_a_second(simulation), max_looks);
-    cr_assert_eq(simulation.starts.size(), 4u * waiting_jobs);
+    cr_assert_eq(simulation.starts.size(), 4 * waiting_jobs);
 }
 
 // Guards against an owner whose passes take over half of its time when they are
