Tests of the owner's cost: one set-up of a full cell for both

Two tests began with the same lines. The assertions are the same; the four tests pass, format and linter of the file hold. The whole check was not run again.

--- a/tests/unit-cell-owner-cost.cpp
+++ b/tests/unit-cell-owner-cost.cpp
@@ -43,6 +43,16 @@
     simulation.run_for(milliseconds(2'000));
 }
 
+/// Adds the workers and a task on each that takes all of it.
+auto fill_cell(cell_simulation& simulation) -> void
+{
+    add_workers(simulation);
+    simulation.jobs().accept(simple_job("full", worker_count, worker_millicpus),
+                             simulation.now);
+    simulation.run_for(milliseconds(100));
+    cr_assert_eq(simulation.running(), worker_count);
+}
+
 auto accept_waiting_jobs(cell_simulation& simulation, bool with_approval)
     -> void
 {
@@ -75,11 +85,7 @@
 Test(cell_owner_cost, waiting_steps_do_not_look_at_full_workers)
 {
     cell_simulation simulation;
-    add_workers(simulation);
-    simulation.jobs().accept(simple_job("full", worker_count, worker_millicpus),
-                             simulation.now);
-    simulation.run_for(milliseconds(100));
-    cr_assert_eq(simulation.running(), worker_count);
+    fill_cell(simulation);
     accept_waiting_jobs(simulation, true);
     cr_assert_lt(looks_in_a_second(simulation), max_looks);
 }
@@ -87,11 +93,7 @@
 Test(cell_owner_cost, steps_without_approval_do_not_look_at_full_workers)
 {
     cell_simulation simulation;
-    add_workers(simulation);
-    simulation.jobs().accept(simple_job("full", worker_count, worker_millicpus),
-                             simulation.now);
-    simulation.run_for(milliseconds(100));
-    cr_assert_eq(simulation.running(), worker_count);
+    fill_cell(simulation);
     accept_waiting_jobs(simulation, false);
     cr_assert_lt(looks_in_a_second(simulation), max_looks);
 }
