--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts of the third review into target/review-3.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+c++ -std=c++20 -O1 -o target/review-3/standin review/standin-3/standin.cpp -pthread
