--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the scripts of the third review into target/review-3.
+# Builds the stand-ins of the scripts of the third review into target/review-3,
+# after the build of the deploy file. Boost comes with the project's packages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
