--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-c++ -std=c++20 -O1 -o target/review-3/standin review/standin-3/standin.cpp -pthread
+c++ -std=c++20 -O1 -o target/review-3/standin review/standin-3/standin.cc -pthread
--- a/review/standin-3/standin.cpp
+++ b/review/standin-3/standin.cc
@@ -5,7 +5,8 @@
 //                                                is cut off while /own/cut says so
 //   standin call METHOD PORT HOSTNAME PATH [BODY] [TIMEOUT_MS]
 //                                                one request; prints status and body
-// A worker reads the run time of a task from its spec, "ms=NUMBER". RECORD gets a
+// A worker reads the run time of a task from its spec, "ms=NUMBER", or with "last" the
+// time until it is at work. RECORD gets a
 // line for each order and each end. Loopback addresses only.
 #include <boost/json/src.hpp>
 
@@ -44,8 +45,7 @@
 
 auto now_ms() -> std::int64_t
 {
-    return std::chrono::duration_cast<ms>(
-               clock_type::now().time_since_epoch())
+    return std::chrono::duration_cast<ms>(clock_type::now().time_since_epoch())
         .count();
 }
 
@@ -207,8 +207,8 @@
 }
 
 // Serves until the process ends; a connection beyond the limit is reset.
-auto serve(int port, int limit, std::function<response(const request&)> handle)
-    -> void
+auto serve(int port, int limit,
+           const std::function<response(const request&)>& handle) -> void
 {
     const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
     const int one = 1;
@@ -255,11 +255,11 @@
                         }
                         break;
                     }
-                    const auto text =
-                        "HTTP/1.1 " + std::to_string(out.status) +
-                        " X\r\nContent-Type: application/json\r\n"
-                        "Content-Length: " +
-                        std::to_string(out.body.size()) + "\r\n\r\n" + out.body;
+                    const auto text = "HTTP/1.1 " + std::to_string(out.status) +
+                                      " X\r\nContent-Type: application/json\r\n"
+                                      "Content-Length: " +
+                                      std::to_string(out.body.size()) +
+                                      "\r\n\r\n" + out.body;
                     if (!send_all(fd, text))
                     {
                         break;
@@ -277,7 +277,7 @@
           const string& path, const string& body, int timeout_ms) -> response
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    const timeval limit{timeout_ms / 1000, (timeout_ms % 1000) * 1000};
+    const timeval limit{timeout_ms / 1000, (timeout_ms % 1000) * 1000L};
     ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
     ::setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
     const auto address = loopback(port);
@@ -324,10 +324,10 @@
         std::uint32_t block = 0;
         for (std::size_t k = 0; k < 3; ++k)
         {
-            block = block << 8U |
-                    (i + k < bytes.size()
-                         ? static_cast<unsigned char>(bytes[i + k])
-                         : 0U);
+            block =
+                block << 8U |
+                (i + k < bytes.size() ? static_cast<unsigned char>(bytes[i + k])
+                                      : 0U);
         }
         for (std::size_t k = 0; k < 4; ++k)
         {
@@ -486,7 +486,8 @@
         {
             const auto at = key_of(item.as_object());
             const auto found = m_rows.find(at);
-            const auto version = found == m_rows.end() ? 0 : found->second.version;
+            const auto version =
+                found == m_rows.end() ? 0 : found->second.version;
             holds = holds && static_cast<std::int64_t>(version) ==
                                  number_at(item.as_object(), "ver");
             if (found != m_rows.end())
@@ -552,7 +553,8 @@
     auto feed(const request& in) -> response
     {
         const auto table = in.query.at("table");
-        const auto after = std::strtoull(in.query.at("after").c_str(), nullptr, 10);
+        const auto after =
+            std::strtoull(in.query.at("after").c_str(), nullptr, 10);
         const auto wait = std::atoi(in.query.at("waitMs").c_str());
         const auto until = clock_type::now() + ms(wait);
         std::unique_lock lock(m_mutex);
@@ -563,8 +565,8 @@
             {
                 if (item.version > after && std::get<0>(item.at) == table)
                 {
-                    rows.push_back(to_json(item.at, item.value, item.version,
-                                           item.gone));
+                    rows.push_back(
+                        to_json(item.at, item.value, item.version, item.gone));
                 }
             }
             if (!rows.empty() || clock_type::now() >= until)
@@ -590,8 +592,8 @@
 {
   public:
     worker(string id, int port, int store_port, const char* record, double rate)
-        : m_id(std::move(id)), m_port(port), m_store_port(store_port), m_rate(rate),
-          m_record(std::fopen(record, "a")), m_born(unix_ms()),
+        : m_id(std::move(id)), m_port(port), m_store_port(store_port),
+          m_rate(rate), m_record(std::fopen(record, "a")), m_born(unix_ms()),
           m_began(now_ms())
     {
         std::setvbuf(m_record, nullptr, _IOLBF, 0);
@@ -672,13 +674,13 @@
             {
                 m_ends.pop_front();
             }
-            m_changed.wait_for(lock,
-                               ms(std::min<std::int64_t>(
-                                   number_at(root, "waitMs"), 2'000)),
-                               [&]
-                               {
-                                   return !m_ends.empty();
-                               });
+            m_changed.wait_for(
+                lock,
+                ms(std::min<std::int64_t>(number_at(root, "waitMs"), 2'000)),
+                [&]
+                {
+                    return !m_ends.empty();
+                });
             return lists();
         }
         return {200, json::serialize(base())};
@@ -689,6 +691,7 @@
         std::int64_t number = 0;
         std::int64_t began = 0;
         std::int64_t takes = 0;
+        bool lasts = false;
         std::int64_t stops_at = 0;
     };
     struct end
@@ -753,10 +756,12 @@
         running run;
         run.number = number;
         run.began = clock();
-        run.takes = at == string::npos ? 1'000 : std::atoll(spec.c_str() + at + 3);
+        run.takes =
+            at == string::npos ? 1'000 : std::atoll(spec.c_str() + at + 3);
+        run.lasts = spec.find("last") != string::npos;
         m_running[task] = run;
-        note("start " + task + " run " + std::to_string(number) + " on " + m_id +
-             " token " + std::to_string(m_fence));
+        note("start " + task + " run " + std::to_string(number) + " on " +
+             m_id + " token " + std::to_string(m_fence));
         return {200, json::serialize(base())};
     }
     auto stop(const json::object& root) -> response
@@ -774,7 +779,8 @@
         }
         return {200, json::serialize(base())};
     }
-    auto finish(const string& task, std::int64_t number, const char* how) -> void
+    auto finish(const string& task, std::int64_t number, const char* how)
+        -> void
     {
         m_highest[task] = std::max(m_highest[task], number);
         m_ends.push_back({++m_end_number, task, number, how});
@@ -793,7 +799,7 @@
             {
                 how = "stopped";
             }
-            else if (clock() >= run.began + run.takes)
+            else if (!run.lasts && clock() >= run.began + run.takes)
             {
                 how = "done";
             }
@@ -818,9 +824,10 @@
         json::array present;
         for (const auto& [task, run] : m_running)
         {
-            const auto percent =
-                std::min<std::int64_t>(99, (clock() - run.began) * 100 /
-                                               std::max<std::int64_t>(run.takes, 1));
+            // A task that lasts is at work, at 100, after its run time.
+            const auto percent = std::min<std::int64_t>(
+                run.lasts ? 100 : 99, (clock() - run.began) * 100 /
+                                          std::max<std::int64_t>(run.takes, 1));
             present.push_back(json::array{task, run.number, "", percent, 500});
         }
         json::array ended;
@@ -856,8 +863,9 @@
             {"machine", "m-" + m_id},
             {"capacity", {{"cpu", 16'000}, {"memMb", 65'536}, {"gpu", 0}}},
             {"labels", {"a", "r1-1"}}};
-        call(m_store_port, "POST", "store", "/own/put?table=servers&key=" + m_id,
-             json::serialize(entry), 1'000);
+        call(m_store_port, "POST", "store",
+             "/own/put?table=servers&key=" + m_id, json::serialize(entry),
+             1'000);
     }
 
     string m_id;
@@ -906,12 +914,12 @@
     }
     if (count >= 6 && args[1] == "call")
     {
-        const auto out =
-            call(std::stoi(args[3]), args[2], args[4], args[5],
-                 count > 6 ? args[6] : "", count > 7 ? std::stoi(args[7]) : 3'000);
+        const auto out = call(std::stoi(args[3]), args[2], args[4], args[5],
+                              count > 6 ? args[6] : "",
+                              count > 7 ? std::stoi(args[7]) : 3'000);
         std::printf("%d %s\n", out.status, out.body.c_str());
         return out.status == 0 ? 1 : 0;
     }
-    std::fprintf(stderr, "see the head of standin.cpp\n");
+    std::fprintf(stderr, "see the head of standin.cc\n");
     return 2;
 }
