--- a/review/standin-3/cell.sh
+++ b/review/standin-3/cell.sh
@@ -38,13 +38,13 @@
     (exec 3<>"/dev/tcp/127.0.0.1/$1") 2>/dev/null
 }
 
-# A range of 300 ports of which the first ones are free.
+# A range of 300 ports of which those used are free.
 choose_ports()
 {
     local try p
     for try in $(seq 20); do
         base=$((20000 + (RANDOM % 40) * 300)) # below the ports of outgoing connections
-        for p in 0 1 2 11 12 13 101 102 103; do
+        for p in 0 11 12 13 21 22 23 31 32 33 41 42 43 $(seq 101 108); do
             is_open $((base + p)) && continue 2
         done
         return 0
