Leases on idle workers end within the bound that a successor assumes

Cause: the end of a lease was reckoned from the last reading of the worker's clock and the time passed by the owner's. A clock that is 2% slow was behind by 2% of the age of the reading, and the lease longer by as much. The successor waits for 5 s by such a clock, whatever the reading.

Change: policy/clock_bounds.hpp states the bounds between the two clocks once; granted leases, waits and the check of readings use it. A lease is reckoned from the least that the worker's clock can show. As that would shorten leases on true clocks by 2% of the idle time, a start on a worker whose reading is uncertain by more than a tenth of the lease (25 s of idle time) waits until a heartbeat is answered, and is withdrawn if it isn't. Starts and their answers are in a file of their own.

Tests of cell_incarnations that need a start on an old reading let the worker idle for 20 s in place of 60, since after 60 s the restart is now seen before the start; a new test checks that.

--- a/include/pimentoshunt/cell/detail/records.hpp
+++ b/include/pimentoshunt/cell/detail/records.hpp
@@ -70,6 +70,9 @@
     /// the run has lasted @ref trial_time.
     bool in_trial = false;
     milliseconds trial_time{0};
+    /// Whether its start order has not been sent yet: it waits for a reading of
+    /// the worker's clock.
+    bool is_waiting = false;
     time_point sent_at;
     /// Whether the worker is known to have begun the run.
     bool confirmed = false;
--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -8,6 +8,7 @@
 #include <pimentoshunt/cell/detail/records.hpp>
 #include <pimentoshunt/cell/model.hpp>
 #include <pimentoshunt/cell/orders.hpp>
+#include <pimentoshunt/cell/policy/clock_bounds.hpp>
 #include <pimentoshunt/cell/policy/dispatch_order.hpp>
 #include <pimentoshunt/cell/policy/refusals.hpp>
 #include <pimentoshunt/cell/policy/run_time_model.hpp>
@@ -405,7 +406,8 @@
     auto target_of(const worker_record& worker) const -> order_target;
     auto lease_end_for(const worker_record& worker, time_point now) const
         -> worker_time;
-    auto max_elapsed(milliseconds by_worker) const -> milliseconds;
+    [[nodiscard]] auto is_clock_outdated(const worker_record& worker,
+                                         time_point now) const -> bool;
     auto lease_expires_at(const worker_record& worker) const -> time_point;
     /// Whether a reading in the answer to a call can be of the incarnation that
     /// is known.
@@ -594,6 +596,9 @@
     /// Whether the worker may get work of some step.
     [[nodiscard]] auto is_offered(const worker_record& worker,
                                   time_point now) const -> bool;
+    /// Whether an order to start something may be sent to the worker.
+    [[nodiscard]] auto accepts_starts(const worker_record& worker) const
+        -> bool;
     /// Brings the worker up to date in the pool.
     auto update_pool(worker_record& worker, time_point now) -> void;
     auto is_usable(const worker_record& worker, const job_record& job,
@@ -634,6 +639,12 @@
     auto start(const policy::waiting_step& item, std::uint32_t index,
                worker_record& worker, std::uint64_t number, time_point now)
         -> void;
+    auto send_start(worker_record& worker, run_record& run,
+                    const task_location& location, time_point now) -> void;
+    auto send_waiting_starts(time_point now) -> void;
+    auto withdraw_waiting_starts(worker_record& worker, time_point now) -> void;
+    auto give_up_start(worker_record& worker, const run_ref& run,
+                       time_point now) -> void;
     auto next_number(const task_record& task) const -> std::uint64_t;
     [[nodiscard]] auto is_report_awaited(const worker_record& worker,
                                          time_point now) const -> bool;
@@ -658,6 +669,7 @@
 
     std::uint64_t m_epoch;
     scheduler_options m_options;
+    policy::clock_bounds m_clocks;
     time_point m_started_at;
     bool m_overtaken = false;
     owner_authority m_authority;
@@ -676,6 +688,8 @@
     std::uint64_t m_kinds_version = 0;
     /// Workers that may have ends that are not durable.
     std::set<worker_id> m_with_unsaved_ends;
+    /// Workers with starts that wait for a reading of their clock.
+    std::set<worker_id> m_with_waiting_starts;
     /// The latest incarnation known at each address.
     std::unordered_map<std::string, worker_id> m_latest_at_address;
     policy::crash_age_estimate m_crash_ages;
--- a/src/cell/scheduler_crashes.cpp
+++ b/src/cell/scheduler_crashes.cpp
@@ -73,6 +73,7 @@
     worker.leases_expired = true;
     worker.registered = false;
     worker.unregistered_at = now;
+    withdraw_waiting_starts(worker, now);
     record_crashes(worker, now);
     end_all_runs(worker, run_end::worker_ended, now);
 }
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -1,5 +1,4 @@
-// Dispatch: the scheduling pass, selection of workers for ready tasks, and
-// start orders with their answers.
+// Dispatch: the scheduling pass, and selection of workers for ready tasks.
 #include <pimentoshunt/cell/scheduler.hpp>
 
 #include <pimentoshunt/cell/policy/worker_choice.hpp>
@@ -11,41 +10,6 @@
 
 namespace pimentoshunt::cell
 {
-namespace
-{
-
-using detail::run_phase;
-
-} // namespace
-
-auto to_string(start_outcome outcome) -> std::string
-{
-    switch (outcome)
-    {
-    case start_outcome::started:
-        return "started";
-    case start_outcome::fenced:
-        return "fenced";
-    case start_outcome::outdated:
-        return "outdated";
-    case start_outcome::late:
-        return "late";
-    case start_outcome::no_room:
-        return "no room";
-    case start_outcome::bad_ticket:
-        return "bad ticket";
-    case start_outcome::unhealthy:
-        return "unhealthy";
-    case start_outcome::invalid:
-        return "invalid";
-    case start_outcome::unreachable:
-        return "unreachable";
-    case start_outcome::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 auto scheduler::advance(time_point now, calendar_time calendar,
                         const owner_authority& authority) -> outbox
 {
@@ -69,6 +33,7 @@
     const bool may_act = authority.may_act && !m_overtaken;
     if (may_act)
     {
+        send_waiting_starts(now);
         dispatch(now);
     }
     for (auto& [id, worker] : m_workers)
@@ -157,14 +122,17 @@
     return out;
 }
 
+auto scheduler::accepts_starts(const worker_record& worker) const -> bool
+{
+    return worker.registered && !worker.ended && worker.enrolled &&
+           !worker.entry.draining && worker.reconciled &&
+           !worker.incarnation_uncertain && worker.unanswered_calls == 0;
+}
+
 auto scheduler::is_offered(const worker_record& worker, time_point now) const
     -> bool
 {
-    const bool is_reachable =
-        worker.registered && !worker.ended && worker.enrolled &&
-        !worker.entry.draining && worker.reconciled &&
-        !worker.incarnation_uncertain && worker.unanswered_calls == 0;
-    return is_reachable && now >= worker.no_starts_until &&
+    return accepts_starts(worker) && now >= worker.no_starts_until &&
            (!worker.is_ejected || m_probed_workers.contains(worker.entry.id));
 }
 
@@ -369,129 +337,4 @@
     }
 }
 
-auto scheduler::start(const policy::waiting_step& item, std::uint32_t index,
-                      worker_record& worker, std::uint64_t number,
-                      time_point now) -> void
-{
-    auto& step = *item.step;
-    const run_ref ref{
-        {{item.job->spec->id, item.round->number, step.number}, index}, number};
-    const auto location = find(ref.task);
-    auto& run = add_run(worker, location, ref, now);
-    run.is_whole =
-        !step.spec->keeps_checkpoints || location.task->checkpoint.empty();
-    run.probe = m_probed_workers.erase(worker.entry.id) > 0;
-    step.held_back_since.reset();
-    start_order order;
-    order.target = target_of(worker);
-    order.run = ref;
-    order.job = item.job->spec;
-    if (step.spec->keeps_checkpoints)
-    {
-        order.checkpoint = location.task->checkpoint;
-    }
-    order.lease_end = lease_end_for(worker, now);
-    worker.lease_end = std::max(worker.lease_end, order.lease_end);
-    const auto ticket = step.approvals.approved.find(&worker);
-    if (ticket != step.approvals.approved.end())
-    {
-        order.ticket = ticket->second.text;
-    }
-    m_outbox.starts.push_back(std::move(order));
-}
-
-auto scheduler::on_start_answered(const start_order& order,
-                                  start_outcome outcome,
-                                  const std::optional<worker_reading>& reading,
-                                  time_point now) -> void
-{
-    const auto found = m_workers.find(order.target.worker);
-    if (found == m_workers.end())
-    {
-        return;
-    }
-    auto& worker = found->second;
-    const auto run = worker.runs.find(order.run);
-    if (run == worker.runs.end())
-    {
-        return;
-    }
-    const bool is_current =
-        order.target.incarnation == worker.entry.incarnation;
-    const bool is_from_known =
-        is_current && (!reading || is_known_incarnation(worker, *reading,
-                                                        run->second.sent_at));
-    if (reading && is_from_known)
-    {
-        worker.clock = reading->clock;
-        worker.clock_at = now;
-    }
-    else if (reading && is_current)
-    {
-        suspect_restart(worker, *reading, now);
-    }
-    const auto location = find(order.run.task);
-    if (outcome == start_outcome::started)
-    {
-        if (location.job != nullptr)
-        {
-            location.job->any_started = true;
-        }
-        if (run->second.phase == run_phase::starting)
-        {
-            run->second.phase = run_phase::running;
-            run->second.percent_changed_at = now;
-        }
-        run->second.confirmed = true;
-        run->second.in_known_incarnation = is_from_known;
-        run->second.first_seen_at = now;
-        run->second.first_seen_clock =
-            reading ? reading->clock : worker_time{0};
-        worker.next_heartbeat_at = std::min(worker.next_heartbeat_at, now);
-        if (run->second.in_trial)
-        {
-            // A waiting heartbeat may be answered long after the trial.
-            heartbeat_at_once(worker, now);
-        }
-        return;
-    }
-    logging::info("start order failed")
-        .with("run", to_string(order.run.task))
-        .with("number", order.run.number)
-        .with("worker", worker.entry.id)
-        .with("outcome", to_string(outcome))
-        .with("waited", now - run->second.sent_at);
-    m_health.record_inconclusive(worker.entry.id, now);
-    stop_gang(location, now);
-    if (outcome == start_outcome::unknown)
-    {
-        request_stop(worker, run->second, now);
-        mark_unanswered(worker, now);
-        return;
-    }
-    if (outcome == start_outcome::bad_ticket && location.step != nullptr)
-    {
-        location.step->approvals.approved[&worker].valid_until = {};
-    }
-    if (outcome == start_outcome::fenced)
-    {
-        m_overtaken = true;
-    }
-    if (outcome == start_outcome::no_room ||
-        outcome == start_outcome::unhealthy ||
-        outcome == start_outcome::unreachable)
-    {
-        pause_starts(worker, now + m_options.refusal_pause);
-    }
-    if (location.task != nullptr && run->second.is_copy)
-    {
-        location.task->is_copied = false;
-    }
-    erase_run(worker, order.run);
-    if (location.task != nullptr)
-    {
-        requeue(location, order.run.task.index, now);
-    }
-}
-
 } // namespace pimentoshunt::cell
--- a/src/cell/scheduler_incarnations.cpp
+++ b/src/cell/scheduler_incarnations.cpp
@@ -135,6 +135,7 @@
         .with("runs", worker.runs.size())
         .with("reported_runs", report.present.size())
         .with("reported_ends", report.ended.size());
+    withdraw_waiting_starts(worker, now);
     std::set<run_ref> reported;
     for (const auto& run : report.present)
     {
@@ -246,10 +247,7 @@
         // Calls on different connections are answered in any order.
         return true;
     }
-    const std::chrono::duration<double, std::milli> elapsed =
-        sent_at - worker.clock_at;
-    const auto least = std::chrono::duration_cast<milliseconds>(
-        elapsed * (1 - m_options.clock_slowness));
+    const auto least = m_clocks.least_by_worker(sent_at - worker.clock_at);
     return reading.clock >= *worker.clock + least - clock_resolution;
 }
 
@@ -278,7 +276,7 @@
 {
     worker.misdirected_lease_ends_at =
         std::max(worker.misdirected_lease_ends_at,
-                 until + max_elapsed(m_options.longest_lease));
+                 until + m_clocks.longest_by_owner(m_options.longest_lease));
     worker.longest_lease = !worker.runs.empty();
 }
 
--- a/src/cell/scheduler_jobs.cpp
+++ b/src/cell/scheduler_jobs.cpp
@@ -37,7 +37,8 @@
 
 scheduler::scheduler(std::uint64_t epoch, scheduler_options options,
                      time_point now)
-    : m_epoch(epoch), m_options(std::move(options)), m_started_at(now),
+    : m_epoch(epoch), m_options(std::move(options)),
+      m_clocks(m_options.clock_slowness), m_started_at(now),
       m_health({.consecutive_failures = 2,
                 .min_outcomes = 10,
                 .initial_probe_delay = milliseconds(1'500),
--- a/src/cell/scheduler_roster.cpp
+++ b/src/cell/scheduler_roster.cpp
@@ -136,7 +136,8 @@
     const bool is_list_empty = worker.closed && worker.runs.empty();
     if (silence && !is_list_empty &&
         *silence >= worker.shown_silence + m_options.silence_write_interval &&
-        worker.shown_silence < max_elapsed(m_options.longest_lease))
+        worker.shown_silence <
+            m_clocks.longest_by_owner(m_options.longest_lease))
     {
         auto out = closed_row(worker);
         out.closed = worker.closed;
--- a/src/cell/scheduler_workers.cpp
+++ b/src/cell/scheduler_workers.cpp
@@ -10,8 +10,6 @@
 namespace
 {
 
-/// Safety margin added to the latest time at which a lease ends.
-constexpr milliseconds lease_end_slack{200};
 /// Delay before the next heartbeat after one without an answer.
 constexpr milliseconds unanswered_pause{100};
 /// Upper bound of the growing delay for a worker that holds up no work.
@@ -63,15 +61,26 @@
         .with("runs", found->second.runs.size());
 }
 
+/// The worker's clock now is at least what its last reading and the slowest clock
+/// give, so that no lease is longer than a later owner assumes, however old the
+/// reading is.
 auto scheduler::lease_end_for(const worker_record& worker, time_point now) const
     -> worker_time
 {
-    const auto elapsed =
-        std::chrono::duration_cast<milliseconds>(now - worker.clock_at);
-    return *worker.clock + elapsed +
+    return *worker.clock + m_clocks.least_by_worker(now - worker.clock_at) +
            (worker.entry.draining ? m_options.leaving_lease : m_options.lease);
 }
 
+/// Whether the last reading of the worker's clock is so old that a lease which is
+/// reckoned from it could be too short.
+auto scheduler::is_clock_outdated(const worker_record& worker,
+                                  time_point now) const -> bool
+{
+    constexpr int max_share = 10;
+    return !worker.clock || m_clocks.uncertainty(now - worker.clock_at) >
+                                m_options.lease / max_share;
+}
+
 /// Until then an earlier owner may have acted without noticing that it was
 /// replaced.
 auto scheduler::earlier_owner_ends_at() const -> time_point
@@ -81,16 +90,6 @@
                : m_started_at + m_options.earlier_owner_limit;
 }
 
-/// Longest time by the owner's clock that the given time by a worker's clock
-/// can take, with a safety margin.
-auto scheduler::max_elapsed(milliseconds by_worker) const -> milliseconds
-{
-    const auto longest = std::chrono::duration<double, std::milli>(
-        static_cast<double>(by_worker.count()) *
-        (1 + m_options.clock_slowness));
-    return std::chrono::duration_cast<milliseconds>(longest) + lease_end_slack;
-}
-
 auto scheduler::lease_expires_at(const worker_record& worker) const
     -> time_point
 {
@@ -98,12 +97,12 @@
     {
         // Runs on the worker have a lease of an earlier owner.
         return std::max(worker.earlier_orders_end +
-                            max_elapsed(m_options.lease),
+                            m_clocks.longest_by_owner(m_options.lease),
                         worker.misdirected_lease_ends_at);
     }
     const auto left =
         std::max(worker.lease_end - *worker.clock, worker_time{0});
-    return std::max(worker.clock_at + max_elapsed(left),
+    return std::max(worker.clock_at + m_clocks.longest_by_owner(left),
                     worker.misdirected_lease_ends_at);
 }
 
@@ -133,6 +132,7 @@
     }
     if (!report)
     {
+        withdraw_waiting_starts(worker, now);
         ++worker.unanswered_calls;
         on_worker_silent(worker, answer.connection_lost, now);
         const bool holds_up_work = !worker.reconciled || !worker.runs.empty();
@@ -362,7 +362,7 @@
     }
     // The lease of an unanswering worker is not renewed, so that it expires.
     // Nor is that of a worker whose row says that no lease was extended.
-    if (may_extend && worker.clock && !worker.runs.empty() &&
+    if (may_extend && !is_clock_outdated(worker, now) && !worker.runs.empty() &&
         !may_have_restarted && !worker.silence_shown)
     {
         order.lease_end = lease_end_for(worker, now);
--- a/tests/fakes/cell_simulation.hpp
+++ b/tests/fakes/cell_simulation.hpp
@@ -25,6 +25,8 @@
     cell::worker_entry entry;
     /// Zero of the worker's clock, on the test's clock.
     time_point started;
+    /// Speed of the worker's clock relative to the test's clock.
+    double clock_rate = 1.0;
     /// The highest epoch of the orders that the worker has accepted.
     std::uint64_t highest_epoch = 0;
     /// Number of the newest reported end.
@@ -63,7 +65,8 @@
     /// @brief The worker's clock at the test's time @p now.
     [[nodiscard]] auto clock(time_point now) const -> cell::worker_time
     {
-        return std::chrono::duration_cast<milliseconds>(now - started);
+        const std::chrono::duration<double, std::milli> elapsed = now - started;
+        return std::chrono::duration_cast<milliseconds>(elapsed * clock_rate);
     }
 };
 
@@ -117,6 +120,8 @@
     std::vector<std::pair<worker_id, std::set<cell::run_ref>>> crashes;
     /// All orders and approval requests that the scheduler has issued.
     std::vector<cell::start_order> starts;
+    /// How many of the start orders were refused as their lease had ended.
+    std::size_t late_starts = 0;
     std::vector<cell::stop_order> stops;
     std::vector<cell::pace_order> paces;
     std::vector<cell::approval_request> approval_requests;
@@ -497,6 +502,13 @@
                                            reading, now);
             return;
         }
+        if (order.lease_end <= reading.clock)
+        {
+            ++late_starts;
+            m_scheduler->on_start_answered(order, cell::start_outcome::late,
+                                           reading, now);
+            return;
+        }
         begin_run(*worker, order);
         const bool answered = worker->answers_orders;
         schedule_or_run(
--- a/tests/unit-cell-incarnations.cpp
+++ b/tests/unit-cell-incarnations.cpp
@@ -28,12 +28,16 @@
 /// one lost call.
 constexpr milliseconds longest_wait{6'000 + 120 + 200 + 1'200};
 
+/// A start on a worker that has been idle for longer waits for a reading of its
+/// clock, and would not reach an incarnation that is not known.
+constexpr std::chrono::seconds idle_time_before_blind_start{20};
+
 /// A cell whose worker w1 has been idle for some time.
 struct idle_cell
 {
     cell_simulation simulation;
 
-    explicit idle_cell(milliseconds idle_time = std::chrono::minutes(1),
+    explicit idle_cell(milliseconds idle_time = idle_time_before_blind_start,
                        const cell::scheduler_options& options = short_leases())
         : simulation(1, options)
     {
@@ -93,6 +97,26 @@
     }
 }
 
+// After a longer idle time the reading that a start waits for shows the new
+// incarnation, which gets nothing before its entry.
+Test(cell_incarnations, a_restart_of_an_idle_worker_is_seen_before_a_start)
+{
+    for (const bool named : {false, true})
+    {
+        idle_cell cell(std::chrono::minutes(1));
+        auto& simulation = cell.simulation;
+        simulation.names_incarnation = named;
+        simulation.restart_worker("w1", false);
+        simulation.jobs().accept(simple_job("j1", 1, 1'000), simulation.now);
+        simulation.run_for(milliseconds(500));
+        cr_assert(simulation.starts.empty());
+        simulation.register_worker(cell.w1());
+        simulation.run_for(milliseconds(200));
+        cr_assert_eq(simulation.starts.size(), 1u);
+        cr_assert_eq(simulation.live_runs(only_task), 1u);
+    }
+}
+
 // Guards against a task that runs twice (rule TWICE): the entry of the new
 // incarnation is read after it has accepted the run, which was taken for one of
 // the earlier incarnation.
@@ -132,7 +156,7 @@
         return milliseconds(20);
     };
     simulation.jobs().accept(simple_job("j0", 3, 1'000), simulation.now);
-    simulation.run_for(std::chrono::minutes(1));
+    simulation.run_for(idle_time_before_blind_start);
     cr_assert_eq(simulation.starts.size(), 3u);
     cell.restart_and_start();
     simulation.end_run("w1", simulation.starts.back().run, cell::run_end::done);
@@ -296,7 +320,8 @@
 {
     for (const bool announced : {false, true})
     {
-        idle_cell tested(std::chrono::minutes(1), cell::scheduler_options{});
+        idle_cell tested(idle_time_before_blind_start,
+                         cell::scheduler_options{});
         auto& simulation = tested.simulation;
         tested.restart_and_start();
         if (announced)
