A job cancelled before it is stored is kept out of the store

Cause: 410 rested on a read. The transaction of the submission had got no answer and took effect after it; only its own condition decides whether it does, and nothing that DELETE left behind contradicted it.

Change: DELETE of a job that is not stored writes tombstones in place of its rows, in all parts in which it may be stored, in one transaction that requires that it is not there, and only then answers 410. A late write fails by the condition that it carries anyway. A submission that meets a tombstone is answered 410 with the remedy. The owner removes tombstones after 130 s. An instance writes at most 500 for a workspace within that time.

In the soak callers cancel jobs whose submission has no outcome, a 410 counts as an acknowledgement, late transactions take effect up to 8 s late in place of 3, and a transaction over several parts that isn't marked is refused.

--- a/include/pimentoshunt/cell/inbox_writer.hpp
+++ b/include/pimentoshunt/cell/inbox_writer.hpp
@@ -35,9 +35,19 @@
     /// The row has not been written and never will be.
     refused,
     /// The row may have been written; the caller should retry with the same ID.
-    indeterminate
+    indeterminate,
+    /// The job was cancelled before it was stored; it has not been written and
+    /// never will be.
+    cancelled
 };
 
+/// @brief Whether nothing that is tried later can change the outcome.
+[[nodiscard]] inline auto is_settled(inbox_write_result result) -> bool
+{
+    return result == inbox_write_result::stored ||
+           result == inbox_write_result::cancelled;
+}
+
 /// @brief Answers one waiting caller, exactly once and before its deadline.
 class waiting_caller : public std::enable_shared_from_this<waiting_caller>
 {
@@ -261,7 +271,8 @@
         send_next_batch();
     }
 
-    /// Reports rows that already exist as stored and requeues the others.
+    /// Reports rows that already exist as stored, or as cancelled where there is a
+    /// tombstone, and requeues the others.
     /// @return false if the answer names no known reason for the conflict
     auto resolve_conflict(std::vector<inbox_write>& items,
                           const commit_result& result) -> bool
@@ -274,6 +285,11 @@
             if (const auto* const row = find_row(result, item->at))
             {
                 known = true;
+                if (is_tombstone(*row))
+                {
+                    item->caller->answer(inbox_write_result::cancelled);
+                    continue;
+                }
                 stored(*item, *row);
             }
         }
--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -4,8 +4,9 @@
 /// the store is unreachable; look-ups ask the owner, then the store.
 #pragma once
 
+#include <pimentoshunt/cell/job_canceller.hpp>
+#include <pimentoshunt/cell/outage_answer.hpp>
 #include <pimentoshunt/cell/policy/refusals.hpp>
-#include <pimentoshunt/cell/policy/store_outage.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/request_authorizer.hpp>
 #include <pimentoshunt/cell/routed_writes.hpp>
@@ -77,6 +78,11 @@
           m_authorizer(platform, m_context.authorization),
           m_writes(platform, control, health, m_context.announce,
                    m_context.send_forwarded_write, first_number),
+          m_canceller(platform, health, m_writes,
+                      [this](const job_id& job)
+                      {
+                          m_uncertain.erase(job);
+                      }),
           m_last_lookup(first_number)
     {
     }
@@ -191,8 +197,8 @@
             look_up(parsed.job, in_time(parsed.job, std::move(answer)));
             return;
         case caller_request_kind::cancel:
-            cancel(parsed.job, reply_deadline,
-                   in_time(parsed.job, std::move(answer)));
+            cancel({parsed.job, parsed.workspace, reply_deadline,
+                    in_time(parsed.job, std::move(answer))});
             return;
         case caller_request_kind::count:
             count(parsed.route->queue.name, answer);
@@ -221,14 +227,10 @@
         return out;
     }
 
-    /// The answer while the store is away.
-    auto outage_answer(const job_id& job, const std::string& why) const
+    auto answer_outage(const job_id& job, const std::string& why) const
         -> net::server_response
     {
-        auto out = m_platform.error_answer(unavailable, why);
-        out.retry_after =
-            policy::retry_delay(m_health.outage(boot_clock::now()), job);
-        return out;
+        return outage_answer(m_platform, m_health, job, why);
     }
 
     /// Answers a caller after the longest wait if the store has not by then.
@@ -238,7 +240,7 @@
             m_control, boot_clock::now() + max_wait, std::move(answer),
             [this, job]
             {
-                return outage_answer(job, "the store does not answer in time");
+                return answer_outage(job, "the store does not answer in time");
             });
     }
 
@@ -325,6 +327,16 @@
                            inbox_write_result result, boot_clock::duration took)
         -> net::server_response
     {
+        if (result == inbox_write_result::cancelled)
+        {
+            logging::info("job refused: it was cancelled before it was stored")
+                .with("job", job)
+                .with("queue", queue);
+            m_uncertain.erase(job);
+            return m_platform.error_answer(
+                gone, "the job was cancelled before it was accepted; submit "
+                      "it again under another ID");
+        }
         const auto known = m_known_states.find(job);
         const bool is_known = known != m_known_states.end();
         if (result != inbox_write_result::stored && is_known)
@@ -352,9 +364,10 @@
             logging::warn("job refused: the store did not accept the write")
                 .with("job", job)
                 .with("took", took);
-            return outage_answer(job, "the store does not answer; the job "
+            return answer_outage(job, "the store does not answer; the job "
                                       "was not accepted");
         case inbox_write_result::indeterminate:
+        case inbox_write_result::cancelled:
             break;
         }
         logging::warn("job submission has an unknown outcome")
@@ -375,54 +388,14 @@
                        "send it again with the same ID");
     }
 
-    auto cancel(const job_id& job, time_point reply_deadline, reply answer)
-        -> void
+    auto cancel(const cancellation& request) -> void
     {
-        const auto seen = m_known_states.find(job);
-        if (seen != m_known_states.end())
+        if (m_known_states.contains(request.job))
         {
-            store_cancel(job, reply_deadline, std::move(answer));
+            m_canceller.cancel_stored(request);
             return;
         }
-        read_ranges(
-            m_platform, job_ranges(job), read_timeout,
-            [this, job, reply_deadline,
-             answer = std::move(answer)](std::optional<table_rows> found)
-            {
-                m_health.record(found.has_value(), boot_clock::now());
-                if (!found)
-                {
-                    answer(outage_answer(job, "the store does not answer; the "
-                                              "job was not cancelled"));
-                    return;
-                }
-                if (found->rows.empty())
-                {
-                    answer(no_such_job());
-                    return;
-                }
-                store_cancel(job, reply_deadline, answer);
-            });
-    }
-
-    auto store_cancel(const job_id& job, time_point reply_deadline,
-                      reply answer) -> void
-    {
-        m_writes.cancel(
-            job, reply_deadline,
-            [this, job, answer = std::move(answer)](inbox_write_result result)
-            {
-                logging::info("cancellation")
-                    .with("job", job)
-                    .with("stored", result == inbox_write_result::stored);
-                if (result == inbox_write_result::stored)
-                {
-                    answer(m_platform.state_answer(job_state::cancelled));
-                    return;
-                }
-                answer(outage_answer(job, "the store does not answer; cancel "
-                                          "the job again"));
-            });
+        m_canceller.cancel(request);
     }
 
     auto answer_state(const job_id& job, job_state state, const reply& answer)
@@ -481,10 +454,10 @@
                 m_health.record(found.has_value(), boot_clock::now());
                 if (!found)
                 {
-                    answer(outage_answer(job, "the store does not answer"));
+                    answer(answer_outage(job, "the store does not answer"));
                     return;
                 }
-                if (found->rows.empty())
+                if (!holds_job(found->rows))
                 {
                     answer(no_such_job());
                     return;
@@ -525,7 +498,7 @@
             job, job_ranges(job), answer,
             [this, job, cancelled, answer](const std::vector<stored_row>& rows)
             {
-                if (rows.empty())
+                if (!holds_job(rows))
                 {
                     answer(no_such_job());
                     return;
@@ -546,7 +519,7 @@
             {
                 if (!found)
                 {
-                    answer(outage_answer(job, "the store does not answer"));
+                    answer(answer_outage(job, "the store does not answer"));
                     return;
                 }
                 step(found->rows);
@@ -595,6 +568,7 @@
     job_request_context m_context;
     request_authorizer<Platform> m_authorizer;
     routed_writes<Platform> m_writes;
+    job_canceller<Platform> m_canceller;
     std::uint64_t m_last_lookup;
     std::map<std::uint64_t, std::shared_ptr<lookup>> m_lookups;
     std::unordered_map<job_id, job_state> m_known_states;
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -20,6 +20,7 @@
 #include <pimentoshunt/cell/store_health.hpp>
 #include <pimentoshunt/cell/table_follower.hpp>
 #include <pimentoshunt/cell/tables.hpp>
+#include <pimentoshunt/cell/tombstone_remover.hpp>
 #include <pimentoshunt/logging.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -83,6 +84,7 @@
               platform, m_scheduler, epoch_version, roster_listener())),
           m_remover(
               std::make_shared<job_remover<Platform>>(platform, m_scheduler)),
+          m_tombstones(std::make_shared<tombstone_remover<Platform>>(platform)),
           m_load(steady_now()), m_tick_timer(control), m_pass_timer(control)
     {
     }
@@ -117,6 +119,7 @@
         m_progress->stop();
         m_roster->stop();
         m_remover->stop();
+        m_tombstones->stop();
         if (m_loader)
         {
             m_loader->stop();
@@ -286,6 +289,13 @@
 
     auto restore_jobs(const cell_snapshot& found) -> void
     {
+        for (const auto& row : found.inbox)
+        {
+            if (is_tombstone(row))
+            {
+                m_tombstones->add(row, steady_now());
+            }
+        }
         std::map<std::string, job_progress> progress;
         for (const auto& row : found.progress)
         {
@@ -398,6 +408,10 @@
         {
             note_owner_epoch(named_epoch(row));
         }
+        else if (is_tombstone(row))
+        {
+            m_tombstones->add(row, steady_now());
+        }
         else if (const auto job = read_inbox_row(row))
         {
             add_job(*job, nullptr);
@@ -595,6 +609,7 @@
         m_progress->write();
         m_roster->write(now);
         m_remover->remove_due(now);
+        m_tombstones->remove_due(now);
         m_load.on_pass(m_scheduler.last_pass(), out, steady_now() - now);
         if (const auto load = m_load.take(now))
         {
@@ -741,6 +756,7 @@
     std::shared_ptr<progress_writer<Platform>> m_progress;
     std::shared_ptr<roster_writer<Platform>> m_roster;
     std::shared_ptr<job_remover<Platform>> m_remover;
+    std::shared_ptr<tombstone_remover<Platform>> m_tombstones;
     owner_load_meter m_load;
     boost::asio::steady_timer m_tick_timer;
     boost::asio::steady_timer m_pass_timer;
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <optional>   // optional
+#include <set>        // set
 #include <string>     // string
 #include <vector>     // vector
 
@@ -53,8 +54,8 @@
     std::string value;
 };
 
-/// @brief Writes and removals that are applied atomically; all rows are in one
-/// part.
+/// @brief Writes and removals that are applied atomically. If the rows are not all
+/// in one part, the transaction takes longer and needs all of their parts.
 struct row_transaction
 {
     std::vector<row_condition> conditions;
@@ -62,6 +63,26 @@
     std::vector<row_key> removals;
 };
 
+/// @brief Whether the rows of a transaction are in several parts.
+[[nodiscard]] inline auto spans_parts(const row_transaction& transaction)
+    -> bool
+{
+    std::set<std::string> parts;
+    for (const auto& item : transaction.conditions)
+    {
+        parts.insert(item.at.part);
+    }
+    for (const auto& item : transaction.writes)
+    {
+        parts.insert(item.at.part);
+    }
+    for (const auto& item : transaction.removals)
+    {
+        parts.insert(item.part);
+    }
+    return parts.size() > 1;
+}
+
 /// @brief How a transaction ended.
 enum class commit_state
 {
@@ -146,6 +167,9 @@
     /// Digest of the caller's key; empty if the caller sent none, several, or a
     /// malformed one, or if the route needs none.
     std::optional<key_digest> key;
+    /// Workspace of the key; empty before the request is authorized, and if none
+    /// is needed.
+    workspace_name workspace;
     job_id job;
     /// Set for a submission, unless it needs a key and has no valid one.
     std::optional<job_spec> spec;
--- a/include/pimentoshunt/cell/request_authorizer.hpp
+++ b/include/pimentoshunt/cell/request_authorizer.hpp
@@ -162,6 +162,10 @@
         {
             note("no route", parsed, arrived);
         }
+        if (workspace != nullptr)
+        {
+            parsed.workspace = workspace->name;
+        }
         if (workspace != nullptr && parsed.spec)
         {
             parsed.spec->workspace = workspace->name;
--- a/include/pimentoshunt/cell/routed_writes.hpp
+++ b/include/pimentoshunt/cell/routed_writes.hpp
@@ -21,10 +21,13 @@
                                   inbox_write_result other)
     -> inbox_write_result
 {
-    if (one == inbox_write_result::stored ||
-        other == inbox_write_result::stored)
+    for (const auto settled :
+         {inbox_write_result::stored, inbox_write_result::cancelled})
     {
-        return inbox_write_result::stored;
+        if (one == settled || other == settled)
+        {
+            return settled;
+        }
     }
     return one == inbox_write_result::refused ? other : one;
 }
@@ -128,8 +131,7 @@
         const auto after_forward =
             [store_here, reply_deadline, done](inbox_write_result theirs)
         {
-            if (theirs == inbox_write_result::stored ||
-                !has_time(reply_deadline))
+            if (is_settled(theirs) || !has_time(reply_deadline))
             {
                 done(theirs);
                 return;
@@ -159,8 +161,7 @@
     auto after_attempt(const wire::cell_deposit& write, inbox_write_result own,
                        time_point reply_deadline, const handler& done) -> void
     {
-        const bool forwards =
-            own != inbox_write_result::stored && has_time(reply_deadline);
+        const bool forwards = !is_settled(own) && has_time(reply_deadline);
         const auto on_end = [own, done](inbox_write_result theirs)
         {
             done(combine(own, theirs));
--- a/include/pimentoshunt/cell/tables.hpp
+++ b/include/pimentoshunt/cell/tables.hpp
@@ -4,11 +4,12 @@
 
 #include <pimentoshunt/cell/ports.hpp>
 
-#include <charconv> // from_chars
-#include <cstddef>  // size_t
-#include <cstdint>  // uint64_t
-#include <string>   // string
-#include <vector>   // vector
+#include <algorithm> // any_of
+#include <charconv>  // from_chars
+#include <cstddef>   // size_t
+#include <cstdint>   // uint64_t
+#include <string>    // string
+#include <vector>    // vector
 
 namespace pimentoshunt::cell
 {
@@ -156,6 +157,26 @@
                                       : job_id(at.key.substr(0, place));
 }
 
+/// Value of the tombstone that takes the place of a job's row after a cancellation
+/// of the job before it was stored.
+inline const std::string tombstone_value = "cancelled";
+
+[[nodiscard]] inline auto is_tombstone(const stored_row& row) -> bool
+{
+    return row.value == tombstone_value;
+}
+
+/// @brief Whether one of a job's rows in the inbox is the stored job.
+[[nodiscard]] inline auto holds_job(const std::vector<stored_row>& rows) -> bool
+{
+    return std::any_of(rows.begin(), rows.end(),
+                       [](const stored_row& row)
+                       {
+                           return !row.removed && !is_tombstone(row) &&
+                                  cancelled_job(row.at).empty();
+                       });
+}
+
 /// @brief Ranges of the whole inbox.
 [[nodiscard]] inline auto inbox_ranges() -> std::vector<row_range>
 {
--- a/src/cell/forwarded_writes.cpp
+++ b/src/cell/forwarded_writes.cpp
@@ -47,7 +47,7 @@
 auto inbox_write_result_of(std::uint32_t value) -> inbox_write_result
 {
     constexpr auto last =
-        static_cast<std::uint32_t>(inbox_write_result::indeterminate);
+        static_cast<std::uint32_t>(inbox_write_result::cancelled);
     return value <= last ? static_cast<inbox_write_result>(value)
                          : inbox_write_result::indeterminate;
 }
--- a/src/cell/inbox.cpp
+++ b/src/cell/inbox.cpp
@@ -32,7 +32,7 @@
             out.cancelled.push_back(cancelled);
             continue;
         }
-        if (is_part_epoch(row.at))
+        if (is_part_epoch(row.at) || is_tombstone(row))
         {
             continue;
         }
--- a/tests/fakes/fake_cell_store.hpp
+++ b/tests/fakes/fake_cell_store.hpp
@@ -18,7 +18,7 @@
 #include <set>        // set
 #include <string>     // string
 #include <tuple>      // tuple
-#include <utility>    // move
+#include <utility>    // exchange, move
 #include <vector>     // vector
 
 namespace pimentoshunt::fakes
@@ -41,6 +41,9 @@
     /// Whether transactions are dropped: they have no effect, and the call fails
     /// with an unknown outcome at its time limit.
     bool drops_transactions = false;
+    /// Whether transactions are held back until @ref apply_held; the call fails
+    /// with an unknown outcome at its time limit.
+    bool holds_transactions = false;
     /// Number of the next transactions that take effect but report an unknown
     /// outcome.
     int lost_answers = 0;
@@ -58,7 +61,11 @@
                 cell::commit_handler done) -> void
     {
         ++commits;
-        if (drops_transactions)
+        if (holds_transactions)
+        {
+            m_held.push_back(transaction);
+        }
+        if (drops_transactions || holds_transactions)
         {
             answer_after(limit, std::move(done), cell::commit_result{});
             return;
@@ -80,6 +87,21 @@
         answer(std::move(done), std::move(out));
     }
 
+    /// @brief Applies the transactions that were held back, those whose conditions
+    /// hold now, and holds back no more.
+    /// @return how many were committed
+    auto apply_held() -> std::size_t
+    {
+        holds_transactions = false;
+        std::size_t committed = 0;
+        for (const auto& item : std::exchange(m_held, {}))
+        {
+            committed +=
+                apply(item).state == cell::commit_state::committed ? 1 : 0;
+        }
+        return committed;
+    }
+
     auto read(const cell::row_range& range, milliseconds,
               cell::read_handler done) -> void
     {
@@ -236,6 +258,7 @@
 
     boost::asio::io_context& m_control;
     std::map<full_key, cell::stored_row> m_rows;
+    std::vector<cell::row_transaction> m_held;
     std::uint64_t m_version = 0;
 };
 
--- a/tests/soak/job_callers.cpp
+++ b/tests/soak/job_callers.cpp
@@ -17,6 +17,7 @@
 constexpr double lookup_probability = 0.3;
 constexpr double other_instance_probability = 0.3;
 constexpr double give_up_probability = 0.4;
+constexpr double cancel_unaccepted_probability = 0.5;
 
 auto is_success(int status) -> bool
 {
@@ -184,6 +185,11 @@
     };
     if (!job.accepted_at())
     {
+        // Its submission may still take effect.
+        if (random_bool(cancel_unaccepted_probability))
+        {
+            cancel(job);
+        }
         return;
     }
     if (random_bool(repeat_probability))
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
-#include <algorithm> // find, max
+#include <algorithm> // any_of, find, max
 #include <future>    // promise
 #include <stdexcept> // runtime_error
 #include <utility>   // move
@@ -25,6 +25,8 @@
 constexpr milliseconds read_duration{1};
 constexpr milliseconds min_added_delay{200};
 constexpr milliseconds max_added_delay{3'000};
+/// Longest time by which a transaction without an answer takes effect late.
+constexpr milliseconds max_commit_delay{8'000};
 constexpr std::size_t approval_percent = 70;
 constexpr double slow_clock_rate = 0.982;
 constexpr int unavailable = 503;
@@ -312,7 +314,15 @@
             ? (transaction.removals.empty() ? std::string()
                                             : transaction.removals.front().part)
             : transaction.writes.front().at.part;
-    if (!part.empty() && part == m_store_faults.unavailable_part)
+    const bool needs_unavailable_part =
+        std::any_of(transaction.writes.begin(), transaction.writes.end(),
+                    [&](const cell::row_write& write)
+                    {
+                        return !write.at.part.empty() &&
+                               write.at.part == m_store_faults.unavailable_part;
+                    });
+    if (needs_unavailable_part ||
+        (!part.empty() && part == m_store_faults.unavailable_part))
     {
         answer({unavailable, "{}"});
         return;
@@ -324,7 +334,7 @@
                  m_store_faults.added_latency / 2;
     const bool delayed = random_bool(m_store_faults.delayed_commits);
     const bool lost = delayed || random_bool(m_store_faults.lost_answers);
-    delay += delayed ? random_duration(min_added_delay, max_added_delay)
+    delay += delayed ? random_duration(min_added_delay, max_commit_delay)
                      : milliseconds(0);
     after(delay,
           [this, lost, transaction = std::move(transaction),
--- a/tests/soak/platform_wire.cpp
+++ b/tests/soak/platform_wire.cpp
@@ -104,6 +104,13 @@
                     {
                         out.removals.push_back(key_of(row));
                     });
+    const auto* const across = root->if_contains("across");
+    const bool may_span_parts =
+        across != nullptr && across->is_bool() && across->get_bool();
+    if (!may_span_parts && cell::spans_parts(out))
+    {
+        return std::nullopt;
+    }
     return out;
 }
 
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -68,6 +68,8 @@
     std::vector<answer_record> lookups;
 
     [[nodiscard]] auto accepted_at() const -> std::optional<time_point>;
+    /// When a cancellation was first acknowledged: with success, or with the answer
+    /// that there is no such job.
     [[nodiscard]] auto cancelled_at() const -> std::optional<time_point>;
 };
 
@@ -113,7 +115,16 @@
 
 inline auto job_record::cancelled_at() const -> std::optional<time_point>
 {
-    return first_success(cancels);
+    constexpr int gone = 410;
+    for (const auto& answer : cancels)
+    {
+        if (answer.status == gone ||
+            (answer.status >= 200 && answer.status < 300))
+        {
+            return answer.at;
+        }
+    }
+    return std::nullopt;
 }
 
 } // namespace pimentoshunt::soak
--- a/tests/soak/unit-soak-checker.cpp
+++ b/tests/soak/unit-soak-checker.cpp
@@ -122,6 +122,18 @@
               "a recent fault of the starting instance excuses a late start");
 }
 
+// A caller that is told that there is no such job relies on it.
+Test(soak_checker, a_start_after_a_job_was_said_not_to_exist_is_found)
+{
+    auto record = valid_record();
+    record.jobs[id].submissions[0].status = 504;
+    record.jobs[id].lookups.clear();
+    record.jobs[id].cancels.push_back({at(2), at(3), "cell-0", 410, ""});
+    record.runs[1].started = at(3'100);
+    record.runs[1].ended = at(3'200);
+    cr_assert(finds_only("UNASKED", record));
+}
+
 Test(soak_checker, a_run_of_an_unknown_job_is_found)
 {
     auto record = valid_record();
--- a/tests/unit-cell-job-request-handler.cpp
+++ b/tests/unit-cell-job-request-handler.cpp
@@ -1,8 +1,6 @@
 /// @file
 /// Look-ups of jobs at an instance that has to ask the store, and refusals.
-#include "fakes/fake_cell_pool.hpp"
-
-#include <pimentoshunt/cell/job_request_handler.hpp>
+#include "fakes/caller_instance.hpp"
 
 #include <criterion/criterion.h>
 
@@ -10,7 +8,7 @@
 #include <string>
 
 using namespace pimentoshunt;
-using fakes::fake_cell_platform;
+using fakes::caller_instance;
 using fakes::fake_cell_pool;
 using fakes::fake_cell_store;
 using fakes::simple_job;
@@ -18,94 +16,20 @@
 namespace
 {
 
-/// Reads each request as a look-up of the job that its target names, or with POST
-/// as its submission.
-class fake_caller_platform : public fake_cell_platform
-{
-  public:
-    using fake_cell_platform::fake_cell_platform;
-    /// Whether reads get no answer.
-    bool drops_reads = false;
-
-    auto read(const cell::row_range& range, milliseconds limit,
-              cell::read_handler done) -> void
-    {
-        if (!drops_reads)
-        {
-            fake_cell_platform::read(range, limit, std::move(done));
-        }
-    }
-
-    [[nodiscard]] auto read_caller(const net::server_request& request,
-                                   const cell::configuration&) const
-        -> cell::caller_request
-    {
-        cell::caller_request out;
-        out.request_kind = cell::caller_request_kind::look_up;
-        out.job = job_id(request.target);
-        if (request.method == "POST")
-        {
-            out.request_kind = cell::caller_request_kind::submit;
-            out.spec = simple_job(request.target, 1, 1);
-        }
-        return out;
-    }
-
-    [[nodiscard]] auto state_answer(cell::job_state state) const
-        -> net::server_response
-    {
-        return {200, cell::to_string(state)};
-    }
-
-    [[nodiscard]] auto count_answer(std::uint64_t) const -> net::server_response
-    {
-        return {};
-    }
-
-    [[nodiscard]] auto error_answer(int status, const std::string& text) const
-        -> net::server_response
-    {
-        return {status, text};
-    }
-};
-
-/// A request handler of an instance that knows no owner.
+/// An instance and the rows that an owner would write.
 struct request_handler_fixture
 {
     boost::asio::io_context control;
     fake_cell_store store{control};
     fake_cell_pool pool;
-    fake_caller_platform platform{control, store, pool};
-    cell::store_health health;
-    cell::job_request_handler<fake_caller_platform> request_handler{
-        platform, control, health, context_without_owner(), 1};
-    cell::configuration in_force;
-    std::optional<net::server_response> out;
+    caller_instance instance{control, store, pool};
+    fakes::fake_caller_platform& platform = instance.platform;
+    cell::store_health& health = instance.health;
+    std::optional<cell::policy::refusal>& refusal = instance.refusal;
+    milliseconds& deadline = instance.deadline;
+    std::optional<net::server_response>& out = instance.answer;
     const job_id job{"0a"};
 
-    auto context_without_owner() -> cell::job_request_context
-    {
-        cell::job_request_context context;
-        context.is_owner_loaded = []
-        {
-            return false;
-        };
-        context.ask_owner = [](std::uint64_t, const job_id&)
-        {
-            return false;
-        };
-        context.refusal_of = [this](const cell::job_spec&)
-        {
-            return refusal;
-        };
-        context.announce = [](const cell::stored_row&) {};
-        context.send_forwarded_write = [](const wire::cell_deposit&)
-        {
-            return false;
-        };
-        return context;
-    }
-
     auto run() -> void
     {
         control.restart();
@@ -146,12 +70,6 @@
         apply(change);
     }
 
-    /// What the owner's view says of each new job.
-    std::optional<cell::policy::refusal> refusal;
-
-    /// How long callers wait.
-    milliseconds deadline{0};
-
     auto run_for(milliseconds time) -> void
     {
         control.restart();
@@ -160,15 +78,7 @@
 
     auto look_up(const std::string& method = "GET") -> void
     {
-        net::server_request request;
-        request.method = method;
-        request.target = job.str();
-        request.deadline = deadline;
-        request_handler.serve(request, &in_force,
-                              [this](net::server_response answer)
-                              {
-                                  out = std::move(answer);
-                              });
+        instance.take(method, job);
         run();
     }
 };
--- a/tests/unit-platform-wire.cpp
+++ b/tests/unit-platform-wire.cpp
@@ -154,6 +154,21 @@
     }
 }
 
+// The store refuses a transaction over several parts that does not say so, and
+// takes longer for one that does.
+Test(platform_wire, only_a_transaction_over_several_parts_is_marked)
+{
+    cell::row_transaction transaction;
+    transaction.conditions.push_back({{"t", "p", "k"}, 0});
+    transaction.writes.push_back({{"t", "p", "l"}, "value"});
+    transaction.removals.push_back({"t", "p", "m"});
+    cr_assert(encode_transaction(transaction).find("across") ==
+              std::string::npos);
+    transaction.writes.push_back({{"t", "q", "k"}, "value"});
+    cr_assert(encode_transaction(transaction).find(R"("across":true)") !=
+              std::string::npos);
+}
+
 Test(platform_wire, a_configuration_routes_by_host_and_longest_prefix)
 {
     const auto read = decode_configuration(
