A look-up does not deny a job that the instance may have submitted

What callers saw: after a submission was answered 504, GET at the same instance was answered 410 although the write could still take effect.

Change: for 10 s after a submission without an outcome the instance that has sent it answers such a look-up with 503 and Retry-After, unless it finds a tombstone. Other instances don't know of the write and answer 410 as before; a durable answer would cost each look-up a write. What is remembered of such submissions has moved to policy/uncertain_writes.hpp.

--- a/include/pimentoshunt/cell/job_request_handler.hpp
+++ b/include/pimentoshunt/cell/job_request_handler.hpp
@@ -7,6 +7,7 @@
 #include <pimentoshunt/cell/job_canceller.hpp>
 #include <pimentoshunt/cell/outage_answer.hpp>
 #include <pimentoshunt/cell/policy/refusals.hpp>
+#include <pimentoshunt/cell/policy/uncertain_writes.hpp>
 #include <pimentoshunt/cell/ports.hpp>
 #include <pimentoshunt/cell/request_authorizer.hpp>
 #include <pimentoshunt/cell/routed_writes.hpp>
@@ -27,7 +28,6 @@
 #include <memory>        // shared_ptr
 #include <optional>      // optional
 #include <unordered_map> // unordered_map
-#include <unordered_set> // unordered_set
 #include <utility>       // move
 
 namespace pimentoshunt::cell
@@ -81,7 +81,7 @@
           m_canceller(platform, health, m_writes,
                       [this](const job_id& job)
                       {
-                          m_uncertain.erase(job);
+                          m_uncertain.settle(job);
                       }),
           m_last_lookup(first_number)
     {
@@ -332,7 +332,7 @@
             logging::info("job refused: it was cancelled before it was stored")
                 .with("job", job)
                 .with("queue", queue);
-            m_uncertain.erase(job);
+            m_uncertain.settle(job);
             return m_platform.error_answer(
                 gone, "the job was cancelled before it was accepted; submit "
                       "it again under another ID");
@@ -358,7 +358,7 @@
             {
                 remember(job, job_state::queued);
             }
-            m_uncertain.erase(job);
+            m_uncertain.settle(job);
             return m_platform.state_answer(job_state::queued);
         case inbox_write_result::refused:
             logging::warn("job refused: the store did not accept the write")
@@ -373,11 +373,7 @@
         logging::warn("job submission has an unknown outcome")
             .with("job", job)
             .with("took", took);
-        if (m_uncertain.size() >= max_known_states)
-        {
-            m_uncertain.clear();
-        }
-        m_uncertain.insert(job);
+        m_uncertain.add(job, boot_clock::now());
         return unknown_outcome();
     }
 
@@ -459,7 +455,7 @@
                 }
                 if (!holds_job(found->rows))
                 {
-                    answer(no_such_job());
+                    answer(answer_absent(job, found->rows));
                     return;
                 }
                 const bool cancelled =
@@ -500,7 +496,7 @@
             {
                 if (!holds_job(rows))
                 {
-                    answer(no_such_job());
+                    answer(answer_absent(job, rows));
                     return;
                 }
                 answer_state(job, state_in({}, cancelled), answer);
@@ -526,9 +522,18 @@
             });
     }
 
-    [[nodiscard]] auto no_such_job() const -> net::server_response
+    /// The answer for a job that a read has not found.
+    /// @param rows  what the read has found instead
+    [[nodiscard]] auto answer_absent(const job_id& job,
+                                     const std::vector<stored_row>& rows) const
+        -> net::server_response
     {
-        return m_platform.error_answer(gone, "there is no such job");
+        const bool is_kept_out =
+            std::any_of(rows.begin(), rows.end(), is_tombstone);
+        return !is_kept_out && m_uncertain.may_arrive(job, boot_clock::now())
+                   ? unavailable_answer(
+                         "it is not known yet whether the job was accepted")
+                   : m_platform.error_answer(gone, "there is no such job");
     }
 
     static auto state_in(const std::vector<stored_row>& rows, bool cancelled)
@@ -574,7 +579,7 @@
     std::unordered_map<job_id, job_state> m_known_states;
     /// Jobs of a write with an unknown outcome. It may still reach the store
     /// after a read that did not find the job.
-    std::unordered_set<job_id> m_uncertain;
+    policy::uncertain_writes m_uncertain;
 };
 
 } // namespace pimentoshunt::cell
--- a/tests/unit-cell-late-submissions.cpp
+++ b/tests/unit-cell-late-submissions.cpp
@@ -141,6 +141,33 @@
     cr_assert_not(later.role->state_of(fixture.job).has_value());
 }
 
+// Guards against an instance that denies a job which it may have submitted itself.
+Test(cell_late_submissions, a_look_up_denies_no_job_whose_outcome_is_open)
+{
+    late_submission_fixture fixture;
+    fixture.warm_up(fixture.first);
+    fixture.submit_without_answer(fixture.first);
+    const auto open = fixture.first.ask("GET", fixture.job);
+    cr_assert_eq(open.status, 503);
+    cr_assert_geq(open.retry_after.count(), 1);
+    fixture.apply_late();
+    cr_assert_eq(fixture.first.ask("GET", fixture.job).status, 200);
+}
+
+Test(cell_late_submissions, an_open_outcome_is_settled_by_time_or_a_cancelling)
+{
+    cell::policy::uncertain_writes writes;
+    const job_id job("0a");
+    const time_point now{std::chrono::hours(1)};
+    cr_assert_not(writes.may_arrive(job, now));
+    writes.add(job, now);
+    cr_assert(writes.may_arrive(job, now + milliseconds(9'999)));
+    cr_assert_not(writes.may_arrive(job, now + milliseconds(10'000)));
+    cr_assert(writes.contains(job));
+    writes.settle(job);
+    cr_assert_not(writes.contains(job));
+}
+
 // The write takes effect between the read and the answer.
 Test(cell_late_submissions, a_job_that_is_stored_meanwhile_is_cancelled)
 {
