A start that waited for its worker needs a valid ticket when it is sent

A step of a queue with approvals may lose its ticket while a start waits for a reading of the worker's clock, if the worker answers late. The start would have been sent, refused for its ticket, and tried again. It is given up before it is sent, and the task asks for approval anew.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -642,6 +642,10 @@
     auto send_start(worker_record& worker, run_record& run,
                     const task_location& location, time_point now) -> void;
     auto send_waiting_starts(time_point now) -> void;
+    auto send_waiting_starts_to(worker_record& worker, time_point now) -> void;
+    [[nodiscard]] auto is_permitted(const worker_record& worker,
+                                    const task_location& location,
+                                    time_point now) const -> bool;
     auto withdraw_waiting_starts(worker_record& worker, time_point now) -> void;
     auto give_up_start(worker_record& worker, const run_ref& run,
                        time_point now) -> void;
--- a/src/cell/scheduler_starts.cpp
+++ b/src/cell/scheduler_starts.cpp
@@ -4,7 +4,7 @@
 
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // max, min
+#include <algorithm> // find_if, max, min
 #include <optional>  // optional
 #include <utility>   // exchange, move
 #include <vector>    // vector
@@ -122,17 +122,54 @@
             continue;
         }
         m_with_waiting_starts.erase(id);
-        for (auto& [ref, run] : worker.runs)
+        send_waiting_starts_to(worker, now);
+    }
+}
+
+auto scheduler::send_waiting_starts_to(worker_record& worker, time_point now)
+    -> void
+{
+    std::vector<run_ref> without_ticket;
+    for (auto& [ref, run] : worker.runs)
+    {
+        const bool is_due = std::exchange(run.is_waiting, false) &&
+                            run.phase == run_phase::starting;
+        const auto location = find(ref.task);
+        if (!is_due || location.task == nullptr)
         {
-            const bool is_due = std::exchange(run.is_waiting, false) &&
-                                run.phase == run_phase::starting;
-            const auto location = find(ref.task);
-            if (is_due && location.task != nullptr)
-            {
-                send_start(worker, run, location, now);
-            }
+            continue;
+        }
+        if (!is_permitted(worker, location, now))
+        {
+            without_ticket.push_back(ref);
+            continue;
         }
+        send_start(worker, run, location, now);
+    }
+    for (const auto& ref : without_ticket)
+    {
+        give_up_start(worker, ref, now);
+    }
+}
+
+/// Whether the step needs no ticket for the worker, or has one that is valid.
+auto scheduler::is_permitted(const worker_record& worker,
+                             const task_location& location,
+                             time_point now) const -> bool
+{
+    if (!location.job->spec->queue.approval.required)
+    {
+        return true;
     }
+    const auto& approved = location.step->approvals.approved;
+    const auto ticket = std::find_if(approved.begin(), approved.end(),
+                                     [&](const auto& item)
+                                     {
+                                         return item.first == &worker;
+                                     });
+    return ticket != approved.end() &&
+           ticket->second.incarnation == worker.entry.incarnation &&
+           ticket->second.valid_until > now + m_options.ticket_margin;
 }
 
 /// The worker does not answer, has restarted or takes no more work. What waited has
--- a/tests/unit-cell-idle-leases.cpp
+++ b/tests/unit-cell-idle-leases.cpp
@@ -278,6 +278,24 @@
     cr_assert(simulation.workers.at(worker_id("w1")).runs.empty());
 }
 
+// The ticket that a start was placed with may expire while it waits.
+Test(cell_idle_leases, a_waiting_start_is_not_sent_with_an_expired_ticket)
+{
+    cell_simulation simulation;
+    make_idle(simulation, {std::chrono::minutes(5), 1.0}, 1);
+    simulation.workers.at(worker_id("w1")).answer_delay = milliseconds(3'000);
+    auto job = simple_job("j1", 1, 1'000);
+    job.queue.approval.required = true;
+    job.queue.approval.time_per_call = milliseconds(30);
+    job.queue.approval.ticket_lifetime = simulation.ticket_lifetime;
+    simulation.jobs().accept(job, simulation.now);
+    simulation.run_for(milliseconds(4'000));
+    cr_assert_eq(simulation.approval_requests.size(), 2u, "%zu requests",
+                 simulation.approval_requests.size());
+    cr_assert_eq(simulation.starts.size(), 1u);
+    cr_assert_eq(simulation.running(), 1u);
+}
+
 // Guards against calls to idle workers, which would cost each owner in proportion
 // to its workers.
 Test(cell_idle_leases, an_idle_worker_is_not_called)
