One check of tickets for placement, waiting starts, log and requests

scheduler::is_ticket_valid() serves four places that spelled it out; waiting starts look the ticket up instead of searching for it. No behaviour has changed.

--- a/include/pimentoshunt/cell/scheduler.hpp
+++ b/include/pimentoshunt/cell/scheduler.hpp
@@ -643,7 +643,11 @@
                     const task_location& location, time_point now) -> void;
     auto send_waiting_starts(time_point now) -> void;
     auto send_waiting_starts_to(worker_record& worker, time_point now) -> void;
-    [[nodiscard]] auto is_permitted(const worker_record& worker,
+    /// Whether a start that is sent now may carry the ticket.
+    [[nodiscard]] auto
+    is_ticket_valid(const detail::approval_record::ticket& ticket,
+                    const worker_record& worker, time_point now) const -> bool;
+    [[nodiscard]] auto is_permitted(worker_record& worker,
                                     const task_location& location,
                                     time_point now) const -> bool;
     auto withdraw_waiting_starts(worker_record& worker, time_point now) -> void;
--- a/src/cell/scheduler_approval.cpp
+++ b/src/cell/scheduler_approval.cpp
@@ -93,11 +93,9 @@
     std::vector<worker_record*> out;
     for (const auto& [worker, ticket] : step.approvals.approved)
     {
-        const bool has_expired =
-            ticket.valid_until <= now + m_options.ticket_margin ||
-            ticket.incarnation != worker->entry.incarnation;
-        if (has_expired && !step.approvals.refused.contains(worker) &&
-            fits(*worker, step) && is_usable(*worker, *item.job, step, now))
+        if (!is_ticket_valid(ticket, *worker, now) &&
+            !step.approvals.refused.contains(worker) && fits(*worker, step) &&
+            is_usable(*worker, *item.job, step, now))
         {
             out.push_back(worker);
         }
--- a/src/cell/scheduler_dispatch.cpp
+++ b/src/cell/scheduler_dispatch.cpp
@@ -215,9 +215,8 @@
     }
     for (const auto& [worker, ticket] : step.approvals.approved)
     {
-        if (ticket.incarnation == worker->entry.incarnation &&
-            ticket.valid_until > now + m_options.ticket_margin &&
-            fits(*worker, step) && is_usable(*worker, *item.job, step, now))
+        if (is_ticket_valid(ticket, *worker, now) && fits(*worker, step) &&
+            is_usable(*worker, *item.job, step, now))
         {
             out.push_back(worker);
         }
--- a/src/cell/scheduler_starts.cpp
+++ b/src/cell/scheduler_starts.cpp
@@ -4,7 +4,7 @@
 
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // find_if, max, min
+#include <algorithm> // max, min
 #include <optional>  // optional
 #include <utility>   // exchange, move
 #include <vector>    // vector
@@ -152,8 +152,16 @@
     }
 }
 
+auto scheduler::is_ticket_valid(const detail::approval_record::ticket& ticket,
+                                const worker_record& worker,
+                                time_point now) const -> bool
+{
+    return ticket.incarnation == worker.entry.incarnation &&
+           ticket.valid_until > now + m_options.ticket_margin;
+}
+
 /// Whether the step needs no ticket for the worker, or has one that is valid.
-auto scheduler::is_permitted(const worker_record& worker,
+auto scheduler::is_permitted(worker_record& worker,
                              const task_location& location,
                              time_point now) const -> bool
 {
@@ -162,14 +170,9 @@
         return true;
     }
     const auto& approved = location.step->approvals.approved;
-    const auto ticket = std::find_if(approved.begin(), approved.end(),
-                                     [&](const auto& item)
-                                     {
-                                         return item.first == &worker;
-                                     });
+    const auto ticket = approved.find(&worker);
     return ticket != approved.end() &&
-           ticket->second.incarnation == worker.entry.incarnation &&
-           ticket->second.valid_until > now + m_options.ticket_margin;
+           is_ticket_valid(ticket->second, worker, now);
 }
 
 /// The worker does not answer, has restarted or takes no more work. What waited has
--- a/src/cell/scheduler_waiting.cpp
+++ b/src/cell/scheduler_waiting.cpp
@@ -72,9 +72,7 @@
         const bool approved = ticket != approvals.approved.end();
         const bool valid =
             !needs_approval ||
-            (approved &&
-             ticket->second.incarnation == worker.entry.incarnation &&
-             ticket->second.valid_until > now + m_options.ticket_margin);
+            (approved && is_ticket_valid(ticket->second, worker, now));
         offer.not_asked +=
             !approved && !approvals.refused.contains(&worker) ? 1 : 0;
         offer.with_ticket += valid ? 1 : 0;
