One way to find a row, to tell a transaction's parts, and to sort out tombstones

find_row() serves the writers of roster, inbox and tombstones and the remover, which each had a loop. parts_of() serves the wire and the soak's store. read_inbox() hands out the tombstones that it passes over, so that a new owner doesn't go through the inbox twice. clock_bounds.hpp no longer includes orders.

--- a/include/pimentoshunt/cell/inbox.hpp
+++ b/include/pimentoshunt/cell/inbox.hpp
@@ -25,6 +25,7 @@
 {
     std::map<job_id, versioned_job> jobs;
     std::vector<job_id> cancelled;
+    std::vector<stored_row> tombstones;
 };
 
 /// @return empty if the row is not a valid job, which is logged
--- a/include/pimentoshunt/cell/inbox_writer.hpp
+++ b/include/pimentoshunt/cell/inbox_writer.hpp
@@ -14,7 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <algorithm>  // any_of, find_if
+#include <algorithm>  // any_of
 #include <cstdint>    // uint64_t
 #include <deque>      // deque
 #include <functional> // function
@@ -282,7 +282,7 @@
         {
             // Announced with its stored value: it may have been written under
             // an earlier owner.
-            if (const auto* const row = find_row(result, item->at))
+            if (const auto* const row = find_existing(result, item->at))
             {
                 known = true;
                 if (is_tombstone(*row))
@@ -299,7 +299,7 @@
         }
         for (auto item = items.rbegin(); item != items.rend(); ++item)
         {
-            if (find_row(result, item->at) == nullptr)
+            if (find_existing(result, item->at) == nullptr)
             {
                 item->caller->on_commit_ended(false);
                 m_queue.push_front(std::move(*item));
@@ -312,7 +312,7 @@
     /// @return whether the owner has changed
     auto update_epoch(const commit_result& result) -> bool
     {
-        const auto* const row = find_row(result, inbox_epoch_row(m_part));
+        const auto* const row = find_existing(result, inbox_epoch_row(m_part));
         const auto version = row == nullptr ? 0 : row->version;
         if (version == m_epoch_version)
         {
@@ -328,16 +328,11 @@
     }
 
     /// @return nullptr if the row does not exist
-    static auto find_row(const commit_result& result, const row_key& at)
+    static auto find_existing(const commit_result& result, const row_key& at)
         -> const stored_row*
     {
-        const auto row = std::find_if(
-            result.current.begin(), result.current.end(),
-            [&](const stored_row& found)
-            {
-                return found.at == at && !found.removed && found.version > 0;
-            });
-        return row == result.current.end() ? nullptr : &*row;
+        const auto* const row = find_row(result.current, at);
+        return row != nullptr && row->version > 0 ? row : nullptr;
     }
 
     /// Announces the row before it answers: the owner can start the job while
--- a/include/pimentoshunt/cell/owner_role.hpp
+++ b/include/pimentoshunt/cell/owner_role.hpp
@@ -289,13 +289,6 @@
 
     auto restore_jobs(const cell_snapshot& found) -> void
     {
-        for (const auto& row : found.inbox)
-        {
-            if (is_tombstone(row))
-            {
-                m_tombstones->add(row, steady_now());
-            }
-        }
         std::map<std::string, job_progress> progress;
         for (const auto& row : found.progress)
         {
@@ -328,6 +321,10 @@
         {
             m_scheduler.cancel(job, steady_now());
         }
+        for (const auto& row : inbox.tombstones)
+        {
+            m_tombstones->add(row, steady_now());
+        }
     }
 
     auto follow_inbox(std::uint64_t version) -> void
--- a/include/pimentoshunt/cell/policy/clock_bounds.hpp
+++ b/include/pimentoshunt/cell/policy/clock_bounds.hpp
@@ -7,7 +7,6 @@
 /// Input: the share by which a worker's clock may be slow. No state and no I/O.
 #pragma once
 
-#include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/clock.hpp>
 
 #include <chrono> // ceil, duration, duration_cast
--- a/include/pimentoshunt/cell/ports.hpp
+++ b/include/pimentoshunt/cell/ports.hpp
@@ -8,6 +8,7 @@
 #include <pimentoshunt/cell/orders.hpp>
 #include <pimentoshunt/net/http_server.hpp>
 
+#include <algorithm>  // find_if
 #include <concepts>   // convertible_to
 #include <cstdint>    // uint64_t
 #include <functional> // function
@@ -39,6 +40,18 @@
     bool removed = false;
 };
 
+/// @return nullptr if the row is not among @p rows or was removed
+[[nodiscard]] inline auto find_row(const std::vector<stored_row>& rows,
+                                   const row_key& at) -> const stored_row*
+{
+    const auto row = std::find_if(rows.begin(), rows.end(),
+                                  [&](const stored_row& item)
+                                  {
+                                      return item.at == at && !item.removed;
+                                  });
+    return row == rows.end() ? nullptr : &*row;
+}
+
 /// @brief A row and the version that a transaction expects; version 0: the row
 /// must not exist.
 struct row_condition
@@ -63,9 +76,9 @@
     std::vector<row_key> removals;
 };
 
-/// @brief Whether the rows of a transaction are in several parts.
-[[nodiscard]] inline auto spans_parts(const row_transaction& transaction)
-    -> bool
+/// @brief The parts of a transaction's rows.
+[[nodiscard]] inline auto parts_of(const row_transaction& transaction)
+    -> std::set<std::string>
 {
     std::set<std::string> parts;
     for (const auto& item : transaction.conditions)
@@ -80,7 +93,7 @@
     {
         parts.insert(item.part);
     }
-    return parts.size() > 1;
+    return parts;
 }
 
 /// @brief How a transaction ended.
--- a/include/pimentoshunt/cell/roster_writer.hpp
+++ b/include/pimentoshunt/cell/roster_writer.hpp
@@ -9,7 +9,6 @@
 #include <pimentoshunt/cell/tables.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm>  // find_if
 #include <cstdint>    // uint64_t
 #include <functional> // function
 #include <memory>     // enable_shared_from_this
@@ -120,7 +119,7 @@
     auto update_versions(const roster_change& change,
                          const commit_result& result) -> void
     {
-        const auto* const epoch = find_row(result, epoch_row());
+        const auto* const epoch = find_row(result.current, epoch_row());
         if (epoch == nullptr)
         {
             // The row is never removed: the answer is incomplete.
@@ -145,25 +144,11 @@
     auto update_version(const worker_id& worker, const commit_result& result)
         -> void
     {
-        const auto* const row = find_row(result, roster_row(worker));
+        const auto* const row = find_row(result.current, roster_row(worker));
         m_scheduler.set_roster_version(worker,
                                        row == nullptr ? 0 : row->version);
     }
 
-    /// @return nullptr if the row does not exist: the store may leave it out of
-    ///         its answer
-    static auto find_row(const commit_result& result, const row_key& at)
-        -> const stored_row*
-    {
-        const auto row =
-            std::find_if(result.current.begin(), result.current.end(),
-                         [&](const stored_row& found)
-                         {
-                             return found.at == at && !found.removed;
-                         });
-        return row == result.current.end() ? nullptr : &*row;
-    }
-
     Platform& m_platform;
     scheduler& m_scheduler;
     std::uint64_t m_epoch_version;
--- a/include/pimentoshunt/cell/tombstone_remover.hpp
+++ b/include/pimentoshunt/cell/tombstone_remover.hpp
@@ -9,15 +9,14 @@
 #include <pimentoshunt/clock.hpp>
 #include <pimentoshunt/logging.hpp>
 
-#include <algorithm> // any_of
-#include <cstddef>   // size_t
-#include <cstdint>   // uint64_t
-#include <deque>     // deque
-#include <map>       // map
-#include <memory>    // enable_shared_from_this
-#include <string>    // string
-#include <utility>   // move
-#include <vector>    // vector
+#include <cstddef> // size_t
+#include <cstdint> // uint64_t
+#include <deque>   // deque
+#include <map>     // map
+#include <memory>  // enable_shared_from_this
+#include <string>  // string
+#include <utility> // move
+#include <vector>  // vector
 
 namespace pimentoshunt::cell
 {
@@ -143,24 +142,16 @@
         const bool is_conflict = result.state == commit_state::conflict;
         for (auto item = due.rbegin(); item != due.rend(); ++item)
         {
-            if (!is_conflict || is_unchanged(*item, result.current))
+            const auto* const row = find_row(result.current, item->at);
+            const bool is_unchanged =
+                row != nullptr && row->version == item->version;
+            if (!is_conflict || is_unchanged)
             {
                 part.kept.push_front(*item);
             }
         }
     }
 
-    static auto is_unchanged(const entry& item,
-                             const std::vector<stored_row>& current) -> bool
-    {
-        return std::any_of(current.begin(), current.end(),
-                           [&](const stored_row& row)
-                           {
-                               return row.at == item.at && !row.removed &&
-                                      row.version == item.version;
-                           });
-    }
-
     Platform& m_platform;
     milliseconds m_retention;
     std::map<std::string, part_state> m_parts;
--- a/include/pimentoshunt/cell/tombstone_writer.hpp
+++ b/include/pimentoshunt/cell/tombstone_writer.hpp
@@ -10,9 +10,8 @@
 #include <pimentoshunt/cell/tables.hpp>
 #include <pimentoshunt/clock.hpp>
 
-#include <algorithm>  // all_of, find_if
+#include <algorithm>  // all_of
 #include <cstddef>    // size_t
-#include <cstdint>    // uint64_t
 #include <functional> // function
 #include <vector>     // vector
 
@@ -53,7 +52,9 @@
         for (std::size_t i = 0; i < parts_per_job; ++i)
         {
             const auto at = job_row(job, i);
-            transaction.conditions.push_back({at, version_of(at, found)});
+            const auto* const row = find_row(found, at);
+            transaction.conditions.push_back(
+                {at, row == nullptr ? 0 : row->version});
             transaction.writes.push_back({at, tombstone_value});
         }
         m_platform.commit(
@@ -70,18 +71,6 @@
   private:
     static constexpr milliseconds commit_timeout{700};
 
-    static auto version_of(const row_key& at,
-                           const std::vector<stored_row>& found)
-        -> std::uint64_t
-    {
-        const auto row = std::find_if(found.begin(), found.end(),
-                                      [&](const stored_row& item)
-                                      {
-                                          return item.at == at;
-                                      });
-        return row == found.end() ? 0 : row->version;
-    }
-
     static auto result_of(const commit_result& result) -> tombstone_result
     {
         if (result.state == commit_state::committed)
--- a/src/cell/inbox.cpp
+++ b/src/cell/inbox.cpp
@@ -32,7 +32,12 @@
             out.cancelled.push_back(cancelled);
             continue;
         }
-        if (is_part_epoch(row.at) || is_tombstone(row))
+        if (is_tombstone(row))
+        {
+            out.tombstones.push_back(row);
+            continue;
+        }
+        if (is_part_epoch(row.at))
         {
             continue;
         }
--- a/tests/soak/platform.cpp
+++ b/tests/soak/platform.cpp
@@ -7,7 +7,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
-#include <algorithm> // any_of, find, max
+#include <algorithm> // find, max
 #include <future>    // promise
 #include <stdexcept> // runtime_error
 #include <utility>   // move
@@ -314,15 +314,8 @@
             ? (transaction.removals.empty() ? std::string()
                                             : transaction.removals.front().part)
             : transaction.writes.front().at.part;
-    const bool needs_unavailable_part =
-        std::any_of(transaction.writes.begin(), transaction.writes.end(),
-                    [&](const cell::row_write& write)
-                    {
-                        return !write.at.part.empty() &&
-                               write.at.part == m_store_faults.unavailable_part;
-                    });
-    if (needs_unavailable_part ||
-        (!part.empty() && part == m_store_faults.unavailable_part))
+    const auto& down = m_store_faults.unavailable_part;
+    if (!down.empty() && cell::parts_of(transaction).contains(down))
     {
         answer({unavailable, "{}"});
         return;
--- a/tests/soak/platform_wire.cpp
+++ b/tests/soak/platform_wire.cpp
@@ -107,7 +107,7 @@
     const auto* const across = root->if_contains("across");
     const bool may_span_parts =
         across != nullptr && across->is_bool() && across->get_bool();
-    if (!may_span_parts && cell::spans_parts(out))
+    if (!may_span_parts && cell::parts_of(out).size() > 1)
     {
         return std::nullopt;
     }
