Tests of late submissions and records of the soak without repeated code

The two tests that differ in the instance that is asked share their steps, with the same assertions. The soak's record finds the first answer of a kind in one place, and shares the check for success with the callers.

--- a/tests/soak/job_callers.cpp
+++ b/tests/soak/job_callers.cpp
@@ -19,11 +19,6 @@
 constexpr double give_up_probability = 0.4;
 constexpr double cancel_unaccepted_probability = 0.5;
 
-auto is_success(int status) -> bool
-{
-    return status >= 200 && status < 300;
-}
-
 auto is_refusal(int status) -> bool
 {
     return status == 429 || status == 503;
--- a/tests/soak/record.hpp
+++ b/tests/soak/record.hpp
@@ -5,11 +5,12 @@
 
 #include "platform_wire.hpp"
 
-#include <cstdint>  // uint64_t
-#include <map>      // map
-#include <optional> // optional
-#include <string>   // string
-#include <vector>   // vector
+#include <algorithm> // find_if
+#include <cstdint>   // uint64_t
+#include <map>       // map
+#include <optional>  // optional
+#include <string>    // string
+#include <vector>    // vector
 
 namespace pimentoshunt::soak
 {
@@ -94,37 +95,38 @@
     std::vector<fault_record> faults;
 };
 
-/// @brief Time of the first answer with status 2xx.
-inline auto first_success(const std::vector<answer_record>& answers)
-    -> std::optional<time_point>
+inline auto is_success(int status) -> bool
 {
-    for (const auto& answer : answers)
-    {
-        if (answer.status >= 200 && answer.status < 300)
-        {
-            return answer.at;
-        }
-    }
-    return std::nullopt;
+    return status >= 200 && status < 300;
+}
+
+/// @brief Time of the first answer that @p is_wanted holds for.
+template<class Predicate>
+auto first_answer(const std::vector<answer_record>& answers,
+                  Predicate is_wanted) -> std::optional<time_point>
+{
+    const auto found = std::find_if(answers.begin(), answers.end(), is_wanted);
+    return found == answers.end() ? std::nullopt : std::optional(found->at);
 }
 
 inline auto job_record::accepted_at() const -> std::optional<time_point>
 {
-    return first_success(submissions);
+    return first_answer(submissions,
+                        [](const answer_record& answer)
+                        {
+                            return is_success(answer.status);
+                        });
 }
 
 inline auto job_record::cancelled_at() const -> std::optional<time_point>
 {
-    constexpr int gone = 410;
-    for (const auto& answer : cancels)
-    {
-        if (answer.status == gone ||
-            (answer.status >= 200 && answer.status < 300))
-        {
-            return answer.at;
-        }
-    }
-    return std::nullopt;
+    return first_answer(cancels,
+                        [](const answer_record& answer)
+                        {
+                            constexpr int gone = 410;
+                            return answer.status == gone ||
+                                   is_success(answer.status);
+                        });
 }
 
 } // namespace pimentoshunt::soak
--- a/tests/unit-cell-late-submissions.cpp
+++ b/tests/unit-cell-late-submissions.cpp
@@ -65,6 +65,17 @@
             cr_assert_eq(at.ask("POST", other).status, 200);
         }
     }
+
+    /// @param cancels_at  where the caller cancels the job
+    auto check_that_a_late_write_is_kept_out(caller_instance& cancels_at)
+        -> void
+    {
+        warm_up(first);
+        submit_without_answer(first);
+        cr_assert_eq(cancels_at.ask("DELETE", job).status, gone);
+        apply_late();
+        check_that_nothing_starts();
+    }
 };
 
 } // namespace
@@ -74,22 +85,14 @@
 Test(cell_late_submissions, a_late_write_after_the_cancelling_starts_nothing)
 {
     late_submission_fixture fixture;
-    fixture.warm_up(fixture.first);
-    fixture.submit_without_answer(fixture.first);
-    cr_assert_eq(fixture.first.ask("DELETE", fixture.job).status, gone);
-    fixture.apply_late();
-    fixture.check_that_nothing_starts();
+    fixture.check_that_a_late_write_is_kept_out(fixture.first);
 }
 
 // The same with a caller that cancels at an instance which has never seen the job.
 Test(cell_late_submissions, another_instance_keeps_a_late_write_out_as_well)
 {
     late_submission_fixture fixture;
-    fixture.warm_up(fixture.first);
-    fixture.submit_without_answer(fixture.first);
-    cr_assert_eq(fixture.second.ask("DELETE", fixture.job).status, gone);
-    fixture.apply_late();
-    fixture.check_that_nothing_starts();
+    fixture.check_that_a_late_write_is_kept_out(fixture.second);
 }
 
 // The submission was sent to several parts, of which one takes the write late.
